--- /dev/null
+++ b/Makefile
@@ -0,0 +1,116 @@
+# cherviltray
+
+CC = gcc
+CXX = g++
+BUILD = build
+PACKAGES = libuv libprotobuf-c glib-2.0 libsodium libcurl libxxhash
+CPPFLAGS = -Isrc $(shell pkg-config --cflags $(PACKAGES)) $(EXTRA_CPPFLAGS)
+WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wcast-qual -Wundef \
+	-Wformat=2 -Werror
+C_WARNINGS = $(WARNINGS) -Wstrict-prototypes -Wmissing-prototypes \
+	-Wno-cast-qual
+CFLAGS = -std=gnu11 -O2 -g $(SANITIZE)
+CXXFLAGS = -std=c++17 -O1 -g $(SANITIZE)
+LDFLAGS = $(SANITIZE)
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lm
+
+# Sources of the library: all but the programs' own.
+PROGRAM_SRC = $(wildcard src/*_main.c src/cli_*.c)
+LIB_SRC = $(filter-out $(PROGRAM_SRC),$(wildcard src/*.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
+CLI_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/cli_*.c))
+
+PROGRAMS = $(BUILD)/cherviltray-balancer $(BUILD)/cherviltray-agent \
+	$(BUILD)/cherviltray
+FAKES = $(patsubst test/%.c,$(BUILD)/%,$(wildcard test/fake_*.c))
+TESTS = $(patsubst test/%.c,$(BUILD)/%,$(wildcard test/test_*.c))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/*.c))
+
+all: $(PROGRAMS)
+
+everything: $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
+
+$(BUILD)/src/%.pb-c.o: C_WARNINGS = -Wno-error
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo CC $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(C_WARNINGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	@echo CXX $<
+	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) $(WARNINGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/libcherviltray.a: $(LIB_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/cherviltray-balancer: $(BUILD)/src/balancer_main.o
+$(BUILD)/cherviltray-agent: $(BUILD)/src/agent_main.o
+$(BUILD)/cherviltray: $(CLI_OBJ)
+$(FAKES): $(BUILD)/%: $(BUILD)/test/%.o
+$(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(BUILD)/test/harness.o
+$(TESTS): LDLIBS += $(shell pkg-config --libs check)
+$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o
+
+$(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES): $(BUILD)/libcherviltray.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libcherviltray.a \
+		$(LDLIBS)
+
+# Formatter, linter, manual pages, then each test program in turn.
+packages:
+	test/install_packages
+
+check:
+	$(MAKE) packages
+	$(MAKE) check-format
+	$(MAKE) check-lint
+	$(MAKE) check-man
+	$(MAKE) check-tests
+
+C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/*.cc \
+	test/*.[ch] bench/*.[ch]))
+
+check-format:
+	clang-format --dry-run -Werror $(C_FILES)
+
+LINT_STAMPS = $(patsubst %.c,$(BUILD)/lint/%.stamp,$(filter %.c,$(C_FILES)))
+
+$(BUILD)/lint/%.stamp: %.c .clang-tidy $(filter %.h,$(C_FILES))
+	@mkdir -p $(@D)
+	@echo LINT $<
+	@clang-tidy --quiet $< -- $(CPPFLAGS) -std=gnu11 2>$@.log \
+		|| { cat $@.log; exit 1; }
+	@touch $@
+
+check-lint: $(LINT_STAMPS)
+
+check-man:
+	@for page in $(wildcard man/*.[1-8]); do \
+		mandoc -Tlint -W warning $$page || exit 1; done
+
+# SANITIZED tests run from a second build with both sanitizers.
+SANITIZED = $(patsubst test/%.c,build/sanitized/%,$(wildcard test/test_*.c))
+SANITIZE_FLAGS = -fsanitize=address,undefined -fno-sanitize-recover=all
+
+check-tests:
+	$(MAKE) everything
+	$(MAKE) BUILD=build/sanitized SANITIZE="$(SANITIZE_FLAGS)" everything
+	test/run_tests
+
+format:
+	clang-format -i $(C_FILES)
+
+proto:
+	protoc-c --proto_path=proto --c_out=src proto/cherviltray.proto
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all everything packages check check-format check-lint check-man \
+	check-tests format proto clean
+.SECONDARY:
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/agent_admit.c
@@ -0,0 +1,126 @@
+#include "agent_int.h"
+
+/* An open is taken up to this much above the group's utilisation. */
+#define HUNT_SLACK 1.02
+
+static bool opens_allowed(const agent_t *a);
+static bool own_share(agent_t *a, uint64_t now);
+static bool pass_open(agent_t *a, uint64_t now, const arrival_t *in);
+static void take_open(agent_t *a, uint64_t now, const arrival_t *in);
+static void refuse_open(agent_t *a, const arrival_t *in);
+
+static bool opens_allowed(const agent_t *a)
+{
+	if (!a->configured || a->leaving || a->server_down)
+		return false;
+	return a->target->state == TARGET_ACTIVE;
+}
+
+bool admit_full(const agent_t *a)
+{
+	uint64_t queue = (uint64_t)a->target->slots * a->options.queue;
+
+	return flow_table_count(a->flows) >= a->target->connections ||
+	       a->in_flight >= queue;
+}
+
+/* True when our utilisation is no worse than the group's. */
+static bool own_share(agent_t *a, uint64_t now)
+{
+	const member_t *self = group_member(&a->group, a->target->id);
+	double own, mean;
+
+	if (!self)
+		return true;
+	own = member_utilisation(&a->group, self);
+	mean = group_utilisation(&a->group, now);
+	return own <= mean * HUNT_SLACK;
+}
+
+/* Offers the open to the next candidate. Returns false when none is left. */
+static bool pass_open(agent_t *a, uint64_t now, const arrival_t *in)
+{
+	for (size_t i = 0; i < in->ncandidates; i++) {
+		member_t *m = group_member(&a->group, in->candidates[i]);
+		packet_msg_t msg;
+
+		if (!m || m->id == a->target->id || !member_takes_opens(m, now))
+			continue;
+		ct__packet__init(&msg);
+		msg.service = a->service->id;
+		msg.version = a->config->version;
+		msg.digest = a->config->digest;
+		msg.step = STEP_OPEN;
+		msg.reply_ip = in->reply.ip;
+		msg.reply_port = in->reply.port;
+		msg.candidates = (uint32_t *)in->candidates + i + 1;
+		msg.n_candidates = in->ncandidates - i - 1;
+		msg.inner.data = (uint8_t *)in->packet.data;
+		msg.inner.len = in->packet.len;
+		counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
+		a->ops.send(a->ctx, &m->agent, MSG_PACKET, &msg);
+		return true;
+	}
+	return false;
+}
+
+static void take_open(agent_t *a, uint64_t now, const arrival_t *in)
+{
+	const packet_t *p = &in->packet;
+	flow_t *f = flow_table_find(a->flows, &p->key, in->hash);
+	member_t *self = group_member(&a->group, a->target->id);
+
+	if (f)
+		flow_forget(a, f);
+	f = flow_table_add(a->flows, &p->key, in->hash, now);
+	if (!f) {
+		refuse_open(a, in);
+		return;
+	}
+	for (uint32_t i = 0; i < a->service->nclasses; i++) {
+		const class_t *c = &a->service->classes[i];
+
+		if (c->port != p->key.dport || c->proto != p->key.proto)
+			continue;
+		f->class_index = i;
+		f->weight = c->weight;
+	}
+	f->caller_isn = p->seq;
+	f->caller_next = p->seq + 1;
+	flow_enter(a, f, now,
+		   p->key.proto == PROTO_TCP ? FLOW_OPENING : FLOW_ESTABLISHED);
+	flow_count(a, f);
+	if (self)
+		self->work = a->work;
+	counter_add(&a->counters, COUNTER_FLOWS_OPENED, 1);
+	counter_add(&a->counters, COUNTER_OPENS_ACCEPTED, 1);
+	flow_deliver(a, now, f, p);
+	agent_tell(a, in, false, false);
+}
+
+static void refuse_open(agent_t *a, const arrival_t *in)
+{
+	counter_add(&a->counters, COUNTER_OPENS_REFUSED, 1);
+	agent_refuse(a, &in->packet, REFUSAL_NOT_RUN);
+	agent_tell(a, in, true, false);
+}
+
+void admit_open(agent_t *a, uint64_t now, const arrival_t *in)
+{
+	bool may = opens_allowed(a) && !admit_full(a);
+
+	counter_add(&a->counters, COUNTER_OPENS, 1);
+	if (may && own_share(a, now)) {
+		take_open(a, now, in);
+		return;
+	}
+	/* A SYN with data stays where it was offered first. */
+	if (in->packet.payload_len == 0 || in->packet.key.proto == PROTO_UDP) {
+		if (pass_open(a, now, in))
+			return;
+	}
+	if (may)
+		take_open(a, now, in);
+	else
+		refuse_open(a, in);
+}
--- /dev/null
+++ b/src/agent_answer.c
@@ -0,0 +1,113 @@
+#include "agent_int.h"
+
+static void follow_server(agent_t *a, uint64_t now, flow_t *f,
+			  const packet_t *p);
+static flow_t *adopt(agent_t *a, uint64_t now, const packet_t *p,
+		     const flow_key_t *key, uint64_t hash);
+
+static void follow_server(agent_t *a, uint64_t now, flow_t *f,
+			  const packet_t *p)
+{
+	uint32_t next = p->seq + (uint32_t)p->payload_len;
+
+	if (p->payload_len)
+		flow_request_end(a, now, f, true);
+	if (p->key.proto != PROTO_TCP)
+		return;
+	if ((p->flags & (TCP_SYN | TCP_ACK)) == (TCP_SYN | TCP_ACK)) {
+		f->server_isn = p->seq;
+		f->server_next = p->seq + 1;
+		if (f->state == FLOW_OPENING)
+			flow_enter(a, f, now, FLOW_HALF);
+		return;
+	}
+	if (p->flags & TCP_FIN) {
+		f->server_fin = true;
+		next++;
+	}
+	if (seq_diff(next, f->server_next) > 0)
+		f->server_next = next;
+	if (p->flags & TCP_RST)
+		flow_enter(a, f, now, FLOW_CLOSING);
+	else if (f->caller_fin && f->server_fin && f->state != FLOW_CLOSING)
+		flow_enter(a, f, now, FLOW_CLOSING);
+}
+
+/* A packet of the backend server for a flow not known: the server has it. */
+static flow_t *adopt(agent_t *a, uint64_t now, const packet_t *p,
+		     const flow_key_t *key, uint64_t hash)
+{
+	flow_t *f;
+
+	if (p->key.proto == PROTO_TCP &&
+	    (p->flags & (TCP_RST | TCP_SYN) || !(p->flags & TCP_ACK)))
+		return NULL;
+	f = flow_table_add(a->flows, key, hash, now);
+	if (!f)
+		return NULL;
+	f->caller_next = p->ack;
+	f->server_next = p->seq;
+	f->weight = 1;
+	f->delivered = true;
+	for (uint32_t i = 0; i < a->service->nclasses; i++) {
+		if (a->service->classes[i].port != key->dport ||
+		    a->service->classes[i].proto != key->proto)
+			continue;
+		f->class_index = i;
+		f->weight = a->service->classes[i].weight;
+	}
+	flow_enter(a, f, now, FLOW_ESTABLISHED);
+	flow_count(a, f);
+	counter_add(&a->counters, COUNTER_FLOWS_ADOPTED, 1);
+	return f;
+}
+
+void agent_answer(agent_t *a, uint64_t now, const uint8_t *packet, size_t len)
+{
+	packet_t p;
+	flow_key_t key;
+	uint64_t hash;
+	flow_t *f;
+
+	if (!a->service)
+		return;
+	if (packet_parse(packet, len, &p) != PACKET_OK) {
+		counter_add(&a->counters, COUNTER_ANSWERS_UNKNOWN, 1);
+		return;
+	}
+	a->server_down = false;
+	key = flow_key_reverse(&p.key);
+	hash = flow_key_hash(&key, a->options.rank_seed);
+	f = flow_table_find(a->flows, &key, hash);
+	if (f && f->state == FLOW_TRIAL) {
+		if (p.flags & TCP_RST) {
+			lookup_trial_denied(a, now, f);
+			return;
+		}
+		lookup_trial_held(a, now, f, &p);
+	}
+	if (f && f->state == FLOW_DENIED && !(p.flags & (TCP_RST | TCP_SYN))) {
+		flow_forget(a, f);
+		f = NULL;
+	}
+	if (!f)
+		f = adopt(a, now, &p, &key, hash);
+	if (!f || f->state == FLOW_DENIED || f->state == FLOW_LOST) {
+		counter_add(&a->counters,
+			    p.flags & TCP_RST ? COUNTER_RESETS_SWALLOWED
+					      : COUNTER_ANSWERS_UNKNOWN,
+			    1);
+		return;
+	}
+	flow_table_touch(a->flows, f, now);
+	follow_server(a, now, f, &p);
+	a->ops.reply(a->ctx, p.data, p.len);
+}
+
+void agent_server_gone(agent_t *a, uint64_t now)
+{
+	if (!a->server_down)
+		agent_audit(a, "server-gone", "nothing listens at its tunnel");
+	a->server_down = true;
+	a->server_down_ms = now;
+}
--- /dev/null
+++ b/src/agent_group.c
@@ -0,0 +1,122 @@
+#include "agent_int.h"
+#include <string.h>
+
+/* Members tell each other their load this often. */
+#define DIGEST_MS 1000
+/* Silent for longer: suspected, then dead. */
+#define SUSPECT_MS 2500
+#define DEAD_MS	   4500
+/* Peers told each time. */
+#define DIGEST_PEERS 12
+
+static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to);
+static void send_digests(agent_t *a, uint64_t now);
+static void watch_members(agent_t *a, uint64_t now);
+static void note_self(agent_t *a);
+
+/* Our own entry in the group is always the newest. */
+static void note_self(agent_t *a)
+{
+	member_t *self = group_member(&a->group, a->target->id);
+
+	if (!self)
+		return;
+	self->state = MEMBER_ALIVE;
+	self->work = a->work;
+	self->in_flight = a->in_flight;
+	self->capacity = capacity_value(&a->capacity);
+	self->speed = a->capacity.speed;
+	self->full = admit_full(a);
+}
+
+static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to)
+{
+	digest_msg_t msg;
+	load_msg_t load;
+
+	ct__digest__init(&msg);
+	agent_fill_load(a, now, &load);
+	msg.service = a->service->id;
+	msg.version = a->config->version;
+	msg.digest = a->config->digest;
+	msg.load = &load;
+	msg.agent_ip = a->options.self.ip;
+	msg.agent_port = a->options.self.port;
+	a->ops.send(a->ctx, to, MSG_DIGEST, &msg);
+}
+
+static void send_digests(agent_t *a, uint64_t now)
+{
+	size_t n = a->group.n;
+	size_t first = n ? agent_random(a) % n : 0;
+	size_t sent = 0;
+
+	for (size_t i = 0; i < n && sent < DIGEST_PEERS; i++) {
+		const member_t *m = &a->group.members[(first + i) % n];
+
+		if (m->id == a->target->id)
+			continue;
+		send_digest(a, now, &m->agent);
+		sent++;
+	}
+}
+
+static void watch_members(agent_t *a, uint64_t now)
+{
+	for (size_t i = 0; i < a->group.n; i++) {
+		member_t *m = &a->group.members[i];
+
+		if (m->id == a->target->id)
+			continue;
+		if (!m->heard_ms)
+			m->heard_ms = now;
+		if (m->state == MEMBER_ALIVE &&
+		    m->heard_ms + SUSPECT_MS < now) {
+			m->state = MEMBER_SUSPECT;
+			counter_add(&a->counters, COUNTER_SUSPICIONS, 1);
+		}
+		if (m->state != MEMBER_DEAD && m->heard_ms + DEAD_MS < now) {
+			m->state = MEMBER_DEAD;
+			counter_add(&a->counters, COUNTER_MEMBERS_DEAD, 1);
+		}
+	}
+	group_expire(&a->group, now);
+}
+
+void membership_tick(agent_t *a, uint64_t now)
+{
+	note_self(a);
+	watch_members(a, now);
+	if (now < a->digest_ms)
+		return;
+	a->digest_ms = now + DIGEST_MS;
+	send_digests(a, now);
+}
+
+void membership_digest(agent_t *a, uint64_t now, const endpoint_t *from,
+		       const digest_msg_t *digest)
+{
+	endpoint_t agent = { digest->agent_ip, (uint16_t)digest->agent_port };
+
+	if (!a->service || digest->service != a->service->id || !digest->load)
+		return;
+	if (digest->version > a->config->version)
+		a->ops.behind(a->ctx, from, digest->version);
+	if (digest->load->target == a->target->id)
+		return;
+	group_load(&a->group, now, digest->load, &agent);
+}
+
+void membership_probe(agent_t *a, uint64_t now, const endpoint_t *from,
+		      const probe_msg_t *probe)
+{
+	(void)now;
+	(void)from;
+	(void)probe;
+	counter_add(&a->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
+}
+
+void membership_leave(agent_t *a, uint64_t now)
+{
+	send_digests(a, now);
+}
--- /dev/null
+++ b/src/agent_handover.c
@@ -0,0 +1,107 @@
+#include "agent_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+static flow_record_msg_t *record_of(const flow_t *f);
+static void import_flow(agent_t *a, uint64_t now, const flow_record_msg_t *r);
+
+static flow_record_msg_t *record_of(const flow_t *f)
+{
+	flow_record_msg_t *r = malloc(sizeof(*r));
+
+	if (!r)
+		return NULL;
+	ct__flow_record__init(r);
+	r->src_ip = f->key.src;
+	r->dst_ip = f->key.dst;
+	r->src_port = f->key.sport;
+	r->dst_port = f->key.dport;
+	r->protocol = f->key.proto;
+	r->state = f->state;
+	r->caller_next = f->caller_next;
+	r->server_next = f->server_next;
+	r->server_isn = f->server_isn;
+	r->caller_isn = f->caller_isn;
+	r->class_index = f->class_index;
+	r->request_open = f->request_open;
+	r->bytes_delivered = f->delivered;
+	return r;
+}
+
+int agent_export(agent_t *a, handover_msg_t *out)
+{
+	size_t n = flow_table_count(a->flows);
+
+	ct__handover__init(out);
+	out->complete = a->complete;
+	out->incarnation = a->incarnation;
+	out->target = a->target ? a->target->id : 0;
+	out->speed = (uint32_t)(a->capacity.speed * 1000);
+	out->flows = calloc(n + 1, sizeof(flow_record_msg_t *));
+	if (!out->flows)
+		return -1;
+	list_each(node, flow_table_recent(a->flows))
+	{
+		const flow_t *f = list_entry(node, flow_t, recent);
+		flow_record_msg_t *r;
+
+		if (f->state <= FLOW_DENIED || f->state == FLOW_LOST)
+			continue;
+		r = record_of(f);
+		if (!r)
+			return -1;
+		out->flows[out->n_flows++] = r;
+	}
+	return 0;
+}
+
+void agent_export_free(handover_msg_t *out)
+{
+	for (size_t i = 0; i < out->n_flows; i++)
+		free(out->flows[i]);
+	free(out->flows);
+	out->flows = NULL;
+	out->n_flows = 0;
+}
+
+static void import_flow(agent_t *a, uint64_t now, const flow_record_msg_t *r)
+{
+	flow_key_t key = { r->src_ip, r->dst_ip, (uint16_t)r->src_port,
+			   (uint16_t)r->dst_port, (uint8_t)r->protocol };
+	uint64_t hash = flow_key_hash(&key, a->options.rank_seed);
+	flow_t *f;
+
+	if (r->state >= FLOW_STATES || flow_table_find(a->flows, &key, hash))
+		return;
+	f = flow_table_add(a->flows, &key, hash, now);
+	if (!f)
+		return;
+	f->caller_next = r->caller_next;
+	f->server_next = r->server_next;
+	f->server_isn = r->server_isn;
+	f->caller_isn = r->caller_isn;
+	f->class_index = r->class_index;
+	f->weight = 1;
+	if (r->class_index < a->service->nclasses)
+		f->weight = a->service->classes[r->class_index].weight;
+	f->delivered = r->bytes_delivered;
+	flow_enter(a, f, now, (flow_state_t)r->state);
+	if (f->state != FLOW_CLOSING)
+		flow_count(a, f);
+	if (r->request_open) {
+		f->request_open = true;
+		f->request_ms = now;
+		f->request_load = ++a->in_flight;
+	}
+}
+
+int agent_import(agent_t *a, uint64_t now, const handover_msg_t *in)
+{
+	if (!a->service || in->target != a->target->id)
+		return -1;
+	for (size_t i = 0; i < in->n_flows; i++)
+		import_flow(a, now, in->flows[i]);
+	a->complete = in->complete;
+	a->capacity.speed = in->speed / 1000.0;
+	return 0;
+}
--- /dev/null
+++ b/src/agent_main.c
@@ -0,0 +1,234 @@
+/*
+ * cherviltray-agent - daemon beside a backend server
+ *
+ * The way of a packet: a sealed message comes in at settings.listen,
+ * message() hands it to the agent, which hands the packet to deliver() and so
+ * to the backend server's tunnel, or to another agent. The backend server's
+ * answer comes in at settings.delivery, on_answer() hands it to the agent,
+ * which hands it to reply() and so to the fabric.
+ */
+
+#include "agent.h"
+#include "log.h"
+#include "process.h"
+#include "udp_socket.h"
+#include <sodium.h>
+#include <stdlib.h>
+
+typedef struct daemon {
+	agent_t *agent;
+	udp_socket_t *server; /* tunnel of the backend server */
+	udp_socket_t *fabric; /* answers to the caller's side */
+} daemon_t;
+
+static void on_answer(void *ctx, const endpoint_t *from, uint8_t *buf,
+		      size_t len);
+static void on_refused(void *ctx);
+static void on_fabric(void *ctx, const endpoint_t *from, uint8_t *buf,
+		      size_t len);
+static void send_message(void *ctx, const endpoint_t *to, msg_kind_t kind,
+			 const void *msg);
+static void deliver(void *ctx, const uint8_t *packet, size_t len);
+static void reply(void *ctx, const uint8_t *packet, size_t len);
+static void behind(void *ctx, const endpoint_t *from, uint64_t version);
+static void audit(void *ctx, const char *event, const char *subject,
+		  const char *detail);
+static int start(process_t *p, err_t *err);
+static void end(process_t *p);
+static int configure(process_t *p, uint64_t now, config_t *config);
+static void message(process_t *p, uint64_t now, const endpoint_t *from,
+		    msg_kind_t kind, const void *msg);
+static void tick(process_t *p, uint64_t now);
+static void stop(process_t *p, uint64_t now);
+static bool idle(process_t *p);
+static void status(process_t *p, GString *out);
+static char *explain(process_t *p, const flow_key_t *key);
+
+static void on_answer(void *ctx, const endpoint_t *from, uint8_t *buf,
+		      size_t len)
+{
+	process_t *p = ctx;
+	daemon_t *d = p->ctx;
+
+	(void)from;
+	agent_answer(d->agent, uv_now(&p->loop), buf, len);
+}
+
+static void on_refused(void *ctx)
+{
+	process_t *p = ctx;
+	daemon_t *d = p->ctx;
+
+	agent_server_gone(d->agent, uv_now(&p->loop));
+}
+
+/* Nothing comes from the fabric here. */
+static void on_fabric(void *ctx, const endpoint_t *from, uint8_t *buf,
+		      size_t len)
+{
+	process_t *p = ctx;
+
+	(void)from;
+	(void)buf;
+	(void)len;
+	counter_add(p->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
+}
+
+static void send_message(void *ctx, const endpoint_t *to, msg_kind_t kind,
+			 const void *msg)
+{
+	process_t *p = ctx;
+
+	dgram_send(p->dgram, to, kind, msg);
+}
+
+static void deliver(void *ctx, const uint8_t *packet, size_t len)
+{
+	process_t *p = ctx;
+	daemon_t *d = p->ctx;
+
+	udp_socket_send(d->server, &p->settings.server, packet, len);
+}
+
+static void reply(void *ctx, const uint8_t *packet, size_t len)
+{
+	process_t *p = ctx;
+	daemon_t *d = p->ctx;
+
+	udp_socket_send(d->fabric, &p->settings.fabric, packet, len);
+}
+
+static void behind(void *ctx, const endpoint_t *from, uint64_t version)
+{
+	(void)ctx;
+	(void)from;
+	(void)version;
+}
+
+static void audit(void *ctx, const char *event, const char *subject,
+		  const char *detail)
+{
+	process_audit(ctx, event, subject, detail);
+}
+
+static int start(process_t *p, err_t *err)
+{
+	static const agent_ops_t ops = { send_message, deliver, reply, behind,
+					 audit };
+	static const udp_socket_ops_t server_ops = { on_answer, on_refused,
+						     NULL };
+	static const udp_socket_ops_t fabric_ops = { .receive = on_fabric };
+	agent_options_t options = {
+		.self = p->settings.listen,
+		.rank_seed = seal_rank_seed(p->settings.key),
+		.incarnation = wall_clock_ms(),
+		.flows = p->settings.flows,
+		.queue = p->settings.queue,
+	};
+	endpoint_t any = { p->settings.listen.ip, 0 };
+	daemon_t *d = calloc(1, sizeof(*d));
+
+	g_strlcpy(options.target, p->settings.target, sizeof(options.target));
+	randombytes_buf(&options.random_seed, sizeof(options.random_seed));
+	p->ctx = d;
+	if (d)
+		d->agent = agent_new(&options, &ops, p);
+	if (!d || !d->agent)
+		return err_set(err, ERR_MEMORY, NULL, 0, "lower flows",
+			       "no memory for the agent");
+	p->counters = agent_counters(d->agent);
+	d->server = udp_socket_open(&p->loop, &p->settings.delivery,
+				    &p->settings.server, &server_ops, p, err);
+	if (!d->server)
+		return -1;
+	d->fabric = udp_socket_open(&p->loop, &any, NULL, &fabric_ops, p, err);
+	return d->fabric ? 0 : -1;
+}
+
+static void end(process_t *p)
+{
+	daemon_t *d = p->ctx;
+
+	if (!d)
+		return;
+	p->own_counters = *p->counters;
+	p->counters = &p->own_counters;
+	udp_socket_close(d->server);
+	udp_socket_close(d->fabric);
+	agent_free(d->agent);
+	free(d);
+}
+
+static int configure(process_t *p, uint64_t now, config_t *config)
+{
+	daemon_t *d = p->ctx;
+
+	return agent_configure(d->agent, now, config);
+}
+
+static void message(process_t *p, uint64_t now, const endpoint_t *from,
+		    msg_kind_t kind, const void *msg)
+{
+	daemon_t *d = p->ctx;
+
+	agent_message(d->agent, now, from, kind, msg);
+}
+
+static void tick(process_t *p, uint64_t now)
+{
+	daemon_t *d = p->ctx;
+
+	agent_tick(d->agent, now);
+}
+
+static void stop(process_t *p, uint64_t now)
+{
+	daemon_t *d = p->ctx;
+
+	agent_leave(d->agent, now);
+}
+
+static bool idle(process_t *p)
+{
+	daemon_t *d = p->ctx;
+
+	return agent_held(d->agent) == 0;
+}
+
+static void status(process_t *p, GString *out)
+{
+	daemon_t *d = p->ctx;
+
+	g_string_append_printf(out,
+			       ",\"target\":\"%s\",\"held\":%zu,"
+			       "\"in_flight\":%u,\"work\":%u,\"complete\":%s",
+			       p->settings.target, agent_held(d->agent),
+			       agent_in_flight(d->agent), agent_work(d->agent),
+			       agent_complete(d->agent) ? "true" : "false");
+}
+
+static char *explain(process_t *p, const flow_key_t *key)
+{
+	daemon_t *d = p->ctx;
+
+	return agent_explain(d->agent, uv_now(&p->loop), key);
+}
+
+int main(int argc, char **argv)
+{
+	static const process_ops_t ops = {
+		.program = "cherviltray-agent",
+		.role = ROLE_AGENT,
+		.start = start,
+		.end = end,
+		.configure = configure,
+		.message = message,
+		.tick = tick,
+		.stop = stop,
+		.idle = idle,
+		.status = status,
+		.explain = explain,
+	};
+
+	return process_run(&ops, argc, argv);
+}
--- /dev/null
+++ b/src/counters.h
@@ -0,0 +1,99 @@
+#ifndef COUNTERS_H
+#define COUNTERS_H
+
+/*
+ * counters - what a process counts, by name
+ *
+ * One table of counters for all programs; a program prints those that are
+ * not zero. The second column is the name in `cherviltray metrics`.
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define COUNTER_TABLE(X)                                                       \
+	X(PACKETS_IN, "packets_in")                                            \
+	X(PACKETS_OUT, "packets_out")                                          \
+	X(DROP_TRUNCATED, "drop_truncated")                                    \
+	X(DROP_OVERSIZED, "drop_oversized")                                    \
+	X(DROP_NOT_IPV4, "drop_not_ipv4")                                      \
+	X(DROP_BAD_HEADER, "drop_bad_header")                                  \
+	X(DROP_BAD_CHECKSUM, "drop_bad_checksum")                              \
+	X(DROP_FRAGMENT, "drop_fragment")                                      \
+	X(DROP_PROTOCOL, "drop_protocol")                                      \
+	X(DROP_BAD_TCP, "drop_bad_tcp")                                        \
+	X(DROP_BAD_UDP, "drop_bad_udp")                                        \
+	X(DROP_NO_SERVICE, "drop_no_service")                                  \
+	X(DROP_NO_TARGET, "drop_no_target")                                    \
+	X(DROP_NO_CONFIG, "drop_no_config")                                    \
+	X(DROP_WRONG_SERVICE, "drop_wrong_service")                            \
+	X(DROP_HOP_LIMIT, "drop_hop_limit")                                    \
+	X(MESSAGES_IN, "messages_in")                                          \
+	X(MESSAGES_OUT, "messages_out")                                        \
+	X(MESSAGE_BYTES_OUT, "message_bytes_out")                              \
+	X(MESSAGE_SHORT, "message_short")                                      \
+	X(MESSAGE_FOREIGN, "message_foreign")                                  \
+	X(MESSAGE_FORGED, "message_forged")                                    \
+	X(MESSAGE_STALE, "message_stale")                                      \
+	X(MESSAGE_REPLAYED, "message_replayed")                                \
+	X(MESSAGE_MALFORMED, "message_malformed")                              \
+	X(MESSAGE_UNEXPECTED, "message_unexpected")                            \
+	X(SEND_FAILED, "send_failed")                                          \
+	X(CONTROL_MESSAGES_OUT, "control_messages_out")                        \
+	X(CONTROL_BYTES_OUT, "control_bytes_out")                              \
+	X(OPENS, "opens")                                                      \
+	X(OPENS_ACCEPTED, "opens_accepted")                                    \
+	X(OPENS_PASSED, "opens_passed")                                        \
+	X(OPENS_REFUSED, "opens_refused")                                      \
+	X(OPENS_RETRIED, "opens_retried")                                      \
+	X(OPENS_RETRY_DENIED, "opens_retry_denied")                            \
+	X(CACHE_HITS, "cache_hits")                                            \
+	X(CACHE_MISSES, "cache_misses")                                        \
+	X(LOOKUPS_PASSED, "lookups_passed")                                    \
+	X(LOOKUPS_UNKNOWN, "lookups_unknown")                                  \
+	X(LOOKUPS_SILENT, "lookups_silent")                                    \
+	X(FLOWS_OPENED, "flows_opened")                                        \
+	X(FLOWS_CLOSED, "flows_closed")                                        \
+	X(FLOWS_ADOPTED, "flows_adopted")                                      \
+	X(FLOWS_RESET, "flows_reset")                                          \
+	X(FLOWS_EXPIRED, "flows_expired")                                      \
+	X(HALF_OPEN_LOST, "half_open_lost")                                    \
+	X(TRIALS, "trials")                                                    \
+	X(TRIALS_DENIED, "trials_denied")                                      \
+	X(TRIALS_SILENT, "trials_silent")                                      \
+	X(RESETS_SWALLOWED, "resets_swallowed")                                \
+	X(ANSWERS_UNKNOWN, "answers_unknown")                                  \
+	X(REQUESTS, "requests")                                                \
+	X(REQUESTS_ANSWERED, "requests_answered")                              \
+	X(SUSPICIONS, "suspicions")                                            \
+	X(REFUTATIONS, "refutations")                                          \
+	X(MEMBERS_DEAD, "members_dead")                                        \
+	X(CONFIG_ACCEPTED, "config_accepted")                                  \
+	X(CONFIG_REFUSED, "config_refused")                                    \
+	X(CONFIG_PULLS, "config_pulls")                                        \
+	X(PLATFORM_CALLS, "platform_calls")                                    \
+	X(PLATFORM_FAILURES, "platform_failures")                              \
+	X(AUDIT_EVENTS, "audit_events")
+
+typedef enum counter {
+#define COUNTER_ENUM(id, name) COUNTER_##id,
+	COUNTER_TABLE(COUNTER_ENUM)
+#undef COUNTER_ENUM
+		COUNTERS, /* number of counters, not one */
+} counter_t;
+
+typedef struct counters {
+	uint64_t values[COUNTERS];
+} counters_t;
+
+static inline void counter_add(counters_t *c, counter_t id, uint64_t n)
+{
+	c->values[id] += n;
+}
+
+const char *counter_name(counter_t id);
+
+/* JSON object of all counters that are not zero; the caller frees it. */
+char *counters_json(const counters_t *c);
+
+#endif
--- /dev/null
+++ b/src/endpoint.h
@@ -0,0 +1,37 @@
+#ifndef ENDPOINT_H
+#define ENDPOINT_H
+
+/*
+ * endpoint - an IPv4 address and a port, both in host byte order
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+#include <netinet/in.h>
+
+/* Bytes that hold any endpoint as text. */
+#define ENDPOINT_TEXT 24
+
+typedef struct endpoint {
+	uint32_t ip;
+	uint16_t port;
+} endpoint_t;
+
+/* Parses "1.2.3.4:80". Returns 0, or -1 when the text is no endpoint. */
+int endpoint_parse(const char *text, endpoint_t *out);
+
+/* Parses "1.2.3.4". Returns 0, or -1 when the text is no address. */
+int ipv4_parse(const char *text, uint32_t *out);
+
+/* Writes the endpoint as text; returns buf. */
+char *endpoint_format(const endpoint_t *ep, char buf[ENDPOINT_TEXT]);
+
+char *ipv4_format(uint32_t ip, char buf[ENDPOINT_TEXT]);
+
+int endpoint_equal(const endpoint_t *a, const endpoint_t *b);
+
+struct sockaddr_in endpoint_sockaddr(const endpoint_t *ep);
+
+endpoint_t endpoint_from_sockaddr(const struct sockaddr_in *sa);
+
+#endif
--- /dev/null
+++ b/src/flow_table.c
@@ -0,0 +1,160 @@
+#include "flow_table.h"
+#include <stdlib.h>
+
+#define BUCKETS_MIN 256
+
+struct flow_table {
+	list_t *buckets;
+	size_t mask;
+	size_t count;
+	size_t limit;
+	uint32_t serial;
+	list_t recent;
+};
+
+static int grow(flow_table_t *t);
+
+flow_table_t *flow_table_new(size_t limit)
+{
+	flow_table_t *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->limit = limit;
+	list_init(&t->recent);
+	t->buckets = calloc(BUCKETS_MIN, sizeof(*t->buckets));
+	if (!t->buckets) {
+		free(t);
+		return NULL;
+	}
+	t->mask = BUCKETS_MIN - 1;
+	for (size_t i = 0; i < BUCKETS_MIN; i++)
+		list_init(&t->buckets[i]);
+	return t;
+}
+
+void kept_packet_free(kept_packet_t *k)
+{
+	free(k->asked);
+	free(k->unasked);
+	free(k);
+}
+
+void flow_drop_kept(flow_t *f)
+{
+	list_each_safe(node, after, &f->kept)
+	{
+		kept_packet_t *k = list_entry(node, kept_packet_t, node);
+
+		list_remove(node);
+		kept_packet_free(k);
+	}
+	f->nkept = 0;
+}
+
+void flow_table_free(flow_table_t *t)
+{
+	if (!t)
+		return;
+	list_each_safe(node, after, &t->recent)
+		flow_table_remove(t, list_entry(node, flow_t, recent));
+	free(t->buckets);
+	free(t);
+}
+
+flow_t *flow_table_find(flow_table_t *t, const flow_key_t *key, uint64_t hash)
+{
+	list_t *bucket = &t->buckets[hash & t->mask];
+
+	list_each(node, bucket)
+	{
+		flow_t *f = list_entry(node, flow_t, chain);
+
+		if (f->hash == hash && flow_key_equal(&f->key, key))
+			return f;
+	}
+	return NULL;
+}
+
+/* Doubles the buckets. */
+static int grow(flow_table_t *t)
+{
+	size_t n = (t->mask + 1) * 2;
+	list_t *buckets = calloc(n, sizeof(*buckets));
+
+	if (!buckets)
+		return -1;
+	for (size_t i = 0; i < n; i++)
+		list_init(&buckets[i]);
+	list_each(node, &t->recent)
+	{
+		flow_t *f = list_entry(node, flow_t, recent);
+
+		list_remove(&f->chain);
+		list_append(&buckets[f->hash & (n - 1)], &f->chain);
+	}
+	free(t->buckets);
+	t->buckets = buckets;
+	t->mask = n - 1;
+	return 0;
+}
+
+flow_t *flow_table_add(flow_table_t *t, const flow_key_t *key, uint64_t hash,
+		       uint64_t now)
+{
+	flow_t *f;
+
+	if (t->count >= t->limit)
+		return NULL;
+	if (t->count > t->mask && grow(t) < 0)
+		return NULL;
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		return NULL;
+	f->key = *key;
+	f->hash = hash;
+	f->last_ms = now;
+	f->state_ms = now;
+	f->serial = ++t->serial;
+	list_init(&f->kept);
+	list_append(&t->buckets[hash & t->mask], &f->chain);
+	list_append(&t->recent, &f->recent);
+	t->count++;
+	return f;
+}
+
+void flow_table_remove(flow_table_t *t, flow_t *f)
+{
+	flow_drop_kept(f);
+	list_remove(&f->chain);
+	list_remove(&f->recent);
+	free(f);
+	t->count--;
+}
+
+void flow_table_touch(flow_table_t *t, flow_t *f, uint64_t now)
+{
+	f->last_ms = now;
+	list_remove(&f->recent);
+	list_append(&t->recent, &f->recent);
+}
+
+size_t flow_table_count(const flow_table_t *t)
+{
+	return t->count;
+}
+
+list_t *flow_table_recent(flow_table_t *t)
+{
+	return &t->recent;
+}
+
+const char *flow_state_name(flow_state_t state)
+{
+	static const char *const names[FLOW_STATES] = {
+		"trial",       "denied",  "opening", "half",
+		"established", "closing", "lost",
+	};
+
+	return state < FLOW_STATES ? names[state] : "unknown";
+}
--- /dev/null
+++ b/src/flow_table.h
@@ -0,0 +1,96 @@
+#ifndef FLOW_TABLE_H
+#define FLOW_TABLE_H
+
+/*
+ * flow_table - the flows that one agent holds
+ *
+ * The table owns its flows. A flow is found by its key; all flows are also
+ * kept in the order of their last packet, so that silent ones can be found.
+ */
+
+#include "list.h"
+#include "packet.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef enum flow_state {
+	FLOW_TRIAL = 0,	  /* unknown: the backend server is being asked */
+	FLOW_DENIED,	  /* the backend server said that it has no such flow */
+	FLOW_OPENING,	  /* SYN delivered */
+	FLOW_HALF,	  /* SYN-ACK seen, not acknowledged yet */
+	FLOW_ESTABLISHED, /* both sides have spoken; UDP starts here */
+	FLOW_CLOSING,	  /* finished or reset: kept for late packets */
+	FLOW_LOST,	  /* the caller took another answer to its SYN */
+	FLOW_STATES,	  /* number of states, not one */
+} flow_state_t;
+
+/* A packet kept while the backend server is asked. */
+typedef struct kept_packet {
+	list_t node;
+	bool from_message; /* carries a balancer to tell */
+	uint32_t reply_ip;
+	uint16_t reply_port;
+	uint32_t *asked; /* owned */
+	size_t nasked;
+	uint32_t *unasked; /* owned */
+	size_t nunasked;
+	size_t len;
+	uint8_t data[];
+} kept_packet_t;
+
+typedef struct flow {
+	list_t chain;  /* same bucket */
+	list_t recent; /* in order of the last packet */
+	flow_key_t key;
+	uint64_t hash;
+	flow_state_t state;
+	uint64_t last_ms;
+	uint64_t state_ms; /* when the state was entered */
+	uint32_t caller_isn;
+	uint32_t server_isn;
+	uint32_t caller_next; /* next sequence number of the caller */
+	uint32_t server_next; /* next sequence number of the server */
+	uint32_t class_index; /* in the service */
+	uint32_t weight;      /* class weight, counted as work */
+	uint32_t serial;      /* tells apart flows with one key */
+	bool counted;	      /* its weight is part of the work held */
+	bool caller_fin;
+	bool server_fin;
+	bool delivered;	       /* payload has reached the backend server */
+	bool request_open;     /* payload without an answer */
+	uint32_t request_load; /* requests in flight when it started */
+	uint64_t request_ms;   /* when it started */
+	uint32_t tries;	       /* probes sent in FLOW_TRIAL */
+	list_t kept;	       /* kept_packet_t, owned */
+	size_t nkept;
+} flow_t;
+
+typedef struct flow_table flow_table_t;
+
+flow_table_t *flow_table_new(size_t limit);
+void flow_table_free(flow_table_t *t);
+
+flow_t *flow_table_find(flow_table_t *t, const flow_key_t *key, uint64_t hash);
+
+/* Adds a flow; NULL when the table is full or memory is short. */
+flow_t *flow_table_add(flow_table_t *t, const flow_key_t *key, uint64_t hash,
+		       uint64_t now);
+
+void flow_table_remove(flow_table_t *t, flow_t *f);
+
+/* Notes a packet of the flow. */
+void flow_table_touch(flow_table_t *t, flow_t *f, uint64_t now);
+
+size_t flow_table_count(const flow_table_t *t);
+
+/* Flows in order of their last packet, by their recent node. */
+list_t *flow_table_recent(flow_table_t *t);
+
+/* Frees the packets kept for a flow. */
+void flow_drop_kept(flow_t *f);
+void kept_packet_free(kept_packet_t *k);
+
+const char *flow_state_name(flow_state_t state);
+
+#endif
--- /dev/null
+++ b/src/group.c
@@ -0,0 +1,215 @@
+#include "group.h"
+#include "rank.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define THOUSAND 1000.0
+
+static member_t *member_add(group_t *group, uint32_t id);
+static double mean_learned_per_weight(const group_t *group);
+static double weight_at(const member_t *m, double per_weight);
+
+void group_clear(group_t *group)
+{
+	free(group->members);
+	memset(group, 0, sizeof(*group));
+}
+
+static member_t *member_add(group_t *group, uint32_t id)
+{
+	size_t bytes = (group->n + 1) * sizeof(member_t);
+	member_t *grown = realloc(group->members, bytes);
+	member_t *m;
+
+	if (!grown)
+		return NULL;
+	group->members = grown;
+	m = &grown[group->n++];
+	memset(m, 0, sizeof(*m));
+	m->id = id;
+	return m;
+}
+
+member_t *group_member(group_t *group, uint32_t id)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (group->members[i].id == id)
+			return &group->members[i];
+	return NULL;
+}
+
+int group_configure(group_t *group, const service_t *service, uint64_t now)
+{
+	group->service = service->id;
+	for (size_t i = 0; i < group->n; i++) {
+		if (group->members[i].configured)
+			group->members[i].heard_ms = now;
+		group->members[i].configured = false;
+	}
+	for (size_t i = 0; i < service->ntargets; i++) {
+		const target_t *t = &service->targets[i];
+		member_t *m = group_member(group, t->id);
+
+		if (!m)
+			m = member_add(group, t->id);
+		if (!m)
+			return -1;
+		m->agent = t->agent;
+		m->declared = t->weight;
+		m->slots = t->slots;
+		m->connections = t->connections;
+		m->draining = t->state == TARGET_DRAINING;
+		m->configured = true;
+	}
+	return 0;
+}
+
+member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
+		     const endpoint_t *agent)
+{
+	member_t *m = group_member(group, load->target);
+
+	if (!m && agent) {
+		m = member_add(group, load->target);
+		if (m)
+			m->agent = *agent;
+	}
+	if (!m || load->incarnation < m->incarnation)
+		return NULL;
+	m->incarnation = load->incarnation;
+	m->state = load->state < MEMBER_STATES ? (member_state_t)load->state
+					       : MEMBER_ALIVE;
+	m->heard_ms = now;
+	m->avoid_until = 0;
+	m->unanswered = 0;
+	m->full = load->full;
+	m->capacity = load->capacity / THOUSAND;
+	m->speed = load->speed / THOUSAND;
+	m->work = load->work;
+	m->in_flight = load->in_flight;
+	m->held = load->held;
+	return m;
+}
+
+void group_expire(group_t *group, uint64_t now)
+{
+	for (size_t i = 0; i < group->n;) {
+		member_t *m = &group->members[i];
+
+		if (m->configured || (m->state != MEMBER_LEFT &&
+				      m->heard_ms + LINGER_MS > now)) {
+			i++;
+			continue;
+		}
+		*m = group->members[--group->n];
+	}
+}
+
+bool member_reachable(const member_t *m)
+{
+	return m->state != MEMBER_DEAD && m->state != MEMBER_LEFT;
+}
+
+bool member_takes_opens(const member_t *m, uint64_t now)
+{
+	if (!m->configured || m->draining || m->full)
+		return false;
+	if (m->state != MEMBER_ALIVE)
+		return false;
+	return m->avoid_until <= now;
+}
+
+/* Learned capacity a declared weight, over the members that have learned. */
+static double mean_learned_per_weight(const group_t *group)
+{
+	double learned = 0, declared = 0;
+
+	for (size_t i = 0; i < group->n; i++) {
+		const member_t *m = &group->members[i];
+
+		if (!m->configured || m->capacity <= 0)
+			continue;
+		learned += m->capacity;
+		declared += m->declared * m->slots;
+	}
+	return declared > 0 ? learned / declared : 1.0;
+}
+
+static double weight_at(const member_t *m, double per_weight)
+{
+	return m->capacity > 0 ? m->capacity
+			       : m->declared * m->slots * per_weight;
+}
+
+double member_rank_weight(const group_t *group, const member_t *m)
+{
+	return weight_at(m, mean_learned_per_weight(group));
+}
+
+double member_utilisation(const group_t *group, const member_t *m)
+{
+	double capacity = member_rank_weight(group, m);
+
+	return capacity > 0 ? m->work / capacity : 0;
+}
+
+double group_utilisation(const group_t *group, uint64_t now)
+{
+	double per_weight = mean_learned_per_weight(group);
+	double work = 0, capacity = 0;
+
+	for (size_t i = 0; i < group->n; i++) {
+		const member_t *m = &group->members[i];
+
+		if (!member_takes_opens(m, now))
+			continue;
+		work += m->work;
+		capacity += weight_at(m, per_weight);
+	}
+	return capacity > 0 ? work / capacity : 0;
+}
+
+size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
+		  uint32_t *order, size_t want)
+{
+	rank_member_t stack[64];
+	rank_member_t *list = stack;
+	uint32_t positions_stack[64];
+	uint32_t *positions = positions_stack;
+	double per_weight = mean_learned_per_weight(group);
+	size_t n = 0;
+
+	if (group->n > 64) {
+		list = malloc(group->n * sizeof(*list));
+		positions = malloc(group->n * sizeof(*positions));
+		if (!list || !positions)
+			goto out;
+	}
+	for (size_t i = 0; i < group->n; i++) {
+		const member_t *m = &group->members[i];
+
+		if (opens && !member_takes_opens(m, now))
+			continue;
+		list[n].id = m->id;
+		list[n].weight = weight_at(m, per_weight);
+		positions[n++] = (uint32_t)i;
+	}
+	n = rank_best(hash, list, n, order, want);
+	for (size_t i = 0; i < n; i++)
+		order[i] = positions[order[i]];
+out:
+	if (list != stack)
+		free(list);
+	if (positions != positions_stack)
+		free(positions);
+	return n;
+}
+
+const char *member_state_name(member_state_t state)
+{
+	static const char *const names[MEMBER_STATES] = {
+		"alive", "suspect", "dead", "leaving", "left",
+	};
+
+	return state < MEMBER_STATES ? names[state] : "unknown";
+}
--- /dev/null
+++ b/src/group.h
@@ -0,0 +1,106 @@
+#ifndef GROUP_H
+#define GROUP_H
+
+/*
+ * group - the members of one service as one process sees them
+ *
+ * A balancer keeps one group a service, an agent the group of its own. The
+ * members come from the configuration; what is known of each (load, state,
+ * learned capacity) survives a change of configuration. A member that left
+ * the configuration stays as long as it announces flows.
+ *
+ * A group owns its members. Times are milliseconds of the caller's monotonic
+ * clock.
+ */
+
+#include "config.h"
+#include "endpoint.h"
+#include "wire.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Flows are ranked on this clock: a load older than this says nothing. */
+#define LOAD_FRESH_MS 5000
+/* A member that left the configuration is forgotten after this silence. */
+#define LINGER_MS 15000
+
+typedef enum member_state {
+	MEMBER_ALIVE = 0,
+	MEMBER_SUSPECT, /* did not answer; may refute */
+	MEMBER_DEAD,	/* suspicion not refuted in time */
+	MEMBER_LEAVING, /* alive, takes no opens */
+	MEMBER_LEFT,	/* said that it holds nothing any more */
+	MEMBER_STATES,	/* number of states, not one */
+} member_state_t;
+
+typedef struct member {
+	uint32_t id; /* target id */
+	endpoint_t agent;
+	double declared;      /* declared weight */
+	uint32_t slots;	      /* declared */
+	uint32_t connections; /* declared */
+	bool configured;      /* in the configuration in force */
+	bool draining;	      /* by configuration */
+	member_state_t state;
+	uint64_t incarnation; /* greatest seen */
+	uint64_t heard_ms;    /* last load or answer, 0 for never */
+	uint64_t avoid_until; /* no opens before, after unanswered ones */
+	uint32_t unanswered;  /* opens in a row without an answer */
+	bool full;	      /* said that it takes no opens */
+	double capacity;      /* learned, in class weights; 0 unknown */
+	double speed;	      /* learned, weight a slot and second; 0 unknown */
+	double work;	      /* weighted work held */
+	uint32_t in_flight;
+	uint32_t held;
+} member_t;
+
+typedef struct group {
+	uint64_t service; /* service id */
+	member_t *members;
+	size_t n;
+} group_t;
+
+void group_clear(group_t *group);
+
+/* Takes the members of the service as configured now. Returns 0 or -1. */
+int group_configure(group_t *group, const service_t *service, uint64_t now);
+
+member_t *group_member(group_t *group, uint32_t id);
+
+/*
+ * Takes a load that a member told. An unknown member is added when `agent`
+ * is given: it left the configuration but still holds flows. Older
+ * incarnations are ignored. Returns the member or NULL.
+ */
+member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
+		     const endpoint_t *agent);
+
+/* Forgets members that left the configuration and fell silent. */
+void group_expire(group_t *group, uint64_t now);
+
+/* True when opens may be offered to the member. */
+bool member_takes_opens(const member_t *m, uint64_t now);
+
+/* True when the member is believed to answer. */
+bool member_reachable(const member_t *m);
+
+/* Weight used to rank opens: learned capacity, or what stands in for it. */
+double member_rank_weight(const group_t *group, const member_t *m);
+
+/* Work held over capacity. */
+double member_utilisation(const group_t *group, const member_t *m);
+
+/* Mean utilisation of the members that take opens, weighted by capacity. */
+double group_utilisation(const group_t *group, uint64_t now);
+
+/*
+ * Positions of the best members for a flow, best first. With opens, only
+ * members that take opens; otherwise all, in the order to look them up.
+ */
+size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
+		  uint32_t *order, size_t want);
+
+const char *member_state_name(member_state_t state);
+
+#endif
--- /dev/null
+++ b/src/hint_cache.c
@@ -0,0 +1,104 @@
+#include "hint_cache.h"
+#include <stdlib.h>
+
+/* Entries in a bucket: one cache line. */
+#define WAYS 4
+
+typedef struct hint {
+	uint64_t hash; /* 0 when unused */
+	uint32_t ip;
+	uint16_t port;
+	uint16_t used; /* coarse clock of the last use */
+} hint_t;
+
+struct hint_cache {
+	hint_t *hints;
+	size_t mask;	/* buckets less one */
+	uint32_t clock; /* counts uses */
+};
+
+static hint_t *bucket_of(hint_cache_t *c, uint64_t hash);
+static uint16_t now_of(hint_cache_t *c);
+
+hint_cache_t *hint_cache_new(size_t hints)
+{
+	hint_cache_t *c = calloc(1, sizeof(*c));
+	size_t buckets = 1;
+
+	if (!c)
+		return NULL;
+	while (buckets * WAYS < hints)
+		buckets *= 2;
+	c->mask = buckets - 1;
+	c->hints = calloc(buckets * WAYS, sizeof(*c->hints));
+	if (!c->hints) {
+		free(c);
+		return NULL;
+	}
+	return c;
+}
+
+void hint_cache_free(hint_cache_t *c)
+{
+	if (!c)
+		return;
+	free(c->hints);
+	free(c);
+}
+
+static hint_t *bucket_of(hint_cache_t *c, uint64_t hash)
+{
+	return &c->hints[(hash & c->mask) * WAYS];
+}
+
+/* One step each as many uses as there are buckets. */
+static uint16_t now_of(hint_cache_t *c)
+{
+	return (uint16_t)(c->clock++ / (c->mask + 1));
+}
+
+void hint_cache_put(hint_cache_t *c, uint64_t hash, const endpoint_t *agent)
+{
+	hint_t *bucket = bucket_of(c, hash);
+	uint16_t now = now_of(c);
+	hint_t *victim = &bucket[0];
+
+	for (int i = 0; i < WAYS; i++) {
+		hint_t *h = &bucket[i];
+
+		if (h->hash == hash || !h->hash) {
+			victim = h;
+			break;
+		}
+		if ((uint16_t)(now - h->used) > (uint16_t)(now - victim->used))
+			victim = h;
+	}
+	victim->hash = hash;
+	victim->ip = agent->ip;
+	victim->port = agent->port;
+	victim->used = now;
+}
+
+int hint_cache_get(hint_cache_t *c, uint64_t hash, endpoint_t *agent)
+{
+	hint_t *bucket = bucket_of(c, hash);
+
+	for (int i = 0; i < WAYS; i++) {
+		if (bucket[i].hash != hash)
+			continue;
+		bucket[i].used = now_of(c);
+		agent->ip = bucket[i].ip;
+		agent->port = bucket[i].port;
+		return 1;
+	}
+	return 0;
+}
+
+void hint_cache_drop(hint_cache_t *c, uint64_t hash)
+{
+	hint_t *bucket = bucket_of(c, hash);
+
+	for (int i = 0; i < WAYS; i++)
+		if (bucket[i].hash == hash)
+			bucket[i].hash = 0;
+}
--- /dev/null
+++ b/src/mini_tcp.c
@@ -0,0 +1,599 @@
+#include "mini_tcp.h"
+#include "list.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS	   4096
+#define WINDOW	   65535 /* bytes offered to the peer */
+#define RTO_MS	   200	 /* first retransmission */
+#define RTO_MAX_MS 2000
+#define TRIES_MAX  12	/* retransmissions until the peer is given up */
+#define LINGER_MS  1000 /* a finished connection answers late packets */
+#define EARLY_MAX  64	/* segments kept out of order */
+
+typedef enum conn_state {
+	CONN_SYN_SENT,
+	CONN_SYN_RECEIVED,
+	CONN_ESTABLISHED,
+	CONN_DONE, /* over, answers late packets */
+} conn_state_t;
+
+/* A segment that came before those in front of it. */
+typedef struct early {
+	list_t node;
+	uint32_t seq;
+	size_t len;
+	bool fin;
+	uint8_t bytes[];
+} early_t;
+
+struct mini_conn {
+	list_t chain;
+	list_t all;
+	mini_tcp_t *stack;
+	flow_key_t key; /* from the opening side */
+	bool opener;	/* we are key.src */
+	conn_state_t state;
+	uint32_t iss;
+	uint32_t una; /* first byte not acknowledged */
+	uint32_t nxt; /* next byte to send */
+	uint32_t rcv; /* next byte expected */
+	uint32_t peer_window;
+	uint8_t *out; /* queued from una on, owned */
+	size_t out_len;
+	size_t out_size;
+	bool fin_queued;
+	bool fin_acked;
+	bool fin_received;
+	mini_close_t how; /* in CONN_DONE */
+	uint64_t retransmit_ms;
+	uint32_t rto;
+	uint32_t tries;
+	uint64_t done_ms;
+	list_t early;
+	size_t nearly;
+	void *data;
+};
+
+struct mini_tcp {
+	mini_tcp_ops_t ops;
+	void *ctx;
+	uint64_t random;
+	list_t buckets[BUCKETS];
+	list_t all;
+	size_t count;
+};
+
+static uint32_t random32(mini_tcp_t *t);
+static mini_conn_t *conn_new(mini_tcp_t *t, const flow_key_t *key, bool opener);
+static void conn_free(mini_conn_t *c);
+static mini_conn_t *conn_find(mini_tcp_t *t, const flow_key_t *key,
+			      bool opener);
+static void emit(mini_conn_t *c, uint32_t seq, uint8_t flags,
+		 const uint8_t *payload, size_t len);
+static void send_syn(mini_conn_t *c, uint64_t now);
+static void send_ack(mini_conn_t *c);
+static void send_some(mini_conn_t *c, uint64_t now);
+static void retransmit(mini_conn_t *c, uint64_t now);
+static void conn_close(mini_conn_t *c, mini_close_t how, const char *reason,
+		       size_t len);
+static void reset_packet(mini_tcp_t *t, const packet_t *p);
+static void take_reset(mini_conn_t *c, const packet_t *p);
+static void take_ack(mini_conn_t *c, uint64_t now, const packet_t *p);
+static void take_payload(mini_conn_t *c, const packet_t *p);
+static void keep_early(mini_conn_t *c, const packet_t *p);
+static bool take_early(mini_conn_t *c);
+static void take_fin(mini_conn_t *c);
+static void finish_if_done(mini_conn_t *c, uint64_t now);
+static void input_syn_sent(mini_conn_t *c, uint64_t now, const packet_t *p);
+static void input_listener(mini_tcp_t *t, uint64_t now, const packet_t *p);
+static void input_conn(mini_conn_t *c, uint64_t now, const packet_t *p);
+
+static uint32_t random32(mini_tcp_t *t)
+{
+	uint64_t x = t->random += 0x9e3779b97f4a7c15ULL;
+
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return (uint32_t)(x >> 32);
+}
+
+mini_tcp_t *mini_tcp_new(const mini_tcp_ops_t *ops, void *ctx, uint64_t seed)
+{
+	mini_tcp_t *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->ops = *ops;
+	t->ctx = ctx;
+	t->random = seed;
+	list_init(&t->all);
+	for (int i = 0; i < BUCKETS; i++)
+		list_init(&t->buckets[i]);
+	return t;
+}
+
+void mini_tcp_free(mini_tcp_t *t)
+{
+	if (!t)
+		return;
+	list_each_safe(node, after, &t->all)
+		conn_free(list_entry(node, mini_conn_t, all));
+	free(t);
+}
+
+static mini_conn_t *conn_new(mini_tcp_t *t, const flow_key_t *key, bool opener)
+{
+	mini_conn_t *c = calloc(1, sizeof(*c));
+	uint64_t hash = flow_key_hash(key, 0);
+
+	if (!c)
+		return NULL;
+	c->stack = t;
+	c->key = *key;
+	c->opener = opener;
+	c->iss = random32(t);
+	c->una = c->iss;
+	c->nxt = c->iss;
+	c->rto = RTO_MS;
+	c->peer_window = WINDOW;
+	list_init(&c->early);
+	list_append(&t->buckets[hash % BUCKETS], &c->chain);
+	list_append(&t->all, &c->all);
+	t->count++;
+	return c;
+}
+
+static void conn_free(mini_conn_t *c)
+{
+	list_each_safe(node, after, &c->early)
+		free(list_entry(node, early_t, node));
+	list_remove(&c->chain);
+	list_remove(&c->all);
+	c->stack->count--;
+	free(c->out);
+	free(c);
+}
+
+static mini_conn_t *conn_find(mini_tcp_t *t, const flow_key_t *key, bool opener)
+{
+	list_t *bucket = &t->buckets[flow_key_hash(key, 0) % BUCKETS];
+
+	list_each(node, bucket)
+	{
+		mini_conn_t *c = list_entry(node, mini_conn_t, chain);
+
+		if (c->opener == opener && flow_key_equal(&c->key, key))
+			return c;
+	}
+	return NULL;
+}
+
+static void emit(mini_conn_t *c, uint32_t seq, uint8_t flags,
+		 const uint8_t *payload, size_t len)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t p = { .key = c->opener ? c->key : flow_key_reverse(&c->key),
+		       .seq = seq,
+		       .ack = flags & TCP_ACK ? c->rcv : 0,
+		       .flags = flags,
+		       .window = WINDOW,
+		       .payload = payload,
+		       .payload_len = len };
+	size_t n = packet_build(&p, buf);
+
+	c->stack->ops.output(c->stack->ctx, buf, n);
+}
+
+static void send_syn(mini_conn_t *c, uint64_t now)
+{
+	emit(c, c->iss, c->opener ? TCP_SYN : TCP_SYN | TCP_ACK, NULL, 0);
+	c->nxt = c->iss + 1;
+	c->retransmit_ms = now + c->rto;
+}
+
+static void send_ack(mini_conn_t *c)
+{
+	emit(c, c->nxt, TCP_ACK, NULL, 0);
+}
+
+/* Sends what the peer's window allows, from nxt on. */
+static void send_some(mini_conn_t *c, uint64_t now)
+{
+	if (c->state != CONN_ESTABLISHED)
+		return;
+	for (;;) {
+		size_t sent = c->nxt - c->una;
+		size_t len = c->out_len > sent ? c->out_len - sent : 0;
+
+		if (len > MINI_TCP_MSS)
+			len = MINI_TCP_MSS;
+		if (len == 0 || sent + len > c->peer_window)
+			break;
+		emit(c, c->nxt, TCP_ACK | TCP_PSH, c->out + sent, len);
+		if (c->una == c->nxt)
+			c->retransmit_ms = now + c->rto;
+		c->nxt += (uint32_t)len;
+	}
+	if (c->fin_queued && !c->fin_acked && c->nxt - c->una == c->out_len) {
+		emit(c, c->nxt, TCP_ACK | TCP_FIN, NULL, 0);
+		if (c->una == c->nxt)
+			c->retransmit_ms = now + c->rto;
+		c->nxt++;
+	}
+}
+
+static void retransmit(mini_conn_t *c, uint64_t now)
+{
+	if (++c->tries > TRIES_MAX) {
+		conn_close(c, MINI_TIMEOUT, "", 0);
+		return;
+	}
+	c->rto = c->rto * 2 < RTO_MAX_MS ? c->rto * 2 : RTO_MAX_MS;
+	if (c->state != CONN_ESTABLISHED) {
+		send_syn(c, now);
+		return;
+	}
+	c->nxt = c->una;
+	c->retransmit_ms = now + c->rto;
+	send_some(c, now);
+}
+
+mini_conn_t *mini_tcp_connect(mini_tcp_t *t, uint64_t now,
+			      const flow_key_t *key)
+{
+	mini_conn_t *c;
+
+	if (conn_find(t, key, true))
+		return NULL;
+	c = conn_new(t, key, true);
+	if (!c)
+		return NULL;
+	c->state = CONN_SYN_SENT;
+	send_syn(c, now);
+	return c;
+}
+
+static void conn_close(mini_conn_t *c, mini_close_t how, const char *reason,
+		       size_t len)
+{
+	c->stack->ops.closed(c->stack->ctx, c, how, reason, len);
+	conn_free(c);
+}
+
+/* A segment for no connection. */
+static void reset_packet(mini_tcp_t *t, const packet_t *p)
+{
+	uint8_t buf[PACKET_MAX];
+	size_t len = packet_build_reset(p, "", buf);
+
+	if (len)
+		t->ops.output(t->ctx, buf, len);
+}
+
+static void take_reset(mini_conn_t *c, const packet_t *p)
+{
+	bool valid;
+
+	if (c->state == CONN_SYN_SENT)
+		valid = p->flags & TCP_ACK && p->ack == c->nxt;
+	else
+		valid = p->seq == c->rcv;
+	if (valid) {
+		conn_close(c, MINI_RESET, (const char *)p->payload,
+			   p->payload_len);
+		return;
+	}
+	if (c->state == CONN_ESTABLISHED && seq_diff(p->seq, c->rcv) > 0 &&
+	    seq_diff(p->seq, c->rcv + WINDOW) < 0)
+		send_ack(c);
+}
+
+static void take_ack(mini_conn_t *c, uint64_t now, const packet_t *p)
+{
+	uint32_t acked;
+
+	c->peer_window = p->window;
+	if (seq_diff(p->ack, c->una) <= 0)
+		return;
+	if (p->ack - c->una > c->out_len + (c->fin_queued ? 1 : 0))
+		return;
+	/* An acknowledgement beyond nxt follows a retransmission. */
+	if (seq_diff(p->ack, c->nxt) > 0)
+		c->nxt = p->ack;
+	acked = p->ack - c->una;
+	if (acked > c->out_len) {
+		acked = (uint32_t)c->out_len;
+		c->fin_acked = true;
+	}
+	memmove(c->out, c->out + acked, c->out_len - acked);
+	c->out_len -= acked;
+	c->una = p->ack;
+	c->tries = 0;
+	c->rto = RTO_MS;
+	c->retransmit_ms = now + c->rto;
+}
+
+static void keep_early(mini_conn_t *c, const packet_t *p)
+{
+	early_t *e;
+
+	if (c->nearly >= EARLY_MAX)
+		return;
+	e = malloc(sizeof(*e) + p->payload_len);
+	if (!e)
+		return;
+	e->seq = p->seq;
+	e->len = p->payload_len;
+	e->fin = p->flags & TCP_FIN;
+	if (e->len)
+		memcpy(e->bytes, p->payload, e->len);
+	list_append(&c->early, &e->node);
+	c->nearly++;
+}
+
+static void take_fin(mini_conn_t *c)
+{
+	if (c->fin_received)
+		return;
+	c->fin_received = true;
+	c->rcv++;
+	c->stack->ops.finished(c->stack->ctx, c);
+}
+
+/* Takes one early segment that now fits. Returns false when none does. */
+static bool take_early(mini_conn_t *c)
+{
+	/* The analyser loses track of nodes taken out of a list. */
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+	list_each_safe(node, after, &c->early)
+	{
+		early_t *e = list_entry(node, early_t, node);
+		int32_t skip = seq_diff(c->rcv, e->seq);
+		size_t len = e->len;
+		bool fin = e->fin;
+
+		if (skip < 0)
+			continue;
+		list_remove(node);
+		c->nearly--;
+		if ((size_t)skip <= len && !c->fin_received) {
+			len -= (size_t)skip;
+			c->rcv += (uint32_t)len;
+			if (len)
+				c->stack->ops.data(c->stack->ctx, c,
+						   e->bytes + skip, len);
+			if (fin)
+				take_fin(c);
+		}
+		free(e);
+		return true;
+	}
+	return false;
+}
+
+static void take_payload(mini_conn_t *c, const packet_t *p)
+{
+	int32_t skip = seq_diff(c->rcv, p->seq);
+	size_t len = p->payload_len;
+
+	if (len == 0 && !(p->flags & TCP_FIN)) {
+		/* An empty segment outside the window asks for an answer. */
+		if (skip > 0)
+			send_ack(c);
+		return;
+	}
+	if (skip < 0) {
+		keep_early(c, p);
+	} else if (!c->fin_received && (size_t)skip <= len) {
+		len -= (size_t)skip;
+		c->rcv += (uint32_t)len;
+		if (len)
+			c->stack->ops.data(c->stack->ctx, c, p->payload + skip,
+					   len);
+		if (p->flags & TCP_FIN)
+			take_fin(c);
+		while (take_early(c))
+			;
+	}
+	send_ack(c);
+}
+
+static void finish_if_done(mini_conn_t *c, uint64_t now)
+{
+	if (c->state == CONN_ESTABLISHED && c->fin_acked && c->fin_received) {
+		c->state = CONN_DONE;
+		c->done_ms = now + LINGER_MS;
+	}
+}
+
+static void input_syn_sent(mini_conn_t *c, uint64_t now, const packet_t *p)
+{
+	if (!(p->flags & TCP_SYN) || !(p->flags & TCP_ACK))
+		return;
+	if (p->ack != c->iss + 1) {
+		reset_packet(c->stack, p);
+		return;
+	}
+	c->rcv = p->seq + 1;
+	c->una = p->ack;
+	c->tries = 0;
+	c->rto = RTO_MS;
+	c->state = CONN_ESTABLISHED;
+	c->peer_window = p->window;
+	send_ack(c);
+	c->stack->ops.established(c->stack->ctx, c);
+	send_some(c, now);
+}
+
+static void input_listener(mini_tcp_t *t, uint64_t now, const packet_t *p)
+{
+	mini_conn_t *c;
+
+	if (!packet_is_open(p)) {
+		reset_packet(t, p);
+		return;
+	}
+	c = conn_new(t, &p->key, false);
+	if (!c)
+		return;
+	if (!t->ops.accept || !t->ops.accept(t->ctx, c)) {
+		conn_free(c);
+		reset_packet(t, p);
+		return;
+	}
+	c->rcv = p->seq + 1;
+	c->state = CONN_SYN_RECEIVED;
+	send_syn(c, now);
+}
+
+static void input_conn(mini_conn_t *c, uint64_t now, const packet_t *p)
+{
+	if (c->state == CONN_DONE && c->how == MINI_ABORTED) {
+		reset_packet(c->stack, p);
+		return;
+	}
+	if (p->flags & TCP_RST) {
+		take_reset(c, p);
+		return;
+	}
+	if (c->state == CONN_SYN_SENT) {
+		input_syn_sent(c, now, p);
+		return;
+	}
+	if (p->flags & TCP_SYN) {
+		if (c->state == CONN_SYN_RECEIVED && p->seq + 1 == c->rcv)
+			send_syn(c, now);
+		else
+			send_ack(c);
+		return;
+	}
+	if (!(p->flags & TCP_ACK))
+		return;
+	if (c->state == CONN_SYN_RECEIVED) {
+		if (p->ack != c->iss + 1) {
+			reset_packet(c->stack, p);
+			return;
+		}
+		c->una = p->ack;
+		c->tries = 0;
+		c->rto = RTO_MS;
+		c->state = CONN_ESTABLISHED;
+		c->stack->ops.established(c->stack->ctx, c);
+	}
+	take_ack(c, now, p);
+	take_payload(c, p);
+	send_some(c, now);
+	finish_if_done(c, now);
+}
+
+void mini_tcp_input(mini_tcp_t *t, uint64_t now, const uint8_t *packet,
+		    size_t len)
+{
+	mini_conn_t *c;
+	flow_key_t back;
+	packet_t p;
+
+	if (packet_parse(packet, len, &p) != PACKET_OK ||
+	    p.key.proto != PROTO_TCP)
+		return;
+	back = flow_key_reverse(&p.key);
+	c = conn_find(t, &back, true);
+	if (!c)
+		c = conn_find(t, &p.key, false);
+	if (c)
+		input_conn(c, now, &p);
+	else
+		input_listener(t, now, &p);
+}
+
+void mini_tcp_tick(mini_tcp_t *t, uint64_t now)
+{
+	list_each_safe(node, after, &t->all)
+	{
+		mini_conn_t *c = list_entry(node, mini_conn_t, all);
+
+		if (c->state == CONN_DONE) {
+			if (c->done_ms <= now)
+				conn_close(c, c->how, "", 0);
+		} else if (c->una != c->nxt && c->retransmit_ms <= now) {
+			retransmit(c, now);
+		} else {
+			send_some(c, now);
+		}
+	}
+}
+
+size_t mini_tcp_count(const mini_tcp_t *t)
+{
+	return t->count;
+}
+
+int mini_conn_send(mini_conn_t *c, uint64_t now, const void *bytes, size_t len)
+{
+	if (c->fin_queued || c->state == CONN_DONE)
+		return -1;
+	if (c->out_len + len > c->out_size) {
+		size_t size = (c->out_len + len) * 2;
+		uint8_t *grown = realloc(c->out, size);
+
+		if (!grown)
+			return -1;
+		c->out = grown;
+		c->out_size = size;
+	}
+	memcpy(c->out + c->out_len, bytes, len);
+	c->out_len += len;
+	send_some(c, now);
+	return 0;
+}
+
+void mini_conn_finish(mini_conn_t *c, uint64_t now)
+{
+	c->fin_queued = true;
+	send_some(c, now);
+}
+
+/* Freed by the next tick: the caller may be inside a callback. */
+void mini_conn_abort(mini_conn_t *c)
+{
+	if (c->state == CONN_DONE)
+		return;
+	emit(c, c->nxt, TCP_RST | TCP_ACK, NULL, 0);
+	c->state = CONN_DONE;
+	c->how = MINI_ABORTED;
+}
+
+void mini_conn_keepalive(mini_conn_t *c)
+{
+	if (c->state == CONN_ESTABLISHED)
+		emit(c, c->nxt - 1, TCP_ACK, NULL, 0);
+}
+
+const flow_key_t *mini_conn_key(const mini_conn_t *c)
+{
+	return &c->key;
+}
+
+size_t mini_conn_unacknowledged(const mini_conn_t *c)
+{
+	return c->out_len;
+}
+
+void mini_conn_set_data(mini_conn_t *c, void *data)
+{
+	c->data = data;
+}
+
+void *mini_conn_data(const mini_conn_t *c)
+{
+	return c->data;
+}
+
+const char *mini_close_name(mini_close_t how)
+{
+	static const char *const names[] = { "finished", "reset", "timeout",
+					     "aborted" };
+
+	return names[how];
+}
--- /dev/null
+++ b/src/seal.c
@@ -0,0 +1,255 @@
+#include "seal.h"
+#include <errno.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEAL_MAGIC   0xc7
+#define SEAL_VERSION 1
+#define AT_KIND	     2
+#define AT_SESSION   4
+#define AT_NUMBER    12
+#define AT_CLOCK     20
+#define AT_TAG	     28
+
+/* Numbers behind the newest one that can still be told apart. */
+#define WINDOW_BITS 4096
+/* Sessions remembered; a power of two. */
+#define SESSIONS 4096
+/* Places looked at for a session. */
+#define PROBE_LIMIT	16
+#define SESSION_KEEP_MS (2 * SEAL_SKEW_MS + 1000)
+
+typedef struct session {
+	uint64_t id;	  /* 0 when unused */
+	uint64_t newest;  /* greatest number seen */
+	uint64_t last_ms; /* wall clock of the last message */
+	uint64_t *seen;	  /* WINDOW_BITS bits, owned */
+} session_t;
+
+struct seal {
+	uint8_t key[crypto_shorthash_siphashx24_KEYBYTES];
+	uint64_t session;
+	uint64_t number;
+	session_t sessions[SESSIONS];
+};
+
+static void put64(uint8_t *p, uint64_t v);
+static uint64_t get64(const uint8_t *p);
+static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
+		   uint8_t tag[16]);
+static session_t *session_find(seal_t *seal, uint64_t id, uint64_t wall_ms);
+static int session_accept(session_t *s, uint64_t number);
+static int hex_value(int c);
+
+static void put64(uint8_t *p, uint64_t v)
+{
+	for (int i = 0; i < 8; i++)
+		p[i] = (uint8_t)(v >> (8 * i));
+}
+
+static uint64_t get64(const uint8_t *p)
+{
+	uint64_t v = 0;
+
+	for (int i = 0; i < 8; i++)
+		v |= (uint64_t)p[i] << (8 * i);
+	return v;
+}
+
+seal_t *seal_new(const uint8_t key[SEAL_KEY_BYTES], uint64_t session)
+{
+	seal_t *seal = calloc(1, sizeof(*seal));
+
+	if (!seal)
+		return NULL;
+	crypto_generichash(seal->key, sizeof(seal->key),
+			   (const uint8_t *)"seal", 4, key, SEAL_KEY_BYTES);
+	seal->session = session ? session : 1;
+	return seal;
+}
+
+void seal_free(seal_t *seal)
+{
+	if (!seal)
+		return;
+	for (size_t i = 0; i < SESSIONS; i++)
+		free(seal->sessions[i].seen);
+	sodium_memzero(seal, sizeof(*seal));
+	free(seal);
+}
+
+static int hex_value(int c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	if (c >= 'a' && c <= 'f')
+		return c - 'a' + 10;
+	if (c >= 'A' && c <= 'F')
+		return c - 'A' + 10;
+	return -1;
+}
+
+int seal_read_key(const char *file, uint8_t key[SEAL_KEY_BYTES], err_t *err)
+{
+	static const char remedy[] =
+		"write 64 hexadecimal digits to it, the same on every host";
+	FILE *f = fopen(file, "r");
+	size_t digits = 0;
+	int ret = -1;
+	int c;
+
+	if (!f)
+		return err_set(err, ERR_IO, file, 0, remedy,
+			       "key file cannot be opened: %s",
+			       strerror(errno));
+	while ((c = fgetc(f)) != EOF) {
+		int v = hex_value(c);
+
+		if (c == '\n' || c == ' ' || c == '\r')
+			continue;
+		if (v < 0 || digits >= 2 * (size_t)SEAL_KEY_BYTES) {
+			err_set(err, ERR_AUTH, file, 0, remedy,
+				"key file holds something else than a key");
+			goto out;
+		}
+		key[digits / 2] =
+			(uint8_t)(digits % 2 ? key[digits / 2] << 4 | v : v);
+		digits++;
+	}
+	if (digits != 2 * (size_t)SEAL_KEY_BYTES) {
+		err_set(err, ERR_AUTH, file, 0, remedy, "key is too short");
+		goto out;
+	}
+	ret = 0;
+out:
+	fclose(f);
+	return ret;
+}
+
+uint64_t seal_rank_seed(const uint8_t key[SEAL_KEY_BYTES])
+{
+	uint8_t out[16];
+
+	crypto_generichash(out, sizeof(out), (const uint8_t *)"rank", 4, key,
+			   SEAL_KEY_BYTES);
+	return get64(out);
+}
+
+static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
+		   uint8_t tag[16])
+{
+	uint8_t part[16];
+
+	/* The tag stands inside: hash what is behind it, then the rest. */
+	crypto_shorthash_siphashx24(part, buf + SEAL_HEADER, len - SEAL_HEADER,
+				    seal->key);
+	uint8_t head[AT_TAG + 16];
+
+	memcpy(head, buf, AT_TAG);
+	memcpy(head + AT_TAG, part, 16);
+	crypto_shorthash_siphashx24(tag, head, sizeof(head), seal->key);
+}
+
+size_t seal_close(seal_t *seal, uint8_t kind, uint64_t wall_ms, uint8_t *buf,
+		  size_t body_len)
+{
+	size_t len = SEAL_HEADER + body_len;
+
+	buf[0] = SEAL_MAGIC;
+	buf[1] = SEAL_VERSION;
+	buf[AT_KIND] = kind;
+	buf[3] = 0;
+	put64(buf + AT_SESSION, seal->session);
+	put64(buf + AT_NUMBER, ++seal->number);
+	put64(buf + AT_CLOCK, wall_ms);
+	tag_of(seal, buf, len, buf + AT_TAG);
+	return len;
+}
+
+static session_t *session_find(seal_t *seal, uint64_t id, uint64_t wall_ms)
+{
+	session_t *oldest = NULL;
+
+	for (size_t i = 0; i < PROBE_LIMIT; i++) {
+		session_t *s = &seal->sessions[(id + i) & (SESSIONS - 1)];
+
+		if (s->id == id)
+			return s;
+		if (!oldest || s->last_ms < oldest->last_ms)
+			oldest = s;
+	}
+	if (oldest->id && oldest->last_ms + SESSION_KEEP_MS > wall_ms)
+		return NULL;
+	if (!oldest->seen)
+		oldest->seen = malloc(WINDOW_BITS / 8);
+	if (!oldest->seen)
+		return NULL;
+	memset(oldest->seen, 0, WINDOW_BITS / 8);
+	oldest->id = id;
+	oldest->newest = 0;
+	return oldest;
+}
+
+static int session_accept(session_t *s, uint64_t number)
+{
+	uint64_t bit = number % WINDOW_BITS;
+	uint64_t mask = 1ULL << (bit % 64);
+
+	if (number + WINDOW_BITS <= s->newest || number == 0)
+		return -1;
+	if (number > s->newest) {
+		uint64_t from = s->newest + 1;
+
+		if (number - s->newest >= WINDOW_BITS) {
+			memset(s->seen, 0, WINDOW_BITS / 8);
+			from = number;
+		}
+		for (uint64_t n = from; n <= number; n++)
+			s->seen[n % WINDOW_BITS / 64] &= ~(1ULL << (n % 64));
+		s->newest = number;
+	} else if (s->seen[bit / 64] & mask) {
+		return -1;
+	}
+	s->seen[bit / 64] |= mask;
+	return 0;
+}
+
+seal_status_t seal_open(seal_t *seal, uint64_t wall_ms, const uint8_t *buf,
+			size_t len, uint8_t *kind, const uint8_t **body,
+			size_t *body_len)
+{
+	uint8_t tag[16];
+	uint64_t clock_ms;
+	session_t *s;
+
+	if (len < SEAL_HEADER)
+		return SEAL_SHORT;
+	if (buf[0] != SEAL_MAGIC || buf[1] != SEAL_VERSION)
+		return SEAL_FOREIGN;
+	tag_of(seal, buf, len, tag);
+	if (sodium_memcmp(tag, buf + AT_TAG, sizeof(tag)))
+		return SEAL_FORGED;
+	clock_ms = get64(buf + AT_CLOCK);
+	if (clock_ms + SEAL_SKEW_MS < wall_ms ||
+	    clock_ms > wall_ms + SEAL_SKEW_MS)
+		return SEAL_STALE;
+	s = session_find(seal, get64(buf + AT_SESSION), wall_ms);
+	if (!s || session_accept(s, get64(buf + AT_NUMBER)) < 0)
+		return SEAL_REPLAYED;
+	s->last_ms = wall_ms;
+	*kind = buf[AT_KIND];
+	*body = buf + SEAL_HEADER;
+	*body_len = len - SEAL_HEADER;
+	return SEAL_OK;
+}
+
+const char *seal_status_name(seal_status_t status)
+{
+	static const char *const names[SEAL_STATUSES] = {
+		"ok", "short", "foreign", "forged", "stale", "replayed",
+	};
+
+	return status < SEAL_STATUSES ? names[status] : "unknown";
+}
--- /dev/null
+++ b/src/toml_reader.cc
@@ -0,0 +1,447 @@
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+#include "toml_reader.h"
+#include <cstring>
+#include <string_view>
+#include <vector>
+
+namespace
+{
+
+/* Stops a read; the reader's entry turns it into the caller's error. */
+struct refusal {
+};
+
+struct reader {
+	const char *file;
+	err_t *err;
+
+	[[noreturn]] void refuse(err_kind_t kind, const toml::node &at,
+				 const char *remedy, const std::string &what)
+	{
+		refuse_line(kind, (int)at.source().begin.line, remedy, what);
+	}
+
+	[[noreturn]] void refuse_line(err_kind_t kind, int line,
+				      const char *remedy,
+				      const std::string &what)
+	{
+		err_set(err, kind, file, line, remedy, "%s", what.c_str());
+		throw refusal();
+	}
+
+	void only(const toml::table &table,
+		  std::initializer_list<std::string_view> known)
+	{
+		for (const auto &entry : table) {
+			bool found = false;
+
+			for (auto name : known)
+				found = found || entry.first.str() == name;
+			if (!found)
+				refuse(ERR_UNKNOWN_KEY, entry.second,
+				       "remove it or correct its spelling",
+				       "unknown key \"" +
+					       std::string(entry.first.str()) +
+					       "\"");
+		}
+	}
+
+	const toml::node *get(const toml::table &table, const char *key,
+			      bool required)
+	{
+		const toml::node *node = table.get(key);
+
+		if (!node && required)
+			refuse(ERR_MISSING, table, "add it",
+			       "key \"" + std::string(key) + "\" is missing");
+		return node;
+	}
+
+	bool string(const toml::table &table, const char *key, bool required,
+		    char *out, size_t size)
+	{
+		const toml::node *node = get(table, key, required);
+
+		if (!node)
+			return false;
+		if (!node->is_string())
+			refuse(ERR_TYPE, *node, "write it in quotes",
+			       "\"" + std::string(key) + "\" must be a string");
+		const std::string &text = node->as_string()->get();
+		if (text.empty() || text.size() >= size)
+			refuse(ERR_RANGE, *node, "use 1 to 63 characters",
+			       "\"" + std::string(key) +
+				       "\" is empty or too long");
+		for (unsigned char c : text)
+			if (c < 0x20 || c == '"' || c == '\\')
+				refuse(ERR_RANGE, *node,
+				       "use printable characters without "
+				       "quotes",
+				       "\"" + std::string(key) +
+					       "\" holds a forbidden "
+					       "character");
+		memcpy(out, text.c_str(), text.size() + 1);
+		return true;
+	}
+
+	bool integer(const toml::table &table, const char *key, bool required,
+		     int64_t min, int64_t max, int64_t *out)
+	{
+		const toml::node *node = get(table, key, required);
+
+		if (!node)
+			return false;
+		if (!node->is_integer())
+			refuse(ERR_TYPE, *node, "write a whole number",
+			       "\"" + std::string(key) +
+				       "\" must be a whole number");
+		*out = node->as_integer()->get();
+		if (*out < min || *out > max)
+			refuse(ERR_RANGE, *node,
+			       ("use a number from " + std::to_string(min) +
+				" to " + std::to_string(max))
+				       .c_str(),
+			       "\"" + std::string(key) + "\" is " +
+				       std::to_string(*out));
+		return true;
+	}
+
+	bool boolean(const toml::table &table, const char *key, bool required,
+		     bool *out)
+	{
+		const toml::node *node = get(table, key, required);
+
+		if (!node)
+			return false;
+		if (!node->is_boolean())
+			refuse(ERR_TYPE, *node, "write true or false",
+			       "\"" + std::string(key) +
+				       "\" must be true or false");
+		*out = node->as_boolean()->get();
+		return true;
+	}
+
+	bool real(const toml::table &table, const char *key, double min,
+		  double max, double *out)
+	{
+		const toml::node *node = get(table, key, false);
+
+		if (!node)
+			return false;
+		if (!node->is_number())
+			refuse(ERR_TYPE, *node, "write a number",
+			       "\"" + std::string(key) + "\" must be a number");
+		*out = node->value<double>().value();
+		if (!(*out >= min && *out <= max))
+			refuse(ERR_RANGE, *node,
+			       ("use a number from " + std::to_string(min) +
+				" to " + std::to_string(max))
+				       .c_str(),
+			       "\"" + std::string(key) + "\" is out of range");
+		return true;
+	}
+
+	bool address(const toml::table &table, const char *key, bool required,
+		     endpoint_t *out)
+	{
+		char text[NAME_BYTES];
+
+		if (!string(table, key, required, text, sizeof(text)))
+			return false;
+		if (endpoint_parse(text, out) < 0)
+			refuse(ERR_RANGE, *table.get(key),
+			       "write it as \"192.0.2.1:7000\"",
+			       "\"" + std::string(key) +
+				       "\" is no address and port");
+		return true;
+	}
+
+	const toml::array *tables(const toml::table &table, const char *key)
+	{
+		const toml::node *node = table.get(key);
+
+		if (!node)
+			return nullptr;
+		if (!node->is_array_of_tables())
+			refuse(ERR_TYPE, *node,
+			       ("write it as [[" + std::string(key) + "]]")
+				       .c_str(),
+			       "\"" + std::string(key) +
+				       "\" must be an array of tables");
+		return node->as_array();
+	}
+};
+
+uint8_t read_protocol(reader &r, const toml::table &table)
+{
+	char text[NAME_BYTES] = "tcp";
+
+	r.string(table, "protocol", false, text, sizeof(text));
+	if (!strcmp(text, "tcp"))
+		return PROTO_TCP;
+	if (!strcmp(text, "udp"))
+		return PROTO_UDP;
+	r.refuse(ERR_RANGE, *table.get("protocol"), "write \"tcp\" or \"udp\"",
+		 "unknown protocol");
+}
+
+class_t read_class(reader &r, const toml::table &table)
+{
+	class_t c = {};
+	int64_t n = 1;
+
+	r.only(table, { "name", "port", "protocol", "weight", "idempotent" });
+	r.string(table, "name", true, c.name, sizeof(c.name));
+	r.integer(table, "port", true, 1, UINT16_MAX, &n);
+	c.port = (uint16_t)n;
+	c.proto = read_protocol(r, table);
+	n = 1;
+	r.integer(table, "weight", false, 1, (int64_t)WEIGHT_MAX, &n);
+	c.weight = (uint32_t)n;
+	r.boolean(table, "idempotent", true, &c.idempotent);
+	return c;
+}
+
+target_t read_target(reader &r, const toml::table &table)
+{
+	target_t t = {};
+	char state[NAME_BYTES] = "active";
+	int64_t n;
+
+	r.only(table, { "name", "agent", "zone", "weight", "slots",
+			"connections", "state" });
+	r.string(table, "name", true, t.name, sizeof(t.name));
+	r.address(table, "agent", true, &t.agent);
+	r.string(table, "zone", true, t.zone, sizeof(t.zone));
+	t.weight = 1.0;
+	r.real(table, "weight", WEIGHT_MIN, WEIGHT_MAX, &t.weight);
+	r.integer(table, "slots", true, 1, 100000, &n);
+	t.slots = (uint32_t)n;
+	r.integer(table, "connections", true, 1, 10000000, &n);
+	t.connections = (uint32_t)n;
+	r.string(table, "state", false, state, sizeof(state));
+	if (!strcmp(state, "draining"))
+		t.state = TARGET_DRAINING;
+	else if (strcmp(state, "active") != 0)
+		r.refuse(ERR_RANGE, *table.get("state"),
+			 "write \"active\" or \"draining\"",
+			 "unknown state of target \"" + std::string(t.name) +
+				 "\"");
+	return t;
+}
+
+template <typename T> T *give(const std::vector<T> &from)
+{
+	T *to = (T *)calloc(from.size() + 1, sizeof(T));
+
+	if (!to)
+		throw std::bad_alloc();
+	if (!from.empty())
+		memcpy(to, from.data(), from.size() * sizeof(T));
+	return to;
+}
+
+void check_class(reader &r, const toml::node &at, const service_t &s,
+		 const std::vector<class_t> &known, const class_t &c)
+{
+	for (const class_t &other : known) {
+		if (!strcmp(other.name, c.name))
+			r.refuse(ERR_DUPLICATE, at,
+				 "give each class its own name",
+				 "class \"" + std::string(c.name) +
+					 "\" is declared twice in service "
+					 "\"" +
+					 s.name + "\"");
+		if (other.port == c.port && other.proto == c.proto)
+			r.refuse(ERR_DUPLICATE, at,
+				 "give each class its own port",
+				 "port of class \"" + std::string(c.name) +
+					 "\" belongs to another class");
+	}
+}
+
+service_t read_service(reader &r, const toml::table &table)
+{
+	service_t s = {};
+	char address[NAME_BYTES];
+	std::vector<class_t> classes;
+	std::vector<target_t> targets;
+
+	r.only(table, { "name", "address", "class", "target" });
+	r.string(table, "name", true, s.name, sizeof(s.name));
+	r.string(table, "address", true, address, sizeof(address));
+	if (ipv4_parse(address, &s.address) < 0)
+		r.refuse(ERR_RANGE, *table.get("address"),
+			 "write it as \"192.0.2.1\"",
+			 "address of service \"" + std::string(s.name) +
+				 "\" is no IPv4 address");
+	if (const toml::array *list = r.tables(table, "class"))
+		for (const toml::node &node : *list) {
+			class_t c = read_class(r, *node.as_table());
+
+			check_class(r, node, s, classes, c);
+			classes.push_back(c);
+		}
+	if (const toml::array *list = r.tables(table, "target"))
+		for (const toml::node &node : *list)
+			targets.push_back(read_target(r, *node.as_table()));
+	s.nclasses = classes.size();
+	s.ntargets = targets.size();
+	s.classes = give(classes);
+	s.targets = give(targets);
+	return s;
+}
+
+void read_document(reader &r, const toml::table &root, config_t **out)
+{
+	std::vector<service_t> services;
+	std::vector<int> lines;
+	int64_t version = 0;
+
+	r.only(root, { "version", "service" });
+	r.integer(root, "version", true, 1, INT64_MAX, &version);
+	try {
+		if (const toml::array *list = r.tables(root, "service"))
+			for (const toml::node &node : *list) {
+				services.push_back(
+					read_service(r, *node.as_table()));
+				lines.push_back((int)node.source().begin.line);
+			}
+		if (services.empty())
+			r.refuse_line(ERR_EMPTY, 1, "add a [[service]]",
+				      "the document has no service");
+	} catch (...) {
+		for (service_t &s : services) {
+			free(s.classes);
+			free(s.targets);
+		}
+		throw;
+	}
+	if (config_assemble(r.file, (uint64_t)version, give(services),
+			    services.size(), lines.data(), out, r.err) < 0)
+		throw refusal();
+}
+
+void read_peers(reader &r, const toml::table &root, settings_t *out)
+{
+	const toml::node *node = root.get("peers");
+	std::vector<endpoint_t> peers;
+
+	if (!node)
+		return;
+	if (!node->is_array())
+		r.refuse(ERR_TYPE, *node, "write a list of \"ip:port\"",
+			 "\"peers\" must be a list");
+	for (const toml::node &item : *node->as_array()) {
+		endpoint_t ep;
+
+		if (!item.is_string() ||
+		    endpoint_parse(item.as_string()->get().c_str(), &ep) < 0)
+			r.refuse(ERR_RANGE, item,
+				 "write it as \"192.0.2.1:7000\"",
+				 "a peer is no address and port");
+		peers.push_back(ep);
+	}
+	out->npeers = peers.size();
+	out->peers = give(peers);
+}
+
+void read_limits(reader &r, const toml::table &root, settings_t *out)
+{
+	int64_t n;
+
+	if (r.integer(root, "stop_ms", false, 0, 86400000, &n))
+		out->stop_ms = (uint32_t)n;
+	if (r.integer(root, "cache_flows", false, 1024, 16777216, &n))
+		out->cache_flows = (uint32_t)n;
+	if (r.integer(root, "retry_percent", false, 0, 100, &n))
+		out->retry_percent = (uint32_t)n;
+	if (r.integer(root, "flows", false, 1, 10000000, &n))
+		out->flows = (uint32_t)n;
+	if (r.integer(root, "queue", false, 1, 100000, &n))
+		out->queue = (uint32_t)n;
+}
+
+void read_settings(reader &r, const toml::table &root, settings_t *out)
+{
+	bool balancer = out->role == ROLE_BALANCER;
+	bool agent = out->role == ROLE_AGENT;
+
+	if (balancer)
+		r.only(root, { "name", "zone", "packets", "listen", "operators",
+			       "key_file", "config_file", "platform", "peers",
+			       "stop_ms", "cache_flows", "retry_percent" });
+	else if (agent)
+		r.only(root, { "name", "zone", "target", "listen", "operators",
+			       "fabric", "server", "delivery", "key_file",
+			       "config_file", "platform", "peers", "stop_ms",
+			       "flows", "queue" });
+	else
+		r.only(root, { "key_file", "peers" });
+	r.string(root, "key_file", true, out->key_file, sizeof(out->key_file));
+	read_peers(r, root, out);
+	if (!balancer && !agent)
+		return;
+	r.string(root, "name", true, out->name, sizeof(out->name));
+	r.string(root, "zone", true, out->zone, sizeof(out->zone));
+	r.address(root, "listen", true, &out->listen);
+	r.address(root, "operators", true, &out->operators);
+	r.string(root, "config_file", false, out->config_file,
+		 sizeof(out->config_file));
+	r.string(root, "platform", false, out->platform, sizeof(out->platform));
+	if (balancer)
+		r.address(root, "packets", true, &out->packets);
+	if (agent) {
+		r.string(root, "target", true, out->target,
+			 sizeof(out->target));
+		r.address(root, "fabric", true, &out->fabric);
+		r.address(root, "server", true, &out->server);
+		r.address(root, "delivery", true, &out->delivery);
+	}
+	read_limits(r, root, out);
+}
+
+template <typename F>
+int guarded(const char *file, const char *text, size_t len, err_t *err, F body)
+{
+	reader r = { file, err };
+
+	try {
+		toml::table root =
+			toml::parse(std::string_view(text, len),
+				    std::string_view(file ? file : ""));
+		body(r, root);
+		return 0;
+	} catch (const refusal &) {
+		return -1;
+	} catch (const toml::parse_error &e) {
+		return err_set(err, ERR_SYNTAX, file,
+			       (int)e.source().begin.line,
+			       "correct the TOML at this line", "%s",
+			       std::string(e.description()).c_str());
+	} catch (const std::exception &e) {
+		return err_set(err, ERR_MEMORY, file, 0, "free memory", "%s",
+			       e.what());
+	}
+}
+
+} // namespace
+
+extern "C" int toml_read_config(const char *file, const char *text, size_t len,
+				config_t **out, err_t *err)
+{
+	return guarded(file, text, len, err,
+		       [&](reader &r, const toml::table &root) {
+			       read_document(r, root, out);
+		       });
+}
+
+extern "C" int toml_read_settings(const char *file, const char *text,
+				  size_t len, settings_t *out, err_t *err)
+{
+	return guarded(file, text, len, err,
+		       [&](reader &r, const toml::table &root) {
+			       read_settings(r, root, out);
+		       });
+}
--- /dev/null
+++ b/src/udp_socket.c
@@ -0,0 +1,251 @@
+#define _GNU_SOURCE
+#include "udp_socket.h"
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Datagrams a system call. */
+#define BATCH 64
+/* Batches read before other events get their turn. */
+#define BATCHES_A_TURN 4
+/* Kernel buffers, in bytes. */
+#define SOCKET_BUFFER (4 * 1024 * 1024)
+
+typedef struct batch {
+	struct mmsghdr headers[BATCH];
+	struct iovec iov[BATCH];
+	struct sockaddr_in addr[BATCH];
+	uint8_t (*bytes)[UDP_DATAGRAM_MAX]; /* BATCH of them, owned */
+	unsigned n;
+} batch_t;
+
+struct udp_socket {
+	uv_poll_t poll;
+	uv_prepare_t prepare;
+	int fd;
+	int connected;
+	int open_handles;
+	udp_socket_ops_t ops;
+	void *ctx;
+	batch_t in;
+	batch_t out;
+	uint64_t failures;
+};
+
+static int batch_init(batch_t *b);
+static void on_readable(uv_poll_t *poll, int status, int events);
+static void on_prepare(uv_prepare_t *prepare);
+static void on_closed(uv_handle_t *handle);
+static int open_fd(const endpoint_t *bind_to, const endpoint_t *peer,
+		   err_t *err);
+
+static int batch_init(batch_t *b)
+{
+	b->bytes = malloc(sizeof(*b->bytes) * BATCH);
+	if (!b->bytes)
+		return -1;
+	for (unsigned i = 0; i < BATCH; i++) {
+		b->iov[i].iov_base = b->bytes[i];
+		b->iov[i].iov_len = UDP_DATAGRAM_MAX;
+		b->headers[i].msg_hdr.msg_iov = &b->iov[i];
+		b->headers[i].msg_hdr.msg_iovlen = 1;
+		b->headers[i].msg_hdr.msg_name = &b->addr[i];
+		b->headers[i].msg_hdr.msg_namelen = sizeof(b->addr[i]);
+	}
+	return 0;
+}
+
+static int open_fd(const endpoint_t *bind_to, const endpoint_t *peer,
+		   err_t *err)
+{
+	struct sockaddr_in sa = endpoint_sockaddr(bind_to);
+	int size = SOCKET_BUFFER;
+	char text[ENDPOINT_TEXT];
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return err_set(err, ERR_IO, NULL, 0,
+			       "raise the limit of open files", "no socket: %s",
+			       strerror(errno));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0) {
+		err_set(err, ERR_IO, endpoint_format(bind_to, text), 0,
+			"use a free address of this host", "cannot bind: %s",
+			strerror(errno));
+		close(fd);
+		return -1;
+	}
+	if (peer) {
+		sa = endpoint_sockaddr(peer);
+		if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0) {
+			err_set(err, ERR_IO, endpoint_format(peer, text), 0,
+				"use an address that can be reached",
+				"cannot connect: %s", strerror(errno));
+			close(fd);
+			return -1;
+		}
+	}
+	return fd;
+}
+
+udp_socket_t *udp_socket_open(uv_loop_t *loop, const endpoint_t *bind_to,
+			      const endpoint_t *peer,
+			      const udp_socket_ops_t *ops, void *ctx,
+			      err_t *err)
+{
+	udp_socket_t *s = calloc(1, sizeof(*s));
+
+	if (!s || batch_init(&s->in) < 0 || batch_init(&s->out) < 0) {
+		err_set(err, ERR_MEMORY, NULL, 0, "free memory",
+			"no memory for a socket");
+		goto fail;
+	}
+	s->ops = *ops;
+	s->ctx = ctx;
+	s->connected = peer != NULL;
+	s->fd = open_fd(bind_to, peer, err);
+	if (s->fd < 0)
+		goto fail;
+	uv_poll_init(loop, &s->poll, s->fd);
+	uv_prepare_init(loop, &s->prepare);
+	s->poll.data = s;
+	s->prepare.data = s;
+	s->open_handles = 2;
+	uv_poll_start(&s->poll, UV_READABLE, on_readable);
+	uv_prepare_start(&s->prepare, on_prepare);
+	uv_unref((uv_handle_t *)&s->prepare);
+	return s;
+fail:
+	if (s) {
+		free(s->in.bytes);
+		free(s->out.bytes);
+		free(s);
+	}
+	return NULL;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	udp_socket_t *s = handle->data;
+
+	if (--s->open_handles > 0)
+		return;
+	close(s->fd);
+	free(s->in.bytes);
+	free(s->out.bytes);
+	free(s);
+}
+
+void udp_socket_close(udp_socket_t *s)
+{
+	if (!s)
+		return;
+	udp_socket_flush(s);
+	uv_poll_stop(&s->poll);
+	uv_close((uv_handle_t *)&s->poll, on_closed);
+	uv_close((uv_handle_t *)&s->prepare, on_closed);
+}
+
+static void on_readable(uv_poll_t *poll, int status, int events)
+{
+	udp_socket_t *s = poll->data;
+
+	(void)events;
+	if (status < 0)
+		return;
+	for (int turn = 0; turn < BATCHES_A_TURN; turn++) {
+		int n;
+
+		for (unsigned i = 0; i < BATCH; i++)
+			s->in.headers[i].msg_hdr.msg_namelen =
+				sizeof(s->in.addr[i]);
+		n = recvmmsg(s->fd, s->in.headers, BATCH, 0, NULL);
+		if (n < 0) {
+			if (errno == ECONNREFUSED && s->ops.refused)
+				s->ops.refused(s->ctx);
+			return;
+		}
+		for (int i = 0; i < n; i++) {
+			endpoint_t from =
+				endpoint_from_sockaddr(&s->in.addr[i]);
+
+			s->ops.receive(s->ctx, &from, s->in.bytes[i],
+				       s->in.headers[i].msg_len);
+		}
+		if (s->ops.batch_end)
+			s->ops.batch_end(s->ctx);
+		if (n < BATCH)
+			return;
+	}
+}
+
+static void on_prepare(uv_prepare_t *prepare)
+{
+	udp_socket_flush(prepare->data);
+}
+
+uint8_t *udp_socket_reserve(udp_socket_t *s)
+{
+	if (s->out.n == BATCH)
+		udp_socket_flush(s);
+	return s->out.bytes[s->out.n];
+}
+
+void udp_socket_commit(udp_socket_t *s, const endpoint_t *to, size_t len)
+{
+	batch_t *b = &s->out;
+
+	b->iov[b->n].iov_len = len;
+	if (s->connected) {
+		b->headers[b->n].msg_hdr.msg_name = NULL;
+		b->headers[b->n].msg_hdr.msg_namelen = 0;
+	} else {
+		b->addr[b->n] = endpoint_sockaddr(to);
+	}
+	b->n++;
+}
+
+void udp_socket_send(udp_socket_t *s, const endpoint_t *to, const uint8_t *buf,
+		     size_t len)
+{
+	uint8_t *out;
+
+	if (len > UDP_DATAGRAM_MAX)
+		return;
+	out = udp_socket_reserve(s);
+	memcpy(out, buf, len);
+	udp_socket_commit(s, to, len);
+}
+
+void udp_socket_flush(udp_socket_t *s)
+{
+	unsigned done = 0;
+
+	while (done < s->out.n) {
+		int n = sendmmsg(s->fd, s->out.headers + done, s->out.n - done,
+				 0);
+
+		if (n > 0) {
+			done += (unsigned)n;
+			continue;
+		}
+		if (errno == EINTR)
+			continue;
+		if (errno == ECONNREFUSED && s->ops.refused) {
+			/* The error belongs to an earlier datagram. */
+			s->ops.refused(s->ctx);
+		}
+		s->failures++;
+		done++;
+	}
+	s->out.n = 0;
+}
+
+uint64_t udp_socket_failures(const udp_socket_t *s)
+{
+	return s->failures;
+}
--- /dev/null
+++ b/test/fake_fabric.c
@@ -0,0 +1,226 @@
+/*
+ * fake_fabric - stand-in for the fabric of the platform
+ *
+ * fake_fabric LISTEN SEED [BALANCER...]
+ *
+ * Callers send tunnelled packets to LISTEN and are remembered by their inner
+ * source address. Each packet goes to a balancer at random; a packet for a
+ * known caller goes to it. A datagram that begins with '#' is a command:
+ * "#add IP:PORT", "#del IP:PORT", "#loss P", "#dup P", "#delay MS",
+ * "#jitter MS", "#cut IP:PORT", "#heal"; it is answered with "ok" or "error".
+ */
+
+#include "../src/endpoint.h"
+#include "../src/packet.h"
+#include "../src/udp_socket.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BALANCERS_MAX 256
+#define CALLERS_MAX   4096
+
+typedef struct caller {
+	uint32_t ip;
+	endpoint_t at;
+} caller_t;
+
+typedef struct fabric {
+	uv_loop_t loop;
+	udp_socket_t *socket;
+	endpoint_t balancers[BALANCERS_MAX];
+	size_t nbalancers;
+	endpoint_t cuts[BALANCERS_MAX];
+	size_t ncuts;
+	caller_t callers[CALLERS_MAX];
+	double loss;
+	double dup;
+	unsigned delay_ms;
+	unsigned jitter_ms;
+	uint64_t random;
+} fabric_t;
+
+typedef struct late {
+	uv_timer_t timer;
+	fabric_t *fabric;
+	endpoint_t to;
+	size_t len;
+	uint8_t bytes[];
+} late_t;
+
+static double chance(fabric_t *f);
+static void command(fabric_t *f, const endpoint_t *from, char *text);
+static void forward(fabric_t *f, const endpoint_t *to, const uint8_t *buf,
+		    size_t len);
+
+static double chance(fabric_t *f)
+{
+	uint64_t x = f->random += 0x9e3779b97f4a7c15ULL;
+
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return (double)((x ^ (x >> 31)) >> 11) * 0x1.0p-53;
+}
+
+static void on_late_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void on_late(uv_timer_t *timer)
+{
+	late_t *l = timer->data;
+
+	udp_socket_send(l->fabric->socket, &l->to, l->bytes, l->len);
+	uv_close((uv_handle_t *)timer, on_late_closed);
+}
+
+static void forward(fabric_t *f, const endpoint_t *to, const uint8_t *buf,
+		    size_t len)
+{
+	unsigned wait = f->delay_ms;
+	late_t *l;
+
+	for (size_t i = 0; i < f->ncuts; i++)
+		if (endpoint_equal(&f->cuts[i], to))
+			return;
+	if (f->loss > 0 && chance(f) < f->loss)
+		return;
+	if (f->jitter_ms)
+		wait += (unsigned)(chance(f) * (f->jitter_ms + 1));
+	if (!wait) {
+		udp_socket_send(f->socket, to, buf, len);
+		return;
+	}
+	l = malloc(sizeof(*l) + len);
+	if (!l)
+		return;
+	l->fabric = f;
+	l->to = *to;
+	l->len = len;
+	memcpy(l->bytes, buf, len);
+	uv_timer_init(&f->loop, &l->timer);
+	l->timer.data = l;
+	uv_timer_start(&l->timer, on_late, wait, 0);
+}
+
+static void list_del(endpoint_t *list, size_t *n, const endpoint_t *ep)
+{
+	for (size_t i = 0; i < *n; i++)
+		if (endpoint_equal(&list[i], ep)) {
+			list[i] = list[--*n];
+			return;
+		}
+}
+
+static int command_endpoint(fabric_t *f, const char *verb, const endpoint_t *ep)
+{
+	if (!strcmp(verb, "#del")) {
+		list_del(f->balancers, &f->nbalancers, ep);
+		return 0;
+	}
+	if (!strcmp(verb, "#add") && f->nbalancers < BALANCERS_MAX) {
+		f->balancers[f->nbalancers++] = *ep;
+		return 0;
+	}
+	if (!strcmp(verb, "#cut") && f->ncuts < BALANCERS_MAX) {
+		f->cuts[f->ncuts++] = *ep;
+		return 0;
+	}
+	return -1;
+}
+
+static int command_number(fabric_t *f, const char *verb, const char *argument)
+{
+	if (!strcmp(verb, "#loss"))
+		f->loss = atof(argument);
+	else if (!strcmp(verb, "#dup"))
+		f->dup = atof(argument);
+	else if (!strcmp(verb, "#delay"))
+		f->delay_ms = (unsigned)atoi(argument);
+	else if (!strcmp(verb, "#jitter"))
+		f->jitter_ms = (unsigned)atoi(argument);
+	else if (!strcmp(verb, "#heal"))
+		f->ncuts = 0;
+	else
+		return -1;
+	return 0;
+}
+
+static void command(fabric_t *f, const endpoint_t *from, char *text)
+{
+	char verb[16] = "", argument[64] = "";
+	endpoint_t ep;
+	int ret = -1;
+
+	if (sscanf(text, "%15s %63s", verb, argument) >= 1) {
+		if (endpoint_parse(argument, &ep) == 0)
+			ret = command_endpoint(f, verb, &ep);
+		else
+			ret = command_number(f, verb, argument);
+	}
+	udp_socket_send(f->socket, from,
+			(const uint8_t *)(ret ? "error" : "ok"), ret ? 5 : 2);
+}
+
+static void on_datagram(void *ctx, const endpoint_t *from, uint8_t *buf,
+			size_t len)
+{
+	fabric_t *f = ctx;
+	caller_t *to, *caller;
+	uint32_t src, dst;
+
+	if (len && buf[0] == '#') {
+		char text[128] = "";
+
+		memcpy(text, buf, len < 127 ? len : 127);
+		command(f, from, text);
+		return;
+	}
+	if (len < IPV4_HEADER)
+		return;
+	src = (uint32_t)buf[12] << 24 | (uint32_t)buf[13] << 16 |
+	      (uint32_t)buf[14] << 8 | buf[15];
+	dst = (uint32_t)buf[16] << 24 | (uint32_t)buf[17] << 16 |
+	      (uint32_t)buf[18] << 8 | buf[19];
+	to = &f->callers[dst % CALLERS_MAX];
+	if (to->ip == dst) {
+		forward(f, &to->at, buf, len);
+		return;
+	}
+	caller = &f->callers[src % CALLERS_MAX];
+	caller->ip = src;
+	caller->at = *from;
+	for (int copies = chance(f) < f->dup ? 2 : 1; copies; copies--)
+		if (f->nbalancers) {
+			size_t pick =
+				(size_t)(chance(f) * (double)f->nbalancers);
+
+			forward(f, &f->balancers[pick], buf, len);
+		}
+}
+
+int main(int argc, char **argv)
+{
+	static const udp_socket_ops_t ops = { .receive = on_datagram };
+	static fabric_t f;
+	endpoint_t listen;
+	err_t err;
+
+	if (argc < 3 || endpoint_parse(argv[1], &listen) < 0) {
+		fprintf(stderr, "usage: fake_fabric LISTEN SEED "
+				"[BALANCER...]\n");
+		return 2;
+	}
+	f.random = strtoull(argv[2], NULL, 10);
+	for (int i = 3; i < argc && f.nbalancers < BALANCERS_MAX; i++)
+		if (endpoint_parse(argv[i], &f.balancers[f.nbalancers]) == 0)
+			f.nbalancers++;
+	uv_loop_init(&f.loop);
+	f.socket = udp_socket_open(&f.loop, &listen, NULL, &ops, &f, &err);
+	if (!f.socket) {
+		fprintf(stderr, "fake_fabric: %s\n", err.what);
+		return 1;
+	}
+	return uv_run(&f.loop, UV_RUN_DEFAULT);
+}
