Wire the library together in one process for failure tests

Ruled out: a second copy of the callers' and servers' behaviour in tests. The load tool's requests are now src/caller.c, the model of a backend server is test/app_server.c, and both are used by the processes and by test/world.c.

The harness holds a socket for its second address byte, so that runs side by side do not meet.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,11 @@
 $(BUILD)/cherviltray-agent: $(BUILD)/src/agent_main.o
 $(BUILD)/cherviltray: $(CLI_OBJ)
 $(FAKES): $(BUILD)/%: $(BUILD)/test/%.o
-$(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(BUILD)/test/harness.o
+# What the tests share: the harness, the model of a backend server.
+TEST_OBJ = $(BUILD)/test/harness.o $(BUILD)/test/app_server.o \
+	$(BUILD)/test/world.o
+$(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(TEST_OBJ)
+$(BUILD)/fake_server: $(BUILD)/test/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
 $(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o
 
--- /dev/null
+++ b/src/caller.c
@@ -0,0 +1,260 @@
+#include "caller.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_PORT 1024
+
+struct caller {
+	caller_ops_t ops;
+	void *ctx;
+	mini_tcp_t *tcp;
+	uint32_t source;
+	uint16_t next_port;
+	uint64_t now; /* of the call under way */
+};
+
+static void on_output(void *ctx, const uint8_t *packet, size_t len);
+static void on_established(void *ctx, mini_conn_t *conn);
+static void on_data(void *ctx, mini_conn_t *conn, const uint8_t *bytes,
+		    size_t len);
+static void on_finished(void *ctx, mini_conn_t *conn);
+static void on_closed(void *ctx, mini_conn_t *conn, mini_close_t how,
+		      const char *reason, size_t reason_len);
+static void note_part(caller_t *c, caller_request_t *r);
+static void take_log_answer(caller_request_t *r, const uint8_t *bytes,
+			    size_t len);
+static void take_pattern(caller_request_t *r, const uint8_t *bytes, size_t len);
+static void end_with(caller_request_t *r, outcome_t outcome);
+static void end_closed(caller_request_t *r, mini_close_t how,
+		       const char *reason, size_t len);
+
+const char *outcome_name(outcome_t outcome)
+{
+	static const char *const names[OUTCOMES] = {
+		"done",	 "not run", "outcome unknown", "shed",
+		"reset", "timeout", "corrupt",
+	};
+
+	return outcome < OUTCOMES ? names[outcome] : "?";
+}
+
+caller_t *caller_new(const caller_ops_t *ops, void *ctx, uint32_t source,
+		     uint64_t seed)
+{
+	static const mini_tcp_ops_t tcp_ops = {
+		.output = on_output,
+		.established = on_established,
+		.data = on_data,
+		.finished = on_finished,
+		.closed = on_closed,
+	};
+	caller_t *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->ops = *ops;
+	c->ctx = ctx;
+	c->source = source;
+	c->next_port = FIRST_PORT;
+	c->tcp = mini_tcp_new(&tcp_ops, c, seed);
+	if (!c->tcp) {
+		free(c);
+		return NULL;
+	}
+	return c;
+}
+
+void caller_free(caller_t *c)
+{
+	if (!c)
+		return;
+	mini_tcp_free(c->tcp);
+	free(c);
+}
+
+static void on_output(void *ctx, const uint8_t *packet, size_t len)
+{
+	caller_t *c = ctx;
+
+	c->ops.output(c->ctx, packet, len);
+}
+
+static void on_established(void *ctx, mini_conn_t *conn)
+{
+	caller_t *c = ctx;
+	caller_request_t *r = mini_conn_data(conn);
+	char line[APP_LINE_MAX];
+	size_t n = app_format(&r->app, line);
+	uint8_t *body;
+
+	mini_conn_send(conn, c->now, line, n);
+	if (r->app.kind != APP_LOG)
+		return;
+	body = malloc(r->app.bytes);
+	if (!body)
+		return;
+	app_pattern(r->app.id, 0, body, r->app.bytes);
+	mini_conn_send(conn, c->now, body, r->app.bytes);
+	free(body);
+}
+
+static void end_with(caller_request_t *r, outcome_t outcome)
+{
+	r->done = true;
+	r->outcome = outcome;
+}
+
+static void note_part(caller_t *c, caller_request_t *r)
+{
+	uint64_t gap;
+
+	if (!r->answered_ms)
+		r->answered_ms = c->now;
+	else if ((gap = c->now - r->last_part_ms) > r->greatest_gap)
+		r->greatest_gap = gap;
+	r->last_part_ms = c->now;
+}
+
+static void take_log_answer(caller_request_t *r, const uint8_t *bytes,
+			    size_t len)
+{
+	char want[64];
+
+	for (size_t i = 0; i < len && r->got + 1 < sizeof(r->line); i++)
+		r->line[r->got++] = (char)bytes[i];
+	r->line[r->got] = '\0';
+	if (!strchr(r->line, '\n'))
+		return;
+	snprintf(want, sizeof(want), "OK %llu\n",
+		 (unsigned long long)r->app.id);
+	if (!strcmp(r->line, want)) {
+		end_with(r, OUTCOME_DONE);
+		return;
+	}
+	snprintf(want, sizeof(want), "BUSY %llu\n",
+		 (unsigned long long)r->app.id);
+	end_with(r, strcmp(r->line, want) ? OUTCOME_CORRUPT : OUTCOME_SHED);
+}
+
+static void take_pattern(caller_request_t *r, const uint8_t *bytes, size_t len)
+{
+	uint64_t want = r->app.bytes;
+
+	if (r->app.kind == APP_FEED)
+		want *= r->app.chunks;
+	if (!app_pattern_matches(r->app.id, r->got, bytes, len))
+		end_with(r, OUTCOME_CORRUPT);
+	r->got += len;
+	if (r->got > want)
+		end_with(r, OUTCOME_CORRUPT);
+	else if (!r->done && r->got == want)
+		end_with(r, OUTCOME_DONE);
+}
+
+static void on_data(void *ctx, mini_conn_t *conn, const uint8_t *bytes,
+		    size_t len)
+{
+	caller_t *c = ctx;
+	caller_request_t *r = mini_conn_data(conn);
+
+	note_part(c, r);
+	if (r->app.kind == APP_LOG)
+		take_log_answer(r, bytes, len);
+	else
+		take_pattern(r, bytes, len);
+}
+
+static void on_finished(void *ctx, mini_conn_t *conn)
+{
+	caller_t *c = ctx;
+
+	mini_conn_finish(conn, c->now);
+}
+
+static void end_closed(caller_request_t *r, mini_close_t how,
+		       const char *reason, size_t len)
+{
+	refusal_t word;
+
+	switch (how) {
+	case MINI_TIMEOUT:
+		end_with(r, OUTCOME_TIMEOUT);
+		return;
+	case MINI_RESET:
+		break;
+	default:
+		end_with(r, OUTCOME_CORRUPT);
+		return;
+	}
+	if (refusal_parse(reason, len, &word, &r->retry_after_s) < 0)
+		end_with(r, OUTCOME_RESET);
+	else
+		end_with(r, word == REFUSAL_NOT_RUN ? OUTCOME_NOT_RUN
+						    : OUTCOME_UNKNOWN);
+}
+
+static void on_closed(void *ctx, mini_conn_t *conn, mini_close_t how,
+		      const char *reason, size_t reason_len)
+{
+	caller_t *c = ctx;
+	caller_request_t *r = mini_conn_data(conn);
+
+	if (!r->done)
+		end_closed(r, how, reason, reason_len);
+	r->ended_ms = c->now;
+	c->ops.ended(c->ctx, r);
+	free(r);
+}
+
+caller_request_t *caller_begin(caller_t *c, uint64_t now, uint32_t address,
+			       uint16_t port, const app_request_t *app,
+			       void *data)
+{
+	caller_request_t *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	c->now = now;
+	r->app = *app;
+	r->data = data;
+	r->begun_ms = now;
+	r->key.src = c->source;
+	r->key.dst = address;
+	r->key.dport = port;
+	r->key.proto = PROTO_TCP;
+	for (int i = 0; i < UINT16_MAX - FIRST_PORT && !r->conn; i++) {
+		r->key.sport = c->next_port++;
+		if (c->next_port < FIRST_PORT)
+			c->next_port = FIRST_PORT;
+		r->conn = mini_tcp_connect(c->tcp, now, &r->key);
+	}
+	if (!r->conn) {
+		free(r);
+		return NULL;
+	}
+	mini_conn_set_data(r->conn, r);
+	return r;
+}
+
+void caller_abandon(caller_request_t *r)
+{
+	mini_conn_abort(r->conn);
+}
+
+void caller_input(caller_t *c, uint64_t now, const uint8_t *packet, size_t len)
+{
+	c->now = now;
+	mini_tcp_input(c->tcp, now, packet, len);
+}
+
+void caller_tick(caller_t *c, uint64_t now)
+{
+	c->now = now;
+	mini_tcp_tick(c->tcp, now);
+}
+
+size_t caller_open(const caller_t *c)
+{
+	return mini_tcp_count(c->tcp);
+}
--- a/src/cli_load.c
+++ b/src/cli_load.c
@@ -1,9 +1,6 @@
-#include "app_model.h"
+#include "caller.h"
 #include "cli.h"
 #include "config.h"
-#include "list.h"
-#include "mini_tcp.h"
-#include "refusal.h"
 #include "udp_socket.h"
 #include <glib.h>
 #include <stdio.h>
@@ -11,7 +8,6 @@
 #include <string.h>
 
 #define TICK_MS	     10
-#define FIRST_PORT   1024
 #define JOBS_MAX     16
 #define FEED_CHUNK   200 /* bytes */
 #define LOG_BYTES    3000
@@ -19,18 +15,6 @@
 #define DRAIN_MS     20000
 #define OPENS_A_TICK 64
 
-/* How a flow ended. */
-typedef enum outcome {
-	OUTCOME_DONE = 0,
-	OUTCOME_NOT_RUN, /* refused, and so told */
-	OUTCOME_UNKNOWN, /* refused: outcome unknown */
-	OUTCOME_SHED,	 /* the backend server said BUSY */
-	OUTCOME_RESET,	 /* reset without a word */
-	OUTCOME_TIMEOUT, /* nobody answered */
-	OUTCOME_CORRUPT, /* wrong bytes, or too few of them */
-	OUTCOMES,	 /* number of outcomes, not one */
-} outcome_t;
-
 /* One kind of request at a rate: KIND,SERVICE,CLASS,RATE[,BYTES]. */
 typedef struct job {
 	app_kind_t kind;
@@ -45,28 +29,12 @@
 	GArray *latency; /* ms to the first byte of the answer */
 } job_t;
 
-typedef struct load load_t;
-
-typedef struct request {
-	load_t *load;
-	job_t *job;
-	app_request_t app;
-	uint64_t begun_ms;
-	uint64_t got;
-	bool answered;
-	bool done;
-	outcome_t outcome;
-	char line[64];
-} request_t;
-
-struct load {
+typedef struct load {
 	uv_loop_t loop;
 	uv_timer_t timer;
 	udp_socket_t *socket;
-	mini_tcp_t *tcp;
+	caller_t *caller;
 	endpoint_t fabric;
-	uint32_t source;
-	uint16_t next_port;
 	uint64_t next_id;
 	job_t jobs[JOBS_MAX];
 	size_t njobs;
@@ -77,12 +45,7 @@
 	uint64_t give_up_ms;
 	uint64_t progress_ms;
 	bool quiet;
-};
-
-static const char *const outcome_names[OUTCOMES] = {
-	"done",	 "not run", "outcome unknown", "shed",
-	"reset", "timeout", "corrupt",
-};
+} load_t;
 
 static uint64_t now_of(load_t *l)
 {
@@ -96,131 +59,30 @@
 	udp_socket_send(l->socket, &l->fabric, packet, len);
 }
 
-static void on_established(void *ctx, mini_conn_t *conn)
+static void on_ended(void *ctx, const caller_request_t *r)
 {
-	load_t *l = ctx;
-	request_t *r = mini_conn_data(conn);
-	char line[APP_LINE_MAX];
-	size_t n = app_format(&r->app, line);
-
-	mini_conn_send(conn, now_of(l), line, n);
-	if (r->app.kind == APP_LOG) {
-		uint8_t *body = malloc(r->app.bytes);
-
-		if (body) {
-			app_pattern(r->app.id, 0, body, r->app.bytes);
-			mini_conn_send(conn, now_of(l), body, r->app.bytes);
-		}
-		free(body);
-	}
-}
+	job_t *j = r->data;
 
-static void take_log_answer(request_t *r, const uint8_t *bytes, size_t len)
-{
-	char want[64];
+	(void)ctx;
+	j->outcomes[r->outcome]++;
+	if (r->answered_ms) {
+		uint32_t took = (uint32_t)(r->answered_ms - r->begun_ms);
 
-	for (size_t i = 0; i < len && r->got + 1 < sizeof(r->line); i++)
-		r->line[r->got++] = (char)bytes[i];
-	r->line[r->got] = '\0';
-	snprintf(want, sizeof(want), "OK %llu\n",
-		 (unsigned long long)r->app.id);
-	if (!strcmp(r->line, want)) {
-		r->done = true;
-		r->outcome = OUTCOME_DONE;
-	} else if (!strncmp(r->line, "BUSY", 4)) {
-		r->done = true;
-		r->outcome = OUTCOME_SHED;
+		g_array_append_val(j->latency, took);
 	}
 }
 
-static void on_data(void *ctx, mini_conn_t *conn, const uint8_t *bytes,
-		    size_t len)
-{
-	load_t *l = ctx;
-	request_t *r = mini_conn_data(conn);
-	uint64_t want;
-
-	if (!r->answered) {
-		uint32_t took = (uint32_t)(now_of(l) - r->begun_ms);
-
-		r->answered = true;
-		g_array_append_val(r->job->latency, took);
-	}
-	if (r->app.kind == APP_LOG) {
-		take_log_answer(r, bytes, len);
-		return;
-	}
-	if (!app_pattern_matches(r->app.id, r->got, bytes, len)) {
-		r->done = true;
-		r->outcome = OUTCOME_CORRUPT;
-	}
-	r->got += len;
-	want = r->app.kind == APP_FEED ? r->app.chunks * r->app.bytes
-				       : r->app.bytes;
-	if (!r->done && r->got == want) {
-		r->done = true;
-		r->outcome = OUTCOME_DONE;
-	}
-}
-
-static void on_finished(void *ctx, mini_conn_t *conn)
-{
-	mini_conn_finish(conn, now_of(ctx));
-}
-
-static outcome_t outcome_of(mini_close_t how, const char *reason, size_t len)
-{
-	refusal_t word;
-	unsigned after;
-
-	if (how == MINI_TIMEOUT)
-		return OUTCOME_TIMEOUT;
-	if (how == MINI_FINISHED || how == MINI_ABORTED)
-		return OUTCOME_CORRUPT;
-	if (refusal_parse(reason, len, &word, &after) < 0)
-		return OUTCOME_RESET;
-	return word == REFUSAL_NOT_RUN ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
-}
-
-static void on_closed(void *ctx, mini_conn_t *conn, mini_close_t how,
-		      const char *reason, size_t reason_len)
-{
-	request_t *r = mini_conn_data(conn);
-
-	(void)ctx;
-	if (!r->done)
-		r->outcome = outcome_of(how, reason, reason_len);
-	r->job->outcomes[r->outcome]++;
-	free(r);
-}
-
 static void open_one(load_t *l, job_t *j)
 {
-	flow_key_t key = { l->source, j->address, l->next_port, j->port,
-			   PROTO_TCP };
-	request_t *r = calloc(1, sizeof(*r));
-	mini_conn_t *conn;
-
-	l->next_port =
-		l->next_port == UINT16_MAX ? FIRST_PORT : l->next_port + 1;
-	if (!r)
-		return;
-	r->load = l;
-	r->job = j;
-	r->begun_ms = now_of(l);
-	r->app.kind = j->kind;
-	r->app.id = l->next_id++;
-	r->app.bytes = j->bytes;
-	r->app.weight = j->weight;
-	r->app.interval_ms = l->interval_ms;
-	r->app.chunks = l->feed_s * 1000 / l->interval_ms;
-	conn = mini_tcp_connect(l->tcp, now_of(l), &key);
-	if (!conn) {
-		free(r);
-		return;
-	}
-	mini_conn_set_data(conn, r);
-	j->opened++;
+	app_request_t app = { .kind = j->kind,
+			      .id = l->next_id++,
+			      .bytes = j->bytes,
+			      .weight = j->weight,
+			      .interval_ms = l->interval_ms,
+			      .chunks = l->feed_s * 1000 / l->interval_ms };
+
+	if (caller_begin(l->caller, now_of(l), j->address, j->port, &app, j))
+		j->opened++;
 }
 
 static void progress(load_t *l, uint64_t now)
@@ -237,7 +99,7 @@
 	}
 	fprintf(stderr, "%5.1f s: %llu opened, %llu ended, %zu open\n",
 		(double)(now - l->begun_ms) / 1000, (unsigned long long)opened,
-		(unsigned long long)ended, mini_tcp_count(l->tcp));
+		(unsigned long long)ended, caller_open(l->caller));
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -254,10 +116,10 @@
 			j->due -= 1;
 		}
 	}
-	mini_tcp_tick(l->tcp, now);
+	caller_tick(l->caller, now);
 	progress(l, now);
 	if (now >= l->open_until_ms &&
-	    (mini_tcp_count(l->tcp) == 0 || now >= l->give_up_ms))
+	    (caller_open(l->caller) == 0 || now >= l->give_up_ms))
 		uv_stop(&l->loop);
 }
 
@@ -267,7 +129,7 @@
 	load_t *l = ctx;
 
 	(void)from;
-	mini_tcp_input(l->tcp, now_of(l), buf, len);
+	caller_input(l->caller, now_of(l), buf, len);
 }
 
 static int parse_job(load_t *l, const config_t *config, const char *text,
@@ -339,7 +201,7 @@
 
 	printf("%-6s %8s", "kind", "opened");
 	for (int o = 0; o < OUTCOMES; o++)
-		printf(" %15s", outcome_names[o]);
+		printf(" %15s", outcome_name((outcome_t)o));
 	printf(" %8s %6s %6s %6s\n", "open", "p50ms", "p90ms", "p99ms");
 	for (size_t i = 0; i < l->njobs; i++) {
 		job_t *j = &l->jobs[i];
@@ -364,9 +226,7 @@
 int cli_load(int argc, char **argv)
 {
 	static const udp_socket_ops_t socket_ops = { .receive = on_datagram };
-	static const mini_tcp_ops_t tcp_ops = { output,		NULL,
-						on_established, on_data,
-						on_finished,	on_closed };
+	static const caller_ops_t caller_ops = { output, on_ended };
 	char *file = NULL, *fabric = NULL, *local = NULL, *source = NULL;
 	char **jobs = NULL;
 	int seconds = 10, feed_s = 10, interval = 100, seed = 1;
@@ -400,6 +260,7 @@
 	config_t *config = NULL;
 	load_t *l = NULL;
 	endpoint_t at;
+	uint32_t address;
 	err_t err;
 	int ret;
 
@@ -413,7 +274,7 @@
 	if (!l || !file || !fabric || !local || !source || !jobs ||
 	    endpoint_parse(fabric, &l->fabric) < 0 ||
 	    endpoint_parse(local, &at) < 0 ||
-	    ipv4_parse(source, &l->source) < 0 || seconds < 1 || feed_s < 1 ||
+	    ipv4_parse(source, &address) < 0 || seconds < 1 || feed_s < 1 ||
 	    interval < 1) {
 		ret = cli_usage("load", "--config, --fabric, --local, "
 					"--source and --job are needed");
@@ -431,12 +292,11 @@
 	l->quiet = quiet;
 	l->feed_s = (uint32_t)feed_s;
 	l->interval_ms = (uint32_t)interval;
-	l->next_port = FIRST_PORT;
 	l->next_id = (uint64_t)seed << 32;
 	uv_loop_init(&l->loop);
-	l->tcp = mini_tcp_new(&tcp_ops, l, (uint64_t)seed);
+	l->caller = caller_new(&caller_ops, l, address, (uint64_t)seed);
 	l->socket = udp_socket_open(&l->loop, &at, NULL, &socket_ops, l, &err);
-	if (!l->tcp || !l->socket) {
+	if (!l->caller || !l->socket) {
 		ret = cli_fail("load", &err);
 		goto out;
 	}
@@ -456,7 +316,7 @@
 	if (l) {
 		for (size_t i = 0; i < l->njobs; i++)
 			g_array_free(l->jobs[i].latency, TRUE);
-		mini_tcp_free(l->tcp);
+		caller_free(l->caller);
 	}
 	free(l);
 	config_unref(config);
--- a/test/harness.c
+++ b/test/harness.c
@@ -17,6 +17,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#define NET_FIRST	 20
+#define NETS		 200
 #define READY_BOUND_MS	 15000
 #define COMMAND_BOUND_MS 1000
 #define COMMAND_TRIES	 3
@@ -312,6 +314,24 @@
 	return ret;
 }
 
+/* Holds a socket of the net, so that no other run takes it. */
+static int take_net(harness_t *h)
+{
+	for (unsigned i = 0; i < NETS; i++) {
+		struct sockaddr_in sa;
+		endpoint_t ep;
+
+		h->net = NET_FIRST + ((unsigned)getpid() + i) % NETS;
+		ep = at(h, 0, 9, 6999);
+		sa = endpoint_sockaddr(&ep);
+		h->net_fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+		if (bind(h->net_fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+			return 0;
+		close(h->net_fd);
+	}
+	return -1;
+}
+
 harness_t *harness_start(const harness_options_t *options)
 {
 	harness_t *h = calloc(1, sizeof(*h));
@@ -323,7 +343,10 @@
 		return NULL;
 	}
 	h->options = *options;
-	h->net = 20 + (unsigned)getpid() % 200;
+	if (take_net(h) < 0) {
+		free(h);
+		return NULL;
+	}
 	snprintf(h->dir, sizeof(h->dir), "/tmp/cherviltray-%d", getpid());
 	mkdir(h->dir, 0755);
 	snprintf(h->config_path, sizeof(h->config_path), "%s/config.toml",
@@ -405,6 +428,7 @@
 	}
 	if (pid > 0)
 		waitpid(pid, NULL, 0);
+	close(h->net_fd);
 	config_unref(h->config);
 	free(h);
 }
--- a/test/harness.h
+++ b/test/harness.h
@@ -43,6 +43,7 @@
 typedef struct harness {
 	harness_options_t options;
 	unsigned net; /* second byte of all addresses */
+	int net_fd;   /* holds the number */
 	char dir[64];
 	char config_path[128];
 	char key_path[128];
