Name the mechanisms that an experiment can switch off

Ruled out: building variants with the preprocessor, which would not show what the shipped objects do. Change: mechanism.h and a field in the options of balancer and agent; nothing reads it yet.

--- a/src/agent.h
+++ b/src/agent.h
@@ -16,6 +16,7 @@
 #include "endpoint.h"
 #include "flow_table.h"
 #include "group.h"
+#include "mechanism.h"
 #include "wire.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -45,6 +46,7 @@
 	uint64_t random_seed;	 /* for choices among peers */
 	uint32_t flows;		 /* greatest number of flows held */
 	uint32_t queue;		 /* requests waiting, a slot */
+	mechanisms_t off;	 /* for experiments */
 } agent_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -16,6 +16,7 @@
 #include "counters.h"
 #include "endpoint.h"
 #include "group.h"
+#include "mechanism.h"
 #include "wire.h"
 #include <stdint.h>
 
@@ -46,6 +47,7 @@
 	uint64_t rank_seed;	/* the same on all processes */
 	uint32_t cache_flows;	/* hints kept */
 	uint32_t retry_percent; /* retried opens in 100 opens */
+	mechanisms_t off;	/* for experiments */
 } balancer_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
