Rank without a logarithm for members that cannot win

Cause: rank_best() took a logarithm for every member, sorted long lists by insertion, and drew numbers with 53 bits and a half more, which rounds to 1 for the greatest draw: its score was -inf, so the clear winner came last. Change: draw 52 bits and a half, which is exact; pass over a member whose bound weight / (1 - u) lies under the worst score kept; sort long lists. Ruled out: a table of logarithms, since the rank must be the exact one.

--- a/src/rank.c
+++ b/src/rank.c
@@ -1,8 +1,26 @@
 #include "rank.h"
 #include <math.h>
+#include <stdlib.h>
+
+/* Up to so many members are kept sorted while the others are read. */
+#define SHORT_LIST 16
+/* Covers the rounding of the bound that spares a logarithm. */
+#define BOUND_MARGIN 1e-9
+
+typedef struct scored {
+	double score;
+	uint32_t id;
+	uint32_t position;
+} scored_t;
 
 static uint64_t mix(uint64_t x);
-static int better(double a, uint32_t a_id, double b, uint32_t b_id);
+static double uniform(uint64_t hash, uint32_t id);
+static int better(const scored_t *a, const scored_t *b);
+static int compare(const void *a, const void *b);
+static size_t best_few(uint64_t hash, const rank_member_t *members, size_t n,
+		       uint32_t *order, size_t want);
+static size_t best_many(uint64_t hash, const rank_member_t *members, size_t n,
+			uint32_t *order, size_t want);
 
 /* Finaliser of SplitMix64: each input bit reaches each output bit. */
 static uint64_t mix(uint64_t x)
@@ -13,58 +31,93 @@
 	return x ^ (x >> 31);
 }
 
+/* A number between 0 and 1, neither included. */
+static double uniform(uint64_t hash, uint32_t id)
+{
+	uint64_t h = mix(hash ^ mix(id));
+
+	/* The half is lost to rounding for the greatest values. */
+	return ((double)(h >> 12) + 0.5) * 0x1.0p-52;
+}
+
 double rank_score(uint64_t hash, const rank_member_t *member)
 {
-	uint64_t h = mix(hash ^ mix(member->id));
-	double u = ((double)(h >> 11) + 0.5) * 0x1.0p-53;
+	return -member->weight / log(uniform(hash, member->id));
+}
 
-	return -member->weight / log(u);
+static int better(const scored_t *a, const scored_t *b)
+{
+	if (a->score != b->score)
+		return a->score > b->score;
+	return a->id < b->id;
 }
 
-static int better(double a, uint32_t a_id, double b, uint32_t b_id)
+static int compare(const void *a, const void *b)
 {
-	if (a != b)
-		return a > b;
-	return a_id < b_id;
+	return better(a, b) ? -1 : better(b, a);
+}
+
+/*
+ * Since -ln(u) >= 1 - u, a score is at most weight / (1 - u): a member whose
+ * bound lies under the worst one kept is passed over without a logarithm.
+ */
+static size_t best_few(uint64_t hash, const rank_member_t *members, size_t n,
+		       uint32_t *order, size_t want)
+{
+	scored_t kept[SHORT_LIST];
+	double least = 0;
+	size_t nkept = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		double u = uniform(hash, members[i].id);
+		scored_t s = { 0, members[i].id, (uint32_t)i };
+		size_t at;
+
+		if (nkept == want &&
+		    members[i].weight < least * (1 - u) * (1 - BOUND_MARGIN))
+			continue;
+		s.score = -members[i].weight / log(u);
+		if (nkept < want)
+			nkept++;
+		else if (!better(&s, &kept[want - 1]))
+			continue;
+		for (at = nkept - 1; at > 0 && better(&s, &kept[at - 1]); at--)
+			kept[at] = kept[at - 1];
+		kept[at] = s;
+		least = kept[nkept - 1].score;
+	}
+	for (size_t i = 0; i < nkept; i++)
+		order[i] = kept[i].position;
+	return nkept;
+}
+
+static size_t best_many(uint64_t hash, const rank_member_t *members, size_t n,
+			uint32_t *order, size_t want)
+{
+	scored_t *all = malloc(n * sizeof(*all));
+
+	if (!all)
+		return best_few(hash, members, n, order, SHORT_LIST);
+	for (size_t i = 0; i < n; i++) {
+		all[i].score = rank_score(hash, &members[i]);
+		all[i].id = members[i].id;
+		all[i].position = (uint32_t)i;
+	}
+	qsort(all, n, sizeof(*all), compare);
+	for (size_t i = 0; i < want; i++)
+		order[i] = all[i].position;
+	free(all);
+	return want;
 }
 
 size_t rank_best(uint64_t hash, const rank_member_t *members, size_t n,
 		 uint32_t *order, size_t want)
 {
-	double scores[64];
-	size_t kept = 0;
-
 	if (want > n)
 		want = n;
 	if (want == 0)
 		return 0;
-	for (size_t i = 0; i < n; i++) {
-		double s = rank_score(hash, &members[i]);
-		size_t at = kept;
-
-		while (at > 0) {
-			double prev =
-				at <= 64 ? scores[at - 1]
-					 : rank_score(hash,
-						      &members[order[at - 1]]);
-
-			if (!better(s, members[i].id, prev,
-				    members[order[at - 1]].id))
-				break;
-			at--;
-		}
-		if (at >= want)
-			continue;
-		if (kept < want)
-			kept++;
-		for (size_t j = kept - 1; j > at; j--) {
-			order[j] = order[j - 1];
-			if (j < 64)
-				scores[j] = scores[j - 1];
-		}
-		order[at] = (uint32_t)i;
-		if (at < 64)
-			scores[at] = s;
-	}
-	return kept;
+	if (want > SHORT_LIST)
+		return best_many(hash, members, n, order, want);
+	return best_few(hash, members, n, order, want);
 }
--- /dev/null
+++ b/test/test_rank.c
@@ -0,0 +1,235 @@
+/*
+ * test_rank - the fast rank against an exact slow one, shares, stability
+ */
+
+#include "../src/rank.h"
+#include "runner.h"
+#include <string.h>
+
+#define SEED	  20261203
+#define MAX	  1200
+#define DRAWS	  100000
+#define TOLERANCE 0.03 /* of a share */
+
+static uint64_t state = SEED;
+
+static uint64_t next_random(void)
+{
+	state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+	return state ^ (state >> 29);
+}
+
+/* The definition itself: the best by score, then by id, one by one. */
+static size_t slow_best(uint64_t hash, const rank_member_t *m, size_t n,
+			uint32_t *order, size_t want)
+{
+	static char taken[MAX];
+	size_t kept;
+
+	memset(taken, 0, sizeof(taken));
+	for (kept = 0; kept < want && kept < n; kept++) {
+		size_t best = n;
+
+		for (size_t i = 0; i < n; i++) {
+			double a = rank_score(hash, &m[i]);
+			double b = best < n ? rank_score(hash, &m[best]) : -1;
+
+			if (taken[i])
+				continue;
+			if (a > b || (a == b && m[i].id < m[best].id))
+				best = i;
+		}
+		taken[best] = 1;
+		order[kept] = (uint32_t)best;
+	}
+	return kept;
+}
+
+static void fill(rank_member_t *m, size_t n, int kind)
+{
+	for (size_t i = 0; i < n; i++) {
+		m[i].id = (uint32_t)next_random();
+		m[i].weight = (double)(next_random() % 10000) / 100;
+		if (kind == 1)
+			m[i].weight = 1;
+		if (kind == 2 && next_random() % 3 == 0)
+			m[i].weight = 0;
+		if (kind == 3) /* ties: the same id and weight */
+			m[i].id = (uint32_t)(next_random() % 4);
+	}
+}
+
+START_TEST(fast_rank_equals_the_slow_one)
+{
+	static const struct {
+		size_t n, want;
+		int rounds;
+	} sizes[] = {
+		{ 0, 3, 1 },	 { 1, 3, 50 },	  { 7, 1, 800 },
+		{ 7, 3, 800 },	 { 11, 11, 200 }, { 64, 5, 100 },
+		{ 65, 65, 10 },	 { 100, 16, 20 }, { 100, 17, 20 },
+		{ 1000, 3, 20 }, { 1000, 0, 5 },
+	};
+	static rank_member_t m[MAX];
+	uint32_t fast[MAX], slow[MAX];
+
+	for (size_t s = 0; s < sizeof(sizes) / sizeof(*sizes); s++)
+		for (int r = 0; r < sizes[s].rounds; r++) {
+			uint64_t hash = next_random();
+			size_t n;
+
+			fill(m, sizes[s].n, (int)(r % 4));
+			n = rank_best(hash, m, sizes[s].n, fast, sizes[s].want);
+			ck_assert_uint_eq(n, slow_best(hash, m, sizes[s].n,
+						       slow, sizes[s].want));
+			for (size_t i = 0; i < n; i++)
+				ck_assert_msg(
+					m[fast[i]].id == m[slow[i]].id &&
+						m[fast[i]].weight ==
+							m[slow[i]].weight,
+					"size %zu round %d place %zu: %u, "
+					"exactly %u",
+					sizes[s].n, r, i, fast[i], slow[i]);
+		}
+}
+END_TEST
+
+START_TEST(shares_follow_weights)
+{
+	static const double weights[] = { 1, 2, 4, 0.5, 1, 0, 3 };
+	enum { N = sizeof(weights) / sizeof(*weights) };
+	rank_member_t m[N];
+	unsigned won[N] = { 0 };
+	uint32_t first;
+	double sum = 0;
+
+	for (uint32_t i = 0; i < N; i++) {
+		m[i] = (rank_member_t){ i * 7919 + 1, weights[i] };
+		sum += weights[i];
+	}
+	for (int d = 0; d < DRAWS; d++) {
+		ck_assert_uint_eq(rank_best(next_random(), m, N, &first, 1), 1);
+		won[first]++;
+	}
+	for (int i = 0; i < N; i++)
+		ck_assert_double_eq_tol(won[i] / (double)DRAWS,
+					weights[i] / sum, TOLERANCE);
+	ck_assert_uint_eq(won[5], 0);
+}
+END_TEST
+
+/* Only flows that the changed member wins or loses may move. */
+START_TEST(a_change_of_one_member_moves_only_its_flows)
+{
+	static const struct {
+		double before, after;
+	} changes[] = { { 1, 0 }, { 0, 1 }, { 1, 2 }, { 2, 0.5 } };
+	rank_member_t m[11];
+	uint32_t was, is;
+
+	for (size_t c = 0; c < sizeof(changes) / sizeof(*changes); c++)
+		for (int d = 0; d < DRAWS / 10; d++) {
+			uint64_t hash = next_random();
+
+			for (uint32_t i = 0; i < 11; i++)
+				m[i] = (rank_member_t){ i + 1, 1 };
+			m[4].weight = changes[c].before;
+			rank_best(hash, m, 11, &was, 1);
+			m[4].weight = changes[c].after;
+			rank_best(hash, m, 11, &is, 1);
+			if (was != is)
+				ck_assert(was == 4 || is == 4);
+			if (changes[c].after > changes[c].before)
+				ck_assert(was != 4 || is == 4);
+		}
+}
+END_TEST
+
+/* A member's place in the list says nothing; equal scores go to the less id. */
+START_TEST(order_of_the_members_does_not_matter)
+{
+	rank_member_t m[20], turned[20];
+	uint32_t a[5], b[5];
+
+	for (int d = 0; d < 2000; d++) {
+		uint64_t hash = next_random();
+
+		fill(m, 20, 0);
+		for (int i = 0; i < 20; i++)
+			turned[i] = m[19 - i];
+		rank_best(hash, m, 20, a, 5);
+		rank_best(hash, turned, 20, b, 5);
+		for (int i = 0; i < 5; i++)
+			ck_assert_uint_eq(m[a[i]].id, turned[b[i]].id);
+	}
+}
+END_TEST
+
+static uint64_t unshift(uint64_t x, int by)
+{
+	uint64_t y = x;
+
+	for (int i = 0; i < 64 / by; i++)
+		y = x ^ (y >> by);
+	return y;
+}
+
+static uint64_t inverse(uint64_t odd)
+{
+	uint64_t x = odd;
+
+	for (int i = 0; i < 6; i++)
+		x *= 2 - odd * x;
+	return x;
+}
+
+static uint64_t mix(uint64_t x)
+{
+	x += 0x9e3779b97f4a7c15ULL;
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return x ^ (x >> 31);
+}
+
+/* The hash for which member 1 draws the greatest or the smallest number. */
+static uint64_t hash_that_draws(uint64_t drawn)
+{
+	uint64_t x = unshift(drawn, 31);
+
+	x = unshift(x * inverse(0x94d049bb133111ebULL), 27);
+	x = unshift(x * inverse(0xbf58476d1ce4e5b9ULL), 30);
+	return (x - 0x9e3779b97f4a7c15ULL) ^ mix(1);
+}
+
+/* The greatest number drawn must win, not divide by a logarithm of 0. */
+START_TEST(extreme_draws_have_finite_scores)
+{
+	static const uint64_t drawn[] = { 0, UINT64_MAX };
+	rank_member_t m[2] = { { 1, 1 }, { 2, 1 } };
+	uint32_t first;
+
+	for (int i = 0; i < 2; i++) {
+		uint64_t hash = hash_that_draws(drawn[i]);
+		double score = rank_score(hash, &m[0]);
+
+		ck_assert(score > 0 && score < 1e17);
+		rank_best(hash, m, 2, &first, 1);
+		ck_assert_uint_eq(first, i ? 0 : 1);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("rank");
+	TCase *tc = tcase_create("rendezvous");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, fast_rank_equals_the_slow_one);
+	tcase_add_test(tc, shares_follow_weights);
+	tcase_add_test(tc, a_change_of_one_member_moves_only_its_flows);
+	tcase_add_test(tc, order_of_the_members_does_not_matter);
+	tcase_add_test(tc, extreme_draws_have_finite_scores);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
