Hear new senders when the table of sessions is full

Cause: a full set of sessions refused every unknown session as replayed until one was silent for 61 s, so many short-lived senders (operators' queries, each a session) locked genuine new ones out. A restarted receiver took any message of the last 30 s again. Ruled out: forgetting the oldest without more, which lets its messages be replayed; more room, which only moves the limit. Change: sessions lie in sets of 16; a forgotten session leaves its greatest clock as the set's floor, which an unknown session must pass. A daemon's start sets all floors to one second before it. What a replay can do after a restart stands in seal.h.

--- a/src/seal.c
+++ b/src/seal.c
@@ -15,31 +15,39 @@
 
 /* Numbers behind the newest one that can still be told apart. */
 #define WINDOW_BITS 4096
-/* Sessions remembered; a power of two. */
-#define SESSIONS 4096
-/* Places looked at for a session. */
-#define PROBE_LIMIT	16
+/* Sessions remembered, in sets of which one is searched. */
+#define SETS		256
+#define WAYS		16
 #define SESSION_KEEP_MS (2 * SEAL_SKEW_MS + 1000)
 
 typedef struct session {
-	uint64_t id;	  /* 0 when unused */
-	uint64_t newest;  /* greatest number seen */
-	uint64_t last_ms; /* wall clock of the last message */
-	uint64_t *seen;	  /* WINDOW_BITS bits, owned */
+	uint64_t id;	   /* 0 when unused */
+	uint64_t newest;   /* greatest number seen */
+	uint64_t last_ms;  /* our wall clock at the last message */
+	uint64_t clock_ms; /* greatest clock that a message carried */
+	uint64_t *seen;	   /* WINDOW_BITS bits, owned */
 } session_t;
 
+/* Sessions whose ids fall together. */
+typedef struct session_set {
+	session_t sessions[WAYS];
+	uint64_t floor_ms; /* an unknown session's clock must be greater */
+} session_set_t;
+
 struct seal {
 	uint8_t key[crypto_shorthash_siphashx24_KEYBYTES];
 	uint64_t session;
 	uint64_t number;
-	session_t sessions[SESSIONS];
+	session_set_t sets[SETS];
 };
 
 static void put64(uint8_t *p, uint64_t v);
 static uint64_t get64(const uint8_t *p);
 static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
 		   uint8_t tag[16]);
-static session_t *session_find(seal_t *seal, uint64_t id, uint64_t wall_ms);
+static void session_forget(session_set_t *set, session_t *s, uint64_t wall_ms);
+static session_t *session_find(seal_t *seal, uint64_t id, uint64_t clock_ms,
+			       uint64_t wall_ms);
 static int session_accept(session_t *s, uint64_t number);
 static int hex_value(int c);
 
@@ -74,8 +82,9 @@
 {
 	if (!seal)
 		return;
-	for (size_t i = 0; i < SESSIONS; i++)
-		free(seal->sessions[i].seen);
+	for (size_t i = 0; i < SETS; i++)
+		for (size_t j = 0; j < WAYS; j++)
+			free(seal->sets[i].sessions[j].seen);
 	sodium_memzero(seal, sizeof(*seal));
 	free(seal);
 }
@@ -168,27 +177,47 @@
 	return len;
 }
 
-static session_t *session_find(seal_t *seal, uint64_t id, uint64_t wall_ms)
+void seal_started(seal_t *seal, uint64_t wall_ms)
+{
+	for (size_t i = 0; i < SETS; i++)
+		seal->sets[i].floor_ms = wall_ms - SEAL_START_SKEW_MS;
+}
+
+/* What the session has said must not be taken from a new one later. */
+static void session_forget(session_set_t *set, session_t *s, uint64_t wall_ms)
+{
+	if (s->last_ms + SESSION_KEEP_MS > wall_ms &&
+	    s->clock_ms > set->floor_ms)
+		set->floor_ms = s->clock_ms;
+	memset(s->seen, 0, WINDOW_BITS / 8);
+}
+
+/* Finds a session or makes one; NULL when the message may be a repeated one. */
+static session_t *session_find(seal_t *seal, uint64_t id, uint64_t clock_ms,
+			       uint64_t wall_ms)
 {
-	session_t *oldest = NULL;
+	session_set_t *set = &seal->sets[id % SETS];
+	session_t *oldest = &set->sessions[0];
 
-	for (size_t i = 0; i < PROBE_LIMIT; i++) {
-		session_t *s = &seal->sessions[(id + i) & (SESSIONS - 1)];
+	for (size_t i = 0; i < WAYS; i++) {
+		session_t *s = &set->sessions[i];
 
 		if (s->id == id)
 			return s;
-		if (!oldest || s->last_ms < oldest->last_ms)
+		if (s->last_ms < oldest->last_ms)
 			oldest = s;
 	}
-	if (oldest->id && oldest->last_ms + SESSION_KEEP_MS > wall_ms)
+	if (clock_ms <= set->floor_ms)
 		return NULL;
 	if (!oldest->seen)
-		oldest->seen = malloc(WINDOW_BITS / 8);
+		oldest->seen = calloc(1, WINDOW_BITS / 8);
 	if (!oldest->seen)
 		return NULL;
-	memset(oldest->seen, 0, WINDOW_BITS / 8);
+	if (oldest->id)
+		session_forget(set, oldest, wall_ms);
 	oldest->id = id;
 	oldest->newest = 0;
+	oldest->clock_ms = 0;
 	return oldest;
 }
 
@@ -235,10 +264,12 @@
 	if (clock_ms + SEAL_SKEW_MS < wall_ms ||
 	    clock_ms > wall_ms + SEAL_SKEW_MS)
 		return SEAL_STALE;
-	s = session_find(seal, get64(buf + AT_SESSION), wall_ms);
+	s = session_find(seal, get64(buf + AT_SESSION), clock_ms, wall_ms);
 	if (!s || session_accept(s, get64(buf + AT_NUMBER)) < 0)
 		return SEAL_REPLAYED;
 	s->last_ms = wall_ms;
+	if (s->clock_ms < clock_ms)
+		s->clock_ms = clock_ms;
 	*kind = buf[AT_KIND];
 	*body = buf + SEAL_HEADER;
 	*body_len = len - SEAL_HEADER;
--- a/src/seal.h
+++ b/src/seal.h
@@ -12,7 +12,18 @@
  * number already seen in its session. Sessions are remembered for longer than
  * the skew, so a recorded message is stale before its session is forgotten.
  *
- * Hosts keep their clocks within SEAL_SKEW_MS of each other.
+ * When more sessions are alive than there is room for, the one silent for
+ * longest is forgotten, and from then on a new session in its place must carry
+ * a later clock than it did: nothing it sent can be taken twice, and a sender
+ * that is new or was forgotten is heard as soon as its clock has passed that.
+ *
+ * A receiver that starts remembers no session. It refuses messages sent more
+ * than SEAL_START_SKEW_MS before its start, so that a recorded message can be
+ * taken a second time only when it was sent within that time before a restart.
+ *
+ * Hosts keep their clocks within SEAL_SKEW_MS of each other; one whose clock is
+ * behind by more than SEAL_START_SKEW_MS is not heard for so much longer after
+ * the receiver's start.
  */
 
 #include "err.h"
@@ -22,6 +33,8 @@
 #define SEAL_KEY_BYTES 32
 #define SEAL_HEADER    44    /* bytes before the body */
 #define SEAL_SKEW_MS   30000 /* greatest difference of clocks accepted */
+/* Oldest message taken by a receiver that has just started. */
+#define SEAL_START_SKEW_MS 1000
 
 typedef enum seal_status {
 	SEAL_OK = 0,
@@ -42,6 +55,9 @@
 seal_t *seal_new(const uint8_t key[SEAL_KEY_BYTES], uint64_t session);
 void seal_free(seal_t *seal);
 
+/* The receiver starts now: refuses what was sent before. */
+void seal_started(seal_t *seal, uint64_t wall_ms);
+
 /*
  * Reads a key file: 64 hexadecimal digits, with nothing else but white space.
  * The key is never put into an error.
--- a/test/test_packet.c
+++ b/test/test_packet.c
@@ -222,16 +222,15 @@
 START_TEST(reset_is_taken_by_the_caller)
 {
 	static const struct {
-		uint8_t flags;
 		const char *payload;
 		uint32_t seq, ack;
-		uint8_t reset;
+		uint8_t flags, reset;
 	} cases[] = {
-		{ TCP_SYN, "", 0, 101, TCP_RST | TCP_ACK },
-		{ TCP_SYN, "data", 0, 105, TCP_RST | TCP_ACK },
-		{ TCP_ACK, "data", 200, 0, TCP_RST },
-		{ TCP_FIN | TCP_ACK, "", 200, 0, TCP_RST },
-		{ TCP_FIN, "", 0, 101, TCP_RST | TCP_ACK },
+		{ "", 0, 101, TCP_SYN, TCP_RST | TCP_ACK },
+		{ "data", 0, 105, TCP_SYN, TCP_RST | TCP_ACK },
+		{ "data", 200, 0, TCP_ACK, TCP_RST },
+		{ "", 200, 0, TCP_FIN | TCP_ACK, TCP_RST },
+		{ "", 0, 101, TCP_FIN, TCP_RST | TCP_ACK },
 	};
 	static uint8_t reset[PACKET_MAX];
 	packet_t p, r;
