Answer opens that no member can take, and send copies of a SYN one way

Cause: a balancer had no way to answer, so an open of a service whose members all drain or are full met silence. A copy of a SYN was ranked anew and could reach a second member. A member asked last was found by a search over all services. The hint cache took a flow with hash 0 for an unused entry, and a flow could have two entries, of which the older came to light again. Change: balancer_ops.reply and the balancer's setting 'fabric'; a reset 'not run' only when nothing was sent. A copy of a pending SYN goes to the member asked last, one of an answered flow to its holder. Groups are found through the classes' index. When every member seems silent, the balancer takes itself to be cut off and goes on offering. Ten retries are free at the start. A UDP packet without a hint names candidates. Ruled out: a reset when a retried open runs out of members: one may hold the flow and only its answer was lost.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -1,7 +1,5 @@
-#include "balancer.h"
-#include "hint_cache.h"
-#include "pending_opens.h"
-#include <glib.h>
+#include "balancer_int.h"
+#include "refusal.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,38 +8,37 @@
 #define RETRY_SAVED_MAX 5000
 /* Hundredths that one retried open costs. */
 #define RETRY_COST 100
-
-struct balancer {
-	balancer_options_t options;
-	balancer_ops_t ops;
-	void *ctx;
-	config_t *config;
-	group_t *groups; /* one a service, in the configuration's order */
-	size_t ngroups;
-	hint_cache_t *hints;
-	pending_opens_t *pending;
-	uint32_t retry_saved; /* hundredths of a retry */
-	counters_t counters;
-};
-
-static group_t *group_of(balancer_t *b, uint64_t service);
-static group_t *group_take(balancer_t *b, uint64_t service);
-static void packet_message(balancer_t *b, packet_msg_t *msg,
-			   const service_t *service, packet_step_t step,
-			   const uint8_t *data, size_t len);
-static size_t rank_others(balancer_t *b, group_t *g, uint64_t now,
-			  const pending_open_t *open, uint32_t *order);
-static int offer(balancer_t *b, uint64_t now, group_t *g,
-		 const service_t *service, pending_open_t *open,
-		 const packet_t *p);
+/* Time to come back that a refusal carries, in seconds. */
+#define RETRY_AFTER_S 2
+/* A time at which no member is avoided any more. */
+#define AVOIDED_TOO UINT64_MAX
+
+static group_t *group_at(balancer_t *b, uint32_t address, uint16_t port,
+			 uint8_t proto, uint64_t service);
+static group_t *group_take(balancer_t *b, const service_t *service);
+static const service_t *service_of(const balancer_t *b, const group_t *g);
+static void packet_message(balancer_t *b, packet_msg_t *msg, uint64_t service,
+			   packet_step_t step, const packet_t *p);
+static size_t candidates(const group_t *g, uint64_t now,
+			 const pending_open_t *open, const member_t *first,
+			 uint32_t *ids);
+static const member_t *taker(balancer_t *b, uint64_t now, group_t *g,
+			     uint64_t hash);
+static void repeat(balancer_t *b, group_t *g, const pending_open_t *open,
+		   const packet_t *p);
+static int offer(balancer_t *b, uint64_t now, group_t *g, const member_t *first,
+		 pending_open_t *open, const packet_t *p);
+static void refuse(balancer_t *b, const packet_t *p);
 static void open_flow(balancer_t *b, uint64_t now, const service_t *service,
 		      const packet_t *p, uint64_t hash);
 static void look_up(balancer_t *b, uint64_t now, const service_t *service,
 		    const packet_t *p, uint64_t hash);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      const held_msg_t *held);
-static void blame(balancer_t *b, uint64_t now, const pending_open_t *open);
-static void retry(balancer_t *b, uint64_t now, pending_open_t *open);
+static void blame(balancer_t *b, uint64_t now, group_t *g,
+		  const pending_open_t *open);
+static bool may_retry(balancer_t *b);
+static int retry(balancer_t *b, uint64_t now, group_t *g, pending_open_t *open);
 
 balancer_t *balancer_new(const balancer_options_t *options,
 			 const balancer_ops_t *ops, void *ctx)
@@ -53,6 +50,7 @@
 	b->options = *options;
 	b->ops = *ops;
 	b->ctx = ctx;
+	b->retry_saved = RETRIES_AT_START * RETRY_COST;
 	b->hints = hint_cache_new(options->cache_flows);
 	b->pending = pending_opens_new(PENDING_LIMIT);
 	if (!b->hints || !b->pending) {
@@ -75,24 +73,38 @@
 	free(b);
 }
 
-static group_t *group_of(balancer_t *b, uint64_t service)
+/* The group of a service that has this address and class; no search. */
+static group_t *group_at(balancer_t *b, uint32_t address, uint16_t port,
+			 uint8_t proto, uint64_t service)
 {
-	for (size_t i = 0; i < b->ngroups; i++)
-		if (b->groups[i].service == service)
-			return &b->groups[i];
-	return NULL;
+	const service_t *s = b->config ? config_classify(b->config, address,
+							 port, proto, NULL)
+				       : NULL;
+
+	if (!s || s->id != service)
+		return NULL;
+	return &b->groups[s - b->config->services];
 }
 
 /* Moves a group out of the old table, so that what is known of it stays. */
-static group_t *group_take(balancer_t *b, uint64_t service)
+static group_t *group_take(balancer_t *b, const service_t *service)
 {
-	group_t *g = group_of(b, service);
+	const class_t *c = &service->classes[0];
+	group_t *g =
+		group_at(b, service->address, c->port, c->proto, service->id);
 
+	if (!g)
+		g = (group_t *)balancer_group(b, service->id);
 	if (g)
 		g->service = 0;
 	return g;
 }
 
+static const service_t *service_of(const balancer_t *b, const group_t *g)
+{
+	return &b->config->services[g - b->groups];
+}
+
 int balancer_configure(balancer_t *b, uint64_t now, config_t *config)
 {
 	group_t *groups = calloc(config->nservices, sizeof(*groups));
@@ -101,7 +113,7 @@
 	if (!groups)
 		return -1;
 	for (size_t i = 0; i < config->nservices; i++) {
-		group_t *old = group_take(b, config->services[i].id);
+		group_t *old = group_take(b, &config->services[i]);
 
 		if (old) {
 			groups[i] = *old;
@@ -121,96 +133,161 @@
 	return ret;
 }
 
-static void packet_message(balancer_t *b, packet_msg_t *msg,
-			   const service_t *service, packet_step_t step,
-			   const uint8_t *data, size_t len)
+static void packet_message(balancer_t *b, packet_msg_t *msg, uint64_t service,
+			   packet_step_t step, const packet_t *p)
 {
 	ct__packet__init(msg);
-	msg->service = service->id;
+	msg->service = service;
 	msg->version = b->config->version;
 	msg->digest = b->config->digest;
 	msg->step = step;
 	msg->reply_ip = b->options.self.ip;
 	msg->reply_port = b->options.self.port;
-	msg->inner.data = (uint8_t *)data;
-	msg->inner.len = len;
+	msg->inner.data = (uint8_t *)p->data;
+	msg->inner.len = p->len;
 }
 
-/* Candidates that the open was not offered to yet, best first. */
-static size_t rank_others(balancer_t *b, group_t *g, uint64_t now,
-			  const pending_open_t *open, uint32_t *order)
+/*
+ * Members to offer an open to: the one given, then those that the open was not
+ * offered to yet, best first. When all seem silent, the fault is likely ours,
+ * and the members are taken as if none was.
+ */
+static size_t candidates(const group_t *g, uint64_t now,
+			 const pending_open_t *open, const member_t *first,
+			 uint32_t *ids)
 {
-	uint32_t all[BALANCER_CANDIDATES + PENDING_ASKED];
-	size_t n = group_rank(g, now, open->hash, true, all,
-			      BALANCER_CANDIDATES + open->nasked);
+	uint32_t order[BALANCER_CANDIDATES + PENDING_ASKED];
+	size_t want = BALANCER_CANDIDATES + open->nasked;
+	size_t n = group_rank(g, now, open->hash, true, order, want);
 	size_t kept = 0;
 
-	(void)b;
+	if (n == 0)
+		n = group_rank(g, AVOIDED_TOO, open->hash, true, order, want);
+	if (first)
+		ids[kept++] = first->id;
 	for (size_t i = 0; i < n && kept < BALANCER_CANDIDATES; i++) {
-		bool asked = false;
+		uint32_t id = g->members[order[i]].id;
+		bool asked = first && first->id == id;
 
 		for (uint32_t j = 0; j < open->nasked; j++)
-			asked |= open->asked[j] == g->members[all[i]].id;
+			asked |= open->asked[j] == id;
 		if (!asked)
-			order[kept++] = all[i];
+			ids[kept++] = id;
 	}
 	return kept;
 }
 
-/* Offers an open to its best candidates. Returns -1 when there are none. */
-static int offer(balancer_t *b, uint64_t now, group_t *g,
-		 const service_t *service, pending_open_t *open,
-		 const packet_t *p)
+/* The member that took the flow of an earlier copy of the SYN, or NULL. */
+static const member_t *taker(balancer_t *b, uint64_t now, group_t *g,
+			     uint64_t hash)
+{
+	const member_t *m;
+	endpoint_t agent;
+
+	if (!hint_cache_get(b->hints, hash, &agent))
+		return NULL;
+	m = group_member_at(g, &agent);
+	if (!m || !member_reachable(m) || m->avoid_until > now)
+		return NULL;
+	return m;
+}
+
+/* Sends a copy of a SYN that waits for an answer to the member asked last. */
+static void repeat(balancer_t *b, group_t *g, const pending_open_t *open,
+		   const packet_t *p)
+{
+	member_t *m = group_member(g, open->asked[open->nasked - 1]);
+	packet_msg_t msg;
+
+	if (!m)
+		return;
+	packet_message(b, &msg, g->service, STEP_OPEN, p);
+	b->ops.send(b->ctx, &m->agent, MSG_PACKET, &msg);
+}
+
+/* Offers an open to its candidates. Returns -1 when there are none. */
+static int offer(balancer_t *b, uint64_t now, group_t *g, const member_t *first,
+		 pending_open_t *open, const packet_t *p)
 {
-	uint32_t order[BALANCER_CANDIDATES];
 	uint32_t ids[BALANCER_CANDIDATES];
-	size_t n = rank_others(b, g, now, open, order);
+	size_t n = candidates(g, now, open, first, ids);
 	packet_msg_t msg;
 
 	if (n == 0)
 		return -1;
-	for (size_t i = 0; i < n; i++)
-		ids[i] = g->members[order[i]].id;
-	packet_message(b, &msg, service, STEP_OPEN, p->data, p->len);
+	packet_message(b, &msg, g->service, STEP_OPEN, p);
 	msg.candidates = ids + 1;
 	msg.n_candidates = n - 1;
 	if (open->nasked < PENDING_ASKED)
 		open->asked[open->nasked++] = ids[0];
 	pending_opens_defer(b->pending, open, now + OPEN_TIMEOUT_MS);
-	b->ops.send(b->ctx, &g->members[order[0]].agent, MSG_PACKET, &msg);
+	b->ops.send(b->ctx, &group_member(g, ids[0])->agent, MSG_PACKET, &msg);
 	return 0;
 }
 
+/* Nothing was sent to a backend server: the caller may come back. */
+static void refuse(balancer_t *b, const packet_t *p)
+{
+	uint8_t buf[PACKET_MAX];
+	char text[REFUSAL_TEXT];
+	size_t len;
+
+	counter_add(&b->counters, COUNTER_DROP_NO_TARGET, 1);
+	if (!b->ops.reply || without(b->options.off, MECHANISM_REFUSAL))
+		return;
+	refusal_format(REFUSAL_NOT_RUN, RETRY_AFTER_S, text);
+	len = packet_build_reset(p, text, buf);
+	if (!len)
+		return;
+	counter_add(&b->counters, COUNTER_OPENS_REFUSED, 1);
+	b->ops.reply(b->ctx, buf, len);
+}
+
 static void open_flow(balancer_t *b, uint64_t now, const service_t *service,
 		      const packet_t *p, uint64_t hash)
 {
 	group_t *g = &b->groups[service - b->config->services];
 	pending_open_t *open = pending_opens_add(b->pending, &p->key, hash);
+	const member_t *first;
 
+	if (open->nasked > 0 && open->seq == p->seq &&
+	    open->service == service->id) {
+		repeat(b, g, open, p);
+		return;
+	}
+	first = taker(b, now, g, hash);
 	counter_add(&b->counters, COUNTER_OPENS, 1);
 	if (b->retry_saved < RETRY_SAVED_MAX)
 		b->retry_saved += b->options.retry_percent;
 	open->service = service->id;
+	open->seq = p->seq;
 	open->nasked = 0;
 	open->len = 0;
 	if (p->len <= PENDING_PACKET && p->payload_len == 0) {
 		memcpy(open->packet, p->data, p->len);
 		open->len = (uint16_t)p->len;
 	}
-	if (offer(b, now, g, service, open, p) < 0) {
-		counter_add(&b->counters, COUNTER_DROP_NO_TARGET, 1);
+	if (offer(b, now, g, first, open, p) < 0) {
 		pending_opens_remove(b->pending, open);
+		refuse(b, p);
 	}
 }
 
+/*
+ * Sends a packet to where its flow was last seen, or to where the look-up
+ * begins. The first packet of a UDP flow looks like any other: it names the
+ * candidates that may take it when no member holds its flow.
+ */
 static void look_up(balancer_t *b, uint64_t now, const service_t *service,
 		    const packet_t *p, uint64_t hash)
 {
 	group_t *g = &b->groups[service - b->config->services];
+	uint32_t ids[BALANCER_CANDIDATES];
 	endpoint_t agent;
 	packet_msg_t msg;
 	uint32_t first;
 
+	packet_message(b, &msg, service->id, STEP_LOOKUP, p);
 	if (hint_cache_get(b->hints, hash, &agent)) {
 		counter_add(&b->counters, COUNTER_CACHE_HITS, 1);
 	} else {
@@ -218,8 +295,13 @@
 		if (group_rank(g, now, hash, false, &first, 1) == 0)
 			return;
 		agent = g->members[first].agent;
+		if (p->key.proto == PROTO_UDP) {
+			pending_open_t any = { .hash = hash };
+
+			msg.candidates = ids;
+			msg.n_candidates = candidates(g, now, &any, NULL, ids);
+		}
 	}
-	packet_message(b, &msg, service, STEP_LOOKUP, p->data, p->len);
 	b->ops.send(b->ctx, &agent, MSG_PACKET, &msg);
 }
 
@@ -263,7 +345,7 @@
 			   (uint16_t)held->dst_port, (uint8_t)held->protocol };
 	endpoint_t agent = { held->agent_ip, (uint16_t)held->agent_port };
 	uint64_t hash = flow_key_hash(&key, b->options.rank_seed);
-	group_t *g = group_of(b, held->service);
+	group_t *g = group_at(b, key.dst, key.dport, key.proto, held->service);
 	pending_open_t *open;
 
 	if (b->config && held->version > b->config->version)
@@ -291,21 +373,19 @@
 }
 
 /* The member that was asked last and said nothing. */
-static void blame(balancer_t *b, uint64_t now, const pending_open_t *open)
+static void blame(balancer_t *b, uint64_t now, group_t *g,
+		  const pending_open_t *open)
 {
-	group_t *g = group_of(b, open->service);
-	member_t *m;
+	member_t *m = open->nasked
+			      ? group_member(g, open->asked[open->nasked - 1])
+			      : NULL;
 
-	if (!g || open->nasked == 0)
-		return;
-	m = group_member(g, open->asked[open->nasked - 1]);
 	if (!m || m->heard_ms + OPEN_TIMEOUT_MS > now)
 		return;
 	if (++m->unanswered < OPEN_MISSES)
 		return;
 	if (m->avoid_until <= now) {
-		const service_t *s = config_service(b->config, g->service);
-		const target_t *t = s ? service_target(s, m->id) : NULL;
+		const target_t *t = service_target(service_of(b, g), m->id);
 
 		counter_add(&b->counters, COUNTER_SUSPICIONS, 1);
 		b->ops.audit(b->ctx, "member-avoided", t ? t->name : "?",
@@ -314,25 +394,38 @@
 	m->avoid_until = now + AVOID_MS;
 }
 
-static void retry(balancer_t *b, uint64_t now, pending_open_t *open)
+static bool may_retry(balancer_t *b)
 {
-	group_t *g = group_of(b, open->service);
-	const service_t *service = config_service(b->config, open->service);
-	packet_t p;
-
-	if (!g || !service || open->len == 0 ||
-	    packet_parse(open->packet, open->len, &p) != PACKET_OK)
-		goto drop;
+	if (without(b->options.off, MECHANISM_OPEN_RETRY))
+		return false;
+	if (without(b->options.off, MECHANISM_RETRY_BUDGET))
+		return true;
 	if (b->retry_saved < RETRY_COST) {
 		counter_add(&b->counters, COUNTER_OPENS_RETRY_DENIED, 1);
-		goto drop;
+		return false;
 	}
 	b->retry_saved -= RETRY_COST;
+	return true;
+}
+
+/*
+ * Offers the SYN to others. When that can't be, the caller is told nothing:
+ * a member that was asked may have taken the flow and only its answer to us
+ * was lost. The caller's own repetition tries anew.
+ */
+static int retry(balancer_t *b, uint64_t now, group_t *g, pending_open_t *open)
+{
+	packet_t p;
+
+	if (open->len == 0 || open->nasked == PENDING_ASKED ||
+	    packet_parse(open->packet, open->len, &p) != PACKET_OK)
+		return -1;
+	if (!may_retry(b))
+		return -1;
+	if (offer(b, now, g, NULL, open, &p) < 0)
+		return -1;
 	counter_add(&b->counters, COUNTER_OPENS_RETRIED, 1);
-	if (offer(b, now, g, service, open, &p) == 0)
-		return;
-drop:
-	pending_opens_remove(b->pending, open);
+	return 0;
 }
 
 void balancer_tick(balancer_t *b, uint64_t now)
@@ -340,8 +433,14 @@
 	pending_open_t *open;
 
 	while ((open = pending_opens_due(b->pending, now))) {
-		blame(b, now, open);
-		retry(b, now, open);
+		const flow_key_t *k = &open->key;
+		group_t *g =
+			group_at(b, k->dst, k->dport, k->proto, open->service);
+
+		if (g)
+			blame(b, now, g, open);
+		if (!g || retry(b, now, g, open) < 0)
+			pending_opens_remove(b->pending, open);
 	}
 }
 
@@ -357,49 +456,8 @@
 
 const group_t *balancer_group(const balancer_t *b, uint64_t service)
 {
-	return group_of((balancer_t *)b, service);
-}
-
-char *balancer_explain(balancer_t *b, uint64_t now, const flow_key_t *key)
-{
-	GString *s = g_string_new("{");
-	uint64_t hash = flow_key_hash(key, b->options.rank_seed);
-	const class_t *cls = NULL;
-	const service_t *service;
-	uint32_t order[BALANCER_CANDIDATES];
-	endpoint_t hint;
-	char text[ENDPOINT_TEXT];
-	group_t *g;
-	size_t n;
-
-	service = b->config ? config_classify(b->config, key->dst, key->dport,
-					      key->proto, &cls)
-			    : NULL;
-	if (!service) {
-		g_string_append(s, "\"service\":null,\"why\":\"no service has "
-				   "this address, port and protocol\"}");
-		return g_string_free(s, FALSE);
-	}
-	g = group_of(b, service->id);
-	g_string_append_printf(s, "\"service\":\"%s\",\"class\":\"%s\"",
-			       service->name, cls->name);
-	if (hint_cache_get(b->hints, hash, &hint))
-		g_string_append_printf(s, ",\"hint\":\"%s\"",
-				       endpoint_format(&hint, text));
-	n = group_rank(g, now, hash, true, order, BALANCER_CANDIDATES);
-	g_string_append(s, ",\"candidates\":[");
-	for (size_t i = 0; i < n; i++) {
-		const member_t *m = &g->members[order[i]];
-		const target_t *t = service_target(service, m->id);
-
-		g_string_append_printf(s,
-				       "%s{\"target\":\"%s\",\"agent\":\"%s\","
-				       "\"weight\":%.3f,\"utilisation\":%.4f}",
-				       i ? "," : "", t ? t->name : "?",
-				       endpoint_format(&m->agent, text),
-				       member_rank_weight(g, m),
-				       member_utilisation(g, m));
-	}
-	g_string_append(s, "]}");
-	return g_string_free(s, FALSE);
+	for (size_t i = 0; b->groups && i < b->ngroups; i++)
+		if (b->groups[i].service == service)
+			return &b->groups[i];
+	return NULL;
 }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -28,6 +28,8 @@
 #define OPEN_MISSES 2
 /* A member is avoided for this long, or until it is heard of. */
 #define AVOID_MS 3000
+/* Retries that a balancer may make before its opens have earned any. */
+#define RETRIES_AT_START 10
 
 typedef struct balancer balancer_t;
 
@@ -40,6 +42,8 @@
 	/* Records a change that the process made. */
 	void (*audit)(void *ctx, const char *event, const char *subject,
 		      const char *detail);
+	/* Hands an IPv4 packet to the caller's side; may be NULL. */
+	void (*reply)(void *ctx, const uint8_t *packet, size_t len);
 } balancer_ops_t;
 
 typedef struct balancer_options {
--- a/src/balancer_main.c
+++ b/src/balancer_main.c
@@ -3,7 +3,8 @@
  *
  * The way of a packet: the fabric's datagram comes in at settings.packets,
  * on_packet() hands it to the balancer, which hands a message to
- * send_message(), which seals it and queues it for the agent.
+ * send_message(), which seals it and queues it for the agent. An open that no
+ * member can take is answered by reply(), to settings.fabric.
  */
 
 #include "balancer.h"
@@ -24,6 +25,7 @@
 static void behind(void *ctx, const endpoint_t *from, uint64_t version);
 static void audit(void *ctx, const char *event, const char *subject,
 		  const char *detail);
+static void reply(void *ctx, const uint8_t *packet, size_t len);
 static int start(process_t *p, err_t *err);
 static void end(process_t *p);
 static int configure(process_t *p, uint64_t now, config_t *config);
@@ -66,9 +68,21 @@
 	process_audit(ctx, event, subject, detail);
 }
 
+static void reply(void *ctx, const uint8_t *packet, size_t len)
+{
+	process_t *p = ctx;
+	daemon_t *d = p->ctx;
+
+	if (!p->settings.fabric.port)
+		return;
+	counter_add(p->counters, COUNTER_PACKETS_OUT, 1);
+	udp_socket_send(d->fabric, &p->settings.fabric, packet, len);
+}
+
 static int start(process_t *p, err_t *err)
 {
-	static const balancer_ops_t ops = { send_message, behind, audit };
+	static const balancer_ops_t ops = { send_message, behind, audit,
+					    reply };
 	static const udp_socket_ops_t fabric_ops = { .receive = on_packet };
 	balancer_options_t options = {
 		.self = p->settings.listen,
--- a/src/hint_cache.c
+++ b/src/hint_cache.c
@@ -17,8 +17,10 @@
 	uint32_t clock; /* counts uses */
 };
 
+static uint64_t name_of(uint64_t hash);
 static hint_t *bucket_of(hint_cache_t *c, uint64_t hash);
 static uint16_t now_of(hint_cache_t *c);
+static hint_t *place_for(hint_t *bucket, uint64_t hash, uint16_t now);
 
 hint_cache_t *hint_cache_new(size_t hints)
 {
@@ -46,6 +48,12 @@
 	free(c);
 }
 
+/* 0 names an unused entry, so the flow of that hash takes another name. */
+static uint64_t name_of(uint64_t hash)
+{
+	return hash ? hash : 1;
+}
+
 static hint_t *bucket_of(hint_cache_t *c, uint64_t hash)
 {
 	return &c->hints[(hash & c->mask) * WAYS];
@@ -57,32 +65,43 @@
 	return (uint16_t)(c->clock++ / (c->mask + 1));
 }
 
-void hint_cache_put(hint_cache_t *c, uint64_t hash, const endpoint_t *agent)
+/* Its own entry, else an unused one, else the one used least lately. */
+static hint_t *place_for(hint_t *bucket, uint64_t hash, uint16_t now)
 {
-	hint_t *bucket = bucket_of(c, hash);
-	uint16_t now = now_of(c);
-	hint_t *victim = &bucket[0];
+	hint_t *best = &bucket[0];
 
 	for (int i = 0; i < WAYS; i++) {
 		hint_t *h = &bucket[i];
 
-		if (h->hash == hash || !h->hash) {
-			victim = h;
-			break;
-		}
-		if ((uint16_t)(now - h->used) > (uint16_t)(now - victim->used))
-			victim = h;
+		if (h->hash == hash)
+			return h;
+		if (!best->hash)
+			continue;
+		if (!h->hash ||
+		    (uint16_t)(now - h->used) > (uint16_t)(now - best->used))
+			best = h;
 	}
-	victim->hash = hash;
-	victim->ip = agent->ip;
-	victim->port = agent->port;
-	victim->used = now;
+	return best;
+}
+
+void hint_cache_put(hint_cache_t *c, uint64_t hash, const endpoint_t *agent)
+{
+	hint_t *h;
+
+	hash = name_of(hash);
+	h = place_for(bucket_of(c, hash), hash, now_of(c));
+	h->hash = hash;
+	h->ip = agent->ip;
+	h->port = agent->port;
+	h->used = now_of(c);
 }
 
 int hint_cache_get(hint_cache_t *c, uint64_t hash, endpoint_t *agent)
 {
-	hint_t *bucket = bucket_of(c, hash);
+	hint_t *bucket;
 
+	hash = name_of(hash);
+	bucket = bucket_of(c, hash);
 	for (int i = 0; i < WAYS; i++) {
 		if (bucket[i].hash != hash)
 			continue;
@@ -96,8 +115,10 @@
 
 void hint_cache_drop(hint_cache_t *c, uint64_t hash)
 {
-	hint_t *bucket = bucket_of(c, hash);
+	hint_t *bucket;
 
+	hash = name_of(hash);
+	bucket = bucket_of(c, hash);
 	for (int i = 0; i < WAYS; i++)
 		if (bucket[i].hash == hash)
 			bucket[i].hash = 0;
--- a/src/pending_opens.h
+++ b/src/pending_opens.h
@@ -27,6 +27,7 @@
 	uint64_t deadline;	       /* ms */
 	uint32_t asked[PENDING_ASKED]; /* members offered to first */
 	uint32_t nasked;
+	uint32_t seq; /* of the SYN */
 	uint16_t len; /* bytes of the packet, 0 when it may not be repeated */
 	uint8_t packet[PENDING_PACKET];
 } pending_open_t;
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,7 +26,7 @@
 	endpoint_t packets;	  /* balancer: where the fabric sends packets */
 	endpoint_t listen;	  /* UDP and TCP, for other processes */
 	endpoint_t operators;	  /* TCP, for the command line */
-	endpoint_t fabric;	  /* agent: where answers go */
+	endpoint_t fabric;	  /* where answers go; balancer: may be 0 */
 	endpoint_t server;	  /* agent: the backend server's tunnel */
 	endpoint_t delivery;	  /* agent: own end of that tunnel */
 	char target[SETTINGS_NAME]; /* agent: target it serves */
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -369,9 +369,10 @@
 	bool agent = out->role == ROLE_AGENT;
 
 	if (balancer)
-		r.only(root, { "name", "zone", "packets", "listen", "operators",
-			       "key_file", "config_file", "platform", "peers",
-			       "stop_ms", "cache_flows", "retry_percent" });
+		r.only(root,
+		       { "name", "zone", "packets", "fabric", "listen",
+			 "operators", "key_file", "config_file", "platform",
+			 "peers", "stop_ms", "cache_flows", "retry_percent" });
 	else if (agent)
 		r.only(root, { "name", "zone", "target", "listen", "operators",
 			       "fabric", "server", "delivery", "key_file",
@@ -390,8 +391,10 @@
 	r.string(root, "config_file", false, out->config_file,
 		 sizeof(out->config_file));
 	r.string(root, "platform", false, out->platform, sizeof(out->platform));
-	if (balancer)
+	if (balancer) {
 		r.address(root, "packets", true, &out->packets);
+		r.address(root, "fabric", false, &out->fabric);
+	}
 	if (agent) {
 		r.string(root, "target", true, out->target,
 			 sizeof(out->target));
--- a/test/harness.c
+++ b/test/harness.c
@@ -152,7 +152,8 @@
 {
 	harness_proc_t *p = &h->balancers[i];
 	char packets[ENDPOINT_TEXT], listen[ENDPOINT_TEXT],
-		operators[ENDPOINT_TEXT], source[256], log[96], text[1024];
+		operators[ENDPOINT_TEXT], fabric[ENDPOINT_TEXT], source[256],
+		log[96], text[1024];
 	char *path = program_path("cherviltray-balancer");
 	char *argv[] = { path, "--settings", p->settings, NULL };
 
@@ -165,9 +166,11 @@
 	source_lines(h, source, sizeof(source));
 	snprintf(text, sizeof(text),
 		 "name = \"%s\"\nzone = \"a\"\npackets = \"%s\"\n"
-		 "listen = \"%s\"\noperators = \"%s\"\nkey_file = \"%s\"\n"
+		 "fabric = \"%s\"\nlisten = \"%s\"\noperators = "
+		 "\"%s\"\nkey_file = \"%s\"\n"
 		 "%s%s",
 		 p->name, endpoint_format(&p->extra, packets),
+		 endpoint_format(&h->fabric_at, fabric),
 		 endpoint_format(&p->listen, listen),
 		 endpoint_format(&p->operators, operators), h->key_path, source,
 		 h->options.balancer_settings ? h->options.balancer_settings
--- a/test/world.c
+++ b/test/world.c
@@ -300,7 +300,8 @@
 
 static void start_balancer(process_state_t *p)
 {
-	static const balancer_ops_t ops = { send_message, no_behind, no_audit };
+	static const balancer_ops_t ops = { send_message, no_behind, no_audit,
+					    reply };
 	balancer_options_t options = { .self = p->listen,
 				       .rank_seed = WORLD_RANK_SEED,
 				       .cache_flows = 4096,
