Measure what control costs a process

Cause: CAPACITY needs slopes, and there were none. Ruled out: counting packets by hand; the processes' own counters and /proc are read over a window of 10 s. Change: bench/bench_control.c, 9 cases of real processes; the harness can start only the first agents of a document.

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 $(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(TEST_OBJ)
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
-$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o
+$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(TEST_OBJ)
 
 $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES): $(BUILD)/libcherviltray.a
 	@echo LD $@
--- /dev/null
+++ b/bench/bench_control.c
@@ -0,0 +1,232 @@
+/*
+ * bench_control - what control costs a process, by measured slopes
+ *
+ * Starts small systems as real processes and reads, over a window, each
+ * process's control bytes and messages, processor time and memory. One line
+ * of JSON a case goes to report/bench/control.json. docs/CAPACITY.md is made
+ * from it.
+ */
+
+#include "../test/harness.h"
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define WINDOW_MS   10000
+#define WARM_UP_MS  3000
+#define LOAD_TAIL_S 30
+
+typedef struct bench_case {
+	const char *name;
+	unsigned targets;  /* that run, in one service */
+	unsigned services; /* further ones, only declared */
+	unsigned balancers;
+	unsigned opens; /* a second */
+	unsigned feeds; /* opened a second and kept */
+} bench_case_t;
+
+/* What was read of one process at one time. */
+typedef struct reading {
+	double bytes;
+	double messages;
+	double cpu_s;
+	double rss_kb;
+	double held;
+} reading_t;
+
+typedef struct mean {
+	reading_t sum;
+	unsigned n;
+} mean_t;
+
+static const bench_case_t cases[] = {
+	{ "group-4", 4, 0, 1, 0, 0 },
+	{ "group-11", 11, 0, 1, 0, 0 },
+	{ "group-30", 30, 0, 1, 0, 0 },
+	{ "services-100", 4, 100, 1, 0, 0 },
+	{ "services-1000", 4, 990, 1, 0, 0 },
+	{ "opens-100", 11, 0, 2, 100, 0 },
+	{ "opens-400", 11, 0, 2, 400, 0 },
+	{ "feeds-100", 11, 0, 2, 0, 100 },
+	{ "balancers-8", 11, 0, 8, 100, 0 },
+};
+
+static char *document(const bench_case_t *c);
+static void append_target(GString *s, unsigned service, unsigned target,
+			  unsigned c, unsigned d);
+static reading_t take(const harness_t *h, const harness_proc_t *p);
+static void add(mean_t *m, const reading_t *from, const reading_t *to);
+static void print_mean(FILE *out, const char *role, const mean_t *m);
+static int run_case(const bench_case_t *c, FILE *out);
+
+static void append_target(GString *s, unsigned service, unsigned target,
+			  unsigned c, unsigned d)
+{
+	g_string_append_printf(s,
+			       "[[service.target]]\nname = \"t%u-%u\"\n"
+			       "agent = \"127.0.%u.%u:%u\"\nzone = \"a\"\n"
+			       "slots = 5\nconnections = 8000\n",
+			       service, target, c, d,
+			       service ? 8000 + service : 7400);
+}
+
+/* Service 0 runs, the others are only declared. */
+static char *document(const bench_case_t *c)
+{
+	GString *s = g_string_new("version = 1\n");
+
+	for (unsigned i = 0; i <= c->services; i++) {
+		unsigned n = i ? 4 : c->targets;
+
+		g_string_append_printf(s,
+				       "[[service]]\nname = \"s%u\"\n"
+				       "address = \"198.51.%u.%u\"\n"
+				       "[[service.class]]\nname = \"c\"\n"
+				       "port = 6000\nidempotent = true\n",
+				       i, 100 + i / 250, 1 + i % 250);
+		for (unsigned t = 0; t < n; t++)
+			append_target(s, i, t, 21, t + 1);
+	}
+	return g_string_free(s, FALSE);
+}
+
+static reading_t take(const harness_t *h, const harness_proc_t *p)
+{
+	reading_t r = { 0 };
+	char path[64];
+	char *text = NULL;
+	char *field;
+	unsigned long user = 0, system = 0;
+
+	r.bytes = (double)harness_counter(h, p, "control_bytes_out");
+	r.messages = (double)harness_counter(h, p, "control_messages_out");
+	r.held = (double)harness_status(h, p, "held");
+	snprintf(path, sizeof(path), "/proc/%d/stat", p->pid);
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		field = strrchr(text, ')');
+		for (int i = 0; field && i < 12; i++)
+			field = strchr(field + 1, ' ');
+		if (field)
+			sscanf(field, " %lu %lu", &user, &system);
+		g_free(text);
+	}
+	r.cpu_s = (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+	snprintf(path, sizeof(path), "/proc/%d/status", p->pid);
+	text = NULL;
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		field = strstr(text, "VmRSS:");
+		if (field)
+			r.rss_kb = strtod(field + 6, NULL);
+		g_free(text);
+	}
+	return r;
+}
+
+static void add(mean_t *m, const reading_t *from, const reading_t *to)
+{
+	m->sum.bytes += to->bytes - from->bytes;
+	m->sum.messages += to->messages - from->messages;
+	m->sum.cpu_s += to->cpu_s - from->cpu_s;
+	m->sum.rss_kb += to->rss_kb;
+	m->sum.held += to->held;
+	m->n++;
+}
+
+static void print_mean(FILE *out, const char *role, const mean_t *m)
+{
+	double n = m->n ? m->n : 1;
+	double s = WINDOW_MS / 1000.0;
+
+	fprintf(out,
+		",\"%s\":{\"processes\":%u,\"bytes_s\":%.1f,"
+		"\"messages_s\":%.2f,\"cpu_percent\":%.3f,"
+		"\"rss_kb\":%.0f,\"held\":%.0f}",
+		role, m->n, m->sum.bytes / n / s, m->sum.messages / n / s,
+		m->sum.cpu_s / n / s * 100, m->sum.rss_kb / n, m->sum.held / n);
+}
+
+static int run_case(const bench_case_t *c, FILE *out)
+{
+	char *text = document(c);
+	harness_options_t options = { .config_text = text,
+				      .balancers = c->balancers,
+				      .seed = 1,
+				      .agents = c->targets,
+				      .service_ms = 1 };
+	char opens[48], seconds[16];
+	const char *args[] = { "--job",
+			       opens,
+			       "--seconds",
+			       seconds,
+			       "--feed-seconds",
+			       G_STRINGIFY(LOAD_TAIL_S),
+			       "--interval",
+			       "2000",
+			       NULL };
+	harness_t *h = harness_start(&options);
+	reading_t before[HARNESS_BALANCERS + HARNESS_AGENTS], after;
+	mean_t balancers = { 0 }, agents = { 0 };
+	pid_t load = 0;
+
+	g_free(text);
+	if (!h)
+		return -1;
+	snprintf(opens, sizeof(opens), "%s,s0,c,%u,%s",
+		 c->feeds ? "feed" : "get", c->feeds ? c->feeds : c->opens,
+		 c->feeds ? "100" : "200");
+	snprintf(seconds, sizeof(seconds), "%u",
+		 (WINDOW_MS + WARM_UP_MS) / 1000 + 2);
+	if (c->opens || c->feeds)
+		load = harness_load(h, "load.out", args);
+	harness_sleep_ms(WARM_UP_MS);
+	for (unsigned i = 0; i < c->balancers; i++)
+		before[i] = take(h, &h->balancers[i]);
+	for (unsigned i = 0; i < c->targets; i++)
+		before[c->balancers + i] = take(h, &h->agents[i]);
+	harness_sleep_ms(WINDOW_MS);
+	for (unsigned i = 0; i < c->balancers; i++) {
+		after = take(h, &h->balancers[i]);
+		add(&balancers, &before[i], &after);
+	}
+	for (unsigned i = 0; i < c->targets; i++) {
+		after = take(h, &h->agents[i]);
+		add(&agents, &before[c->balancers + i], &after);
+	}
+	fprintf(out,
+		"{\"case\":\"%s\",\"targets\":%u,\"services\":%u,"
+		"\"balancers\":%u,\"opens_s\":%u,\"feeds_s\":%u",
+		c->name, c->targets, c->services + 1, c->balancers, c->opens,
+		c->feeds);
+	print_mean(out, "balancer", &balancers);
+	print_mean(out, "agent", &agents);
+	fprintf(out, "}\n");
+	fflush(out);
+	if (load > 0) {
+		kill(load, SIGKILL);
+		harness_wait_pid(load, 5000);
+	}
+	harness_stop(h);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	const char *path = argc > 1 ? argv[1] : "/dev/stdout";
+	FILE *out = fopen(path, "w");
+	int ret = 0;
+
+	if (!out) {
+		fprintf(stderr, "bench_control: cannot write %s\n", path);
+		return 1;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fprintf(stderr, "bench_control: %s\n", cases[i].name);
+		if (run_case(&cases[i], out) < 0)
+			ret = 1;
+	}
+	fclose(out);
+	return ret;
+}
--- a/test/harness.c
+++ b/test/harness.c
@@ -358,6 +358,10 @@
 		goto fail;
 	for (size_t s = 0; s < h->config->nservices; s++)
 		h->nagents += (unsigned)h->config->services[s].ntargets;
+	if (options->agents && options->agents < h->nagents)
+		h->nagents = options->agents;
+	if (h->nagents > HARNESS_AGENTS)
+		goto fail;
 	for (unsigned i = 0; i < h->nagents; i++)
 		if (harness_start_server(h, i) < 0 ||
 		    harness_start_agent(h, i) < 0)
--- a/test/harness.h
+++ b/test/harness.h
@@ -29,6 +29,7 @@
 	const char *agent_settings;
 	const char *platform; /* base URL for all, NULL: config_file */
 	uint64_t seed;	      /* of the stand-ins */
+	unsigned agents;      /* started, in order; 0 starts all */
 } harness_options_t;
 
 typedef struct harness_proc {
