Honour the switches of the agent's mechanisms

Experiments need to run the agent without one part of its decisions at a time. The chain, the trial, matching on sequence numbers, the second check of the service, the lingering announcements of a removed member, the handover list and the word of a refusal now look at options.off. The wire gets the fields that lookups will carry next.

--- a/src/agent.c
+++ b/src/agent.c
@@ -138,6 +138,8 @@
 	char text[REFUSAL_TEXT];
 	size_t len;
 
+	if (without(a->options.off, MECHANISM_REFUSAL))
+		return;
 	refusal_format(word, RETRY_AFTER_S, text);
 	len = packet_build_reset(p, text, buf);
 	if (!len)
@@ -172,7 +174,7 @@
 		flow_forget(a, f);
 		f = NULL;
 	}
-	if (f && f->state > FLOW_DENIED && flow_matches(f, &in->packet)) {
+	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
 		if (in->step == STEP_OPEN || in->nasked || in->nunasked)
 			agent_tell(a, in, false, false);
 		flow_deliver(a, now, f, &in->packet);
@@ -213,8 +215,9 @@
 	}
 	if (msg->version > a->config->version)
 		a->ops.behind(a->ctx, from, msg->version);
-	if (msg->service != a->service->id ||
-	    !class_of(a, &in.packet, &index)) {
+	if (!without(a->options.off, MECHANISM_SERVICE_CHECK) &&
+	    (msg->service != a->service->id ||
+	     !class_of(a, &in.packet, &index))) {
 		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
 		return;
 	}
--- a/src/agent_flow.c
+++ b/src/agent_flow.c
@@ -56,9 +56,10 @@
  * A packet of the same five values may belong to another flow: to the other
  * half-open one of a SYN that took two ways, or to an earlier connection.
  */
-bool flow_matches(const flow_t *f, const packet_t *p)
+bool flow_matches(const agent_t *a, const flow_t *f, const packet_t *p)
 {
-	if (f->key.proto != PROTO_TCP)
+	if (f->key.proto != PROTO_TCP ||
+	    without(a->options.off, MECHANISM_SEQ_MATCH))
 		return true;
 	if (f->state == FLOW_LOST)
 		return false;
--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -89,6 +89,8 @@
 	watch_members(a, now);
 	if (now < a->digest_ms)
 		return;
+	if (!a->configured && without(a->options.off, MECHANISM_LINGER))
+		return;
 	a->digest_ms = now + DIGEST_MS;
 	send_digests(a, now);
 }
--- a/src/agent_handover.c
+++ b/src/agent_handover.c
@@ -33,7 +33,8 @@
 	size_t n = flow_table_count(a->flows);
 
 	ct__handover__init(out);
-	out->complete = a->complete;
+	out->complete =
+		a->complete && !without(a->options.off, MECHANISM_HANDOVER);
 	out->incarnation = a->incarnation;
 	out->target = a->target ? a->target->id : 0;
 	out->speed = (uint32_t)(a->capacity.speed * 1000);
@@ -45,6 +46,8 @@
 		const flow_t *f = list_entry(node, flow_t, recent);
 		flow_record_msg_t *r;
 
+		if (without(a->options.off, MECHANISM_HANDOVER))
+			break;
 		if (f->state <= FLOW_DENIED || f->state == FLOW_LOST)
 			continue;
 		r = record_of(f);
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -84,7 +84,7 @@
 void flow_enter(agent_t *a, flow_t *f, uint64_t now, flow_state_t state);
 void flow_count(agent_t *a, flow_t *f);
 void flow_forget(agent_t *a, flow_t *f);
-bool flow_matches(const flow_t *f, const packet_t *p);
+bool flow_matches(const agent_t *a, const flow_t *f, const packet_t *p);
 void flow_deliver(agent_t *a, uint64_t now, flow_t *f, const packet_t *p);
 void flow_request_end(agent_t *a, uint64_t now, flow_t *f, bool answered);
 void flows_tick(agent_t *a, uint64_t now);
--- a/src/agent_lookup.c
+++ b/src/agent_lookup.c
@@ -88,7 +88,8 @@
 
 	if (nunasked)
 		memcpy(unasked, in->unasked, nunasked * sizeof(*unasked));
-	if (ask_next(a, now, in, unasked, &nunasked))
+	if (!without(a->options.off, MECHANISM_CHAIN) &&
+	    ask_next(a, now, in, unasked, &nunasked))
 		return;
 	if (in->packet.key.proto == PROTO_UDP) {
 		admit_open(a, now, in);
@@ -268,8 +269,9 @@
 		flow_enter(a, f, now, FLOW_LOST);
 		a->ops.deliver(a->ctx, buf, len);
 	}
-	if (!f && !a->complete && p->key.proto == PROTO_TCP &&
-	    p->flags & TCP_ACK && !(p->flags & TCP_RST)) {
+	if (!f && !a->complete && !without(a->options.off, MECHANISM_TRIAL) &&
+	    p->key.proto == PROTO_TCP && p->flags & TCP_ACK &&
+	    !(p->flags & TCP_RST)) {
 		trial_begin(a, now, in);
 		return;
 	}
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -779,7 +779,7 @@
   (ProtobufCMessageInit) ct__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__packet__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ct__packet__field_descriptors[15] =
 {
   {
     "service",
@@ -913,25 +913,78 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Packet, n_known),
+    offsetof(Ct__Packet, known),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_agents",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ct__Packet, n_known_agents),
+    offsetof(Ct__Packet, known_agents),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mixed",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, mixed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silence_over",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, silence_over),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__packet__field_indices_by_name[] = {
   6,   /* field[6] = asked */
   8,   /* field[8] = candidates */
   2,   /* field[2] = digest */
   10,   /* field[10] = inner */
+  11,   /* field[11] = known */
+  12,   /* field[12] = known_agents */
   9,   /* field[9] = last_resort */
+  13,   /* field[13] = mixed */
   4,   /* field[4] = reply_ip */
   5,   /* field[5] = reply_port */
   0,   /* field[0] = service */
+  14,   /* field[14] = silence_over */
   3,   /* field[3] = step */
   7,   /* field[7] = unasked */
   1,   /* field[1] = version */
 };
-static const ProtobufCIntRange ct__packet__number_ranges[2 + 1] =
+static const ProtobufCIntRange ct__packet__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 15, 10 },
-  { 0, 11 }
+  { 30, 11 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ct__packet__descriptor =
 {
@@ -941,10 +994,10 @@
   "Ct__Packet",
   "ct",
   sizeof(Ct__Packet),
-  11,
+  15,
   ct__packet__field_descriptors,
   ct__packet__field_indices_by_name,
-  2,  ct__packet__number_ranges,
+  3,  ct__packet__number_ranges,
   (ProtobufCMessageInit) ct__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -134,10 +134,28 @@
    * the whole IPv4 packet
    */
   ProtobufCBinaryData inner;
+  /*
+   * members that earlier hops know of
+   */
+  size_t n_known;
+  uint32_t *known;
+  /*
+   * their agents: address << 16 | port
+   */
+  size_t n_known_agents;
+  uint64_t *known_agents;
+  /*
+   * hops had different versions: views may differ
+   */
+  protobuf_c_boolean mixed;
+  /*
+   * the wait for members that can't be asked is over
+   */
+  protobuf_c_boolean silence_over;
 };
 #define CT__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__packet__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
