Check documents and settings to the line, with defaults for a service

Cause: a target's fault was reported at its service's line; the target size did not fit the platform's 1 MB in the long form; weights beyond six places differed between a process that read the document and one that read the canonical text; a key file open to everyone was used. Ruled out: a compact file format of our own (TOML's inline tables do). The fuzz test ended the process in an assertion of the TOML library: it is a typed error now.

--- a/src/config.c
+++ b/src/config.c
@@ -19,6 +19,7 @@
 static int index_build(config_t *config);
 static size_t index_home(const config_t *config, uint32_t address,
 			 uint16_t port, uint8_t proto);
+static int line_at(const int *lines, size_t i);
 static int check_services(const char *file, const config_t *config,
 			  const int *lines, err_t *err);
 static int check_targets(const char *file, const config_t *config,
@@ -211,16 +212,24 @@
 
 	for (size_t i = 0; i < config->nservices; i++) {
 		service_t *s = &config->services[i];
-		char *text = service_text(s);
 
-		s->digest = XXH3_64bits(text, strlen(text));
-		free(text);
+		if (!s->digest) {
+			char *text = service_text(s);
+
+			s->digest = XXH3_64bits(text, strlen(text));
+			free(text);
+		}
 		digest = XXH3_64bits_withSeed(&s->digest, sizeof(s->digest),
 					      digest);
 	}
 	config->digest = digest;
 }
 
+static int line_at(const int *lines, size_t i)
+{
+	return lines ? lines[i] : 0;
+}
+
 static int check_services(const char *file, const config_t *config,
 			  const int *lines, err_t *err)
 {
@@ -232,14 +241,14 @@
 		service_t *s = &config->services[i];
 
 		if (!g_hash_table_add(names, s->name)) {
-			err_set(err, ERR_DUPLICATE, file, lines[i],
+			err_set(err, ERR_DUPLICATE, file, line_at(lines, i),
 				"give each service its own name",
 				"service \"%s\" is declared twice", s->name);
 			goto out;
 		}
 		if (!g_hash_table_add(addresses,
 				      GUINT_TO_POINTER(s->address))) {
-			err_set(err, ERR_DUPLICATE, file, lines[i],
+			err_set(err, ERR_DUPLICATE, file, line_at(lines, i),
 				"give each service its own address",
 				"address of service \"%s\" belongs to another "
 				"service",
@@ -247,14 +256,14 @@
 			goto out;
 		}
 		if (s->ntargets == 0) {
-			err_set(err, ERR_EMPTY, file, lines[i],
+			err_set(err, ERR_EMPTY, file, line_at(lines, i),
 				"add a [[service.target]] or remove the "
 				"service",
 				"service \"%s\" has no target", s->name);
 			goto out;
 		}
 		if (s->nclasses == 0 || s->nclasses > CLASSES_MAX) {
-			err_set(err, ERR_EMPTY, file, lines[i],
+			err_set(err, ERR_EMPTY, file, line_at(lines, i),
 				"add one to 256 [[service.class]]",
 				"service \"%s\" has %zu classes", s->name,
 				s->nclasses);
@@ -309,14 +318,16 @@
 	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTable *agents = g_hash_table_new(NULL, NULL);
 	GHashTable *ids = g_hash_table_new(NULL, NULL);
+	size_t n = 0;
 	int ret = 0;
 
 	for (size_t i = 0; i < config->nservices && ret == 0; i++) {
 		const service_t *s = &config->services[i];
 
 		for (size_t j = 0; j < s->ntargets && ret == 0; j++)
-			ret = check_target(file, lines[i], s, &s->targets[j],
-					   names, agents, ids, err);
+			ret = check_target(file, line_at(lines, n++), s,
+					   &s->targets[j], names, agents, ids,
+					   err);
 	}
 	g_hash_table_destroy(ids);
 	g_hash_table_destroy(agents);
@@ -325,8 +336,8 @@
 }
 
 int config_assemble(const char *file, uint64_t version, service_t *services,
-		    size_t nservices, const int *service_lines, config_t **out,
-		    err_t *err)
+		    size_t nservices, const config_lines_t *lines,
+		    config_t **out, err_t *err)
 {
 	config_t *config = calloc(1, sizeof(*config));
 
@@ -339,6 +350,7 @@
 	}
 	config->refs = 1;
 	config->version = version;
+	config->version_line = lines->version;
 	config->services = services;
 	config->nservices = nservices;
 	for (size_t i = 0; i < nservices; i++) {
@@ -349,8 +361,8 @@
 			s->targets[j].id =
 				(uint32_t)config_name_hash(s->targets[j].name);
 	}
-	if (check_services(file, config, service_lines, err) < 0 ||
-	    check_targets(file, config, service_lines, err) < 0)
+	if (check_services(file, config, lines->services, err) < 0 ||
+	    check_targets(file, config, lines->targets, err) < 0)
 		goto fail;
 	compute_digests(config);
 	if (index_build(config) < 0) {
@@ -365,6 +377,54 @@
 	return -1;
 }
 
+bool config_follows(uint64_t version_a, uint64_t digest_a, uint64_t version_b,
+		    uint64_t digest_b)
+{
+	if (version_a != version_b)
+		return version_a > version_b;
+	return digest_a > digest_b;
+}
+
+int config_check_after(const config_t *old, const config_t *config,
+		       const char *file, err_t *err)
+{
+	if (!old || config->version > old->version)
+		return 0;
+	return err_set(err, ERR_VERSION, file, config->version_line,
+		       "publish it with a higher version",
+		       "version %llu is not higher than %llu",
+		       (unsigned long long)config->version,
+		       (unsigned long long)old->version);
+}
+
+char *config_example(unsigned services, unsigned targets, uint64_t version)
+{
+	GString *s = g_string_new(NULL);
+
+	g_string_append_printf(s, "version = %llu\n",
+			       (unsigned long long)version);
+	for (unsigned i = 0; i < services; i++) {
+		g_string_append_printf(
+			s,
+			"[[service]]\nname = \"s%u\"\n"
+			"address = \"198.%u.%u.%u\"\n"
+			"class = [\n{ name = \"feed\", port = 6001, "
+			"idempotent = true },\n{ name = \"log\", port = 6002, "
+			"weight = 2, idempotent = false },\n]\n"
+			"defaults = { slots = 5, connections = 2000 }\n"
+			"target = [\n",
+			i, 18 + i / 65536, i / 256 % 256, i % 256);
+		for (unsigned j = 0; j < targets; j++)
+			g_string_append_printf(
+				s,
+				"{ name = \"s%u-%u\", agent = "
+				"\"10.%u.%u.%u:7400\", zone = \"z%u\" },\n",
+				i, j, i / 256, i % 256, j + 1, j % 3);
+		g_string_append(s, "]\n");
+	}
+	return g_string_free(s, FALSE);
+}
+
 int config_parse(const char *file, const char *text, size_t len, config_t **out,
 		 err_t *err)
 {
--- a/src/config.h
+++ b/src/config.h
@@ -21,9 +21,11 @@
 #include <stdint.h>
 
 #define CONFIG_MAX_BYTES (1024 * 1024)
-#define NAME_BYTES	 64 /* a name and its terminator */
-#define WEIGHT_MIN	 0.01
-#define WEIGHT_MAX	 100.0
+/* Greatest canonical text, which spells out every default. */
+#define CONFIG_TEXT_MAX_BYTES (6 * 1024 * 1024)
+#define NAME_BYTES	      64 /* a name and its terminator */
+#define WEIGHT_MIN	      0.01
+#define WEIGHT_MAX	      100.0
 
 typedef enum target_state {
 	TARGET_ACTIVE = 0,   /* takes new flows */
@@ -65,6 +67,7 @@
 typedef struct config {
 	uint64_t version;
 	uint64_t digest;
+	int version_line; /* where the document gives its version, or 0 */
 	service_t *services;
 	size_t nservices;
 	unsigned refs;	 /* owners */
@@ -106,13 +109,35 @@
 
 uint64_t config_name_hash(const char *name);
 
+/* True when a follows b: by version, then by digest when two versions race. */
+bool config_follows(uint64_t version_a, uint64_t digest_a, uint64_t version_b,
+		    uint64_t digest_b);
+
+/* Refuses a document whose version is not higher than old's, if there is one.
+ */
+int config_check_after(const config_t *old, const config_t *config,
+		       const char *file, err_t *err);
+
+/*
+ * A document in the compact form, for measurements and tests: so many services
+ * with so many targets each. The caller frees it.
+ */
+char *config_example(unsigned services, unsigned targets, uint64_t version);
+
+/* Where a document declares what; NULL members: unknown. */
+typedef struct config_lines {
+	int version;
+	const int *services; /* one a service */
+	const int *targets;  /* one a target, in the order of the services */
+} config_lines_t;
+
 /*
- * Used by the reader of the TOML: takes ownership of the services, computes
- * ids, digests and the index, and checks what concerns the whole document.
- * Frees the services when it fails.
+ * Used by the readers: takes ownership of the services, computes ids, digests
+ * (of services that have none) and the index, and checks what concerns the
+ * whole document. Frees the services when it fails.
  */
 int config_assemble(const char *file, uint64_t version, service_t *services,
-		    size_t nservices, const int *service_lines, config_t **out,
-		    err_t *err);
+		    size_t nservices, const config_lines_t *lines,
+		    config_t **out, err_t *err);
 
 #endif
--- a/src/seal.c
+++ b/src/seal.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #define SEAL_MAGIC   0xc7
 #define SEAL_VERSION 1
@@ -91,6 +92,19 @@
 	return -1;
 }
 
+/* Nobody else may read the key, or write it. */
+static int check_mode(const char *file, FILE *f, err_t *err)
+{
+	char remedy[200];
+	struct stat st;
+
+	if (fstat(fileno(f), &st) == 0 && !(st.st_mode & (S_IRWXO | S_IWGRP)))
+		return 0;
+	snprintf(remedy, sizeof(remedy), "run: chmod 0600 %.150s", file);
+	return err_set(err, ERR_AUTH, file, 0, remedy,
+		       "key file is open to other users");
+}
+
 int seal_read_key(const char *file, uint8_t key[SEAL_KEY_BYTES], err_t *err)
 {
 	static const char remedy[] =
@@ -104,6 +118,8 @@
 		return err_set(err, ERR_IO, file, 0, remedy,
 			       "key file cannot be opened: %s",
 			       strerror(errno));
+	if (check_mode(file, f, err) < 0)
+		goto out;
 	while ((c = fgetc(f)) != EOF) {
 		int v = hex_value(c);
 
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -1,6 +1,16 @@
-#define TOML_EXCEPTIONS 1
+#include <stdexcept>
+
+/* Some inputs break the library's own assertions: refuse them, don't end. */
+[[noreturn]] static void broken_assertion()
+{
+	throw std::logic_error("text is not TOML");
+}
+
+#define TOML_ASSERT(cond) ((cond) ? (void)0 : broken_assertion())
+#define TOML_EXCEPTIONS	  1
 #include <toml++/toml.h>
 #include "toml_reader.h"
+#include <cmath>
 #include <cstring>
 #include <string_view>
 #include <vector>
@@ -16,10 +26,18 @@
 	const char *file;
 	err_t *err;
 
+	/* Where a node begins; a document itself begins at line 1. */
+	static int line_of(const toml::node &node)
+	{
+		int line = (int)node.source().begin.line;
+
+		return line > 0 ? line : 1;
+	}
+
 	[[noreturn]] void refuse(err_kind_t kind, const toml::node &at,
 				 const char *remedy, const std::string &what)
 	{
-		refuse_line(kind, (int)at.source().begin.line, remedy, what);
+		refuse_line(kind, line_of(at), remedy, what);
 	}
 
 	[[noreturn]] void refuse_line(err_kind_t kind, int line,
@@ -70,7 +88,10 @@
 			       "\"" + std::string(key) + "\" must be a string");
 		const std::string &text = node->as_string()->get();
 		if (text.empty() || text.size() >= size)
-			refuse(ERR_RANGE, *node, "use 1 to 63 characters",
+			refuse(ERR_RANGE, *node,
+			       ("use 1 to " + std::to_string(size - 1) +
+				" characters")
+				       .c_str(),
 			       "\"" + std::string(key) +
 				       "\" is empty or too long");
 		for (unsigned char c : text)
@@ -203,23 +224,65 @@
 	return c;
 }
 
-target_t read_target(reader &r, const toml::table &table)
+/* What the targets of a service have in common unless they say otherwise. */
+struct target_defaults {
+	target_t target;
+	bool zone, slots, connections;
+};
+
+void read_weight(reader &r, const toml::table &table, target_t *t)
+{
+	/* The canonical text carries six places: use what it carries. */
+	if (r.real(table, "weight", WEIGHT_MIN, WEIGHT_MAX, &t->weight))
+		t->weight = std::round(t->weight * 1e6) / 1e6;
+}
+
+/* Reads what a target and its service's defaults both may say. */
+void read_shape(reader &r, const toml::table &table, target_defaults &d,
+		bool required, target_t *t)
 {
-	target_t t = {};
-	char state[NAME_BYTES] = "active";
 	int64_t n;
 
+	d.zone |= r.string(table, "zone", required && !d.zone, t->zone,
+			   sizeof(t->zone));
+	read_weight(r, table, t);
+	if (r.integer(table, "slots", required && !d.slots, 1, 100000, &n)) {
+		t->slots = (uint32_t)n;
+		d.slots = true;
+	}
+	if (r.integer(table, "connections", required && !d.connections, 1,
+		      10000000, &n)) {
+		t->connections = (uint32_t)n;
+		d.connections = true;
+	}
+}
+
+target_defaults read_defaults(reader &r, const toml::table &service)
+{
+	target_defaults d = {};
+	const toml::node *node = service.get("defaults");
+
+	d.target.weight = 1.0;
+	if (!node)
+		return d;
+	if (!node->is_table())
+		r.refuse(ERR_TYPE, *node, "write it as [service.defaults]",
+			 "\"defaults\" must be a table");
+	r.only(*node->as_table(), { "zone", "weight", "slots", "connections" });
+	read_shape(r, *node->as_table(), d, false, &d.target);
+	return d;
+}
+
+target_t read_target(reader &r, const toml::table &table, target_defaults d)
+{
+	target_t t = d.target;
+	char state[NAME_BYTES] = "active";
+
 	r.only(table, { "name", "agent", "zone", "weight", "slots",
 			"connections", "state" });
 	r.string(table, "name", true, t.name, sizeof(t.name));
 	r.address(table, "agent", true, &t.agent);
-	r.string(table, "zone", true, t.zone, sizeof(t.zone));
-	t.weight = 1.0;
-	r.real(table, "weight", WEIGHT_MIN, WEIGHT_MAX, &t.weight);
-	r.integer(table, "slots", true, 1, 100000, &n);
-	t.slots = (uint32_t)n;
-	r.integer(table, "connections", true, 1, 10000000, &n);
-	t.connections = (uint32_t)n;
+	read_shape(r, table, d, true, &t);
 	r.string(table, "state", false, state, sizeof(state));
 	if (!strcmp(state, "draining"))
 		t.state = TARGET_DRAINING;
@@ -261,14 +324,15 @@
 	}
 }
 
-service_t read_service(reader &r, const toml::table &table)
+service_t read_service(reader &r, const toml::table &table,
+		       std::vector<int> &target_lines)
 {
 	service_t s = {};
 	char address[NAME_BYTES];
 	std::vector<class_t> classes;
 	std::vector<target_t> targets;
 
-	r.only(table, { "name", "address", "class", "target" });
+	r.only(table, { "name", "address", "class", "defaults", "target" });
 	r.string(table, "name", true, s.name, sizeof(s.name));
 	r.string(table, "address", true, address, sizeof(address));
 	if (ipv4_parse(address, &s.address) < 0)
@@ -283,9 +347,14 @@
 			check_class(r, node, s, classes, c);
 			classes.push_back(c);
 		}
+	target_defaults defaults = read_defaults(r, table);
+
 	if (const toml::array *list = r.tables(table, "target"))
-		for (const toml::node &node : *list)
-			targets.push_back(read_target(r, *node.as_table()));
+		for (const toml::node &node : *list) {
+			targets.push_back(
+				read_target(r, *node.as_table(), defaults));
+			target_lines.push_back(r.line_of(node));
+		}
 	s.nclasses = classes.size();
 	s.ntargets = targets.size();
 	s.classes = give(classes);
@@ -297,6 +366,8 @@
 {
 	std::vector<service_t> services;
 	std::vector<int> lines;
+	std::vector<int> target_lines;
+	config_lines_t where = {};
 	int64_t version = 0;
 
 	r.only(root, { "version", "service" });
@@ -304,9 +375,9 @@
 	try {
 		if (const toml::array *list = r.tables(root, "service"))
 			for (const toml::node &node : *list) {
-				services.push_back(
-					read_service(r, *node.as_table()));
-				lines.push_back((int)node.source().begin.line);
+				services.push_back(read_service(
+					r, *node.as_table(), target_lines));
+				lines.push_back(r.line_of(node));
 			}
 		if (services.empty())
 			r.refuse_line(ERR_EMPTY, 1, "add a [[service]]",
@@ -318,8 +389,11 @@
 		}
 		throw;
 	}
+	where.version = r.line_of(*root.get("version"));
+	where.services = lines.data();
+	where.targets = target_lines.data();
 	if (config_assemble(r.file, (uint64_t)version, give(services),
-			    services.size(), lines.data(), out, r.err) < 0)
+			    services.size(), &where, out, r.err) < 0)
 		throw refusal();
 }
 
@@ -389,7 +463,13 @@
 	r.address(root, "operators", true, &out->operators);
 	r.string(root, "config_file", false, out->config_file,
 		 sizeof(out->config_file));
-	r.string(root, "platform", false, out->platform, sizeof(out->platform));
+	if (r.string(root, "platform", false, out->platform,
+		     sizeof(out->platform)) &&
+	    strncmp(out->platform, "http://", 7) != 0 &&
+	    strncmp(out->platform, "https://", 8) != 0)
+		r.refuse(ERR_RANGE, *root.get("platform"),
+			 "write it as \"http://192.0.2.1:8000\"",
+			 "\"platform\" is no HTTP address");
 	if (balancer)
 		r.address(root, "packets", true, &out->packets);
 	if (agent) {
@@ -420,6 +500,10 @@
 			       (int)e.source().begin.line,
 			       "correct the TOML at this line", "%s",
 			       std::string(e.description()).c_str());
+	} catch (const std::logic_error &e) {
+		return err_set(err, ERR_SYNTAX, file, 1,
+			       "write the document again as plain TOML", "%s",
+			       e.what());
 	} catch (const std::exception &e) {
 		return err_set(err, ERR_MEMORY, file, 0, "free memory", "%s",
 			       e.what());
--- a/test/harness.c
+++ b/test/harness.c
@@ -305,7 +305,7 @@
 		text = g_strdup(h->options.config_text);
 	}
 	if (write_file(h->key_path, KEY_TEXT "\n") == 0 &&
-	    harness_write_config(h, text) == 0)
+	    chmod(h->key_path, 0600) == 0 && harness_write_config(h, text) == 0)
 		ret = config_load(h->config_path, &h->config, &err);
 	g_free(text);
 	if (ret < 0)
--- /dev/null
+++ b/test/test_config.c
@@ -0,0 +1,221 @@
+/*
+ * test_config - each fault of a document is a typed error with its line
+ */
+
+#include "../src/config.h"
+#include "runner.h"
+#include <glib.h>
+#include <string.h>
+
+#define SERVICE(name, address)                                                 \
+	"[[service]]\nname = \"" name "\"\naddress = \"" address "\"\n"
+#define CLASS "[[service.class]]\nname = \"c\"\nport = 1\nidempotent = true\n"
+#define TARGET(name, agent)                                                    \
+	"[[service.target]]\nname = \"" name "\"\nagent = \"" agent "\"\n"     \
+	"zone = \"z\"\nslots = 2\nconnections = 10\n"
+#define S1 SERVICE("s", "192.0.2.1") CLASS /* lines 2 to 8 */
+#define T1 TARGET("t", "127.0.0.1:1")	   /* from line 9 */
+#define V  "version = 1\n"
+
+typedef struct bad {
+	const char *text;
+	err_kind_t kind;
+	int line;
+	const char *what; /* part of the message */
+} bad_t;
+
+static const bad_t bads[] = {
+	{ V S1 T1 "wieght = 2\n", ERR_UNKNOWN_KEY, 15, "wieght" },
+	{ "verison = 1\n" S1 T1, ERR_UNKNOWN_KEY, 1, "verison" },
+	{ V "[extra]\na = 1\n" S1 T1, ERR_UNKNOWN_KEY, 2, "extra" },
+	{ S1 T1, ERR_MISSING, 1, "version" },
+	{ "\n\n" S1 T1, ERR_MISSING, 1, "version" },
+	{ "version = \"1\"\n" S1 T1, ERR_TYPE, 1, "version" },
+	{ "version = 0\n" S1 T1, ERR_RANGE, 1, "version" },
+	{ "version = 1.5\n" S1 T1, ERR_TYPE, 1, "version" },
+	{ V, ERR_EMPTY, 1, "no service" },
+	{ V "service = 3\n", ERR_TYPE, 2, "service" },
+	{ V S1, ERR_EMPTY, 2, "no target" },
+	{ V SERVICE("s", "192.0.2.1") T1, ERR_EMPTY, 2, "classes" },
+	{ V SERVICE("s", "192.0.2") CLASS T1, ERR_RANGE, 4, "address" },
+	{ V "[[service]]\nname = \"s\"\n" CLASS T1, ERR_MISSING, 2, "address" },
+	{ V S1 T1 SERVICE("r", "192.0.2.1") CLASS TARGET("u", "127.0.0.2:1"),
+	  ERR_DUPLICATE, 15, "address" },
+	{ V S1 T1 SERVICE("s", "192.0.2.2") CLASS TARGET("u", "127.0.0.2:1"),
+	  ERR_DUPLICATE, 15, "declared twice" },
+	{ V S1 T1 SERVICE("r", "192.0.2.2") CLASS TARGET("t", "127.0.0.2:1"),
+	  ERR_DUPLICATE, 22, "in services \"s\" and \"r\"" },
+	{ V S1 T1 T1, ERR_DUPLICATE, 15, "declared twice" },
+	{ V S1 T1 TARGET("u", "127.0.0.1:1"), ERR_DUPLICATE, 15, "agent" },
+	{ V S1 T1 "weight = 0.001\n", ERR_RANGE, 15, "weight" },
+	{ V S1 T1 "weight = 101\n", ERR_RANGE, 15, "weight" },
+	{ V S1 T1 "weight = nan\n", ERR_RANGE, 15, "weight" },
+	{ V S1 T1 "weight = \"1\"\n", ERR_TYPE, 15, "weight" },
+	{ V S1 T1 "state = \"gone\"\n", ERR_RANGE, 15, "state" },
+	{ V S1 "weight = 0\n" T1, ERR_RANGE, 9, "weight" },
+	{ V S1 "protocol = \"icmp\"\n" T1, ERR_RANGE, 9, "protocol" },
+	{ V S1 CLASS T1, ERR_DUPLICATE, 9, "class" },
+	{ V S1
+	  "[[service.class]]\nname = \"d\"\nport = 1\nidempotent = true\n" T1,
+	  ERR_DUPLICATE, 9, "port" },
+	{ V S1 "[[service.target]]\nname = \"t\"\nzone = \"z\"\n", ERR_MISSING,
+	  9, "agent" },
+	{ V S1 "[[service.target]]\nname = \"t\"\nagent = \"127.0.0.1:1\"\n",
+	  ERR_MISSING, 9, "zone" },
+	{ V S1 "[[service.target]]\nname = \"t\"\nagent = \"127.0.0.1\"\n"
+	       "zone = \"z\"\n",
+	  ERR_RANGE, 11, "agent" },
+	{ V S1 "[service.defaults]\nslots = 0\n" T1, ERR_RANGE, 10, "slots" },
+	{ V S1 "[service.defaults]\nagent = \"a\"\n" T1, ERR_UNKNOWN_KEY, 10,
+	  "agent" },
+	{ V S1 "target = 1\n", ERR_UNKNOWN_KEY, 9, "target" },
+	{ V "a = [\n", ERR_SYNTAX, 2, "" },
+	{ "\xff\xfe", ERR_SYNTAX, 1, "" },
+};
+
+START_TEST(fault_has_kind_line_and_remedy)
+{
+	const bad_t *b = &bads[_i];
+	config_t *config = NULL;
+	err_t err;
+
+	ck_assert_int_eq(
+		config_parse("f.toml", b->text, strlen(b->text), &config, &err),
+		-1);
+	ck_assert_msg(err.kind == b->kind, "%s: %s", err_kind_name(err.kind),
+		      err.what);
+	ck_assert_msg(err.line == b->line, "line %d: %s", err.line, err.what);
+	ck_assert_str_eq(err.file, "f.toml");
+	ck_assert_msg(strstr(err.what, b->what) != NULL, "%s", err.what);
+	ck_assert_str_ne(err.remedy, "");
+}
+END_TEST
+
+START_TEST(over_a_megabyte_is_refused)
+{
+	char *text = g_strnfill(CONFIG_MAX_BYTES + 1, '#');
+	config_t *config;
+	err_t err;
+
+	ck_assert_int_eq(
+		config_parse("f", text, CONFIG_MAX_BYTES + 1, &config, &err),
+		-1);
+	ck_assert_int_eq(err.kind, ERR_SIZE);
+	g_free(text);
+}
+END_TEST
+
+static config_t *parse(const char *text)
+{
+	config_t *config = NULL;
+	char buf[900];
+	err_t err;
+
+	if (config_parse("f", text, strlen(text), &config, &err) < 0)
+		ck_abort_msg("%s", err_format(&err, buf, sizeof(buf)));
+	return config;
+}
+
+START_TEST(version_must_be_higher)
+{
+	config_t *old = parse("version = 2\n" S1 T1);
+	config_t *low = parse("# later\n\nversion = 2\n" S1 T1 "weight = 2\n");
+	config_t *high = parse("version = 3\n" S1 T1);
+	err_t err;
+
+	ck_assert_int_eq(config_check_after(old, low, "g", &err), -1);
+	ck_assert_int_eq(err.kind, ERR_VERSION);
+	ck_assert_int_eq(err.line, 3);
+	ck_assert_str_eq(err.file, "g");
+	ck_assert_int_eq(config_check_after(old, high, "g", &err), 0);
+	ck_assert_int_eq(config_check_after(NULL, low, "g", &err), 0);
+	config_unref(old);
+	config_unref(low);
+	config_unref(high);
+}
+END_TEST
+
+/* The compact form means the same as the long one, to the digest. */
+START_TEST(defaults_and_compact_form)
+{
+	config_t *a = parse(V S1 T1 "weight = 0.333333\n");
+	config_t *b = parse(
+		V SERVICE("s", "192.0.2.1") "class = [ { name = \"c\", "
+					    "port = 1, idempotent = true } ]\n"
+					    "defaults = { zone = \"z\", slots "
+					    "= 2, connections = 10, weight = "
+					    "0.3333333333 }\ntarget = [\n { "
+					    "name = \"t\", agent = "
+					    "\"127.0.0.1:1\" },\n]\n");
+	char *text = config_text(a);
+	config_t *c = parse(text);
+
+	ck_assert_uint_eq(a->digest, b->digest);
+	ck_assert_uint_eq(a->digest, c->digest);
+	/* What is rounded in the text is rounded in use, too. */
+	ck_assert(a->services[0].targets[0].weight ==
+		  b->services[0].targets[0].weight);
+	ck_assert(a->services[0].targets[0].weight ==
+		  c->services[0].targets[0].weight);
+	g_free(text);
+	config_unref(a);
+	config_unref(b);
+	config_unref(c);
+}
+END_TEST
+
+/* No bytes crash the reader: a valid document with bytes changed. */
+START_TEST(changed_bytes_do_not_crash)
+{
+	static const char good[] = V S1 T1 "weight = 2.5\n";
+	GRand *rand = g_rand_new_with_seed(7);
+
+	for (int i = 0; i < 3000; i++) {
+		char text[sizeof(good)];
+		config_t *config = NULL;
+		err_t err;
+
+		memcpy(text, good, sizeof(good));
+		for (int n = g_rand_int_range(rand, 1, 6); n > 0; n--)
+			text[g_rand_int_range(rand, 0, sizeof(good) - 1)] =
+				(char)g_rand_int_range(rand, 0, 256);
+		if (config_parse("f", text, strlen(text), &config, &err) == 0)
+			config_unref(config);
+		else
+			ck_assert_int_ne(err.kind, ERR_NONE);
+	}
+	g_rand_free(rand);
+}
+END_TEST
+
+/* 1,000 services with 11 targets each, in the compact form. */
+START_TEST(target_size_fits_the_platform)
+{
+	char *text = config_example(1000, 11, 1);
+	config_t *config;
+
+	ck_assert_uint_lt(strlen(text), CONFIG_MAX_BYTES);
+	config = parse(text);
+	ck_assert_uint_eq(config->nservices, 1000);
+	ck_assert_uint_eq(config->services[999].ntargets, 11);
+	config_unref(config);
+	g_free(text);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("config");
+	TCase *tc = tcase_create("document");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, fault_has_kind_line_and_remedy, 0,
+			    G_N_ELEMENTS(bads));
+	tcase_add_test(tc, over_a_megabyte_is_refused);
+	tcase_add_test(tc, version_must_be_higher);
+	tcase_add_test(tc, defaults_and_compact_form);
+	tcase_add_test(tc, changed_bytes_do_not_crash);
+	tcase_add_test(tc, target_size_fits_the_platform);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
