Model the backend server's slots, chunks, cold start and false reports

The model served all chunks of a feed for free and rounded each service time up to its 10 ms tick, so neither an overloaded host nor a fast one could be seen. Chunks are now work in the slots, scaled by speed and class cost; completion times are exact in the mean at a clock of 1 ms; cold start, spread of service times and a load endpoint that lags or lies are options. The choice of members for an open becomes a table of functions (src/policy.c), chosen by an option of balancer and agent, so that policies can be compared.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,9 @@
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
 $(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o
+# Benches of decisions run in the world of the tests.
+WORLD_BENCHES = $(BUILD)/bench_policy
+$(WORLD_BENCHES): $(BUILD)/test/app_server.o $(BUILD)/test/world.o
 
 $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES): $(BUILD)/libcherviltray.a
 	@echo LD $@
--- a/src/agent.c
+++ b/src/agent.c
@@ -89,6 +89,13 @@
 	return x ^ (x >> 31);
 }
 
+double agent_capacity(const agent_t *a)
+{
+	if (without(a->options.off, MECHANISM_LEARNING))
+		return 0;
+	return capacity_value(&a->capacity);
+}
+
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load)
 {
 	(void)now;
@@ -99,7 +106,7 @@
 	if (a->leaving || !a->configured || a->target->state != TARGET_ACTIVE)
 		load->state = MEMBER_LEAVING;
 	load->work = a->work;
-	load->capacity = (uint32_t)(capacity_value(&a->capacity) * THOUSAND);
+	load->capacity = (uint32_t)(agent_capacity(a) * THOUSAND);
 	load->in_flight = a->in_flight;
 	load->held = (uint32_t)flow_table_count(a->flows);
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
--- a/src/agent.h
+++ b/src/agent.h
@@ -17,6 +17,7 @@
 #include "flow_table.h"
 #include "group.h"
 #include "mechanism.h"
+#include "policy.h"
 #include "wire.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -47,6 +48,7 @@
 	uint32_t flows;		 /* greatest number of flows held */
 	uint32_t queue;		 /* requests waiting, a slot */
 	mechanisms_t off;	 /* for experiments */
+	const policy_t *policy;	 /* NULL: policy_default */
 } agent_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -1,10 +1,8 @@
 #include "agent_int.h"
 
-/* An open is taken up to this much above the group's utilisation. */
-#define HUNT_SLACK 1.02
-
 static bool opens_allowed(const agent_t *a);
-static bool own_share(agent_t *a, uint64_t now);
+static bool keeps(agent_t *a, uint64_t now);
+static uint32_t open_weight(const agent_t *a, const packet_t *p);
 static bool pass_open(agent_t *a, uint64_t now, const arrival_t *in);
 static void take_open(agent_t *a, uint64_t now, const arrival_t *in);
 static void refuse_open(agent_t *a, const arrival_t *in);
@@ -24,17 +22,27 @@
 	       a->in_flight >= queue;
 }
 
-/* True when our utilisation is no worse than the group's. */
-static bool own_share(agent_t *a, uint64_t now)
+/* True when the policy takes the open rather than pass it on. */
+static bool keeps(agent_t *a, uint64_t now)
 {
-	const member_t *self = group_member(&a->group, a->target->id);
-	double own, mean;
+	const policy_t *policy =
+		a->options.policy ? a->options.policy : policy_default;
+	const member_t *self = membership_self(a);
 
-	if (!self)
+	if (!self || without(a->options.off, MECHANISM_HUNT))
 		return true;
-	own = member_utilisation(&a->group, self);
-	mean = group_utilisation(&a->group, now);
-	return own <= mean * HUNT_SLACK;
+	return policy->keeps(&a->group, self, now);
+}
+
+static uint32_t open_weight(const agent_t *a, const packet_t *p)
+{
+	for (size_t i = 0; i < a->service->nclasses; i++) {
+		const class_t *c = &a->service->classes[i];
+
+		if (c->port == p->key.dport && c->proto == p->key.proto)
+			return c->weight;
+	}
+	return 1;
 }
 
 /* Offers the open to the next candidate. Returns false when none is left. */
@@ -58,6 +66,7 @@
 		msg.inner.data = (uint8_t *)in->packet.data;
 		msg.inner.len = in->packet.len;
 		counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
+		member_placed(m, open_weight(a, &in->packet));
 		a->ops.send(a->ctx, &m->agent, MSG_PACKET, &msg);
 		return true;
 	}
@@ -110,7 +119,7 @@
 	bool may = opens_allowed(a) && !admit_full(a);
 
 	counter_add(&a->counters, COUNTER_OPENS, 1);
-	if (may && own_share(a, now)) {
+	if (may && keeps(a, now)) {
 		take_open(a, now, in);
 		return;
 	}
--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -12,21 +12,21 @@
 static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to);
 static void send_digests(agent_t *a, uint64_t now);
 static void watch_members(agent_t *a, uint64_t now);
-static void note_self(agent_t *a);
 
-/* Our own entry in the group is always the newest. */
-static void note_self(agent_t *a)
+member_t *membership_self(agent_t *a)
 {
 	member_t *self = group_member(&a->group, a->target->id);
 
 	if (!self)
-		return;
+		return NULL;
 	self->state = MEMBER_ALIVE;
 	self->work = a->work;
+	self->unseen = 0;
 	self->in_flight = a->in_flight;
-	self->capacity = capacity_value(&a->capacity);
+	self->capacity = agent_capacity(a);
 	self->speed = a->capacity.speed;
 	self->full = admit_full(a);
+	return self;
 }
 
 static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to)
@@ -85,7 +85,7 @@
 
 void membership_tick(agent_t *a, uint64_t now)
 {
-	note_self(a);
+	membership_self(a);
 	watch_members(a, now);
 	if (now < a->digest_ms)
 		return;
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -78,6 +78,8 @@
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
 void agent_refuse(agent_t *a, const packet_t *p, refusal_t word);
+/* Learned capacity, 0 when unknown. */
+double agent_capacity(const agent_t *a);
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load);
 
 /* agent_flow.c: the life of one flow */
@@ -103,6 +105,8 @@
 void lookup_free(agent_t *a);
 
 /* agent_group.c */
+/* Brings our own entry of the group up to date; NULL when there is none. */
+member_t *membership_self(agent_t *a);
 void membership_tick(agent_t *a, uint64_t now);
 void membership_digest(agent_t *a, uint64_t now, const endpoint_t *from,
 		       const digest_msg_t *digest);
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -16,6 +16,7 @@
 	balancer_ops_t ops;
 	void *ctx;
 	config_t *config;
+	const policy_t *policy;
 	group_t *groups; /* one a service, in the configuration's order */
 	size_t ngroups;
 	hint_cache_t *hints;
@@ -53,6 +54,7 @@
 	b->options = *options;
 	b->ops = *ops;
 	b->ctx = ctx;
+	b->policy = options->policy ? options->policy : policy_default;
 	b->hints = hint_cache_new(options->cache_flows);
 	b->pending = pending_opens_new(PENDING_LIMIT);
 	if (!b->hints || !b->pending) {
@@ -141,11 +143,10 @@
 			  const pending_open_t *open, uint32_t *order)
 {
 	uint32_t all[BALANCER_CANDIDATES + PENDING_ASKED];
-	size_t n = group_rank(g, now, open->hash, true, all,
-			      BALANCER_CANDIDATES + open->nasked);
+	size_t n = b->policy->candidates(g, now, open->hash, all,
+					 BALANCER_CANDIDATES + open->nasked);
 	size_t kept = 0;
 
-	(void)b;
 	for (size_t i = 0; i < n && kept < BALANCER_CANDIDATES; i++) {
 		bool asked = false;
 
@@ -165,6 +166,7 @@
 	uint32_t order[BALANCER_CANDIDATES];
 	uint32_t ids[BALANCER_CANDIDATES];
 	size_t n = rank_others(b, g, now, open, order);
+	const class_t *cls = NULL;
 	packet_msg_t msg;
 
 	if (n == 0)
@@ -176,6 +178,9 @@
 	msg.n_candidates = n - 1;
 	if (open->nasked < PENDING_ASKED)
 		open->asked[open->nasked++] = ids[0];
+	config_classify(b->config, p->key.dst, p->key.dport, p->key.proto,
+			&cls);
+	member_placed(&g->members[order[0]], cls ? cls->weight : 1);
 	pending_opens_defer(b->pending, open, now + OPEN_TIMEOUT_MS);
 	b->ops.send(b->ctx, &g->members[order[0]].agent, MSG_PACKET, &msg);
 	return 0;
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -17,6 +17,7 @@
 #include "endpoint.h"
 #include "group.h"
 #include "mechanism.h"
+#include "policy.h"
 #include "wire.h"
 #include <stdint.h>
 
@@ -48,6 +49,7 @@
 	uint32_t cache_flows;	/* hints kept */
 	uint32_t retry_percent; /* retried opens in 100 opens */
 	mechanisms_t off;	/* for experiments */
+	const policy_t *policy; /* NULL: policy_default */
 } balancer_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
--- a/src/group.c
+++ b/src/group.c
@@ -86,6 +86,7 @@
 	m->capacity = load->capacity / THOUSAND;
 	m->speed = load->speed / THOUSAND;
 	m->work = load->work;
+	m->unseen = 0;
 	m->in_flight = load->in_flight;
 	m->held = load->held;
 	return m;
@@ -150,7 +151,13 @@
 {
 	double capacity = member_rank_weight(group, m);
 
-	return capacity > 0 ? m->work / capacity : 0;
+	return capacity > 0 ? (m->work + m->unseen) / capacity : 0;
+}
+
+void member_placed(member_t *m, double weight)
+{
+	m->placed += weight;
+	m->unseen += weight;
 }
 
 double group_utilisation(const group_t *group, uint64_t now)
@@ -163,7 +170,7 @@
 
 		if (!member_takes_opens(m, now))
 			continue;
-		work += m->work;
+		work += m->work + m->unseen;
 		capacity += weight_at(m, per_weight);
 	}
 	return capacity > 0 ? work / capacity : 0;
--- a/src/group.h
+++ b/src/group.h
@@ -51,6 +51,8 @@
 	double capacity;      /* learned, in class weights; 0 unknown */
 	double speed;	      /* learned, weight a slot and second; 0 unknown */
 	double work;	      /* weighted work held */
+	double placed;	      /* weighted opens that we placed, ever */
+	double unseen;	      /* those placed since the load was heard */
 	uint32_t in_flight;
 	uint32_t held;
 } member_t;
@@ -59,6 +61,7 @@
 	uint64_t service; /* service id */
 	member_t *members;
 	size_t n;
+	size_t turn; /* of round robin */
 } group_t;
 
 void group_clear(group_t *group);
@@ -88,7 +91,10 @@
 /* Weight used to rank opens: learned capacity, or what stands in for it. */
 double member_rank_weight(const group_t *group, const member_t *m);
 
-/* Work held over capacity. */
+/* Notes that an open of this weight was placed with the member. */
+void member_placed(member_t *m, double weight);
+
+/* Work held, and placed since it was told, over capacity. */
 double member_utilisation(const group_t *group, const member_t *m);
 
 /* Mean utilisation of the members that take opens, weighted by capacity. */
--- /dev/null
+++ b/src/policy.c
@@ -0,0 +1,120 @@
+#include "policy.h"
+#include <string.h>
+
+/* An open is taken up to this much above the group's utilisation. */
+#define HUNT_SLACK 1.005
+/* Candidates weighed against each other. */
+#define TWO_CHOICES 2
+
+static size_t in_turn(group_t *group, uint64_t now, uint64_t hash,
+		      uint32_t *order, size_t want);
+static size_t by_hash(group_t *group, uint64_t now, uint64_t hash,
+		      uint32_t *order, size_t want);
+static size_t fewer_placed(group_t *group, uint64_t now, uint64_t hash,
+			   uint32_t *order, size_t want);
+static size_t least_loaded(group_t *group, uint64_t now, uint64_t hash,
+			   uint32_t *order, size_t want);
+static bool always(const group_t *group, const member_t *self, uint64_t now);
+static bool own_share(const group_t *group, const member_t *self, uint64_t now);
+
+const policy_t policy_round_robin = { "round-robin", in_turn, always };
+const policy_t policy_rendezvous = { "rendezvous", by_hash, always };
+const policy_t policy_two_choices = { "two-choices", fewer_placed, always };
+const policy_t policy_hunt = { "hunt", by_hash, own_share };
+const policy_t policy_ranked_hunt = { "ranked-hunt", least_loaded, own_share };
+const policy_t *const policy_default = &policy_ranked_hunt;
+
+static size_t in_turn(group_t *group, uint64_t now, uint64_t hash,
+		      uint32_t *order, size_t want)
+{
+	size_t n = 0;
+
+	(void)hash;
+	for (size_t i = 0; i < group->n && n < want; i++) {
+		size_t at = (group->turn + i) % group->n;
+
+		if (member_takes_opens(&group->members[at], now))
+			order[n++] = (uint32_t)at;
+	}
+	if (n)
+		group->turn = order[0] + 1;
+	return n;
+}
+
+static size_t by_hash(group_t *group, uint64_t now, uint64_t hash,
+		      uint32_t *order, size_t want)
+{
+	return group_rank(group, now, hash, true, order, want);
+}
+
+static double placed_share(const member_t *m)
+{
+	return m->placed / (m->declared * m->slots);
+}
+
+static size_t fewer_placed(group_t *group, uint64_t now, uint64_t hash,
+			   uint32_t *order, size_t want)
+{
+	size_t n = group_rank(group, now, hash, true, order, want);
+	const member_t *m = group->members;
+
+	if (n >= TWO_CHOICES &&
+	    placed_share(&m[order[1]]) < placed_share(&m[order[0]])) {
+		uint32_t second = order[1];
+
+		order[1] = order[0];
+		order[0] = second;
+	}
+	return n;
+}
+
+/* The candidates of the hash, the least loaded first. */
+static size_t least_loaded(group_t *group, uint64_t now, uint64_t hash,
+			   uint32_t *order, size_t want)
+{
+	size_t n = group_rank(group, now, hash, true, order, want);
+
+	for (size_t i = 1; i < n; i++) {
+		uint32_t position = order[i];
+		double load =
+			member_utilisation(group, &group->members[position]);
+		size_t at = i;
+
+		while (at > 0 &&
+		       load < member_utilisation(
+				      group, &group->members[order[at - 1]])) {
+			order[at] = order[at - 1];
+			at--;
+		}
+		order[at] = position;
+	}
+	return n;
+}
+
+static bool always(const group_t *group, const member_t *self, uint64_t now)
+{
+	(void)group;
+	(void)self;
+	(void)now;
+	return true;
+}
+
+/* True when our utilisation is no worse than the group's. */
+static bool own_share(const group_t *group, const member_t *self, uint64_t now)
+{
+	return member_utilisation(group, self) <=
+	       group_utilisation(group, now) * HUNT_SLACK;
+}
+
+const policy_t *policy_find(const char *name)
+{
+	static const policy_t *const all[] = {
+		&policy_round_robin, &policy_rendezvous,  &policy_two_choices,
+		&policy_hunt,	     &policy_ranked_hunt,
+	};
+
+	for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++)
+		if (!strcmp(all[i]->name, name))
+			return all[i];
+	return NULL;
+}
--- a/test/app_server.c
+++ b/test/app_server.c
@@ -8,6 +8,7 @@
 typedef struct session {
 	list_t all;
 	list_t queue; /* waits for a slot or is in one */
+	list_t clock; /* waits for its next chunk */
 	app_server_t *server;
 	mini_conn_t *conn;
 	char line[APP_LINE_MAX];
@@ -16,10 +17,11 @@
 	bool in_slot;
 	app_request_t request;
 	uint64_t body_left;
-	uint64_t sent;	  /* bytes of the answer */
-	uint64_t done_ms; /* when the slot is free again */
-	uint32_t chunks;  /* of a feed sent */
-	uint64_t next_chunk_ms;
+	uint64_t sent;	      /* bytes of the answer */
+	double done;	      /* ms: when the slot is free again */
+	uint64_t seen_ms;     /* when that is noticed */
+	uint32_t chunks;      /* of a feed sent */
+	uint64_t next_due_ms; /* of the feed's next chunk */
 } session_t;
 
 struct app_server {
@@ -28,13 +30,19 @@
 	void *ctx;
 	mini_tcp_t *tcp;
 	uint64_t now; /* of the call under way */
+	uint64_t started_ms;
+	uint64_t random;
 	unsigned busy;
 	unsigned waiting;
 	list_t sessions;
-	list_t queue;
+	list_t serving;	     /* in a slot */
+	list_t queue;	     /* wait for a slot, first come first served */
+	list_t feeds;	     /* wait for their next chunk */
 	GHashTable *records; /* id to count */
 	uint64_t shed;
 	uint64_t served;
+	uint64_t reported_ms; /* of the load that the endpoint shows */
+	double reported;
 };
 
 static void output(void *ctx, const uint8_t *packet, size_t len)
@@ -54,6 +62,7 @@
 	x->server = s;
 	x->conn = conn;
 	list_init(&x->queue);
+	list_init(&x->clock);
 	list_append(&s->sessions, &x->all);
 	mini_conn_set_data(conn, x);
 	return true;
@@ -97,6 +106,74 @@
 	}
 }
 
+static double chance(app_server_t *s)
+{
+	uint64_t x = s->random += 0x9e3779b97f4a7c15ULL;
+
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return (double)((x ^ (x >> 31)) >> 11) * 0x1.0p-53;
+}
+
+double app_server_speed(const app_server_t *s, uint64_t now)
+{
+	bool cold = now < s->started_ms + s->options.cold_ms;
+
+	return cold ? s->options.speed * s->options.cold_speed
+		    : s->options.speed;
+}
+
+/* Puts the work into a slot that is free from `from` on. */
+static void begin(session_t *x, double from)
+{
+	app_server_t *s = x->server;
+	double ms = x->chunks ? s->options.chunk_ms
+			      : x->request.weight * s->options.service_ms;
+
+	if (s->options.class_cost[x->request.kind] > 0)
+		ms *= s->options.class_cost[x->request.kind];
+	if (s->options.spread > 0)
+		ms *= 1 + s->options.spread * (2 * chance(s) - 1);
+	s->busy++;
+	x->in_slot = true;
+	x->done = from + ms / app_server_speed(s, s->now);
+	/* The clock shows whole milliseconds: exact in the mean. */
+	x->seen_ms = (uint64_t)(x->done + chance(s));
+	list_append(&s->serving, &x->queue);
+}
+
+static void enqueue(session_t *x)
+{
+	app_server_t *s = x->server;
+
+	if (s->busy < s->options.slots) {
+		begin(x, (double)s->now);
+		return;
+	}
+	if (!x->chunks && s->waiting >= s->options.queue) {
+		s->shed++;
+		answer_log(x, "BUSY");
+		return;
+	}
+	s->waiting++;
+	list_append(&s->queue, &x->queue);
+}
+
+static void send_chunk(session_t *x)
+{
+	app_server_t *s = x->server;
+
+	answer_bytes(x, x->request.bytes);
+	if (++x->chunks >= x->request.chunks) {
+		mini_conn_finish(x->conn, s->now);
+		return;
+	}
+	x->next_due_ms += x->request.interval_ms;
+	if (x->next_due_ms < s->now)
+		x->next_due_ms = s->now;
+	list_append(&s->feeds, &x->clock);
+}
+
 /* The slot's work is done. */
 static void serve(session_t *x)
 {
@@ -113,24 +190,13 @@
 		mini_conn_finish(x->conn, s->now);
 		break;
 	default:
-		x->next_chunk_ms = s->now;
+		if (!x->chunks)
+			x->next_due_ms = s->now;
+		send_chunk(x);
 		break;
 	}
 }
 
-static void enqueue(session_t *x)
-{
-	app_server_t *s = x->server;
-
-	if (s->waiting >= s->options.queue) {
-		s->shed++;
-		answer_log(x, "BUSY");
-		return;
-	}
-	s->waiting++;
-	list_append(&s->queue, &x->queue);
-}
-
 static void on_data(void *ctx, mini_conn_t *conn, const uint8_t *bytes,
 		    size_t len)
 {
@@ -177,6 +243,7 @@
 {
 	app_server_t *s = x->server;
 
+	list_remove(&x->clock);
 	if (list_empty(&x->queue))
 		return;
 	if (x->in_slot)
@@ -201,48 +268,66 @@
 	free(x);
 }
 
-static void run_queue(app_server_t *s, uint64_t now)
+/* Starts what waits, in slots that are free from `from` on. */
+static void fill_slots(app_server_t *s, double from)
 {
-	list_each_safe(node, after, &s->queue)
-	{
-		session_t *x = list_entry(node, session_t, queue);
+	while (s->busy < s->options.slots && !list_empty(&s->queue)) {
+		session_t *x = list_entry(s->queue.next, session_t, queue);
 
-		if (x->in_slot && x->done_ms <= now) {
-			leave_queue(x);
-			serve(x);
-		}
+		leave_queue(x);
+		begin(x, from);
 	}
-	list_each_safe(node, after, &s->queue)
+}
+
+static session_t *earliest(app_server_t *s)
+{
+	session_t *first = NULL;
+
+	list_each_safe(node, after, &s->serving)
 	{
 		session_t *x = list_entry(node, session_t, queue);
-		double ms = x->request.weight * s->options.service_ms /
-			    s->options.speed;
 
-		if (x->in_slot)
-			continue;
-		if (s->busy >= s->options.slots)
-			break;
-		s->busy++;
-		s->waiting--;
-		x->in_slot = true;
-		x->done_ms = now + (uint64_t)(ms + 0.5);
+		if (!first || x->done < first->done)
+			first = x;
+	}
+	return first;
+}
+
+uint64_t app_server_due(const app_server_t *s)
+{
+	session_t *x = earliest((app_server_t *)s);
+
+	return x ? x->seen_ms : UINT64_MAX;
+}
+
+void app_server_run(app_server_t *s, uint64_t now)
+{
+	session_t *x;
+
+	s->now = now;
+	while ((x = earliest(s)) && x->seen_ms <= now) {
+		double done = x->done;
+
+		leave_queue(x);
+		fill_slots(s, done);
+		serve(x);
 	}
+	fill_slots(s, (double)now);
 }
 
 static void run_feeds(app_server_t *s, uint64_t now)
 {
-	list_each_safe(node, after, &s->sessions)
+	list_each_safe(node, after, &s->feeds)
 	{
-		session_t *x = list_entry(node, session_t, all);
+		session_t *x = list_entry(node, session_t, clock);
 
-		if (!x->next_chunk_ms || x->next_chunk_ms > now)
+		if (x->next_due_ms > now)
 			continue;
-		answer_bytes(x, x->request.bytes);
-		x->next_chunk_ms = now + x->request.interval_ms;
-		if (++x->chunks >= x->request.chunks) {
-			x->next_chunk_ms = 0;
-			mini_conn_finish(x->conn, now);
-		}
+		list_remove(&x->clock);
+		if (s->options.chunk_ms > 0)
+			enqueue(x);
+		else
+			send_chunk(x);
 	}
 }
 
@@ -261,6 +346,9 @@
 	s->ctx = ctx;
 	list_init(&s->sessions);
 	list_init(&s->queue);
+	list_init(&s->serving);
+	list_init(&s->feeds);
+	s->random = options->seed;
 	s->records = g_hash_table_new(NULL, NULL);
 	s->tcp = mini_tcp_new(&tcp_ops, s, options->seed);
 	return s;
@@ -281,13 +369,16 @@
 		      size_t len)
 {
 	s->now = now;
+	if (!s->started_ms)
+		s->started_ms = now;
 	mini_tcp_input(s->tcp, now, packet, len);
 }
 
 void app_server_tick(app_server_t *s, uint64_t now)
 {
-	s->now = now;
-	run_queue(s, now);
+	if (!s->started_ms)
+		s->started_ms = now;
+	app_server_run(s, now);
 	run_feeds(s, now);
 	mini_tcp_tick(s->tcp, now);
 }
@@ -297,6 +388,21 @@
 	s->options.speed = speed;
 }
 
+void app_server_report(app_server_t *s, uint64_t now, bool *healthy,
+		       double *load)
+{
+	double work = s->busy + s->waiting;
+
+	if (s->reported_ms + s->options.report_lag_ms <= now) {
+		s->reported_ms = now;
+		s->reported = work / s->options.slots;
+	}
+	*healthy = true;
+	*load = s->reported;
+	if (s->options.report_factor > 0)
+		*load *= s->options.report_factor;
+}
+
 GHashTable *app_server_records(app_server_t *s)
 {
 	return s->records;
--- a/test/fake_server.c
+++ b/test/fake_server.c
@@ -20,12 +20,15 @@
 typedef struct server {
 	uv_loop_t loop;
 	uv_timer_t timer;
+	uv_timer_t due;
 	udp_socket_t *socket;
 	app_server_t *app;
 	endpoint_t agent;
 } server_t;
 
 static void output(void *ctx, const uint8_t *packet, size_t len);
+static void wait_due(server_t *s);
+static void on_due(uv_timer_t *timer);
 static void on_tick(uv_timer_t *timer);
 static void command(server_t *s, const endpoint_t *from, const char *text);
 static void append_records(server_t *s, GString *out);
@@ -40,11 +43,32 @@
 		udp_socket_send(s->socket, &s->agent, packet, len);
 }
 
+/* Wakes up when the next work is done. */
+static void wait_due(server_t *s)
+{
+	uint64_t now = uv_now(&s->loop);
+	uint64_t due = app_server_due(s->app);
+
+	if (due == UINT64_MAX)
+		uv_timer_stop(&s->due);
+	else
+		uv_timer_start(&s->due, on_due, due > now ? due - now : 0, 0);
+}
+
+static void on_due(uv_timer_t *timer)
+{
+	server_t *s = timer->data;
+
+	app_server_run(s->app, uv_now(&s->loop));
+	wait_due(s);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	server_t *s = timer->data;
 
 	app_server_tick(s->app, uv_now(&s->loop));
+	wait_due(s);
 }
 
 static void append_records(server_t *s, GString *out)
@@ -92,13 +116,14 @@
 	}
 	s->agent = *from;
 	app_server_input(s->app, uv_now(&s->loop), buf, len);
+	wait_due(s);
 }
 
 int main(int argc, char **argv)
 {
 	static const udp_socket_ops_t socket_ops = { .receive = on_datagram };
 	static const app_server_ops_t app_ops = { output };
-	app_server_options_t options;
+	app_server_options_t options = { 0 };
 	static server_t s;
 	endpoint_t listen;
 	err_t err;
@@ -123,6 +148,8 @@
 	}
 	uv_timer_init(&s.loop, &s.timer);
 	s.timer.data = &s;
+	uv_timer_init(&s.loop, &s.due);
+	s.due.data = &s;
 	uv_timer_start(&s.timer, on_tick, TICK_MS, TICK_MS);
 	return uv_run(&s.loop, UV_RUN_DEFAULT);
 }
--- a/test/world.c
+++ b/test/world.c
@@ -11,6 +11,7 @@
 
 typedef enum event_kind {
 	EVENT_TICK,
+	EVENT_DUE,     /* a server finishes work */
 	EVENT_PACKET,  /* a plain IPv4 packet */
 	EVENT_MESSAGE, /* a packed message */
 	EVENT_REFUSED, /* nothing listens at the server */
@@ -35,6 +36,7 @@
 	bool frozen;
 	bool in_fabric; /* balancers */
 	uint64_t life;	/* raised at each start */
+	uint64_t due;	/* of the EVENT_DUE that is posted, 0 for none */
 	endpoint_t listen;
 	char target[NAME_BYTES];
 	config_t *config; /* owned */
@@ -304,7 +306,9 @@
 	balancer_options_t options = { .self = p->listen,
 				       .rank_seed = WORLD_RANK_SEED,
 				       .cache_flows = 4096,
-				       .retry_percent = 10 };
+				       .retry_percent = 10,
+				       .off = p->world->options.off,
+				       .policy = p->world->options.policy };
 
 	p->balancer = balancer_new(&options, &ops, p);
 	balancer_configure(p->balancer, p->world->now, p->config);
@@ -319,7 +323,9 @@
 				    .incarnation = 1000 + p->life,
 				    .random_seed = p->place.index + 1,
 				    .flows = 65536,
-				    .queue = 1000 };
+				    .queue = 1000,
+				    .off = p->world->options.off,
+				    .policy = p->world->options.policy };
 
 	g_strlcpy(options.target, p->target, sizeof(options.target));
 	p->agent = agent_new(&options, &ops, p);
@@ -331,7 +337,13 @@
 	static const app_server_ops_t ops = { server_output };
 	const world_options_t *o = &p->world->options;
 	const target_t *t;
-	app_server_options_t options = { .speed = 1, .service_ms = 5 };
+	app_server_options_t options = { .speed = 1,
+					 .service_ms = 5,
+					 .chunk_ms = o->chunk_ms,
+					 .spread = o->spread,
+					 .cold_ms = o->cold_ms,
+					 .cold_speed = o->cold_speed,
+					 .report_factor = o->report_factor };
 
 	config_target_by_name(p->world->first, p->target, &t);
 	options.slots = t ? t->slots : 1;
@@ -340,6 +352,7 @@
 	options.queue = o->queue ? o->queue : 10000;
 	if (o->service_ms > 0)
 		options.service_ms = o->service_ms;
+	memcpy(options.class_cost, o->class_cost, sizeof(options.class_cost));
 	if (o->speeds)
 		options.speed = o->speeds[p->place.index];
 	p->server = app_server_new(&options, &ops, p);
@@ -353,6 +366,7 @@
 	p->alive = true;
 	p->frozen = false;
 	p->life++;
+	p->due = 0;
 	if (p->place.kind == PLACE_BALANCER)
 		start_balancer(p);
 	else if (p->place.kind == PLACE_AGENT)
@@ -555,6 +569,27 @@
 		app_server_input(p->server, now, e->bytes, e->len);
 }
 
+static void take_due(process_state_t *p, const event_t *e)
+{
+	if (p->life != e->life || !p->server)
+		return;
+	p->due = 0;
+	app_server_run(p->server, p->world->now);
+}
+
+/* Posts an event for when the server finishes its next work. */
+static void post_due(process_state_t *p)
+{
+	uint64_t due = app_server_due(p->server);
+
+	if (due == UINT64_MAX || (p->due && p->due <= due))
+		return;
+	p->due = due;
+	if (due < p->world->now)
+		due = p->world->now;
+	post(p->world, due, EVENT_DUE, p->place, p->place, MSG_NONE, NULL, 0);
+}
+
 static void to_caller(world_t *w, event_t *e)
 {
 	packet_t p;
@@ -583,9 +618,13 @@
 			take_message(p, e);
 		else if (e->kind == EVENT_PACKET)
 			take_packet(p, e);
+		else if (e->kind == EVENT_DUE)
+			take_due(p, e);
 		else if (p->agent)
 			agent_server_gone(p->agent, w->now);
 	}
+	if (p && p->server && !p->frozen)
+		post_due(p);
 }
 
 void world_run(world_t *w, uint64_t ms)
--- a/test/world.h
+++ b/test/world.h
@@ -44,6 +44,14 @@
 	double service_ms;    /* of the servers; 0 is 5 */
 	const double *speeds; /* a target, NULL: all 1 */
 	unsigned queue;	      /* of the servers; 0 is 10000 */
+	double chunk_ms;      /* of the servers, see app_server.h */
+	double class_cost[APP_KINDS];
+	double spread;
+	uint64_t cold_ms;
+	double cold_speed;
+	double report_factor;
+	mechanisms_t off;	/* of balancers and agents */
+	const policy_t *policy; /* NULL: the one in use */
 } world_options_t;
 
 /* A request's end, kept by the world. */
