--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -82,6 +82,12 @@
 	{ "ranked-hunt-learned", &policy_ranked_hunt, 0 },
 };
 
+/* A feed that is running. */
+typedef struct feed {
+	size_t number;
+	uint64_t end_ms;
+} feed_t;
+
 typedef struct run {
 	const scenario_t *scenario;
 	const step_t *step;
@@ -96,6 +102,7 @@
 	unsigned fair_s;	/* the added host reached nine tenths */
 	double greatest_sum, smallest_sum, greatest_worst;
 	unsigned samples;
+	GArray *feeds; /* feed_t */
 	GString *series;
 } run_t;
 
@@ -149,10 +156,12 @@
 			      .id = r->next_id++,
 			      .bytes = 100,
 			      .interval_ms = INTERVAL_MS,
-			      .chunks = 1 + (uint32_t)(life / INTERVAL_MS),
+			      .chunks = UINT32_MAX,
 			      .weight = 1 };
+	feed_t feed = { world_request(r->world, "spot", "feed", &app),
+			world_now(r->world) + (uint64_t)life };
 
-	world_request(r->world, "spot", "feed", &app);
+	g_array_append_val(r->feeds, feed);
 }
 
 static void open_log(run_t *r)
@@ -164,6 +173,24 @@
 	world_request(r->world, "spot", "check-in", &app);
 }
 
+/* Callers go away at the end of their feed, however far it came. */
+static void end_feeds(run_t *r)
+{
+	for (guint i = 0; i < r->feeds->len;) {
+		feed_t *f = &g_array_index(r->feeds, feed_t, i);
+		const world_result_t *result =
+			world_result(r->world, f->number);
+
+		if (f->end_ms > world_now(r->world)) {
+			i++;
+			continue;
+		}
+		if (result->request)
+			caller_abandon(result->request);
+		g_array_remove_index_fast(r->feeds, i);
+	}
+}
+
 /* One tenth of a second of arrivals. */
 static void arrive(run_t *r, double second)
 {
@@ -178,6 +205,7 @@
 		open_feed(r);
 	for (; r->logs_due >= 1; r->logs_due -= 1)
 		open_log(r);
+	end_feeds(r);
 	world_run(r->world, TENTH_MS);
 }
 
@@ -336,6 +364,7 @@
 		    .step = step,
 		    .random = seed,
 		    .hosts = s->added ? HOSTS - 1 : HOSTS,
+		    .feeds = g_array_new(FALSE, FALSE, sizeof(feed_t)),
 		    .series = g_string_new(NULL) };
 	world_options_t options = { .balancers = 3,
 				    .seed = seed,
@@ -369,6 +398,7 @@
 	}
 	print(&r);
 	world_free(r.world);
+	g_array_free(r.feeds, TRUE);
 	g_string_free(r.series, TRUE);
 	return 0;
 }
