--- a/src/balancer.c
+++ b/src/balancer.c
@@ -19,7 +19,7 @@
 static const service_t *service_of(const balancer_t *b, const group_t *g);
 static void packet_message(balancer_t *b, packet_msg_t *msg, uint64_t service,
 			   packet_step_t step, const packet_t *p);
-static size_t candidates(const group_t *g, uint64_t now,
+static size_t candidates(balancer_t *b, group_t *g, uint64_t now,
 			 const pending_open_t *open, const member_t *first,
 			 uint32_t *ids);
 static const member_t *taker(balancer_t *b, uint64_t now, group_t *g,
@@ -51,6 +51,7 @@
 	b->ops = *ops;
 	b->ctx = ctx;
 	b->retry_saved = RETRIES_AT_START * RETRY_COST;
+	b->policy = options->policy ? options->policy : policy_default;
 	b->hints = hint_cache_new(options->cache_flows);
 	b->pending = pending_opens_new(PENDING_LIMIT);
 	if (!b->hints || !b->pending) {
@@ -152,17 +153,18 @@
  * offered to yet, best first. When all seem silent, the fault is likely ours,
  * and the members are taken as if none was.
  */
-static size_t candidates(const group_t *g, uint64_t now,
+static size_t candidates(balancer_t *b, group_t *g, uint64_t now,
 			 const pending_open_t *open, const member_t *first,
 			 uint32_t *ids)
 {
 	uint32_t order[BALANCER_CANDIDATES + PENDING_ASKED];
 	size_t want = BALANCER_CANDIDATES + open->nasked;
-	size_t n = group_rank(g, now, open->hash, true, order, want);
+	size_t n = b->policy->candidates(g, now, open->hash, order, want);
 	size_t kept = 0;
 
 	if (n == 0)
-		n = group_rank(g, AVOIDED_TOO, open->hash, true, order, want);
+		n = b->policy->candidates(g, AVOIDED_TOO, open->hash, order,
+					  want);
 	if (first)
 		ids[kept++] = first->id;
 	for (size_t i = 0; i < n && kept < BALANCER_CANDIDATES; i++) {
@@ -210,7 +212,9 @@
 		 pending_open_t *open, const packet_t *p)
 {
 	uint32_t ids[BALANCER_CANDIDATES];
-	size_t n = candidates(g, now, open, first, ids);
+	size_t n = candidates(b, g, now, open, first, ids);
+	const class_t *cls = NULL;
+	member_t *m;
 	packet_msg_t msg;
 
 	if (n == 0)
@@ -220,8 +224,12 @@
 	msg.n_candidates = n - 1;
 	if (open->nasked < PENDING_ASKED)
 		open->asked[open->nasked++] = ids[0];
+	config_classify(b->config, p->key.dst, p->key.dport, p->key.proto,
+			&cls);
+	m = group_member(g, ids[0]);
+	member_placed(m, cls ? cls->weight : 1);
 	pending_opens_defer(b->pending, open, now + OPEN_TIMEOUT_MS);
-	b->ops.send(b->ctx, &group_member(g, ids[0])->agent, MSG_PACKET, &msg);
+	b->ops.send(b->ctx, &m->agent, MSG_PACKET, &msg);
 	return 0;
 }
 
@@ -299,7 +307,8 @@
 			pending_open_t any = { .hash = hash };
 
 			msg.candidates = ids;
-			msg.n_candidates = candidates(g, now, &any, NULL, ids);
+			msg.n_candidates =
+				candidates(b, g, now, &any, NULL, ids);
 		}
 	}
 	b->ops.send(b->ctx, &agent, MSG_PACKET, &msg);
--- a/src/balancer_int.h
+++ b/src/balancer_int.h
@@ -16,6 +16,7 @@
 	balancer_ops_t ops;
 	void *ctx;
 	config_t *config;
+	const policy_t *policy;
 	group_t *groups; /* one a service, in the configuration's order */
 	size_t ngroups;
 	hint_cache_t *hints;
--- a/test/harness.c
+++ b/test/harness.c
@@ -308,7 +308,7 @@
 		text = g_strdup(h->options.config_text);
 	}
 	if (write_file(h->key_path, KEY_TEXT "\n") == 0 &&
-	    harness_write_config(h, text) == 0)
+	    chmod(h->key_path, 0600) == 0 && harness_write_config(h, text) == 0)
 		ret = config_load(h->config_path, &h->config, &err);
 	g_free(text);
 	if (ret < 0)
@@ -361,6 +361,10 @@
 		goto fail;
 	for (size_t s = 0; s < h->config->nservices; s++)
 		h->nagents += (unsigned)h->config->services[s].ntargets;
+	if (options->agents && options->agents < h->nagents)
+		h->nagents = options->agents;
+	if (h->nagents > HARNESS_AGENTS)
+		goto fail;
 	for (unsigned i = 0; i < h->nagents; i++)
 		if (harness_start_server(h, i) < 0 ||
 		    harness_start_agent(h, i) < 0)
