Measure forwarding against a plain relay

bench/relay.c is a plain libuv relay, one datagram at a time. bench_forward opens 300,000 flows through a real balancer, then offers both the same load in turn, 50,000 packets a second of which 5,000 open a flow, and takes the processor time from /proc/PID/stat.

--- /dev/null
+++ b/bench/bench_forward.c
@@ -0,0 +1,461 @@
+/*
+ * bench_forward - processor time a packet, balancer against relay
+ *
+ * Starts bench/relay and cherviltray-balancer, opens LIVE flows through the
+ * balancer, then offers both the same load in turn: OPENS new flows a second
+ * and data packets of the flows that live. Sinks stand in for the agents: they
+ * open the sealed messages and acknowledge each open. Prints a line of JSON for
+ * each pace and writes it to report/bench/forward.json. Exits 1 when a bound is
+ * not met.
+ */
+
+#define _GNU_SOURCE
+#include "../src/config.h"
+#include "../src/dgram.h"
+#include "../src/packet.h"
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <poll.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define NET	      "127.91"
+#define SINKS	      7
+#define LIVE	      300000
+#define OPENS	      5000  /* a second */
+#define FILL_OPENS    25000 /* a second, until all live */
+#define RATE	      50000 /* packets a second, opens among them */
+#define ROUND_S	      4
+#define ROUNDS	      3
+#define BATCH	      64
+#define SOCKET_BUFFER (4 * 1024 * 1024)
+#define RATIO_MAX     1.2
+#define RSS_MAX_KB    (128 * 1024)
+#define SERVICE	      0xc633640a /* 198.51.100.10 */
+#define PORTS	      50000	 /* of one caller */
+
+static const char key_text[] = "000102030405060708090a0b0c0d0e0f"
+			       "101112131415161718191a1b1c1d1e1f\n";
+
+/* Counted by the sinks' thread, read by the generator. */
+typedef struct tally {
+	uint64_t datagrams;
+	uint64_t bytes;
+	uint64_t messages;
+	uint64_t opens;
+	uint64_t bad;
+} tally_t;
+
+typedef struct spent {
+	double user_s;
+	double system_s;
+	uint64_t packets;
+	uint64_t arrived;
+} spent_t;
+
+typedef struct pace {
+	const char *name;
+	unsigned tick_us; /* packets of so long are sent together */
+	unsigned payload; /* bytes in a data packet */
+} pace_t;
+
+static const pace_t paces[] = {
+	{ "1 ms", 1000, 100 },
+	{ "0.2 ms", 200, 100 },
+	{ "1 ms, 1200 bytes", 1000, 1200 },
+};
+
+static volatile tally_t tally;
+static char dir[] = "/tmp/bench_forward_XXXXXX";
+static uint64_t next_flow; /* number of the next flow to open */
+
+static uint64_t now_us(void)
+{
+	return (uint64_t)g_get_monotonic_time();
+}
+
+static int udp_at(const endpoint_t *ep)
+{
+	struct sockaddr_in sa = endpoint_sockaddr(ep);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	int size = SOCKET_BUFFER;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0) {
+		perror("bench_forward: bind");
+		exit(1);
+	}
+	return fd;
+}
+
+static endpoint_t at(unsigned c, unsigned d, uint16_t port)
+{
+	char text[ENDPOINT_TEXT];
+	endpoint_t ep;
+
+	snprintf(text, sizeof(text), NET ".%u.%u:%u", c, d, port);
+	endpoint_parse(text, &ep);
+	return ep;
+}
+
+static void write_file(const char *name, const char *text)
+{
+	char *path = g_build_filename(dir, name, NULL);
+
+	if (!g_file_set_contents(path, text, -1, NULL))
+		exit(1);
+	g_chmod(path, 0600);
+	g_free(path);
+}
+
+static void write_files(void)
+{
+	GString *s = g_string_new(
+		"version = 1\n[[service]]\nname = \"spot\"\n"
+		"address = \"198.51.100.10\"\n[[service.class]]\n"
+		"name = \"feed\"\nport = 6001\nprotocol = \"tcp\"\n"
+		"weight = 1\nidempotent = true\n");
+
+	for (unsigned i = 1; i <= SINKS; i++)
+		g_string_append_printf(
+			s,
+			"[[service.target]]\nname = \"spot-%u\"\n"
+			"agent = \"" NET ".2.%u:7400\"\nzone = \"a\"\n"
+			"weight = 1.0\nslots = 5\nconnections = 100000\n",
+			i, i);
+	write_file("config.toml", s->str);
+	write_file("key", key_text);
+	g_string_printf(s,
+			"name = \"b\"\nzone = \"a\"\n"
+			"packets = \"" NET ".1.1:7100\"\n"
+			"listen = \"" NET ".1.1:7200\"\n"
+			"operators = \"" NET ".1.1:7300\"\n"
+			"key_file = \"%s/key\"\n"
+			"config_file = \"%s/config.toml\"\n",
+			dir, dir);
+	write_file("balancer.toml", s->str);
+	g_string_free(s, TRUE);
+}
+
+/* The sinks' answer to an open. */
+static void acknowledge(int fd, seal_t *seal, unsigned sink,
+			const packet_msg_t *msg)
+{
+	endpoint_t to = { msg->reply_ip, (uint16_t)msg->reply_port };
+	struct sockaddr_in sa = endpoint_sockaddr(&to);
+	endpoint_t self = at(2, sink + 1, 7400);
+	held_msg_t held = CT__HELD__INIT;
+	load_msg_t load = CT__LOAD__INIT;
+	char name[NAME_BYTES];
+	uint8_t buf[512];
+	packet_t p;
+	size_t len;
+
+	if (packet_parse(msg->inner.data, msg->inner.len, &p) != PACKET_OK)
+		return;
+	snprintf(name, sizeof(name), "spot-%u", sink + 1);
+	load.target = (uint32_t)config_name_hash(name);
+	load.incarnation = 1;
+	load.work = 40000;
+	held.service = msg->service;
+	held.version = msg->version;
+	held.digest = msg->digest;
+	held.target = load.target;
+	held.src_ip = p.key.src;
+	held.dst_ip = p.key.dst;
+	held.src_port = p.key.sport;
+	held.dst_port = p.key.dport;
+	held.protocol = p.key.proto;
+	held.load = &load;
+	held.agent_ip = self.ip;
+	held.agent_port = self.port;
+	len = wire_pack(&held, buf + SEAL_HEADER);
+	len = seal_close(seal, MSG_HELD, wall_clock_ms(), buf, len);
+	sendto(fd, buf, len, 0, (struct sockaddr *)&sa, sizeof(sa));
+}
+
+static void take(int fd, seal_t *seal, unsigned sink, uint8_t *buf, size_t len)
+{
+	static wire_arena_t arena;
+	const uint8_t *body;
+	size_t body_len;
+	packet_msg_t *msg;
+	uint8_t kind;
+
+	tally.datagrams++;
+	tally.bytes += len;
+	if (len && buf[0] >> 4 == 4)
+		return; /* the relay's */
+	if (seal_open(seal, wall_clock_ms(), buf, len, &kind, &body,
+		      &body_len) != SEAL_OK ||
+	    kind != MSG_PACKET) {
+		tally.bad++;
+		return;
+	}
+	msg = wire_unpack(&arena, MSG_PACKET, body, body_len);
+	tally.messages++;
+	if (!msg || msg->step != STEP_OPEN)
+		return;
+	tally.opens++;
+	acknowledge(fd, seal, sink, msg);
+}
+
+static void *run_sinks(void *key)
+{
+	static uint8_t bytes[BATCH][9600];
+	struct mmsghdr headers[BATCH] = { 0 };
+	struct iovec iov[BATCH];
+	struct pollfd fds[SINKS];
+	seal_t *seal = seal_new(key, 77);
+
+	for (unsigned i = 0; i < SINKS; i++) {
+		endpoint_t ep = at(2, i + 1, 7400);
+
+		fds[i].fd = udp_at(&ep);
+		fds[i].events = POLLIN;
+	}
+	for (unsigned i = 0; i < BATCH; i++) {
+		iov[i].iov_base = bytes[i];
+		iov[i].iov_len = sizeof(bytes[i]);
+		headers[i].msg_hdr.msg_iov = &iov[i];
+		headers[i].msg_hdr.msg_iovlen = 1;
+	}
+	while (poll(fds, SINKS, -1) >= 0) {
+		for (unsigned i = 0; i < SINKS; i++) {
+			int n = fds[i].revents & POLLIN
+					? recvmmsg(fds[i].fd, headers, BATCH,
+						   MSG_DONTWAIT, NULL)
+					: 0;
+
+			for (int j = 0; j < n; j++)
+				take(fds[i].fd, seal, i, bytes[j],
+				     headers[j].msg_len);
+		}
+	}
+	return NULL;
+}
+
+static pid_t spawn(const char *program, char **argv)
+{
+	char *self = g_file_read_link("/proc/self/exe", NULL);
+	char *parent = g_path_get_dirname(self);
+	char *path = g_build_filename(parent, program, NULL);
+	pid_t pid = fork();
+
+	if (pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		argv[0] = path;
+		freopen("/dev/null", "w", stderr);
+		execv(path, argv);
+		_exit(127);
+	}
+	g_free(path);
+	g_free(parent);
+	g_free(self);
+	return pid;
+}
+
+static spent_t spent_by(pid_t pid)
+{
+	char *path = g_strdup_printf("/proc/%d/stat", (int)pid);
+	double tick = (double)sysconf(_SC_CLK_TCK);
+	unsigned long user = 0, system = 0;
+	spent_t s = { 0 };
+	char *text = NULL;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(strrchr(text, ')') + 2,
+		       "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+		       &user, &system);
+	s.user_s = (double)user / tick;
+	s.system_s = (double)system / tick;
+	g_free(text);
+	g_free(path);
+	return s;
+}
+
+static unsigned long resident_kb(pid_t pid)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)pid);
+	char *text = NULL, *at_rss;
+	unsigned long kb = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		at_rss = strstr(text, "VmRSS:");
+		if (at_rss)
+			kb = strtoul(at_rss + strlen("VmRSS:"), NULL, 10);
+	}
+	g_free(text);
+	g_free(path);
+	return kb;
+}
+
+/* A SYN of a new flow, or a data packet of a live one. */
+static size_t next_packet(uint64_t i, uint64_t of, const pace_t *pace,
+			  uint8_t *buf)
+{
+	static uint8_t payload[2000];
+	packet_t p = { .key = { 0, SERVICE, 0, 6001, PROTO_TCP },
+		       .window = 1000,
+		       .payload = payload };
+	uint64_t flow;
+
+	if (i % of == 0) {
+		flow = next_flow++;
+		p.flags = TCP_SYN;
+	} else {
+		flow = next_flow - 1 - i * 2654435761ULL % LIVE;
+		p.flags = TCP_ACK;
+		p.payload_len = pace->payload;
+	}
+	p.key.src = (uint32_t)(0x0a000000 + flow / PORTS);
+	p.key.sport = (uint16_t)(1024 + flow % PORTS);
+	p.seq = (uint32_t)flow;
+	return packet_build(&p, buf);
+}
+
+/* Offers `count` packets at a rate; every `of`-th opens a flow. */
+static void offer(int fd, const endpoint_t *to, uint64_t count, unsigned rate,
+		  uint64_t of, const pace_t *pace)
+{
+	static uint8_t bytes[BATCH][PACKET_MAX];
+	struct sockaddr_in sa = endpoint_sockaddr(to);
+	struct mmsghdr headers[BATCH] = { 0 };
+	struct iovec iov[BATCH];
+	uint64_t begun = now_us(), sent = 0;
+
+	while (sent < count) {
+		uint64_t ticks = (now_us() - begun) / pace->tick_us;
+		uint64_t due = ticks * pace->tick_us * rate / 1000000;
+		unsigned n = 0;
+
+		while (n < BATCH && sent + n < due && sent + n < count) {
+			iov[n].iov_base = bytes[n];
+			iov[n].iov_len =
+				next_packet(sent + n, of, pace, bytes[n]);
+			headers[n].msg_hdr.msg_iov = &iov[n];
+			headers[n].msg_hdr.msg_iovlen = 1;
+			headers[n].msg_hdr.msg_name = &sa;
+			headers[n].msg_hdr.msg_namelen = sizeof(sa);
+			n++;
+		}
+		if (n == 0) {
+			g_usleep(pace->tick_us / 4);
+			continue;
+		}
+		sendmmsg(fd, headers, n, 0);
+		sent += n;
+	}
+}
+
+static void measure(int fd, pid_t pid, const endpoint_t *to, const pace_t *pace,
+		    spent_t *sum)
+{
+	spent_t before = spent_by(pid), after;
+	uint64_t had = tally.datagrams;
+	uint64_t count = (uint64_t)RATE * ROUND_S;
+
+	offer(fd, to, count, RATE, RATE / OPENS, pace);
+	g_usleep(200000);
+	after = spent_by(pid);
+	sum->user_s += after.user_s - before.user_s;
+	sum->system_s += after.system_s - before.system_s;
+	sum->packets += count;
+	sum->arrived += tally.datagrams - had;
+}
+
+static double us_a_packet(const spent_t *s)
+{
+	return (s->user_s + s->system_s) * 1e6 / (double)s->packets;
+}
+
+static void print_spent(FILE *f, const char *name, const spent_t *s)
+{
+	fprintf(f,
+		"\"%s\":{\"us_a_packet\":%.3f,\"user_us\":%.3f,"
+		"\"system_us\":%.3f,\"lost\":%lld},",
+		name, us_a_packet(s), s->user_s * 1e6 / (double)s->packets,
+		s->system_s * 1e6 / (double)s->packets,
+		(long long)s->packets - (long long)s->arrived);
+}
+
+static int run_pace(int fd, pid_t relay, pid_t balancer, const pace_t *pace,
+		    FILE *out)
+{
+	endpoint_t relay_at = at(1, 2, 7100), balancer_at = at(1, 1, 7100);
+	FILE *files[] = { stdout, out };
+	spent_t r = { 0 }, b = { 0 };
+	unsigned long kb;
+	double ratio;
+
+	for (int i = 0; i < ROUNDS; i++) {
+		measure(fd, relay, &relay_at, pace, &r);
+		measure(fd, balancer, &balancer_at, pace, &b);
+	}
+	kb = resident_kb(balancer);
+	ratio = us_a_packet(&b) / us_a_packet(&r);
+	for (int i = 0; i < 2; i++) {
+		fprintf(files[i], "{\"pace\":\"%s\",\"payload\":%u,",
+			pace->name, pace->payload);
+		print_spent(files[i], "relay", &r);
+		print_spent(files[i], "balancer", &b);
+		fprintf(files[i],
+			"\"ratio\":%.3f,\"live\":%d,\"opens_s\":%d,"
+			"\"packets_s\":%d,\"resident_kb\":%lu}\n",
+			ratio, LIVE, OPENS, RATE, kb);
+		fflush(files[i]);
+	}
+	return ratio <= RATIO_MAX && kb < RSS_MAX_KB ? 0 : -1;
+}
+
+int main(void)
+{
+	static const pace_t fill = { "fill", 1000, 0 };
+	endpoint_t own = at(3, 1, 7000), balancer_at = at(1, 1, 7100);
+	char *relay_argv[SINKS + 3] = { NULL, NET ".1.2:7100" };
+	char *balancer_argv[] = { NULL, "--settings", NULL, NULL };
+	uint8_t key[SEAL_KEY_BYTES];
+	pid_t relay, balancer;
+	int ret = EXIT_SUCCESS;
+	FILE *out;
+	int fd;
+
+	if (!g_mkdtemp(dir) || sodium_init() < 0)
+		return 1;
+	write_files();
+	for (unsigned i = 0; i < SINKS; i++)
+		relay_argv[2 + i] = g_strdup_printf(NET ".2.%u:7400", i + 1);
+	for (int i = 0; i < SEAL_KEY_BYTES; i++)
+		key[i] = (uint8_t)i;
+	relay = spawn("relay", relay_argv);
+	balancer_argv[2] = g_build_filename(dir, "balancer.toml", NULL);
+	balancer = spawn("cherviltray-balancer", balancer_argv);
+	g_thread_new("sinks", run_sinks, key);
+	g_usleep(500000);
+	fd = udp_at(&own);
+	g_mkdir_with_parents("report/bench", 0755);
+	out = fopen("report/bench/forward.json", "w");
+	if (!out)
+		return 1;
+	offer(fd, &balancer_at, LIVE, FILL_OPENS, 1, &fill);
+	printf("opened %d flows: %llu arrived, %lu KB resident\n", LIVE,
+	       (unsigned long long)tally.opens, resident_kb(balancer));
+	for (size_t i = 0; i < G_N_ELEMENTS(paces); i++)
+		if (run_pace(fd, relay, balancer, &paces[i], out) < 0)
+			ret = EXIT_FAILURE;
+	printf("bad messages at the sinks: %llu\n",
+	       (unsigned long long)tally.bad);
+	fclose(out);
+	kill(relay, SIGKILL);
+	kill(balancer, SIGKILL);
+	return ret;
+}
