Send datagrams of one length to one address as one message

Cause: the balancer's kernel time, 4.7 of 7.0 us a packet, is mostly one way through the network stack a datagram, also with sendmmsg. Ruled out: bigger batches, since the batch is what arrived.

--- a/bench/bench_forward.c
+++ b/bench/bench_forward.c
@@ -1,6 +1,8 @@
 /*
  * bench_forward - processor time a packet, balancer against relay
  *
+ * bench_forward [ROUNDS]
+ *
  * Starts bench/relay and cherviltray-balancer, opens LIVE flows through the
  * balancer, then offers both the same load in turn: OPENS new flows a second
  * and data packets of the flows that live. Sinks stand in for the agents: they
@@ -75,6 +77,7 @@
 
 static volatile tally_t tally;
 static char dir[] = "/tmp/bench_forward_XXXXXX";
+static int rounds = ROUNDS;
 static uint64_t next_flow; /* number of the next flow to open */
 
 static uint64_t now_us(void)
@@ -397,7 +400,7 @@
 	unsigned long kb;
 	double ratio;
 
-	for (int i = 0; i < ROUNDS; i++) {
+	for (int i = 0; i < rounds; i++) {
 		measure(fd, relay, &relay_at, pace, &r);
 		measure(fd, balancer, &balancer_at, pace, &b);
 	}
@@ -417,7 +420,7 @@
 	return ratio <= RATIO_MAX && kb < RSS_MAX_KB ? 0 : -1;
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
 	static const pace_t fill = { "fill", 1000, 0 };
 	endpoint_t own = at(3, 1, 7000), balancer_at = at(1, 1, 7100);
@@ -429,6 +432,8 @@
 	FILE *out;
 	int fd;
 
+	if (argc > 1)
+		rounds = atoi(argv[1]);
 	if (!g_mkdtemp(dir) || sodium_init() < 0)
 		return 1;
 	write_files();
--- a/src/udp_socket.h
+++ b/src/udp_socket.h
@@ -5,7 +5,9 @@
  * udp_socket - a UDP socket on the loop that reads and writes in batches
  *
  * Datagrams to send are queued and go out in one system call when the batch
- * is full or the loop is about to wait. Owned by the caller, closed by
+ * is full or the loop is about to wait; those of one length to one address go
+ * to the kernel as one message that it cuts apart (UDP_SEGMENT), in their
+ * order. Owned by the caller, closed by
  * udp_socket_close(), whose memory goes back when the loop has run.
  */
 
