Authenticate a message in one piece

Cause: the tag stood inside the header, so each message was hashed in two steps. Change: the tag comes first and covers all that follows.

--- a/src/seal.c
+++ b/src/seal.c
@@ -8,11 +8,15 @@
 
 #define SEAL_MAGIC   0xc7
 #define SEAL_VERSION 1
-#define AT_KIND	     2
-#define AT_SESSION   4
-#define AT_NUMBER    12
-#define AT_CLOCK     20
-#define AT_TAG	     28
+#define TAG_BYTES    16
+/* The tag comes first, so that all it covers lies in one piece. */
+#define AT_MAGIC   16
+#define AT_VERSION 17
+#define AT_KIND	   18
+#define AT_ZERO	   19
+#define AT_SESSION 20
+#define AT_NUMBER  28
+#define AT_CLOCK   36
 
 /* Numbers behind the newest one that can still be told apart. */
 #define WINDOW_BITS 4096
@@ -45,7 +49,7 @@
 static void put64(uint8_t *p, uint64_t v);
 static uint64_t get64(const uint8_t *p);
 static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
-		   uint8_t tag[16]);
+		   uint8_t tag[TAG_BYTES]);
 static void session_forget(session_set_t *set, session_t *s, uint64_t wall_ms);
 static session_t *session_find(seal_t *seal, uint64_t id, uint64_t clock_ms,
 			       uint64_t wall_ms);
@@ -163,18 +167,10 @@
 }
 
 static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
-		   uint8_t tag[16])
+		   uint8_t tag[TAG_BYTES])
 {
-	uint8_t part[16];
-
-	/* The tag stands inside: hash what is behind it, then the rest. */
-	crypto_shorthash_siphashx24(part, buf + SEAL_HEADER, len - SEAL_HEADER,
+	crypto_shorthash_siphashx24(tag, buf + TAG_BYTES, len - TAG_BYTES,
 				    seal->key);
-	uint8_t head[AT_TAG + 16];
-
-	memcpy(head, buf, AT_TAG);
-	memcpy(head + AT_TAG, part, 16);
-	crypto_shorthash_siphashx24(tag, head, sizeof(head), seal->key);
 }
 
 size_t seal_close(seal_t *seal, uint8_t kind, uint64_t wall_ms, uint8_t *buf,
@@ -182,14 +178,14 @@
 {
 	size_t len = SEAL_HEADER + body_len;
 
-	buf[0] = SEAL_MAGIC;
-	buf[1] = SEAL_VERSION;
+	buf[AT_MAGIC] = SEAL_MAGIC;
+	buf[AT_VERSION] = SEAL_VERSION;
 	buf[AT_KIND] = kind;
-	buf[3] = 0;
+	buf[AT_ZERO] = 0;
 	put64(buf + AT_SESSION, seal->session);
 	put64(buf + AT_NUMBER, ++seal->number);
 	put64(buf + AT_CLOCK, wall_ms);
-	tag_of(seal, buf, len, buf + AT_TAG);
+	tag_of(seal, buf, len, buf);
 	return len;
 }
 
@@ -265,16 +261,16 @@
 			size_t len, uint8_t *kind, const uint8_t **body,
 			size_t *body_len)
 {
-	uint8_t tag[16];
+	uint8_t tag[TAG_BYTES];
 	uint64_t clock_ms;
 	session_t *s;
 
 	if (len < SEAL_HEADER)
 		return SEAL_SHORT;
-	if (buf[0] != SEAL_MAGIC || buf[1] != SEAL_VERSION)
+	if (buf[AT_MAGIC] != SEAL_MAGIC || buf[AT_VERSION] != SEAL_VERSION)
 		return SEAL_FOREIGN;
 	tag_of(seal, buf, len, tag);
-	if (sodium_memcmp(tag, buf + AT_TAG, sizeof(tag)))
+	if (sodium_memcmp(tag, buf, sizeof(tag)))
 		return SEAL_FORGED;
 	clock_ms = get64(buf + AT_CLOCK);
 	if (clock_ms + SEAL_SKEW_MS < wall_ms ||
