--- a/test/world.h
+++ b/test/world.h
@@ -44,6 +44,8 @@
 	double service_ms;    /* of the servers; 0 is 5 */
 	const double *speeds; /* a target, NULL: all 1 */
 	unsigned queue;	      /* of the servers; 0 is 10000 */
+	mechanisms_t off;     /* of balancers and agents */
+	bool naive;	      /* run naive.h in place of the library */
 } world_options_t;
 
 /* A request's end, kept by the world. */
@@ -136,4 +138,13 @@
 typedef void (*world_tap_fn)(void *ctx, const packet_t *p);
 void world_tap(world_t *w, world_tap_fn tap, void *ctx);
 
+/* Sees each packet that is about to be sent, or handed to a process on the
+ * same host. One to a process that is not there is not seen. */
+typedef void (*world_watch_fn)(void *ctx, place_t from, place_t to,
+			       const packet_t *p);
+void world_watch(world_t *w, world_watch_fn watch, void *ctx);
+
+/* True when the process runs. */
+bool world_alive(world_t *w, place_kind_t kind, unsigned index);
+
 #endif
