Cause each fault at each step of a request, beside a naive version

A table of 25 faults (process, network, configuration, loss of a host) and 11 steps of a request runs in the model of the whole system. The step is found on the wire; what callers and backend servers saw is counted: broken, doubled, missing, misrouted, untrue refusals, told without a word, hung. The same cells run against hash modulo live targets with flow tables on each balancer.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,8 @@
 # What the tests share: the harness, the model of a backend server.
 TEST_OBJ = $(BUILD)/test/harness.o $(BUILD)/test/app_server.o \
 	$(BUILD)/test/world.o $(BUILD)/test/world_network.o \
-	$(BUILD)/test/world_process.o $(BUILD)/test/naive.o
+	$(BUILD)/test/world_process.o $(BUILD)/test/naive.o \
+	$(BUILD)/test/matrix.o $(BUILD)/test/matrix_faults.o
 $(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(TEST_OBJ)
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
--- a/test/world.c
+++ b/test/world.c
@@ -179,19 +179,26 @@
 	return broken;
 }
 
-void world_records(const world_t *w, uint64_t *records, uint64_t *doubled)
+static GHashTable *all_records(const world_t *w)
 {
 	GHashTable *all = g_hash_table_new(NULL, NULL);
-	GHashTableIter iter;
-	gpointer id, count;
 
-	*records = 0;
-	*doubled = 0;
 	world_add_records(all, w->records);
 	for (unsigned i = 0; i < w->nagents; i++)
 		if (w->servers[i].server)
 			world_add_records(
 				all, app_server_records(w->servers[i].server));
+	return all;
+}
+
+void world_records(const world_t *w, uint64_t *records, uint64_t *doubled)
+{
+	GHashTable *all = all_records(w);
+	GHashTableIter iter;
+	gpointer id, count;
+
+	*records = 0;
+	*doubled = 0;
 	g_hash_table_iter_init(&iter, all);
 	while (g_hash_table_iter_next(&iter, &id, &count)) {
 		*records += GPOINTER_TO_SIZE(count);
@@ -199,3 +206,12 @@
 	}
 	g_hash_table_destroy(all);
 }
+
+size_t world_recorded(const world_t *w, uint64_t id)
+{
+	GHashTable *all = all_records(w);
+	gpointer count = g_hash_table_lookup(all, GSIZE_TO_POINTER(id));
+
+	g_hash_table_destroy(all);
+	return GPOINTER_TO_SIZE(count);
+}
--- a/test/world.h
+++ b/test/world.h
@@ -114,6 +114,10 @@
 		     const char *text);
 void world_configure_all(world_t *w, const char *text);
 
+/* Starts agents and servers of a document's new targets; in force nowhere
+ * else yet. */
+void world_declare(world_t *w, const char *text);
+
 balancer_t *world_balancer(world_t *w, unsigned index);
 agent_t *world_agent(world_t *w, unsigned index);
 app_server_t *world_server(world_t *w, unsigned index);
@@ -130,6 +134,9 @@
 size_t world_broken(const world_t *w);
 void world_records(const world_t *w, uint64_t *records, uint64_t *doubled);
 
+/* How often an id was recorded, by any server ever. */
+size_t world_recorded(const world_t *w, uint64_t id);
+
 /* A caller's own packet, put into the fabric: balancer UINT32_MAX is any. */
 void world_inject(world_t *w, unsigned balancer, const uint8_t *packet,
 		  size_t len);
--- a/test/world_process.c
+++ b/test/world_process.c
@@ -318,15 +318,30 @@
 	config_unref(config);
 }
 
+static void declare(world_t *w, config_t *config)
+{
+	config_unref(w->first);
+	w->first = config_ref(config);
+	world_add_agents(w, config);
+}
+
+void world_declare(world_t *w, const char *text)
+{
+	config_t *config = parse(text);
+
+	if (!config)
+		return;
+	declare(w, config);
+	config_unref(config);
+}
+
 void world_configure_all(world_t *w, const char *text)
 {
 	config_t *config = parse(text);
 
 	if (!config)
 		return;
-	config_unref(w->first);
-	w->first = config_ref(config);
-	world_add_agents(w, config);
+	declare(w, config);
 	for (unsigned i = 0; i < w->nbalancers; i++)
 		configure(&w->balancers[i], config);
 	for (unsigned i = 0; i < w->nagents; i++)
