Play the named failures, with and without their mechanism

Twenty-five named cases (planned changes, losses, load) run in the model; a second program plays the eleven that prove a mechanism with it switched off and wants them to fail.

--- a/test/matrix.h
+++ b/test/matrix.h
@@ -14,7 +14,8 @@
 
 #define MATRIX_FAULTS_MAX 32
 #define MATRIX_STEPS_MAX  16
-#define CELL_REQUESTS	  64
+#define CELL_REQUESTS	  2048
+#define CELL_AGENTS	  16
 #define CELL_AGENDA	  16
 
 /* What a fault may cost. */
@@ -82,6 +83,9 @@
 	agenda_t agenda[CELL_AGENDA];
 	size_t nagenda;
 	uint64_t misrouted; /* packets at a server of another service */
+	uint64_t opens_at[CELL_AGENTS];	    /* SYNs handed to a server */
+	uint64_t last_open_ms[CELL_AGENTS]; /* the last of them */
+	bool copy_opens; /* each SYN goes to the next balancer too */
 };
 
 typedef struct cell_counts {
@@ -119,7 +123,22 @@
 
 const char *fault_class_name(fault_class_t class);
 
+/*
+ * A cell without a fault, for cases that play their own: begin, then requests
+ * and faults, then end, which waits for the requests, counts and frees. The
+ * options' document, balancers, seed, delay and service time are set when 0.
+ */
+void cell_begin(cell_t *c, const world_options_t *options);
+void cell_end(cell_t *c, cell_counts_t *counts);
+size_t cell_request(cell_t *c, app_kind_t kind);
+const flow_seen_t *cell_seen(const cell_t *c, size_t request);
+
+/* Lets time pass and ends the faults that are due. */
+void cell_run(cell_t *c, uint64_t ms);
+
 /* Used by the tables of faults and steps. */
+const fault_t *matrix_fault(const char *name);
+void cell_cause(cell_t *c, const fault_t *fault);
 uint64_t cell_random(cell_t *c);
 char *cell_text(const cell_document_t *d); /* the caller frees it */
 const flow_seen_t *cell_subject(const cell_t *c);
