--- a/src/agent.c
+++ b/src/agent.c
@@ -89,6 +89,13 @@
 	return x ^ (x >> 31);
 }
 
+double agent_capacity(const agent_t *a)
+{
+	if (without(a->options.off, MECHANISM_LEARNING))
+		return 0;
+	return capacity_value(&a->capacity);
+}
+
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load)
 {
 	(void)now;
@@ -99,7 +106,7 @@
 	if (a->leaving || !a->configured || a->target->state != TARGET_ACTIVE)
 		load->state = MEMBER_LEAVING;
 	load->work = a->work;
-	load->capacity = (uint32_t)(capacity_value(&a->capacity) * THOUSAND);
+	load->capacity = (uint32_t)(agent_capacity(a) * THOUSAND);
 	load->in_flight = a->in_flight;
 	load->held = (uint32_t)flow_table_count(a->flows);
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
@@ -138,6 +145,8 @@
 	char text[REFUSAL_TEXT];
 	size_t len;
 
+	if (without(a->options.off, MECHANISM_REFUSAL))
+		return;
 	refusal_format(word, RETRY_AFTER_S, text);
 	len = packet_build_reset(p, text, buf);
 	if (!len)
@@ -172,7 +181,7 @@
 		flow_forget(a, f);
 		f = NULL;
 	}
-	if (f && f->state > FLOW_DENIED && flow_matches(f, &in->packet)) {
+	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
 		if (in->step == STEP_OPEN || in->nasked || in->nunasked)
 			agent_tell(a, in, false, false);
 		flow_deliver(a, now, f, &in->packet);
@@ -213,8 +222,9 @@
 	}
 	if (msg->version > a->config->version)
 		a->ops.behind(a->ctx, from, msg->version);
-	if (msg->service != a->service->id ||
-	    !class_of(a, &in.packet, &index)) {
+	if (!without(a->options.off, MECHANISM_SERVICE_CHECK) &&
+	    (msg->service != a->service->id ||
+	     !class_of(a, &in.packet, &index))) {
 		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
 		return;
 	}
--- a/test/cases_change.c
+++ b/test/cases_change.c
@@ -4,6 +4,7 @@
 #define PARTS	      60 /* of a feed, 200 ms apart */
 #define LONG_PARTS    250
 #define SPOTS	      4
+#define MID_UPLOAD_MS 16   /* after the SYN */
 #define LEAVING_MS    5000 /* no open at a leaving target after this */
 #define FROZEN_MS     60000
 #define DELETED_MS    20000 /* longer than a silent member is remembered */
@@ -139,10 +140,11 @@
 
 	case_begin(run, &(world_options_t){ 0 });
 	case_feeds(run, FEEDS, PARTS);
-	for (unsigned i = 0; i < 4; i++)
-		cell_request(c, APP_LOG);
-	cell_run(c, 100);
+	cell_run(c, 500);
 	for (unsigned i = 0; i < SPOTS; i++) {
+		for (unsigned j = 0; j < SPOTS; j++)
+			cell_request(c, APP_LOG);
+		world_run(c->w, MID_UPLOAD_MS);
 		world_kill(c->w, PLACE_AGENT, i);
 		cell_run(c, 300);
 		world_restart(c->w, PLACE_AGENT, i);
--- a/test/world_int.h
+++ b/test/world_int.h
@@ -18,6 +18,7 @@
 
 typedef enum event_kind {
 	EVENT_TICK,
+	EVENT_DUE,     /* a server finishes work */
 	EVENT_PACKET,  /* a plain IPv4 packet */
 	EVENT_MESSAGE, /* a packed message */
 	EVENT_REFUSED, /* nothing listens at the server */
@@ -42,6 +43,7 @@
 	bool frozen;
 	bool in_fabric; /* balancers */
 	uint64_t life;	/* raised at each start */
+	uint64_t due;	/* of the EVENT_DUE that is posted, 0 for none */
 	endpoint_t listen;
 	char target[NAME_BYTES];
 	config_t *config; /* owned */
--- a/test/world_network.c
+++ b/test/world_network.c
@@ -205,6 +205,28 @@
 		app_server_input(p->server, now, e->bytes, e->len);
 }
 
+static void take_due(process_state_t *p, const event_t *e)
+{
+	if (p->life != e->life || !p->server)
+		return;
+	p->due = 0;
+	app_server_run(p->server, p->world->now);
+}
+
+/* Posts an event for when the server finishes its next work. */
+static void post_due(process_state_t *p)
+{
+	uint64_t due = app_server_due(p->server);
+
+	if (due == UINT64_MAX || (p->due && p->due <= due))
+		return;
+	p->due = due;
+	if (due < p->world->now)
+		due = p->world->now;
+	world_post(p->world, due, EVENT_DUE, p->place, p->place, MSG_NONE, NULL,
+		   0);
+}
+
 static void to_caller(world_t *w, event_t *e)
 {
 	packet_t p;
@@ -233,9 +255,13 @@
 			take_message(p, e);
 		else if (e->kind == EVENT_PACKET)
 			take_packet(p, e);
+		else if (e->kind == EVENT_DUE)
+			take_due(p, e);
 		else if (p->agent)
 			agent_server_gone(p->agent, w->now);
 	}
+	if (p && p->server && !p->frozen)
+		post_due(p);
 }
 
 void world_run(world_t *w, uint64_t ms)
--- a/test/world_process.c
+++ b/test/world_process.c
@@ -82,9 +82,10 @@
 	balancer_options_t options = { .self = p->listen,
 				       .rank_seed = WORLD_RANK_SEED,
 				       .cache_flows = 4096,
-				       .retry_percent = 10 };
+				       .retry_percent = 10,
+				       .off = p->world->options.off,
+				       .policy = p->world->options.policy };
 
-	options.off = p->world->options.off;
 	if (p->world->options.naive) {
 		p->naive = naive_balancer_new(&options, &ops, p);
 		naive_configure(p->naive, p->world->now, p->config);
@@ -103,10 +104,11 @@
 				    .incarnation = 1000 + p->life,
 				    .random_seed = p->place.index + 1,
 				    .flows = 65536,
-				    .queue = 1000 };
+				    .queue = 1000,
+				    .off = p->world->options.off,
+				    .policy = p->world->options.policy };
 
 	g_strlcpy(options.target, p->target, sizeof(options.target));
-	options.off = p->world->options.off;
 	if (p->world->options.naive) {
 		p->naive = naive_agent_new(&options, &ops, p);
 		naive_configure(p->naive, p->world->now, p->config);
@@ -121,7 +123,13 @@
 	static const app_server_ops_t ops = { server_output };
 	const world_options_t *o = &p->world->options;
 	const target_t *t;
-	app_server_options_t options = { .speed = 1, .service_ms = 5 };
+	app_server_options_t options = { .speed = 1,
+					 .service_ms = 5,
+					 .chunk_ms = o->chunk_ms,
+					 .spread = o->spread,
+					 .cold_ms = o->cold_ms,
+					 .cold_speed = o->cold_speed,
+					 .report_factor = o->report_factor };
 
 	config_target_by_name(p->world->first, p->target, &t);
 	options.slots = t ? t->slots : 1;
@@ -130,6 +138,7 @@
 	options.queue = o->queue ? o->queue : 10000;
 	if (o->service_ms > 0)
 		options.service_ms = o->service_ms;
+	memcpy(options.class_cost, o->class_cost, sizeof(options.class_cost));
 	if (o->speeds)
 		options.speed = o->speeds[p->place.index];
 	p->server = app_server_new(&options, &ops, p);
@@ -143,6 +152,7 @@
 	p->alive = true;
 	p->frozen = false;
 	p->life++;
+	p->due = 0;
 	if (p->place.kind == PLACE_BALANCER)
 		start_balancer(p);
 	else if (p->place.kind == PLACE_AGENT)
