--- a/test/world.c
+++ b/test/world.c
@@ -55,7 +55,7 @@
 		g_free(w);
 		return NULL;
 	}
-	w->events = g_sequence_new(g_free);
+	w->events = g_ptr_array_new();
 	w->results = g_ptr_array_new_with_free_func(g_free);
 	w->records = g_hash_table_new(NULL, NULL);
 	w->caller = caller_new(&ops, w, CALLER_IP, options->seed);
@@ -80,7 +80,8 @@
 		config_unref(w->servers[i].config);
 	}
 	caller_free(w->caller);
-	g_sequence_free(w->events);
+	g_ptr_array_set_free_func(w->events, g_free);
+	g_ptr_array_free(w->events, TRUE);
 	g_ptr_array_free(w->results, TRUE);
 	g_hash_table_destroy(w->records);
 	wire_arena_clear(&w->arena);
--- a/test/world_int.h
+++ b/test/world_int.h
@@ -64,7 +64,7 @@
 	uint64_t now;
 	uint64_t numbers;
 	uint64_t random;
-	GSequence *events;
+	GPtrArray *events; /* event_t, a binary heap, owned */
 	process_state_t balancers[WORLD_BALANCERS];
 	unsigned nbalancers;
 	process_state_t agents[WORLD_AGENTS];
@@ -95,6 +95,7 @@
 		    msg_kind_t msg, const uint8_t *bytes, size_t len);
 void world_to_fabric(world_t *w, unsigned balancer, const uint8_t *packet,
 		     size_t len);
+/* Takes the event over. */
 void world_dispatch(world_t *w, event_t *e);
 
 /* world_process.c */
--- a/test/world_network.c
+++ b/test/world_network.c
@@ -33,15 +33,46 @@
 	}
 }
 
-static gint compare_events(gconstpointer a, gconstpointer b, gpointer data)
+static bool before(const event_t *a, const event_t *b)
 {
-	const event_t *x = a;
-	const event_t *y = b;
+	return a->time != b->time ? a->time < b->time : a->number < b->number;
+}
+
+/* The events are a binary heap, the next one in front. */
+static void push(world_t *w, event_t *e)
+{
+	GPtrArray *heap = w->events;
+	guint i = heap->len;
+
+	e->number = w->numbers++;
+	g_ptr_array_add(heap, e);
+	for (; i && before(e, heap->pdata[(i - 1) / 2]); i = (i - 1) / 2)
+		heap->pdata[i] = heap->pdata[(i - 1) / 2];
+	heap->pdata[i] = e;
+}
 
-	(void)data;
-	if (x->time != y->time)
-		return x->time < y->time ? -1 : 1;
-	return x->number < y->number ? -1 : 1;
+/* Takes the next event up to a time; NULL when there is none. */
+static event_t *pop(world_t *w, uint64_t until)
+{
+	GPtrArray *heap = w->events;
+	event_t *first, *last;
+	guint i = 0;
+
+	if (!heap->len || ((event_t *)heap->pdata[0])->time > until)
+		return NULL;
+	first = heap->pdata[0];
+	last = heap->pdata[--heap->len];
+	for (guint child = 1; child < heap->len; child = 2 * i + 1) {
+		if (child + 1 < heap->len &&
+		    before(heap->pdata[child + 1], heap->pdata[child]))
+			child++;
+		if (before(last, heap->pdata[child]))
+			break;
+		heap->pdata[i] = heap->pdata[child];
+		i = child;
+	}
+	heap->pdata[i] = last;
+	return first;
 }
 
 void world_post(world_t *w, uint64_t time, event_kind_t kind, place_t from,
@@ -51,7 +82,6 @@
 	event_t *e = g_malloc(sizeof(*e) + len);
 
 	e->time = time;
-	e->number = w->numbers++;
 	e->kind = kind;
 	e->from = from;
 	e->to = to;
@@ -60,7 +90,7 @@
 	e->len = len;
 	if (len)
 		memcpy(e->bytes, bytes, len);
-	g_sequence_insert_sorted(w->events, e, compare_events, NULL);
+	push(w, e);
 }
 
 static bool is_cut(const world_t *w, place_t from, place_t to)
@@ -139,7 +169,8 @@
 	world_to_fabric(w, balancer, packet, len);
 }
 
-static void tick(world_t *w, event_t *e)
+/* Returns false when the process is gone; else the event comes again. */
+static bool tick(world_t *w, event_t *e)
 {
 	process_state_t *p = world_state_of(w, e->to);
 	uint64_t period = TCP_TICK_MS;
@@ -147,7 +178,7 @@
 	if (!p) {
 		caller_tick(w->caller, w->now);
 	} else if (p->life != e->life || !p->alive) {
-		return;
+		return false;
 	} else if (p->balancer) {
 		period = TICK_MS;
 		if (!p->frozen)
@@ -163,8 +194,9 @@
 	} else if (!p->frozen) {
 		app_server_tick(p->server, w->now);
 	}
-	world_post(w, w->now + period, EVENT_TICK, e->to, e->to, MSG_NONE, NULL,
-		   0);
+	e->time = w->now + period;
+	push(w, e);
+	return true;
 }
 
 static endpoint_t listen_of(world_t *w, place_t place)
@@ -236,30 +268,36 @@
 	caller_input(w->caller, w->now, e->bytes, e->len);
 }
 
+static void take(process_state_t *p, event_t *e)
+{
+	if (e->kind == EVENT_MESSAGE)
+		take_message(p, e);
+	else if (e->kind == EVENT_PACKET)
+		take_packet(p, e);
+	else if (e->kind == EVENT_DUE)
+		take_due(p, e);
+	else if (p->agent)
+		agent_server_gone(p->agent, p->world->now);
+}
+
 void world_dispatch(world_t *w, event_t *e)
 {
 	process_state_t *p = world_state_of(w, e->to);
+	bool kept = false;
 
 	if (e->kind == EVENT_TICK) {
-		tick(w, e);
+		kept = tick(w, e);
 	} else if (!p) {
 		to_caller(w, e);
 	} else if (p->alive && p->frozen) {
-		if (g_queue_get_length(&p->waiting) < FROZEN_MAX) {
-			event_t *copy = g_memdup2(e, sizeof(*e) + e->len);
-
-			g_queue_push_tail(&p->waiting, copy);
-		}
+		kept = g_queue_get_length(&p->waiting) < FROZEN_MAX;
+		if (kept)
+			g_queue_push_tail(&p->waiting, e);
 	} else if (p->alive) {
-		if (e->kind == EVENT_MESSAGE)
-			take_message(p, e);
-		else if (e->kind == EVENT_PACKET)
-			take_packet(p, e);
-		else if (e->kind == EVENT_DUE)
-			take_due(p, e);
-		else if (p->agent)
-			agent_server_gone(p->agent, w->now);
+		take(p, e);
 	}
+	if (!kept)
+		g_free(e);
 	if (p && p->server && !p->frozen)
 		post_due(p);
 }
@@ -267,21 +305,11 @@
 void world_run(world_t *w, uint64_t ms)
 {
 	uint64_t until = w->now + ms;
+	event_t *e;
 
-	for (;;) {
-		GSequenceIter *first = g_sequence_get_begin_iter(w->events);
-		event_t *e;
-
-		if (g_sequence_iter_is_end(first))
-			break;
-		e = g_sequence_get(first);
-		if (e->time > until)
-			break;
+	while ((e = pop(w, until))) {
 		w->now = e->time;
-		e = g_memdup2(e, sizeof(*e) + e->len);
-		g_sequence_remove(first);
 		world_dispatch(w, e);
-		g_free(e);
 	}
 	w->now = until;
 }
--- a/test/world_process.c
+++ b/test/world_process.c
@@ -262,10 +262,8 @@
 	event_t *e;
 
 	p->frozen = false;
-	while ((e = g_queue_pop_head(&p->waiting))) {
+	while ((e = g_queue_pop_head(&p->waiting)))
 		world_dispatch(w, e);
-		g_free(e);
-	}
 }
 
 void world_hand_over(world_t *w, unsigned agent)
