--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -10,6 +10,7 @@
 #define TOML_EXCEPTIONS	  1
 #include <toml++/toml.h>
 #include "toml_reader.h"
+#include "toml_text.h"
 #include <cmath>
 #include <cstring>
 #include <string_view>
@@ -443,9 +444,10 @@
 	bool agent = out->role == ROLE_AGENT;
 
 	if (balancer)
-		r.only(root, { "name", "zone", "packets", "listen", "operators",
-			       "key_file", "config_file", "platform", "peers",
-			       "stop_ms", "cache_flows", "retry_percent" });
+		r.only(root,
+		       { "name", "zone", "packets", "fabric", "listen",
+			 "operators", "key_file", "config_file", "platform",
+			 "peers", "stop_ms", "cache_flows", "retry_percent" });
 	else if (agent)
 		r.only(root, { "name", "zone", "target", "listen", "operators",
 			       "fabric", "server", "delivery", "key_file",
@@ -470,8 +472,10 @@
 		r.refuse(ERR_RANGE, *root.get("platform"),
 			 "write it as \"http://192.0.2.1:8000\"",
 			 "\"platform\" is no HTTP address");
-	if (balancer)
+	if (balancer) {
 		r.address(root, "packets", true, &out->packets);
+		r.address(root, "fabric", false, &out->fabric);
+	}
 	if (agent) {
 		r.string(root, "target", true, out->target,
 			 sizeof(out->target));
@@ -487,6 +491,8 @@
 {
 	reader r = { file, err };
 
+	if (toml_text_check(file, text, len, err) < 0)
+		return -1;
 	try {
 		toml::table root =
 			toml::parse(std::string_view(text, len),
