Tell callers at once what became of their flows

Cause: a backend server that was lost, restarted, silent or shedding left callers without a word: flows hung, or its own reset went through bare. The agent now tells the callers of all held flows at once, "not run" only when no byte was delivered, with the number that a caller accepts (and answers a challenge with its own number). A SYN that the server refuses is offered to at most 3 other members unless it carried data. The losing half of two half-open flows is cleaned up whatever the caller sends next. Idle callers are asked after 30 minutes and given up after 3 more. Quiet flows cost nothing at a tick. Hints for looked-up packets are bounded to 1 KB/s.

--- a/src/agent.c
+++ b/src/agent.c
@@ -4,9 +4,15 @@
 #include <string.h>
 
 #define THOUSAND 1000.0
+/* Bytes of one hint, and bytes a second and at once of hints for lookups. */
+#define HINT_BYTES 160
+#define HINT_RATE  1000
+#define HINT_BURST 16000
 
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
+static bool hint_allowed(agent_t *a, uint64_t now);
+static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f);
 static const class_t *class_of(const agent_t *a, const packet_t *p,
 			       uint32_t *index);
 
@@ -23,6 +29,7 @@
 	a->incarnation = options->incarnation;
 	a->random = options->random_seed;
 	a->flows = flow_table_new(options->flows);
+	a->hint_credit = HINT_BURST;
 	a->silences = silences_new();
 	if (!a->flows || !a->silences) {
 		agent_free(a);
@@ -111,7 +118,7 @@
 	load->in_flight = a->in_flight;
 	load->held = (uint32_t)flow_table_count(a->flows);
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
-	load->full = admit_full(a);
+	load->full = admit_full(a) || a->server_down;
 }
 
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone)
@@ -173,17 +180,59 @@
 	return NULL;
 }
 
+/* Hints for packets that were looked up are bounded in bytes a second. */
+static bool hint_allowed(agent_t *a, uint64_t now)
+{
+	uint64_t earned = (now - a->hint_ms) * HINT_RATE / 1000;
+
+	if (earned) {
+		a->hint_ms = now;
+		a->hint_credit = earned > HINT_BURST - (uint64_t)a->hint_credit
+					 ? HINT_BURST
+					 : a->hint_credit + (int32_t)earned;
+	}
+	if (a->hint_credit < HINT_BYTES) {
+		counter_add(&a->counters, COUNTER_HINTS_WITHHELD, 1);
+		return false;
+	}
+	a->hint_credit -= HINT_BYTES;
+	return true;
+}
+
+/*
+ * A SYN that came before. Returns true when it was dealt with: its flow is
+ * over, refused, or the caller took another answer to it.
+ */
+static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f)
+{
+	if (f->key.proto != PROTO_TCP || f->caller_isn != in->packet.seq ||
+	    (f->state != FLOW_CLOSING && f->state != FLOW_LOST))
+		return false;
+	if (f->told)
+		agent_refuse(a, &in->packet, flow_word(f));
+	agent_tell(a, in, true, false);
+	return true;
+}
+
 void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in)
 {
 	flow_t *f = flow_table_find(a->flows, &in->packet.key, in->hash);
 
-	if (f && f->state == FLOW_CLOSING && packet_is_open(&in->packet) &&
-	    f->caller_isn != in->packet.seq) {
-		flow_forget(a, f);
-		f = NULL;
+	if (f && packet_is_open(&in->packet) && finished_open(a, in, f))
+		return;
+	if (f && f->state == FLOW_CLOSING) {
+		if (packet_is_open(&in->packet)) {
+			flow_forget(a, f);
+			f = NULL;
+		} else if (f->told) {
+			agent_refuse(a, &in->packet, flow_word(f));
+			return;
+		}
 	}
 	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
-		if (in->step == STEP_OPEN || in->nasked || in->nunasked)
+		if (in->step == STEP_OPEN)
+			agent_tell(a, in, false, false);
+		else if (in->nasked && hint_allowed(a, now))
 			agent_tell(a, in, false, false);
 		flow_deliver(a, now, f, &in->packet);
 		return;
@@ -303,6 +352,7 @@
 	if (!a->service)
 		return;
 	flows_tick(a, now);
+	server_tick(a, now);
 	silences_tick(a, now);
 	membership_tick(a, now);
 	a->last_tick_ms = now;
--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -63,6 +63,8 @@
 		msg.reply_port = in->reply.port;
 		msg.candidates = (uint32_t *)in->candidates + i + 1;
 		msg.n_candidates = in->ncandidates - i - 1;
+		msg.asked = (uint32_t *)in->asked;
+		msg.n_asked = in->nasked;
 		msg.inner.data = (uint8_t *)in->packet.data;
 		msg.inner.len = in->packet.len;
 		counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
@@ -96,8 +98,10 @@
 		self->work = a->work;
 	counter_add(&a->counters, COUNTER_FLOWS_OPENED, 1);
 	counter_add(&a->counters, COUNTER_OPENS_ACCEPTED, 1);
-	flow_deliver(a, now, f, p);
+	if (f->state == FLOW_OPENING)
+		trial_keep(f, in);
 	agent_tell(a, in, false, false);
+	flow_deliver(a, now, f, p);
 }
 
 static void refuse_open(agent_t *a, const arrival_t *in)
@@ -120,6 +124,8 @@
 	if (in->packet.payload_len == 0 || in->packet.key.proto == PROTO_UDP) {
 		if (pass_open(a, now, in))
 			return;
+		if (!may && offer_elsewhere(a, now, in))
+			return;
 	}
 	if (may)
 		take_open(a, now, in);
--- a/src/agent_answer.c
+++ b/src/agent_answer.c
@@ -4,6 +4,9 @@
 			  const packet_t *p);
 static flow_t *adopt(agent_t *a, uint64_t now, const packet_t *p,
 		     const flow_key_t *key, uint64_t hash);
+static void bare_reset(agent_t *a, uint64_t now, flow_t *f);
+static bool answers_probe(flow_t *f, const packet_t *p);
+static bool vanished(agent_t *a, uint64_t now, flow_t *f);
 
 static void follow_server(agent_t *a, uint64_t now, flow_t *f,
 			  const packet_t *p)
@@ -39,22 +42,65 @@
 {
 	flow_t *f;
 
+	bool half = p->key.proto == PROTO_TCP && p->flags & TCP_SYN;
+
 	if (p->key.proto == PROTO_TCP &&
-	    (p->flags & (TCP_RST | TCP_SYN) || !(p->flags & TCP_ACK)))
+	    (p->flags & TCP_RST || !(p->flags & TCP_ACK)))
 		return NULL;
 	f = flow_table_add(a->flows, key, hash, now);
 	if (!f)
 		return NULL;
 	f->caller_next = p->ack;
 	f->server_next = p->seq;
-	f->delivered = true;
+	/* Not known: an old one acknowledges nothing. */
+	f->caller_ack = p->seq - SEQ_NEAR / 2;
+	f->caller_isn = p->ack - 1;
+	f->delivered = !half;
 	flow_classify(a, f);
-	flow_enter(a, f, now, FLOW_ESTABLISHED);
+	/* A half-open flow goes on from its SYN-ACK. */
+	flow_enter(a, f, now, half ? FLOW_OPENING : FLOW_ESTABLISHED);
 	flow_count(a, f);
 	counter_add(&a->counters, COUNTER_FLOWS_ADOPTED, 1);
 	return f;
 }
 
+/*
+ * The backend server disowns a flow without a word: it refused the open, gave
+ * the flow up, or has started anew.
+ */
+static void bare_reset(agent_t *a, uint64_t now, flow_t *f)
+{
+	if (f->state == FLOW_OPENING) {
+		offer_refused(a, now, f);
+		return;
+	}
+	if (f->probed)
+		a->server_doubted = true;
+	flow_tell(a, now, f);
+}
+
+/* The acknowledgement that we asked for is not the caller's matter. */
+static bool answers_probe(flow_t *f, const packet_t *p)
+{
+	if (!f->probed || p->key.proto != PROTO_TCP || p->payload_len ||
+	    p->flags != TCP_ACK)
+		return false;
+	f->probed = false;
+	return p->seq == f->server_next && p->ack == f->caller_next;
+}
+
+/* The caller has been silent for too long while its server sends. */
+static bool vanished(agent_t *a, uint64_t now, flow_t *f)
+{
+	if (f->state != FLOW_ESTABLISHED || f->key.proto != PROTO_TCP ||
+	    f->caller_ms + VANISHED_MS > now)
+		return false;
+	counter_add(&a->counters, COUNTER_FLOWS_EXPIRED, 1);
+	flow_reset_server(a, f);
+	flow_enter(a, f, now, FLOW_CLOSING);
+	return true;
+}
+
 void agent_answer(agent_t *a, uint64_t now, const uint8_t *packet, size_t len)
 {
 	packet_t p;
@@ -68,7 +114,7 @@
 		counter_add(&a->counters, COUNTER_ANSWERS_UNKNOWN, 1);
 		return;
 	}
-	a->server_down = false;
+	server_heard(a, now);
 	key = flow_key_reverse(&p.key);
 	hash = flow_key_hash(&key, a->options.rank_seed);
 	f = flow_table_find(a->flows, &key, hash);
@@ -85,22 +131,25 @@
 	}
 	if (!f)
 		f = adopt(a, now, &p, &key, hash);
-	if (!f || f->state == FLOW_DENIED || f->state == FLOW_LOST) {
+	if (f && f->state == FLOW_LOST && p.flags & TCP_SYN)
+		flow_reset_server(a, f);
+	if (!f || f->state == FLOW_DENIED || f->state == FLOW_LOST || f->told) {
 		counter_add(&a->counters,
 			    p.flags & TCP_RST ? COUNTER_RESETS_SWALLOWED
 					      : COUNTER_ANSWERS_UNKNOWN,
 			    1);
 		return;
 	}
+	if (p.flags & TCP_RST && p.payload_len == 0 &&
+	    f->state != FLOW_CLOSING) {
+		bare_reset(a, now, f);
+		return;
+	}
+	if (answers_probe(f, &p))
+		return;
 	flow_table_touch(a->flows, f, now);
 	follow_server(a, now, f, &p);
+	if (vanished(a, now, f))
+		return;
 	a->ops.reply(a->ctx, p.data, p.len);
 }
-
-void agent_server_gone(agent_t *a, uint64_t now)
-{
-	if (!a->server_down)
-		agent_audit(a, "server-gone", "nothing listens at its tunnel");
-	a->server_down = true;
-	a->server_down_ms = now;
-}
--- a/src/agent_flow.c
+++ b/src/agent_flow.c
@@ -1,14 +1,14 @@
 #include "agent_int.h"
-
-/* Sequence numbers of one flow stay this close to each other, in bytes. */
-#define SEQ_NEAR (16 * 1024 * 1024)
+#include <string.h>
 
 static bool near(uint32_t a, uint32_t b);
 static void follow_caller(agent_t *a, uint64_t now, flow_t *f,
 			  const packet_t *p);
 static void request_begin(agent_t *a, uint64_t now, flow_t *f);
-static uint64_t flow_lifetime(const flow_t *f);
-static bool flow_tick(agent_t *a, uint64_t now, flow_t *f);
+static void keepalive(agent_t *a, flow_t *f);
+static uint64_t brief_lifetime(const flow_t *f);
+static void brief_tick(agent_t *a, uint64_t now, flow_t *f);
+static void idle_tick(agent_t *a, uint64_t now, flow_t *f);
 
 static bool near(uint32_t a, uint32_t b)
 {
@@ -48,8 +48,11 @@
 
 void flow_enter(agent_t *a, flow_t *f, uint64_t now, flow_state_t state)
 {
+	if (f->state == FLOW_OPENING && state != FLOW_OPENING)
+		flow_drop_kept(f);
 	f->state = state;
 	f->state_ms = now;
+	flow_table_set_brief(a->flows, f, state != FLOW_ESTABLISHED);
 	if (state == FLOW_CLOSING || state == FLOW_LOST ||
 	    state == FLOW_DENIED) {
 		flow_request_end(a, now, f, false);
@@ -123,6 +126,8 @@
 			request_begin(a, now, f);
 		return;
 	}
+	if (p->flags & TCP_ACK)
+		f->caller_ack = p->ack;
 	if (p->flags & TCP_FIN) {
 		f->caller_fin = true;
 		next++;
@@ -145,48 +150,156 @@
 void flow_deliver(agent_t *a, uint64_t now, flow_t *f, const packet_t *p)
 {
 	flow_table_touch(a->flows, f, now);
+	f->caller_ms = now;
+	f->keepalives = 0;
 	if (!packet_is_open(p))
 		follow_caller(a, now, f, p);
+	else if (p->payload_len)
+		f->delivered = true;
 	counter_add(&a->counters, COUNTER_PACKETS_OUT, 1);
+	if (p->key.proto == PROTO_TCP && (packet_is_open(p) || p->payload_len))
+		server_asked(a, now);
 	a->ops.deliver(a->ctx, p->data, p->len);
 }
 
-static uint64_t flow_lifetime(const flow_t *f)
+refusal_t flow_word(const flow_t *f)
+{
+	return f->delivered ? REFUSAL_OUTCOME_UNKNOWN : REFUSAL_NOT_RUN;
+}
+
+/*
+ * The number is right if the caller has got all that its server sent; if not
+ * the caller answers, and that answer is refused with its own number (RFC
+ * 5961).
+ */
+void flow_tell(agent_t *a, uint64_t now, flow_t *f)
+{
+	packet_t reset = { .key = flow_key_reverse(&f->key),
+			   .seq = f->server_next,
+			   .ack = f->caller_next,
+			   .flags = TCP_RST | TCP_ACK };
+	char text[REFUSAL_TEXT];
+	uint8_t buf[PACKET_MAX];
+	size_t len;
+
+	f->told = true;
+	refusal_format(flow_word(f), RETRY_AFTER_S, text);
+	flow_enter(a, f, now, FLOW_CLOSING);
+	if (f->key.proto != PROTO_TCP ||
+	    without(a->options.off, MECHANISM_REFUSAL))
+		return;
+	reset.payload = (const uint8_t *)text;
+	reset.payload_len = strlen(text);
+	len = packet_build(&reset, buf);
+	counter_add(&a->counters, COUNTER_FLOWS_RESET, 1);
+	a->ops.reply(a->ctx, buf, len);
+}
+
+void flow_reset_server(agent_t *a, flow_t *f)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t reset = { .key = f->key,
+			   .seq = f->caller_next,
+			   .flags = TCP_RST };
+
+	if (f->key.proto != PROTO_TCP)
+		return;
+	a->ops.deliver(a->ctx, buf, packet_build(&reset, buf));
+}
+
+/*
+ * A segment that carries nothing and lies before the window: a server with
+ * the connection acknowledges it, one without it resets (RFC 793). It
+ * acknowledges no more than the caller did.
+ */
+void flow_probe(agent_t *a, flow_t *f)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t p = { .key = f->key,
+		       .seq = f->caller_next - SEQ_BEFORE,
+		       .ack = f->caller_ack,
+		       .flags = TCP_ACK,
+		       .window = UINT16_MAX };
+
+	f->probed = true;
+	a->ops.deliver(a->ctx, buf, packet_build(&p, buf));
+}
+
+/* Asks the caller in the server's name; its answer goes to the server. */
+static void keepalive(agent_t *a, flow_t *f)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t p = { .key = flow_key_reverse(&f->key),
+		       .seq = f->server_next - 1,
+		       .ack = f->caller_next,
+		       .flags = TCP_ACK,
+		       .window = UINT16_MAX };
+
+	f->keepalives++;
+	counter_add(&a->counters, COUNTER_KEEPALIVES, 1);
+	a->ops.reply(a->ctx, buf, packet_build(&p, buf));
+}
+
+static uint64_t brief_lifetime(const flow_t *f)
 {
 	switch (f->state) {
 	case FLOW_OPENING:
 	case FLOW_HALF:
 		return HALF_OPEN_MS;
-	case FLOW_CLOSING:
-	case FLOW_LOST:
-		return CLOSING_MS;
 	case FLOW_DENIED:
 		return f->silent ? TRIAL_AGAIN_MS : CLOSING_MS;
 	default:
-		return f->key.proto == PROTO_UDP ? UDP_IDLE_MS : IDLE_MS;
+		return CLOSING_MS;
 	}
 }
 
-/* Returns false when the flow was forgotten. */
-static bool flow_tick(agent_t *a, uint64_t now, flow_t *f)
+static void brief_tick(agent_t *a, uint64_t now, flow_t *f)
 {
-	uint64_t since =
-		f->state == FLOW_ESTABLISHED ? f->last_ms : f->state_ms;
-
 	if (f->state == FLOW_TRIAL) {
 		trial_tick(a, now, f);
-		return true;
+		return;
 	}
-	if (since + flow_lifetime(f) > now)
-		return true;
-	if (f->state != FLOW_CLOSING)
+	if (f->state_ms + brief_lifetime(f) > now)
+		return;
+	if (f->state == FLOW_OPENING || f->state == FLOW_HALF) {
 		counter_add(&a->counters, COUNTER_FLOWS_EXPIRED, 1);
+		flow_reset_server(a, f);
+	}
+	flow_forget(a, f);
+}
+
+static void idle_tick(agent_t *a, uint64_t now, flow_t *f)
+{
+	if (f->key.proto == PROTO_TCP && f->state == FLOW_ESTABLISHED &&
+	    f->keepalives < KEEPALIVES) {
+		keepalive(a, f);
+		flow_table_touch(a->flows, f, now);
+		return;
+	}
+	counter_add(&a->counters, COUNTER_FLOWS_EXPIRED, 1);
+	if (f->state == FLOW_ESTABLISHED)
+		flow_reset_server(a, f);
 	flow_forget(a, f);
-	return false;
 }
 
 void flows_tick(agent_t *a, uint64_t now)
 {
-	list_each_safe(node, after, flow_table_recent(a->flows))
-		flow_tick(a, now, list_entry(node, flow_t, recent));
+	static const struct {
+		uint8_t proto;
+		uint64_t idle_ms;
+	} kinds[] = { { PROTO_TCP, IDLE_MS }, { PROTO_UDP, UDP_IDLE_MS } };
+
+	list_each_safe(node, after, flow_table_brief(a->flows))
+		brief_tick(a, now, list_entry(node, flow_t, brief));
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(*kinds); i++) {
+		list_t *flows = flow_table_recent(a->flows, kinds[i].proto);
+
+		while (!list_empty(flows)) {
+			flow_t *f = list_entry(flows->next, flow_t, recent);
+
+			if (f->last_ms + kinds[i].idle_ms > now)
+				break;
+			idle_tick(a, now, f);
+		}
+	}
 }
--- a/src/agent_handover.c
+++ b/src/agent_handover.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 static flow_record_msg_t *record_of(const flow_t *f);
+static int export_list(list_t *flows, handover_msg_t *out);
 static void import_flow(agent_t *a, uint64_t now, const flow_record_msg_t *r);
 
 static flow_record_msg_t *record_of(const flow_t *f)
@@ -28,26 +29,13 @@
 	return r;
 }
 
-int agent_export(agent_t *a, handover_msg_t *out)
+static int export_list(list_t *flows, handover_msg_t *out)
 {
-	size_t n = flow_table_count(a->flows);
-
-	ct__handover__init(out);
-	out->complete =
-		a->complete && !without(a->options.off, MECHANISM_HANDOVER);
-	out->incarnation = a->incarnation;
-	out->target = a->target ? a->target->id : 0;
-	out->speed = (uint32_t)(a->capacity.speed * 1000);
-	out->flows = calloc(n + 1, sizeof(flow_record_msg_t *));
-	if (!out->flows)
-		return -1;
-	list_each(node, flow_table_recent(a->flows))
+	list_each(node, flows)
 	{
 		const flow_t *f = list_entry(node, flow_t, recent);
 		flow_record_msg_t *r;
 
-		if (without(a->options.off, MECHANISM_HANDOVER))
-			break;
 		if (f->state <= FLOW_DENIED || f->state == FLOW_LOST)
 			continue;
 		r = record_of(f);
@@ -58,6 +46,26 @@
 	return 0;
 }
 
+int agent_export(agent_t *a, handover_msg_t *out)
+{
+	size_t n = flow_table_count(a->flows);
+
+	ct__handover__init(out);
+	out->complete =
+		a->complete && !without(a->options.off, MECHANISM_HANDOVER);
+	out->incarnation = a->incarnation;
+	out->target = a->target ? a->target->id : 0;
+	out->speed = (uint32_t)(a->capacity.speed * 1000);
+	out->flows = calloc(n + 1, sizeof(flow_record_msg_t *));
+	if (!out->flows)
+		return -1;
+	if (without(a->options.off, MECHANISM_HANDOVER))
+		return 0;
+	if (export_list(flow_table_recent(a->flows, PROTO_TCP), out) < 0)
+		return -1;
+	return export_list(flow_table_recent(a->flows, PROTO_UDP), out);
+}
+
 void agent_export_free(handover_msg_t *out)
 {
 	for (size_t i = 0; i < out->n_flows; i++)
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -6,7 +6,8 @@
  *
  * agent.c dispatches, agent_admit.c decides on opens, agent_lookup.c finds
  * flows, agent_silence.c bounds lookups that can't be finished, agent_trial.c
- * asks the backend server for a flow, agent_answer.c handles the backend
+ * asks the backend server for a flow, agent_offer.c offers opens elsewhere,
+ * agent_server.c watches the backend server, agent_answer.c handles the backend
  * server's packets, agent_group.c talks to the other members, agent_handover.c
  * hands the flows over.
  */
@@ -18,10 +19,22 @@
 /* An open flow that stays half open for longer is given up. */
 #define HALF_OPEN_MS 20000
 /* A finished flow is kept for late packets. */
-#define CLOSING_MS 5000
-/* A flow without a packet for longer is forgotten. */
-#define IDLE_MS	    (24ULL * 3600 * 1000)
+#define CLOSING_MS  5000
 #define UDP_IDLE_MS 120000
+/*
+ * A caller whose flow is idle for IDLE_MS is asked whether it still is there.
+ * After KEEPALIVES without an answer, or when its backend server has sent
+ * into the void for VANISHED_MS, the server is told that it is gone.
+ */
+#define IDLE_MS	    (30 * 60 * 1000)
+#define KEEPALIVES  3
+#define VANISHED_MS (15 * 60 * 1000)
+/* Sequence numbers of one flow stay this close to each other, in bytes. */
+#define SEQ_NEAR (16 * 1024 * 1024)
+/* A segment so far before the window is answered by an acknowledgement. */
+#define SEQ_BEFORE (64 * 1024 * 1024)
+/* Members to which an open that a backend server refused is offered. */
+#define OFFERS_MAX 3
 /* Members that one lookup may name. */
 #define NAMED_MAX 1024
 /* Nothing is said for this long while a member could not be asked. */
@@ -50,7 +63,13 @@
 	bool leaving;		  /* the process is stopping */
 	bool complete;		  /* the table knows all flows */
 	bool server_down;	  /* the backend server's host said so */
-	uint64_t server_down_ms;
+	uint64_t server_heard_ms; /* last packet of the backend server */
+	uint64_t server_asked_ms; /* first one unanswered since, 0 for none */
+	uint64_t server_probe_ms; /* when the next probe is due */
+	bool server_lost;	  /* the callers of all flows were told */
+	bool server_doubted;	  /* all flows are to be probed */
+	int32_t hint_credit;	  /* bytes of hints that may be sent */
+	uint64_t hint_ms;	  /* when the credit was last raised */
 	uint64_t incarnation;
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
@@ -116,6 +135,26 @@
 void flow_request_end(agent_t *a, uint64_t now, flow_t *f, bool answered);
 void flows_tick(agent_t *a, uint64_t now);
 
+/* Resets the caller's flow with the true word. */
+void flow_tell(agent_t *a, uint64_t now, flow_t *f);
+/* The word that is true for a flow. */
+refusal_t flow_word(const flow_t *f);
+/* Resets the backend server's side of the flow. */
+void flow_reset_server(agent_t *a, flow_t *f);
+/* Asks the backend server whether it still has the flow. */
+void flow_probe(agent_t *a, flow_t *f);
+
+/* agent_server.c: whether the backend server is there */
+void server_heard(agent_t *a, uint64_t now);
+void server_asked(agent_t *a, uint64_t now);
+void server_tick(agent_t *a, uint64_t now);
+
+/* agent_offer.c: opens that this backend server does not take */
+/* Offers an open to a member that was not asked. False: none is left. */
+bool offer_elsewhere(agent_t *a, uint64_t now, const arrival_t *in);
+/* Offers a flow's kept SYN elsewhere or refuses it. Forgets the flow. */
+void offer_refused(agent_t *a, uint64_t now, flow_t *f);
+
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
 bool admit_full(const agent_t *a);
--- a/src/agent_lookup.c
+++ b/src/agent_lookup.c
@@ -33,6 +33,8 @@
 			   int tries);
 static void open_udp(agent_t *a, uint64_t now, const arrival_t *in);
 static void give_up_half_open(agent_t *a, uint64_t now, flow_t *f);
+static bool took_another(const flow_t *f, const packet_t *p);
+static void name_rest(agent_t *a, lookup_t *l);
 
 static bool named(const uint32_t *list, size_t n, uint32_t id)
 {
@@ -212,7 +214,7 @@
 
 	for (size_t i = 0; i < a->group.n; i++) {
 		member_t *m = &a->group.members[i];
-		rank_member_t r = { m->id, m->declared };
+		rank_member_t r = { m->id, m->declared * m->slots };
 		double score = rank_score(in->hash, &r);
 
 		if (!m->configured || m->draining || !member_reachable(m) ||
@@ -279,15 +281,24 @@
 /* The caller took another answer to its SYN: our server forgets it. */
 static void give_up_half_open(agent_t *a, uint64_t now, flow_t *f)
 {
-	uint8_t buf[PACKET_MAX];
-	packet_t reset = { .key = f->key,
-			   .seq = f->caller_isn + 1,
-			   .flags = TCP_RST };
-	size_t len = packet_build(&reset, buf);
-
 	counter_add(&a->counters, COUNTER_HALF_OPEN_LOST, 1);
+	flow_reset_server(a, f);
 	flow_enter(a, f, now, FLOW_LOST);
-	a->ops.deliver(a->ctx, buf, len);
+}
+
+/*
+ * The packet belongs to the connection whose SYN we delivered, but the caller
+ * acknowledges what our server never said.
+ */
+static bool took_another(const flow_t *f, const packet_t *p)
+{
+	int32_t ahead = seq_diff(p->seq, f->caller_isn + 1);
+
+	if (!(p->flags & TCP_ACK) || ahead < 0 || ahead > SEQ_NEAR)
+		return false;
+	if (f->state == FLOW_HALF)
+		return p->ack != f->server_isn + 1;
+	return f->state == FLOW_OPENING;
 }
 
 void lookup_packet(agent_t *a, uint64_t now, const arrival_t *in)
@@ -299,9 +310,11 @@
 		trial_keep(f, in);
 		return;
 	}
-	if (f && f->state == FLOW_HALF && p->flags & TCP_ACK &&
-	    p->seq == f->caller_isn + 1 && p->ack != f->server_isn + 1)
+	if (f && took_another(f, p))
 		give_up_half_open(a, now, f);
+	/* A server whose flow we may have forgotten is told as well. */
+	if (!f && !a->complete && p->flags & TCP_RST)
+		a->ops.deliver(a->ctx, p->data, p->len);
 	if (!f && !a->complete && !without(a->options.off, MECHANISM_TRIAL) &&
 	    p->key.proto == PROTO_TCP && p->flags & TCP_ACK &&
 	    !(p->flags & TCP_RST)) {
--- a/src/agent_trial.c
+++ b/src/agent_trial.c
@@ -21,25 +21,12 @@
 	f->nkept++;
 }
 
-/*
- * Asks the backend server with a segment that carries nothing and lies just
- * before the window: a server with the connection acknowledges it, one
- * without it resets.
- */
 static void probe(agent_t *a, uint64_t now, flow_t *f)
 {
-	uint8_t buf[PACKET_MAX];
-	packet_t p = { .key = f->key,
-		       .seq = f->caller_next - 1,
-		       .ack = f->server_next,
-		       .flags = TCP_ACK,
-		       .window = UINT16_MAX };
-	size_t len = packet_build(&p, buf);
-
 	f->tries++;
 	f->state_ms = now;
 	counter_add(&a->counters, COUNTER_TRIALS, 1);
-	a->ops.deliver(a->ctx, buf, len);
+	flow_probe(a, f);
 }
 
 void trial_begin(agent_t *a, uint64_t now, const arrival_t *in)
@@ -51,9 +38,10 @@
 		lookup_pass_on(a, now, in, true);
 		return;
 	}
-	f->state = FLOW_TRIAL;
+	flow_enter(a, f, now, FLOW_TRIAL);
 	f->caller_next = p->seq;
 	f->server_next = p->ack;
+	f->caller_ack = p->ack;
 	flow_classify(a, f);
 	trial_keep(f, in);
 	probe(a, now, f);
@@ -115,6 +103,10 @@
 {
 	if (f->state_ms + TRIAL_MS > now)
 		return;
+	if (a->server_down && a->server_lost) {
+		trial_denied(a, now, f);
+		return;
+	}
 	if (f->tries < TRIAL_TRIES) {
 		probe(a, now, f);
 		return;
--- a/src/counters.h
+++ b/src/counters.h
@@ -63,6 +63,11 @@
 	X(TRIALS_SILENT, "trials_silent")                                      \
 	X(RESETS_SWALLOWED, "resets_swallowed")                                \
 	X(ANSWERS_UNKNOWN, "answers_unknown")                                  \
+	X(KEEPALIVES, "keepalives")                                            \
+	X(HINTS_WITHHELD, "hints_withheld")                                    \
+	X(OPENS_OFFERED_ON, "opens_offered_on")                                \
+	X(SERVER_PROBES, "server_probes")                                      \
+	X(SERVER_LOST, "server_lost")                                          \
 	X(REQUESTS, "requests")                                                \
 	X(REQUESTS_ANSWERED, "requests_answered")                              \
 	X(SUSPICIONS, "suspicions")                                            \
--- a/src/flow_table.c
+++ b/src/flow_table.c
@@ -8,11 +8,13 @@
 	size_t mask;
 	size_t count;
 	size_t limit;
-	uint32_t serial;
-	list_t recent;
+	list_t tcp;
+	list_t udp;
+	list_t brief;
 };
 
 static int grow(flow_table_t *t);
+static void rehash(list_t *flows, list_t *buckets, size_t mask);
 
 flow_table_t *flow_table_new(size_t limit)
 {
@@ -21,7 +23,9 @@
 	if (!t)
 		return NULL;
 	t->limit = limit;
-	list_init(&t->recent);
+	list_init(&t->tcp);
+	list_init(&t->udp);
+	list_init(&t->brief);
 	t->buckets = calloc(BUCKETS_MIN, sizeof(*t->buckets));
 	if (!t->buckets) {
 		free(t);
@@ -49,7 +53,9 @@
 {
 	if (!t)
 		return;
-	list_each_safe(node, after, &t->recent)
+	list_each_safe(node, after, &t->tcp)
+		flow_table_remove(t, list_entry(node, flow_t, recent));
+	list_each_safe(node, after, &t->udp)
 		flow_table_remove(t, list_entry(node, flow_t, recent));
 	free(t->buckets);
 	free(t);
@@ -69,6 +75,17 @@
 	return NULL;
 }
 
+static void rehash(list_t *flows, list_t *buckets, size_t mask)
+{
+	list_each(node, flows)
+	{
+		flow_t *f = list_entry(node, flow_t, recent);
+
+		list_remove(&f->chain);
+		list_append(&buckets[f->hash & mask], &f->chain);
+	}
+}
+
 /* Doubles the buckets. */
 static int grow(flow_table_t *t)
 {
@@ -79,13 +96,8 @@
 		return -1;
 	for (size_t i = 0; i < n; i++)
 		list_init(&buckets[i]);
-	list_each(node, &t->recent)
-	{
-		flow_t *f = list_entry(node, flow_t, recent);
-
-		list_remove(&f->chain);
-		list_append(&buckets[f->hash & (n - 1)], &f->chain);
-	}
+	rehash(&t->tcp, buckets, n - 1);
+	rehash(&t->udp, buckets, n - 1);
 	free(t->buckets);
 	t->buckets = buckets;
 	t->mask = n - 1;
@@ -108,10 +120,11 @@
 	f->hash = hash;
 	f->last_ms = now;
 	f->state_ms = now;
-	f->serial = ++t->serial;
+	f->caller_ms = now;
+	list_init(&f->brief);
 	list_init(&f->kept);
 	list_append(&t->buckets[hash & t->mask], &f->chain);
-	list_append(&t->recent, &f->recent);
+	list_append(flow_table_recent(t, key->proto), &f->recent);
 	t->count++;
 	return f;
 }
@@ -121,6 +134,7 @@
 	flow_drop_kept(f);
 	list_remove(&f->chain);
 	list_remove(&f->recent);
+	list_remove(&f->brief);
 	free(f);
 	t->count--;
 }
@@ -129,7 +143,7 @@
 {
 	f->last_ms = now;
 	list_remove(&f->recent);
-	list_append(&t->recent, &f->recent);
+	list_append(flow_table_recent(t, f->key.proto), &f->recent);
 }
 
 size_t flow_table_count(const flow_table_t *t)
@@ -137,9 +151,21 @@
 	return t->count;
 }
 
-list_t *flow_table_recent(flow_table_t *t)
+list_t *flow_table_recent(flow_table_t *t, uint8_t proto)
+{
+	return proto == PROTO_UDP ? &t->udp : &t->tcp;
+}
+
+list_t *flow_table_brief(flow_table_t *t)
+{
+	return &t->brief;
+}
+
+void flow_table_set_brief(flow_table_t *t, flow_t *f, bool brief)
 {
-	return &t->recent;
+	list_remove(&f->brief);
+	if (brief)
+		list_append(&t->brief, &f->brief);
 }
 
 const char *flow_state_name(flow_state_t state)
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -4,8 +4,10 @@
 /*
  * flow_table - the flows that one agent holds
  *
- * The table owns its flows. A flow is found by its key; all flows are also
- * kept in the order of their last packet, so that silent ones can be found.
+ * The table owns its flows. A flow is found by its key. Flows of one protocol
+ * are also kept in the order of their last packet, so that silent ones can be
+ * found, and those in a state that lasts a short time in a list of their own,
+ * so that quiet flows cost nothing at a tick.
  */
 
 #include "list.h"
@@ -35,6 +37,7 @@
 typedef struct flow {
 	list_t chain;  /* same bucket */
 	list_t recent; /* in order of the last packet */
+	list_t brief;  /* in a state that does not last, or alone */
 	flow_key_t key;
 	uint64_t hash;
 	flow_state_t state;
@@ -44,9 +47,10 @@
 	uint32_t server_isn;
 	uint32_t caller_next; /* next sequence number of the caller */
 	uint32_t server_next; /* next sequence number of the server */
+	uint32_t caller_ack;  /* last one of the caller */
+	uint64_t caller_ms;   /* last packet of the caller */
 	uint32_t class_index; /* in the service */
 	uint32_t weight;      /* class weight, counted as work */
-	uint32_t serial;      /* tells apart flows with one key */
 	bool counted;	      /* its weight is part of the work held */
 	bool caller_fin;
 	bool server_fin;
@@ -54,6 +58,9 @@
 	bool request_open;     /* payload without an answer */
 	uint32_t request_load; /* requests in flight when it started */
 	uint64_t request_ms;   /* when it started */
+	bool told;	       /* the caller was told that it is lost */
+	bool probed;	       /* an acknowledgement to us is expected */
+	uint8_t keepalives;    /* sent to the caller without an answer */
 	uint32_t tries;	       /* probes sent in FLOW_TRIAL */
 	bool silent;	       /* in FLOW_DENIED: the server did not answer */
 	list_t kept;	       /* kept_packet_t, owned */
@@ -78,8 +85,14 @@
 
 size_t flow_table_count(const flow_table_t *t);
 
-/* Flows in order of their last packet, by their recent node. */
-list_t *flow_table_recent(flow_table_t *t);
+/* Flows of a protocol in order of their last packet, by `recent`. */
+list_t *flow_table_recent(flow_table_t *t, uint8_t proto);
+
+/* Flows in a state that does not last, by `brief`. */
+list_t *flow_table_brief(flow_table_t *t);
+
+/* Puts a flow on that list or takes it off. */
+void flow_table_set_brief(flow_table_t *t, flow_t *f, bool brief);
 
 /* Frees the packets kept for a flow. */
 void flow_drop_kept(flow_t *f);
--- a/src/mini_tcp.c
+++ b/src/mini_tcp.c
@@ -409,12 +409,12 @@
 
 static void input_syn_sent(mini_conn_t *c, uint64_t now, const packet_t *p)
 {
-	if (!(p->flags & TCP_SYN) || !(p->flags & TCP_ACK))
-		return;
-	if (p->ack != c->iss + 1) {
+	if (p->flags & TCP_ACK && p->ack != c->iss + 1) {
 		reset_packet(c->stack, p);
 		return;
 	}
+	if (!(p->flags & TCP_SYN) || !(p->flags & TCP_ACK))
+		return;
 	c->rcv = p->seq + 1;
 	c->una = p->ack;
 	c->tries = 0;
@@ -470,6 +470,10 @@
 	}
 	if (!(p->flags & TCP_ACK))
 		return;
+	if (seq_diff(p->seq, c->rcv) < -WINDOW) {
+		send_ack(c);
+		return;
+	}
 	if (c->state == CONN_SYN_RECEIVED) {
 		if (p->ack != c->iss + 1) {
 			reset_packet(c->stack, p);
--- a/test/agent_rig.c
+++ b/test/agent_rig.c
@@ -26,7 +26,8 @@
 	item->kind = kind;
 	item->from = *from;
 	item->len = len;
-	memcpy(item->bytes, bytes, len);
+	if (len)
+		memcpy(item->bytes, bytes, len);
 	g_queue_push_tail(&to->rig->queue, item);
 }
 
@@ -72,24 +73,41 @@
 	push(ra, MSG_NONE, &none, buf, packet_build(&out, buf));
 }
 
+/* What the server expects next of the caller, with this packet taken. */
+static uint32_t expected(rig_agent_t *ra, const packet_t *p)
+{
+	gpointer key = GSIZE_TO_POINTER((gsize)ra->index << 16 | p->key.sport);
+	uint32_t got = p->seq + (uint32_t)p->payload_len;
+	uint32_t next =
+		GPOINTER_TO_UINT(g_hash_table_lookup(ra->rig->next, key));
+
+	if (next && seq_diff(got, next) <= 0)
+		return next;
+	g_hash_table_insert(ra->rig->next, key, GUINT_TO_POINTER(got));
+	return got;
+}
+
 static void on_deliver(void *ctx, const uint8_t *packet, size_t len)
 {
 	rig_agent_t *ra = ctx;
+	endpoint_t none = { 0, 0 };
 	packet_t p;
+	uint32_t next;
 	bool open;
 
 	ra->delivered++;
 	if (packet_parse(packet, len, &p) != PACKET_OK)
 		return;
 	open = packet_is_open(&p);
+	next = open ? 0 : expected(ra, &p);
 	ra->payloads += p.payload_len > 0;
 	ra->flags = p.flags;
 	if (p.flags & TCP_RST)
 		return;
 	if (ra->server == RIG_REFUSES)
-		agent_server_gone(ra->agent, ra->rig->now);
+		push(ra, MSG_KINDS, &none, NULL, 0);
 	else if (ra->server == RIG_HOLDS && !open)
-		server_says(ra, &p, TCP_ACK, p.ack, p.seq);
+		server_says(ra, &p, TCP_ACK, p.ack, next);
 	else if (ra->server == RIG_SHEDS && open)
 		server_says(ra, &p, TCP_RST | TCP_ACK, 0, p.seq + 1);
 	else if (ra->server == RIG_DENIES && !open)
@@ -190,6 +208,7 @@
 	r->off = off;
 	r->config = rig_config(targets, 1, -1);
 	g_queue_init(&r->queue);
+	r->next = g_hash_table_new(NULL, NULL);
 	for (unsigned i = 0; i < targets; i++) {
 		r->agents[i].rig = r;
 		r->agents[i].index = i;
@@ -204,6 +223,7 @@
 	for (unsigned i = 0; i < r->n; i++)
 		agent_free(r->agents[i].agent);
 	config_unref(r->config);
+	g_hash_table_destroy(r->next);
 	g_free(r);
 }
 
@@ -216,6 +236,10 @@
 		agent_answer(item->to->agent, r->now, item->bytes, item->len);
 		return;
 	}
+	if (item->kind == MSG_KINDS) {
+		agent_server_gone(item->to->agent, r->now);
+		return;
+	}
 	msg = wire_unpack(&arena, item->kind, item->bytes, item->len);
 	if (msg && !item->to->cut)
 		agent_message(item->to->agent, r->now, &item->from, item->kind,
--- a/test/agent_rig.h
+++ b/test/agent_rig.h
@@ -43,6 +43,7 @@
 	unsigned n;
 	rig_agent_t agents[RIG_AGENTS];
 	GQueue queue;
+	GHashTable *next;  /* what each server expects of each caller */
 	unsigned messages; /* between agents */
 	unsigned replies;  /* packets to the caller */
 	unsigned resets;   /* of them resets */
