Tell the callers of a host that is lost for good

Cause: when agent and backend server die together, callers that only receive hang for ever: nobody sends them anything, and what they send goes by a balancer's hint into the void. Two peers, other zones first, are told of opened and closed flows in bounded messages. When a holder is dead the witness sends its callers a segment that no window takes; their answers are looked up like any packet and reset with their own number, or find the holder. Agents tell balancers which members are dead, and a balancer begins no look-up at one of these. The stand-in TCP now answers segments on both sides of its window.

--- a/src/agent.c
+++ b/src/agent.c
@@ -11,7 +11,6 @@
 
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
-static bool hint_allowed(agent_t *a, uint64_t now);
 static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f);
 static const class_t *class_of(const agent_t *a, const packet_t *p,
 			       uint32_t *index);
@@ -31,7 +30,9 @@
 	a->flows = flow_table_new(options->flows);
 	a->hint_credit = HINT_BURST;
 	a->silences = silences_new();
-	if (!a->flows || !a->silences) {
+	a->witness = witness_new();
+	a->rumours = rumours_new();
+	if (!a->flows || !a->silences || !a->witness || !a->rumours) {
 		agent_free(a);
 		return NULL;
 	}
@@ -45,6 +46,8 @@
 	silences_free(a->silences);
 	wire_arena_clear(&a->arena);
 	flow_table_free(a->flows);
+	witness_free(a->witness);
+	free(a->rumours);
 	group_clear(&a->group);
 	config_unref(a->config);
 	config_unref(a->home);
@@ -180,8 +183,7 @@
 	return NULL;
 }
 
-/* Hints for packets that were looked up are bounded in bytes a second. */
-static bool hint_allowed(agent_t *a, uint64_t now)
+bool hint_allowed(agent_t *a, uint64_t now)
 {
 	uint64_t earned = (now - a->hint_ms) * HINT_RATE / 1000;
 
@@ -326,6 +328,8 @@
 		counter_add(&a->counters, COUNTER_DROP_HOP_LIMIT, 1);
 		return;
 	}
+	if (in.nasked == 0)
+		rumours_tell(a, now, &in.reply);
 	agent_arrival(a, now, &in);
 }
 
@@ -339,6 +343,9 @@
 	case MSG_DIGEST:
 		membership_digest(a, now, from, msg);
 		return;
+	case MSG_WITNESS:
+		witness_take(a, now, msg);
+		return;
 	case MSG_PROBE:
 		membership_probe(a, now, from, msg);
 		return;
@@ -353,6 +360,8 @@
 		return;
 	flows_tick(a, now);
 	server_tick(a, now);
+	witness_tick(a, now);
+	rumours_tick(a, now);
 	silences_tick(a, now);
 	membership_tick(a, now);
 	a->last_tick_ms = now;
--- a/src/agent.h
+++ b/src/agent.h
@@ -83,6 +83,9 @@
 uint32_t agent_in_flight(const agent_t *a);
 uint32_t agent_work(const agent_t *a);
 
+/* Flows of other members that it would tell the callers of. */
+size_t agent_witnessed(const agent_t *a);
+
 /* The table knows all flows of the backend server. */
 bool agent_complete(const agent_t *a);
 
--- a/src/agent_flow.c
+++ b/src/agent_flow.c
@@ -53,6 +53,10 @@
 	f->state = state;
 	f->state_ms = now;
 	flow_table_set_brief(a->flows, f, state != FLOW_ESTABLISHED);
+	if (state == FLOW_ESTABLISHED)
+		witness_opened(a, f);
+	else
+		witness_closed(a, f);
 	if (state == FLOW_CLOSING || state == FLOW_LOST ||
 	    state == FLOW_DENIED) {
 		flow_request_end(a, now, f, false);
@@ -64,6 +68,7 @@
 {
 	flow_request_end(a, 0, f, false);
 	flow_uncount(a, f);
+	witness_closed(a, f);
 	counter_add(&a->counters, COUNTER_FLOWS_CLOSED, 1);
 	flow_table_remove(a->flows, f);
 }
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -7,6 +7,7 @@
  * agent.c dispatches, agent_admit.c decides on opens, agent_lookup.c finds
  * flows, agent_silence.c bounds lookups that can't be finished, agent_trial.c
  * asks the backend server for a flow, agent_offer.c offers opens elsewhere,
+ * agent_witness.c tells the callers of a lost host,
  * agent_server.c watches the backend server, agent_answer.c handles the backend
  * server's packets, agent_group.c talks to the other members, agent_handover.c
  * hands the flows over.
@@ -50,6 +51,8 @@
 #define RETRY_AFTER_S 2
 
 typedef struct silences silences_t;
+typedef struct witness witness_t;
+typedef struct rumours rumours_t;
 
 struct agent {
 	agent_options_t options;
@@ -82,6 +85,8 @@
 	uint32_t in_flight; /* requests without an answer */
 	counters_t counters;
 	silences_t *silences; /* lookups that could not be finished */
+	witness_t *witness;   /* what is told to peers and known of theirs */
+	rumours_t *rumours;   /* of dead members, for balancers; owned */
 	wire_arena_t arena;   /* for packets that were kept */
 	struct membership *membership;
 };
@@ -116,6 +121,8 @@
 void arrival_message(const arrival_t *in, packet_msg_t *msg);
 /* Handles a caller's packet. */
 void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in);
+/* Hints for packets that were looked up are bounded in bytes a second. */
+bool hint_allowed(agent_t *a, uint64_t now);
 /* Tells the balancer where the flow is; flow NULL: nobody holds it. */
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
@@ -155,6 +162,19 @@
 /* Offers a flow's kept SYN elsewhere or refuses it. Forgets the flow. */
 void offer_refused(agent_t *a, uint64_t now, flow_t *f);
 
+/* agent_witness.c: peers know of our flows, so that callers can be told */
+witness_t *witness_new(void);
+void witness_free(witness_t *w);
+void witness_opened(agent_t *a, flow_t *f);
+void witness_closed(agent_t *a, flow_t *f);
+void witness_tick(agent_t *a, uint64_t now);
+void witness_take(agent_t *a, uint64_t now, const witness_msg_t *msg);
+
+/* agent_rumour.c: balancers that send to us hear of dead members */
+rumours_t *rumours_new(void);
+void rumours_tick(agent_t *a, uint64_t now);
+void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer);
+
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
 bool admit_full(const agent_t *a);
--- /dev/null
+++ b/src/agent_rumour.c
@@ -0,0 +1,77 @@
+#include "agent_int.h"
+#include <stdlib.h>
+
+/* Balancers remembered, a power of two, and how often one is told. */
+#define REMEMBERED 64
+#define TELL_MS	   3000
+/* Dead members named in one message. */
+#define RUMOURS 8
+
+typedef struct told {
+	endpoint_t balancer;
+	uint64_t told_ms;
+} told_t;
+
+struct rumours {
+	told_t told[REMEMBERED];
+	load_msg_t dead[RUMOURS];
+	size_t ndead;
+};
+
+rumours_t *rumours_new(void)
+{
+	return calloc(1, sizeof(rumours_t));
+}
+
+void rumours_tick(agent_t *a, uint64_t now)
+{
+	rumours_t *r = a->rumours;
+
+	(void)now;
+	r->ndead = 0;
+	for (size_t i = 0; i < a->group.n && r->ndead < RUMOURS; i++) {
+		const member_t *m = &a->group.members[i];
+		load_msg_t *load = &r->dead[r->ndead];
+
+		if (m->state != MEMBER_DEAD)
+			continue;
+		ct__load__init(load);
+		load->target = m->id;
+		load->incarnation = m->incarnation;
+		load->state = MEMBER_DEAD;
+		r->ndead++;
+	}
+}
+
+void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer)
+{
+	rumours_t *r = a->rumours;
+	size_t slot = (balancer->ip * 31 + balancer->port) % REMEMBERED;
+	told_t *t = &r->told[slot];
+	load_msg_t *list[RUMOURS];
+	digest_msg_t msg;
+	load_msg_t load;
+
+	if (r->ndead == 0 || !balancer->port)
+		return;
+	if (endpoint_equal(&t->balancer, balancer) &&
+	    t->told_ms + TELL_MS > now)
+		return;
+	if (!hint_allowed(a, now))
+		return;
+	t->balancer = *balancer;
+	t->told_ms = now;
+	for (size_t i = 0; i < r->ndead; i++)
+		list[i] = &r->dead[i];
+	ct__digest__init(&msg);
+	agent_fill_load(a, now, &load);
+	msg.service = a->service->id;
+	msg.version = a->config->version;
+	msg.digest = a->config->digest;
+	msg.load = &load;
+	msg.rumours = list;
+	msg.n_rumours = r->ndead;
+	msg.agent_ip = a->options.self.ip;
+	msg.agent_port = a->options.self.port;
+	a->ops.send(a->ctx, balancer, MSG_DIGEST, &msg);
+}
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -10,6 +10,8 @@
 #define RETRY_SAVED_MAX 5000
 /* Hundredths that one retried open costs. */
 #define RETRY_COST 100
+/* Best members looked at to begin a look-up. */
+#define LOOKUP_RANKS 4
 
 struct balancer {
 	balancer_options_t options;
@@ -39,6 +41,11 @@
 		      const packet_t *p, uint64_t hash);
 static void look_up(balancer_t *b, uint64_t now, const service_t *service,
 		    const packet_t *p, uint64_t hash);
+static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
+static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
+			endpoint_t *agent);
+static void take_digest(balancer_t *b, uint64_t now,
+			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      const held_msg_t *held);
 static void blame(balancer_t *b, uint64_t now, const pending_open_t *open);
@@ -208,21 +215,46 @@
 	}
 }
 
+/* No hint and no rank leads to a member that is believed dead. */
+static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent)
+{
+	const member_t *m = group_member_at(g, agent);
+
+	return !m || (member_reachable(m) && m->avoid_until <= now);
+}
+
+/* The member where a look-up begins. Returns -1 when there is none. */
+static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
+			endpoint_t *agent)
+{
+	uint32_t order[LOOKUP_RANKS];
+	size_t n = group_rank(g, now, hash, false, order, LOOKUP_RANKS);
+
+	if (n == 0)
+		return -1;
+	for (size_t i = 0; i < n; i++) {
+		*agent = g->members[order[i]].agent;
+		if (believed_there(g, now, agent))
+			return 0;
+	}
+	*agent = g->members[order[0]].agent;
+	return 0;
+}
+
 static void look_up(balancer_t *b, uint64_t now, const service_t *service,
 		    const packet_t *p, uint64_t hash)
 {
 	group_t *g = &b->groups[service - b->config->services];
 	endpoint_t agent;
 	packet_msg_t msg;
-	uint32_t first;
 
-	if (hint_cache_get(b->hints, hash, &agent)) {
+	if (hint_cache_get(b->hints, hash, &agent) &&
+	    believed_there(g, now, &agent)) {
 		counter_add(&b->counters, COUNTER_CACHE_HITS, 1);
 	} else {
 		counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
-		if (group_rank(g, now, hash, false, &first, 1) == 0)
+		if (first_to_ask(g, now, hash, &agent) < 0)
 			return;
-		agent = g->members[first].agent;
 	}
 	packet_message(b, &msg, service, STEP_LOOKUP, p->data, p->len);
 	b->ops.send(b->ctx, &agent, MSG_PACKET, &msg);
@@ -286,11 +318,32 @@
 		pending_opens_remove(b->pending, open);
 }
 
+/* An agent's word on members of its group that are dead. */
+static void take_digest(balancer_t *b, uint64_t now, const digest_msg_t *digest)
+{
+	group_t *g = group_of(b, digest->service);
+
+	if (!g)
+		return;
+	if (digest->load)
+		group_load(g, now, digest->load, NULL);
+	for (size_t i = 0; i < digest->n_rumours; i++) {
+		const load_msg_t *load = digest->rumours[i];
+		member_t *m = group_member(g, load->target);
+
+		if (m && load->state == MEMBER_DEAD &&
+		    load->incarnation >= m->incarnation)
+			m->avoid_until = now + RUMOUR_MS;
+	}
+}
+
 void balancer_message(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      msg_kind_t kind, const void *msg)
 {
 	if (kind == MSG_HELD)
 		take_held(b, now, from, msg);
+	else if (kind == MSG_DIGEST)
+		take_digest(b, now, msg);
 	else
 		counter_add(&b->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
 }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -29,6 +29,8 @@
 #define OPEN_MISSES 2
 /* A member is avoided for this long, or until it is heard of. */
 #define AVOID_MS 3000
+/* A member that agents say is dead is avoided for this long. */
+#define RUMOUR_MS 10000
 
 typedef struct balancer balancer_t;
 
@@ -64,7 +66,7 @@
 void balancer_packet(balancer_t *b, uint64_t now, const uint8_t *buf,
 		     size_t len);
 
-/* An authenticated message: MSG_HELD. */
+/* An authenticated message: MSG_HELD, or MSG_DIGEST about dead members. */
 void balancer_message(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      msg_kind_t kind, const void *msg);
 
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -2045,7 +2045,7 @@
   (ProtobufCMessageInit) ct__handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__witness__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ct__witness__field_descriptors[8] =
 {
   {
     "service",
@@ -2119,19 +2119,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "opened_flows",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, opened_flows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_flows",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, closed_flows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__witness__field_indices_by_name[] = {
   4,   /* field[4] = closed */
+  7,   /* field[7] = closed_flows */
   2,   /* field[2] = incarnation */
   3,   /* field[3] = opened */
+  6,   /* field[6] = opened_flows */
   0,   /* field[0] = service */
   1,   /* field[1] = target */
   5,   /* field[5] = whole */
 };
-static const ProtobufCIntRange ct__witness__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__witness__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 30, 6 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ct__witness__descriptor =
 {
@@ -2141,10 +2168,10 @@
   "Ct__Witness",
   "ct",
   sizeof(Ct__Witness),
-  6,
+  8,
   ct__witness__field_descriptors,
   ct__witness__field_indices_by_name,
-  1,  ct__witness__number_ranges,
+  2,  ct__witness__number_ranges,
   (ProtobufCMessageInit) ct__witness__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -381,10 +381,18 @@
    * the list replaces what was known
    */
   protobuf_c_boolean whole;
+  /*
+   * 7 bytes a flow, most significant first: caller's address and port, class.
+   */
+  ProtobufCBinaryData opened_flows;
+  /*
+   * 4 bytes a flow: low half of its hash
+   */
+  ProtobufCBinaryData closed_flows;
 };
 #define CT__WITNESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__witness__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, {0,NULL}, {0,NULL} }
 
 
 /*
--- a/src/counters.h
+++ b/src/counters.h
@@ -68,6 +68,8 @@
 	X(OPENS_OFFERED_ON, "opens_offered_on")                                \
 	X(SERVER_PROBES, "server_probes")                                      \
 	X(SERVER_LOST, "server_lost")                                          \
+	X(WITNESS_FLOWS, "witness_flows")                                      \
+	X(WITNESS_PROBES, "witness_probes")                                    \
 	X(REQUESTS, "requests")                                                \
 	X(REQUESTS_ANSWERED, "requests_answered")                              \
 	X(SUSPICIONS, "suspicions")                                            \
--- a/src/flow_table.c
+++ b/src/flow_table.c
@@ -122,6 +122,7 @@
 	f->state_ms = now;
 	f->caller_ms = now;
 	list_init(&f->brief);
+	list_init(&f->news);
 	list_init(&f->kept);
 	list_append(&t->buckets[hash & t->mask], &f->chain);
 	list_append(flow_table_recent(t, key->proto), &f->recent);
@@ -135,6 +136,7 @@
 	list_remove(&f->chain);
 	list_remove(&f->recent);
 	list_remove(&f->brief);
+	list_remove(&f->news);
 	free(f);
 	t->count--;
 }
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -38,6 +38,7 @@
 	list_t chain;  /* same bucket */
 	list_t recent; /* in order of the last packet */
 	list_t brief;  /* in a state that does not last, or alone */
+	list_t news;   /* to be told to the witnesses, or alone */
 	flow_key_t key;
 	uint64_t hash;
 	flow_state_t state;
@@ -58,6 +59,7 @@
 	bool request_open;     /* payload without an answer */
 	uint32_t request_load; /* requests in flight when it started */
 	uint64_t request_ms;   /* when it started */
+	bool witnessed;	       /* its witnesses were told */
 	bool told;	       /* the caller was told that it is lost */
 	bool probed;	       /* an acknowledgement to us is expected */
 	uint8_t keepalives;    /* sent to the caller without an answer */
--- a/src/group.c
+++ b/src/group.c
@@ -38,6 +38,14 @@
 	return NULL;
 }
 
+member_t *group_member_at(group_t *group, const endpoint_t *agent)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (endpoint_equal(&group->members[i].agent, agent))
+			return &group->members[i];
+	return NULL;
+}
+
 int group_configure(group_t *group, const service_t *service, uint64_t now)
 {
 	group->service = service->id;
--- a/src/group.h
+++ b/src/group.h
@@ -71,6 +71,9 @@
 
 member_t *group_member(group_t *group, uint32_t id);
 
+/* The member whose agent listens there, or NULL. */
+member_t *group_member_at(group_t *group, const endpoint_t *agent);
+
 /*
  * Takes a load that a member told. An unknown member is added when `agent`
  * is given: it left the configuration but still holds flows. Older
--- a/src/mini_tcp.c
+++ b/src/mini_tcp.c
@@ -470,7 +470,7 @@
 	}
 	if (!(p->flags & TCP_ACK))
 		return;
-	if (seq_diff(p->seq, c->rcv) < -WINDOW) {
+	if (abs(seq_diff(p->seq, c->rcv)) > WINDOW) {
 		send_ack(c);
 		return;
 	}
--- a/test/agent_rig.c
+++ b/test/agent_rig.c
@@ -47,12 +47,16 @@
 	uint8_t buf[65536];
 	unsigned index = to->ip - 0x7f020000U;
 
+	if (to->ip == BALANCER && kind != MSG_HELD)
+		return;
 	if (to->ip == BALANCER) {
 		r->held = *(const held_msg_t *)msg;
 		r->held.load = NULL;
 		r->held_count++;
 		return;
 	}
+	if (kind == MSG_WITNESS)
+		r->witness_bytes += wire_size(msg);
 	if (index >= r->n || r->agents[index].cut || ra->cut)
 		return;
 	if (kind == MSG_PACKET)
--- a/test/agent_rig.h
+++ b/test/agent_rig.h
@@ -44,12 +44,13 @@
 	rig_agent_t agents[RIG_AGENTS];
 	GQueue queue;
 	GHashTable *next;  /* what each server expects of each caller */
-	unsigned messages; /* between agents */
-	unsigned replies;  /* packets to the caller */
-	unsigned resets;   /* of them resets */
-	packet_t reply;	   /* the last one, without its payload */
-	char word[64];	   /* payload of the last reset */
-	held_msg_t held;   /* the last MSG_HELD to a balancer, flat */
+	unsigned messages; /* packets between agents */
+	uint64_t witness_bytes;
+	unsigned replies; /* packets to the caller */
+	unsigned resets;  /* of them resets */
+	packet_t reply;	  /* the last one, without its payload */
+	char word[64];	  /* payload of the last reset */
+	held_msg_t held;  /* the last MSG_HELD to a balancer, flat */
 	unsigned held_count;
 	mechanisms_t off;
 	bool lossy; /* queue is dropped instead of handled */
--- /dev/null
+++ b/test/test_agent_witness.c
@@ -0,0 +1,223 @@
+/*
+ * test_agent_witness - callers of a host that is lost for good are told
+ */
+
+#include "agent_rig.h"
+#include "runner.h"
+#include "world.h"
+#include <stdio.h>
+
+#define ISN   70000
+#define FEEDS 60
+
+static char *agency(void)
+{
+	char *text;
+
+	ck_assert(
+		g_file_get_contents("examples/agency.toml", &text, NULL, NULL));
+	return text;
+}
+
+static world_t *feeding(const char *text, mechanisms_t off, uint64_t seed)
+{
+	world_options_t options = { .config_text = text,
+				    .balancers = 3,
+				    .seed = seed,
+				    .delay_ms = 1,
+				    .off = off };
+	app_request_t feed = { .kind = APP_FEED,
+			       .bytes = 100,
+			       .chunks = 120,
+			       .interval_ms = 500 };
+	world_t *w = world_new(&options);
+
+	for (uint64_t i = 0; i < FEEDS; i++) {
+		feed.id = i;
+		world_request(w, "spot", "feed", &feed);
+	}
+	world_run(w, 8000);
+	return w;
+}
+
+/* Feeds held at an agent that ended so, and the latest end after `since`. */
+static unsigned ended(world_t *w, const unsigned *holder, unsigned at,
+		      outcome_t outcome, uint64_t since, uint64_t *latest)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; i < FEEDS; i++) {
+		const world_result_t *r = world_result(w, i);
+
+		if (holder[i] != at || !r->ended || r->outcome != outcome)
+			continue;
+		n++;
+		if (r->ended_ms - since > *latest)
+			*latest = r->ended_ms - since;
+	}
+	return n;
+}
+
+static void holders(world_t *w, unsigned *holder)
+{
+	for (size_t i = 0; i < FEEDS; i++)
+		holder[i] = world_holder(w, i);
+}
+
+static unsigned count_at(const unsigned *holder, unsigned at)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; i < FEEDS; i++)
+		n += holder[i] == at;
+	return n;
+}
+
+/* Agent and server die together; the callers only receive. */
+START_TEST(callers_of_a_lost_host_are_told)
+{
+	static const mechanisms_t off[] = { 0, 1U << MECHANISM_WITNESS };
+	char *text = agency();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(off); i++) {
+		world_t *w = feeding(text, off[i], 5);
+		unsigned holder[FEEDS];
+		uint64_t latest = 0, begun = world_now(w);
+		unsigned at, told;
+
+		holders(w, holder);
+		at = holder[0];
+		ck_assert_uint_ne(at, UINT32_MAX);
+		world_kill(w, PLACE_AGENT, at);
+		world_kill(w, PLACE_SERVER, at);
+		world_run(w, 30000);
+		told = ended(w, holder, at, OUTCOME_UNKNOWN, begun, &latest);
+		printf("witness %s: %u of %u callers told, the last after "
+		       "%llu ms\n",
+		       i ? "off" : "on", told, count_at(holder, at),
+		       (unsigned long long)latest);
+		if (i == 0) {
+			ck_assert_uint_eq(told, count_at(holder, at));
+			ck_assert_uint_le(latest, 20000);
+		} else {
+			ck_assert_uint_eq(told, 0);
+		}
+		world_free(w);
+	}
+	g_free(text);
+}
+END_TEST
+
+/* A holder that is cut off or stops for a moment keeps its feeds. */
+START_TEST(a_holder_that_comes_back_keeps_its_flows)
+{
+	char *text = agency();
+
+	for (int frozen = 0; frozen < 2; frozen++) {
+		world_t *w = feeding(text, 0, 6);
+		unsigned holder[FEEDS];
+		uint64_t latest = 0;
+		unsigned at;
+		place_t here;
+
+		holders(w, holder);
+		at = holder[0];
+		here.kind = PLACE_AGENT;
+		here.index = at;
+		for (unsigned i = 0; i < world_agents(w) && !frozen; i++) {
+			place_t peer = { PLACE_AGENT, i };
+
+			world_cut(w, here, peer);
+			world_cut(w, peer, here);
+		}
+		if (frozen)
+			world_freeze(w, PLACE_AGENT, at);
+		world_run(w, 9000);
+		if (frozen)
+			world_thaw(w, PLACE_AGENT, at);
+		world_heal(w);
+		ck_assert(world_settle(w, 120000));
+		ck_assert_uint_eq(
+			ended(w, holder, at, OUTCOME_DONE, 0, &latest),
+			count_at(holder, at));
+		ck_assert_uint_eq(world_broken(w), 0);
+		world_free(w);
+	}
+	g_free(text);
+}
+END_TEST
+
+/* What a lost witness costs: one is enough, without both nobody tells. */
+START_TEST(one_witness_is_enough)
+{
+	for (unsigned lost = 0; lost <= 2; lost++) {
+		unsigned knowing = 0;
+		unsigned probes = 0;
+
+		rig_t *rig = rig_new(7, 0);
+
+		rig_pass(rig, 1500);
+		for (uint16_t port = 1; port <= 200; port++)
+			rig_open(rig, 0, port, ISN);
+		rig_pass(rig, 6000);
+		rig->agents[0].cut = true;
+		rig->replies = 0;
+		/* Those that hold the list answer to a dead member. */
+		for (unsigned i = 1; i < 7; i++)
+			if (agent_witnessed(rig->agents[i].agent) == 200 &&
+			    ++knowing <= lost)
+				rig->agents[i].cut = true;
+		ck_assert_uint_eq(knowing, 2);
+		rig_pass(rig, 20000);
+		for (unsigned i = 1; i < 7; i++)
+			probes += rig_counter(rig, i, COUNTER_WITNESS_PROBES);
+		printf("%u of 2 witnesses lost: %u probes to 200 callers\n",
+		       lost, probes);
+		ck_assert_uint_eq(probes, (2 - lost) * 3 * 200);
+		rig_free(rig);
+	}
+}
+END_TEST
+
+/* Bytes a second at 50 opens and 50 ends a second. */
+START_TEST(telling_the_witnesses_is_bounded)
+{
+	rig_t *rig = rig_new(7, 0);
+	uint64_t before = 0;
+	double rate;
+	uint16_t port = 1;
+
+	rig_pass(rig, 1500);
+	for (int s = 0; s < 40; s++) {
+		if (s == 10)
+			before = rig->witness_bytes;
+		for (int i = 0; i < 50; i++, port++) {
+			rig_open(rig, 0, port, ISN);
+			if (port > 200)
+				rig_send(rig, 0, STEP_LOOKUP, port - 200,
+					 TCP_RST, ISN + 1, 0, NULL);
+		}
+		rig_pass(rig, 1000);
+	}
+	rate = (double)(rig->witness_bytes - before) / 30;
+	printf("witness: %.0f bytes a second at 50 opens a second\n", rate);
+	ck_assert_double_le(rate, 1500);
+	for (unsigned i = 1; i < 7; i++)
+		ck_assert_uint_le(agent_witnessed(rig->agents[i].agent), 400);
+	rig_free(rig);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("agent_witness");
+	TCase *tc = tcase_create("witness");
+
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, callers_of_a_lost_host_are_told);
+	tcase_add_test(tc, a_holder_that_comes_back_keeps_its_flows);
+	tcase_add_test(tc, one_witness_is_enough);
+	tcase_add_test(tc, telling_the_witnesses_is_bounded);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
