--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,8 @@
 $(FAKES): $(BUILD)/%: $(BUILD)/test/%.o
 # What the tests share: the harness, the model of a backend server.
 TEST_SHARED = harness app_server world world_network world_process naive \
-	matrix matrix_faults cases cases_change cases_loss cases_load
+	matrix matrix_faults cases cases_change cases_loss cases_load \
+	agent_rig
 TEST_OBJ = $(TEST_SHARED:%=$(BUILD)/test/%.o)
 $(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(TEST_OBJ)
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
