Spread configurations between processes without a coordination service

Cause: a configuration reached a process only through a file at its start. Ruled out: every process watching the platform (1,700 waiting calls); a list of changes kept in order (needs a log that somebody keeps). Conclusion: within 17 s, 3 KB/s and 2,000 calls a second at this size.

--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -1400,7 +1400,7 @@
   (ProtobufCMessageInit) ct__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ct__hello__field_descriptors[6] =
 {
   {
     "version",
@@ -1450,17 +1450,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_age_ms",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, platform_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reader_age_ms",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, reader_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__hello__field_indices_by_name[] = {
   1,   /* field[1] = digest */
+  4,   /* field[4] = platform_age_ms */
+  5,   /* field[5] = reader_age_ms */
   3,   /* field[3] = role */
   0,   /* field[0] = version */
   2,   /* field[2] = want_answer */
 };
-static const ProtobufCIntRange ct__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 41, 4 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ct__hello__descriptor =
 {
@@ -1470,10 +1497,10 @@
   "Ct__Hello",
   "ct",
   sizeof(Ct__Hello),
-  4,
+  6,
   ct__hello__field_descriptors,
   ct__hello__field_indices_by_name,
-  1,  ct__hello__number_ranges,
+  2,  ct__hello__number_ranges,
   (ProtobufCMessageInit) ct__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -243,10 +243,18 @@
    * process_role_t
    */
   uint32_t role;
+  /*
+   * since anyone watched the platform
+   */
+  uint32_t platform_age_ms;
+  /*
+   * since one of the chosen readers did; 0 in
+   */
+  uint32_t reader_age_ms;
 };
 #define CT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__hello__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/config_delta.c
+++ b/src/config_delta.c
@@ -97,7 +97,7 @@
 	size_t at = GPOINTER_TO_SIZE(
 		g_hash_table_lookup(index, GSIZE_TO_POINTER(id)));
 
-	return at ? &base->digests[at - 1] : NULL;
+	return base && at ? &base->digests[at - 1] : NULL;
 }
 
 static int add_part(config_reply_msg_t *reply, const service_t *service)
@@ -127,7 +127,7 @@
 	reply->version = config->version;
 	reply->digest = config->digest;
 	reply->base_version = base ? base->version : 0;
-	reply->parts = calloc(n + 1, sizeof(*reply->parts));
+	reply->parts = calloc(n + 1, sizeof(void *));
 	reply->order = calloc(n + 1, sizeof(*reply->order));
 	if (!reply->parts || !reply->order)
 		goto fail;
@@ -157,9 +157,12 @@
 {
 	if (!reply)
 		return;
-	for (size_t i = 0; i < reply->n_parts; i++) {
-		g_free(reply->parts[i]->text);
-		free(reply->parts[i]);
+	for (size_t i = 0; reply->parts && i < reply->n_parts; i++) {
+		service_part_msg_t *part = reply->parts[i];
+
+		if (part)
+			g_free(part->text);
+		free(part);
 	}
 	free(reply->parts);
 	free(reply->order);
--- /dev/null
+++ b/test/test_spread.c
@@ -0,0 +1,287 @@
+/*
+ * test_spread - how a configuration reaches many processes, and never goes
+ * back, on a simulated network
+ */
+
+#include "runner.h"
+#include "spread_sim.h"
+#include <stdio.h>
+#include <string.h>
+
+#define IN_FORCE_MS 17000
+
+static void set_tenth(sim_t *sim, bool out)
+{
+	for (unsigned i = 0; i < sim->n; i += 10) {
+		node_t *n = &sim->nodes[i];
+
+		if (i % 20)
+			n->side = out ? 2 : 0;
+		else
+			n->frozen = out;
+	}
+}
+
+static const unsigned sizes[] = { 200, 1700 };
+
+/* One in ten frozen or cut off, back after 10 s, all in force after 17 s. */
+START_TEST(in_force_everywhere_in_17_s)
+{
+	sim_t *sim = sim_new(sizes[_i], 11, 0);
+	uint64_t bytes = 0, whole, most;
+
+	ck_assert_uint_eq(sim_lacking(sim, 5), 0);
+	printf("%u processes: start: peak %llu platform calls a second\n",
+	       sim->n, (unsigned long long)sim->peak_calls);
+	ck_assert_uint_lt(sim->peak_calls, 2000);
+	for (unsigned i = 0; i < sim->n; i++)
+		sim->nodes[i].bytes = 0;
+	sim->calls = sim->peak_calls = 0;
+	sim_run(sim, 30000);
+	for (unsigned i = 0; i < sim->n; i++)
+		bytes += sim->nodes[i].bytes;
+	printf("%u processes: idle: %llu bytes a second a process, peak %llu "
+	       "platform calls a second, %llu in 30 s\n",
+	       sim->n, (unsigned long long)(bytes / 30 / sim->n),
+	       (unsigned long long)sim->peak_calls,
+	       (unsigned long long)sim->calls);
+	ck_assert_uint_lt(bytes / 30 / sim->n, 3000);
+	ck_assert_uint_lt(sim->peak_calls, 2000);
+	set_tenth(sim, true);
+	sim_run(sim, 1000);
+	sim_publish_version(sim, 6);
+	whole = sim->now;
+	sim_run(sim, 10000);
+	set_tenth(sim, false);
+	most = sim_until_in_force(sim, 6, IN_FORCE_MS) + 10000;
+	printf("%u processes: in force after %llu ms, %llu ms after the tenth "
+	       "came back\n",
+	       sim->n, (unsigned long long)(sim->now - whole),
+	       (unsigned long long)(most - 10000));
+	ck_assert_uint_lt(most, IN_FORCE_MS);
+	sim_publish_version(sim, 7);
+	most = sim_until_in_force(sim, 7, IN_FORCE_MS);
+	printf("%u processes: all well: in force after %llu ms\n", sim->n,
+	       (unsigned long long)most);
+	ck_assert_uint_lt(most, IN_FORCE_MS);
+	ck_assert_uint_eq(sim_reverted(sim), 0);
+	sim_free(sim);
+}
+END_TEST
+
+/* A quarter restarts while the platform is not to be believed. */
+static unsigned restart_quarter(int fault, uint32_t seed, mechanisms_t off,
+				unsigned *lack)
+{
+	sim_t *sim = sim_new(200, seed, off);
+	unsigned n;
+
+	sim_publish_version(sim, 6);
+	sim_until_in_force(sim, 6, IN_FORCE_MS);
+	sim_run(sim, 2000);
+	sim->mode = fault == 0 ? UP : fault == 1 ? DOWN : GARBAGE;
+	/* Rolled back, which is what a stale platform looks like, too. */
+	sim_publish_version(sim, 4);
+	for (unsigned i = 0; i < sim->n; i += 4) {
+		sim_stop(&sim->nodes[i]);
+		sim_start(sim, i);
+	}
+	sim_run(sim, IN_FORCE_MS);
+	*lack = sim_lacking(sim, 6);
+	n = sim_reverted(sim);
+	sim_free(sim);
+	return n;
+}
+
+START_TEST(restart_never_reverts)
+{
+	unsigned lack;
+
+	ck_assert_uint_eq(
+		restart_quarter(_i % 3, 12 + (uint32_t)_i / 3, 0, &lack), 0);
+	ck_assert_uint_eq(lack, 0);
+}
+END_TEST
+
+/* Without asking peers first, or without rising versions, it does revert. */
+START_TEST(mechanisms_are_needed)
+{
+	unsigned lack;
+
+	ck_assert_uint_gt(
+		restart_quarter(0, 12, 1U << MECHANISM_ASK_PEERS, &lack), 0);
+	ck_assert_uint_gt(
+		restart_quarter(0, 12, 1U << MECHANISM_NO_REVERT, &lack), 0);
+}
+END_TEST
+
+START_TEST(partition_heals)
+{
+	sim_t *sim = sim_new(200, 13, 0);
+
+	for (unsigned i = 0; i < 80; i++)
+		sim->nodes[i].side = 1;
+	sim_publish(sim, 0, 8, config_example(SERVICES, TARGETS, 8));
+	sim_publish(sim, 1, 7, config_example(SERVICES, TARGETS, 7));
+	sim_run(sim, IN_FORCE_MS);
+	for (unsigned i = 0; i < sim->n; i++)
+		ck_assert_uint_eq(spread_config(sim->nodes[i].s)->version,
+				  i < 80 ? 7 : 8);
+	sim->mode = DOWN;
+	for (unsigned i = 0; i < 80; i++)
+		sim->nodes[i].side = 0;
+	ck_assert_uint_lt(sim_until_in_force(sim, 8, IN_FORCE_MS), IN_FORCE_MS);
+	ck_assert_uint_eq(sim_reverted(sim), 0);
+	sim_free(sim);
+}
+END_TEST
+
+/* Two documents with one version: the same one wins everywhere. */
+START_TEST(operators_race)
+{
+	sim_t *sim = sim_new(200, 14, 0);
+	uint64_t digest = 0;
+	unsigned conflicts = 0;
+
+	for (unsigned i = 0; i < 100; i++)
+		sim->nodes[i].side = 1;
+	sim_publish(sim, 0, 6, config_example(SERVICES, TARGETS, 6));
+	sim_publish(sim, 1, 6, config_example(SERVICES + 1, TARGETS, 6));
+	sim_run(sim, IN_FORCE_MS);
+	for (unsigned i = 0; i < sim->n; i++)
+		digest = MAX(digest, spread_config(sim->nodes[i].s)->digest);
+	for (unsigned i = 0; i < 100; i++)
+		sim->nodes[i].side = 0;
+	sim_run(sim, IN_FORCE_MS);
+	for (unsigned i = 0; i < sim->n; i++) {
+		ck_assert_uint_eq(spread_config(sim->nodes[i].s)->digest,
+				  digest);
+		conflicts += sim->nodes[i].conflicts;
+	}
+	ck_assert_uint_ge(conflicts, 100);
+	sim_free(sim);
+}
+END_TEST
+
+/* All that watch the platform freeze at once: others take over. */
+START_TEST(frozen_readers_are_replaced)
+{
+	sim_t *sim = sim_new(200, 15, 0);
+	unsigned readers = 0;
+
+	/* Those that stood in at the start have stopped. */
+	sim_run(sim, 60000);
+	for (unsigned i = 0; i < sim->n; i++) {
+		sim->nodes[i].frozen =
+			spread_is_reader(sim->nodes[i].s, sim->now);
+		readers += sim->nodes[i].frozen;
+	}
+	printf("%u of %u processes watch the platform\n", readers, sim->n);
+	ck_assert_uint_ge(readers, 1);
+	ck_assert_uint_le(readers, ZONES * SPREAD_READERS);
+	sim_publish_version(sim, 6);
+	ck_assert_uint_lt(sim_until_in_force(sim, 6, IN_FORCE_MS), IN_FORCE_MS);
+	sim_free(sim);
+}
+END_TEST
+
+/* More processes cost the platform hardly more calls. */
+START_TEST(platform_calls_grow_slowly)
+{
+	static const unsigned counts[] = { 10, 50, 100, 200 };
+	uint64_t calls[G_N_ELEMENTS(counts)];
+
+	for (size_t c = 0; c < G_N_ELEMENTS(counts); c++) {
+		sim_t *sim = sim_new(counts[c], 16, 0);
+
+		sim_run(sim, 60000);
+		sim->calls = sim->peak_calls = 0;
+		for (uint64_t v = 6; v < 12; v++) {
+			sim_publish_version(sim, v);
+			sim_run(sim, 20000);
+		}
+		calls[c] = sim->calls;
+		printf("%u processes, 6 changes in 120 s: %llu platform calls, "
+		       "peak %llu a second\n",
+		       counts[c], (unsigned long long)calls[c],
+		       (unsigned long long)sim->peak_calls);
+		ck_assert_uint_eq(sim_lacking(sim, 11), 0);
+		sim_free(sim);
+	}
+	/* Twenty times the processes, at most two calls a minute of each. */
+	ck_assert_uint_le(calls[3], calls[0] + 190 * 2 * 2);
+}
+END_TEST
+
+/* A peer that tells of a version it does not have is left alone. */
+START_TEST(liar_is_refused)
+{
+	static sim_t sim;
+	node_t *n = &sim.nodes[0];
+	endpoint_t liar = { 0x0a090005, 7200 }, honest = { 0x0a090006, 7200 };
+	spread_options_t options = { .zone = "z",
+				     .role = ROLE_AGENT,
+				     .self = { 1, 1 } };
+	hello_msg_t hello = CT__HELLO__INIT;
+	config_reply_msg_t bad = CT__CONFIG_REPLY__INIT, *good;
+	service_part_msg_t part = CT__SERVICE_PART__INIT, *parts = &part;
+	char *text = config_example(2, 2, 6);
+	config_t *config;
+	err_t err;
+
+	sim_init(&sim, 10, 1);
+	n->sim = &sim;
+	n->s = spread_new(&options, &sim_ops, n, 1000);
+	part.text = "[[service]]\nname = 3\n";
+	bad.version = 9;
+	bad.n_parts = 1;
+	bad.parts = &parts;
+	hello.version = 9;
+	hello.digest = 4;
+	spread_hello(n->s, 1000, &liar, &hello);
+	spread_pulled(n->s, 1010, &liar, &bad);
+	ck_assert_uint_eq(n->refusals, 1);
+	ck_assert_ptr_null(spread_config(n->s));
+	/* Not asked again: this answer belongs to no pull. */
+	spread_hello(n->s, 2000, &liar, &hello);
+	spread_pulled(n->s, 2010, &liar, &bad);
+	ck_assert_uint_eq(n->refusals, 1);
+	ck_assert_int_eq(config_parse("f", text, strlen(text), &config, &err),
+			 0);
+	good = config_reply_new(config, NULL);
+	hello.version = 6;
+	hello.digest = config->digest;
+	spread_hello(n->s, 2020, &honest, &hello);
+	spread_pulled(n->s, 2030, &honest, good);
+	ck_assert_uint_eq(spread_config(n->s)->digest, config->digest);
+	/* After a while it is given another chance. */
+	spread_hello(n->s, 70000, &liar, &hello);
+	hello.version = 9;
+	spread_hello(n->s, 70000, &liar, &hello);
+	spread_pulled(n->s, 70010, &liar, &bad);
+	ck_assert_uint_eq(n->refusals, 2);
+	config_reply_free(good);
+	config_unref(config);
+	g_free(text);
+	sim_clear(&sim);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("spread");
+	TCase *tc = tcase_create("fleet");
+
+	tcase_set_timeout(tc, 300);
+	tcase_add_loop_test(tc, in_force_everywhere_in_17_s, 0,
+			    G_N_ELEMENTS(sizes));
+	tcase_add_loop_test(tc, restart_never_reverts, 0, 12);
+	tcase_add_test(tc, mechanisms_are_needed);
+	tcase_add_test(tc, partition_heals);
+	tcase_add_test(tc, operators_race);
+	tcase_add_test(tc, frozen_readers_are_replaced);
+	tcase_add_test(tc, platform_calls_grow_slowly);
+	tcase_add_test(tc, liar_is_refused);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
