--- a/src/balancer.h
+++ b/src/balancer.h
@@ -17,6 +17,7 @@
 #include "endpoint.h"
 #include "group.h"
 #include "mechanism.h"
+#include "policy.h"
 #include "wire.h"
 #include <stdint.h>
 
@@ -28,6 +29,8 @@
 #define OPEN_MISSES 2
 /* A member is avoided for this long, or until it is heard of. */
 #define AVOID_MS 3000
+/* Retries that a balancer may make before its opens have earned any. */
+#define RETRIES_AT_START 10
 
 typedef struct balancer balancer_t;
 
@@ -40,6 +43,8 @@
 	/* Records a change that the process made. */
 	void (*audit)(void *ctx, const char *event, const char *subject,
 		      const char *detail);
+	/* Hands an IPv4 packet to the caller's side; may be NULL. */
+	void (*reply)(void *ctx, const uint8_t *packet, size_t len);
 } balancer_ops_t;
 
 typedef struct balancer_options {
@@ -48,6 +53,7 @@
 	uint32_t cache_flows;	/* hints kept */
 	uint32_t retry_percent; /* retried opens in 100 opens */
 	mechanisms_t off;	/* for experiments */
+	const policy_t *policy; /* NULL: policy_default */
 } balancer_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
--- a/test/harness.c
+++ b/test/harness.c
@@ -172,7 +172,8 @@
 {
 	harness_proc_t *p = &h->balancers[i];
 	char packets[ENDPOINT_TEXT], listen[ENDPOINT_TEXT],
-		operators[ENDPOINT_TEXT], source[256], log[96], text[1024];
+		operators[ENDPOINT_TEXT], fabric[ENDPOINT_TEXT], source[256],
+		log[96], text[1024];
 	char *path = harness_program("cherviltray-balancer");
 	char *argv[] = { path, "--settings", p->settings, NULL };
 
@@ -185,9 +186,11 @@
 	source_lines(h, source, sizeof(source));
 	snprintf(text, sizeof(text),
 		 "name = \"%s\"\nzone = \"a\"\npackets = \"%s\"\n"
-		 "listen = \"%s\"\noperators = \"%s\"\nkey_file = \"%s\"\n"
+		 "fabric = \"%s\"\nlisten = \"%s\"\noperators = "
+		 "\"%s\"\nkey_file = \"%s\"\n"
 		 "%s%s",
 		 p->name, endpoint_format(&p->extra, packets),
+		 endpoint_format(&h->fabric_at, fabric),
 		 endpoint_format(&p->listen, listen),
 		 endpoint_format(&p->operators, operators), h->key_path, source,
 		 h->options.balancer_settings ? h->options.balancer_settings
@@ -366,6 +369,10 @@
 		goto fail;
 	for (size_t s = 0; s < h->config->nservices; s++)
 		h->nagents += (unsigned)h->config->services[s].ntargets;
+	if (options->agents && options->agents < h->nagents)
+		h->nagents = options->agents;
+	if (h->nagents > HARNESS_AGENTS)
+		goto fail;
 	if (options->platform && harness_start_platform(h) < 0)
 		goto fail;
 	for (unsigned i = 0; i < h->nagents; i++)
--- a/test/harness.h
+++ b/test/harness.h
@@ -27,8 +27,9 @@
 	const double *speeds;	       /* a target, NULL: all 1 */
 	const char *balancer_settings; /* further lines of their settings */
 	const char *agent_settings;
-	bool platform; /* start a stand-in and read it, not config_file */
-	uint64_t seed; /* of the stand-ins */
+	bool platform;	 /* start a stand-in and read it, not config_file */
+	uint64_t seed;	 /* of the stand-ins */
+	unsigned agents; /* started, in order; 0 starts all */
 } harness_options_t;
 
 typedef struct harness_proc {
