--- a/src/agent.c
+++ b/src/agent.c
@@ -23,6 +23,7 @@
 	a->ctx = ctx;
 	a->incarnation = options->incarnation;
 	a->random = options->random_seed;
+	list_init(&a->slot_waits);
 	a->flows = flow_table_new(options->flows);
 	if (!a->flows) {
 		free(a);
--- a/src/agent_flow.c
+++ b/src/agent_flow.c
@@ -6,7 +6,10 @@
 static bool near(uint32_t a, uint32_t b);
 static void follow_caller(agent_t *a, uint64_t now, flow_t *f,
 			  const packet_t *p);
+static void slot_begin(agent_t *a, uint64_t now, flow_t *f);
+static void slot_end(agent_t *a, uint64_t now, flow_t *f);
 static void request_begin(agent_t *a, uint64_t now, flow_t *f);
+static bool service_time(const flow_t *f, uint64_t now, uint64_t *took);
 static uint64_t flow_lifetime(const flow_t *f);
 static bool flow_tick(agent_t *a, uint64_t now, flow_t *f);
 
@@ -46,7 +49,7 @@
 
 void flow_forget(agent_t *a, flow_t *f)
 {
-	flow_request_end(a, 0, f, false);
+	flow_request_end(a, a->last_tick_ms, f, false);
 	flow_uncount(a, f);
 	counter_add(&a->counters, COUNTER_FLOWS_CLOSED, 1);
 	flow_table_remove(a->flows, f);
@@ -75,27 +78,70 @@
 	return near(p->ack, f->server_next);
 }
 
+static void slot_begin(agent_t *a, uint64_t now, flow_t *f)
+{
+	a->in_slots++;
+	f->in_slot = true;
+	f->slot_ms = now;
+}
+
+/* The server is taken to serve first come first served in its slots. */
 static void request_begin(agent_t *a, uint64_t now, flow_t *f)
 {
 	f->request_open = true;
 	f->request_ms = now;
-	f->request_load = ++a->in_flight;
+	a->in_flight++;
+	if (a->in_slots < a->target->slots)
+		slot_begin(a, now, f);
+	else
+		list_append(&a->slot_waits, &f->slot_wait);
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
 }
 
+/* Time in a slot; false when it began before this agent saw the flow. */
+static bool service_time(const flow_t *f, uint64_t now, uint64_t *took)
+{
+	uint64_t from = f->request_ms;
+
+	if (!f->in_slot && list_empty(&f->slot_wait))
+		return false;
+	if (f->in_slot && f->slot_ms > from)
+		from = f->slot_ms;
+	*took = now - from;
+	return true;
+}
+
+static void slot_end(agent_t *a, uint64_t now, flow_t *f)
+{
+	list_remove(&f->slot_wait);
+	if (!f->in_slot)
+		return;
+	f->in_slot = false;
+	a->in_slots--;
+	if (!list_empty(&a->slot_waits)) {
+		flow_t *next =
+			list_entry(a->slot_waits.next, flow_t, slot_wait);
+
+		list_remove(&next->slot_wait);
+		slot_begin(a, now, next);
+	}
+}
+
 void flow_request_end(agent_t *a, uint64_t now, flow_t *f, bool answered)
 {
+	uint64_t took;
+
 	if (!f->request_open)
 		return;
 	f->request_open = false;
 	if (answered) {
-		uint32_t load = (f->request_load + a->in_flight) / 2;
-
 		counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
-		capacity_sample(&a->capacity, now, f->weight,
-				now - f->request_ms, load);
+		if (service_time(f, now, &took))
+			capacity_sample(&a->capacity, now, f->class_index,
+					took);
 	}
 	a->in_flight--;
+	slot_end(a, now, f);
 }
 
 static void follow_caller(agent_t *a, uint64_t now, flow_t *f,
@@ -117,8 +163,11 @@
 		flow_enter(a, f, now, FLOW_ESTABLISHED);
 	if (p->payload_len) {
 		f->delivered = true;
-		if (seq_diff(next, f->caller_next) > 0 && !f->request_open)
-			request_begin(a, now, f);
+		if (seq_diff(next, f->caller_next) > 0) {
+			if (!f->request_open)
+				request_begin(a, now, f);
+			f->request_ms = now;
+		}
 	}
 	if (seq_diff(next, f->caller_next) > 0)
 		f->caller_next = next;
--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -3,6 +3,9 @@
 
 /* Members tell each other their load this often. */
 #define DIGEST_MS 1000
+#define US_A_MS	  1000
+/* Our samples are old when most members' are newer by this factor. */
+#define STALE_RATIO 4
 /* Silent for longer: suspected, then dead. */
 #define SUSPECT_MS 2500
 #define DEAD_MS	   4500
@@ -10,6 +13,8 @@
 #define DIGEST_PEERS 12
 
 static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to);
+static size_t classes_told(const agent_t *a);
+static void learn(agent_t *a, uint64_t now);
 static void send_digests(agent_t *a, uint64_t now);
 static void watch_members(agent_t *a, uint64_t now);
 
@@ -31,11 +36,25 @@
 
 static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to)
 {
+	const member_t *self = group_member(&a->group, a->target->id);
+	uint32_t times[CAPACITY_CLASSES];
+	uint32_t samples[CAPACITY_CLASSES];
 	digest_msg_t msg;
 	load_msg_t load;
 
 	ct__digest__init(&msg);
 	agent_fill_load(a, now, &load);
+	if (self) {
+		load.n_class_time_us = classes_told(a);
+		load.n_class_samples = load.n_class_time_us;
+		load.class_time_us = times;
+		load.class_samples = samples;
+		load.sample_age_ms = self->sample_age_ms;
+	}
+	for (size_t c = 0; c < load.n_class_time_us; c++) {
+		times[c] = (uint32_t)(self->times[c].ms * US_A_MS + 0.5);
+		samples[c] = self->times[c].samples;
+	}
 	msg.service = a->service->id;
 	msg.version = a->config->version;
 	msg.digest = a->config->digest;
@@ -45,6 +64,30 @@
 	a->ops.send(a->ctx, to, MSG_DIGEST, &msg);
 }
 
+static size_t classes_told(const agent_t *a)
+{
+	return a->service->nclasses < CAPACITY_CLASSES ? a->service->nclasses
+						       : CAPACITY_CLASSES;
+}
+
+/* Compares our service times with the group's. */
+static void learn(agent_t *a, uint64_t now)
+{
+	member_t *self = membership_self(a);
+	uint64_t age = now - a->capacity.sampled_ms;
+
+	if (!self || !a->capacity.sampled_ms ||
+	    without(a->options.off, MECHANISM_LEARNING))
+		return;
+	for (uint32_t c = 0; c < classes_told(a); c++)
+		self->times[c] = capacity_time(&a->capacity, c);
+	self->sample_age_ms = age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
+	a->capacity.speed = group_speed(&a->group, self->id);
+	if (group_samples_newer(&a->group, self->sample_age_ms / STALE_RATIO))
+		capacity_untaught(&a->capacity, now, DIGEST_MS);
+	self->capacity = agent_capacity(a);
+}
+
 static void send_digests(agent_t *a, uint64_t now)
 {
 	size_t n = a->group.n;
@@ -90,6 +133,7 @@
 	if (now < a->digest_ms)
 		return;
 	a->digest_ms = now + DIGEST_MS;
+	learn(a, now);
 	send_digests(a, now);
 }
 
--- a/src/agent_handover.c
+++ b/src/agent_handover.c
@@ -91,7 +91,7 @@
 	if (r->request_open) {
 		f->request_open = true;
 		f->request_ms = now;
-		f->request_load = ++a->in_flight;
+		a->in_flight++;
 	}
 }
 
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -51,6 +51,8 @@
 	capacity_t capacity;
 	uint32_t work;	    /* weighted, of the flows held */
 	uint32_t in_flight; /* requests without an answer */
+	uint32_t in_slots;  /* of them believed to be served */
+	list_t slot_waits;  /* flows whose request waits for a slot */
 	counters_t counters;
 	struct silence *silences; /* lookups that could not be finished */
 	struct membership *membership;
--- a/src/capacity.c
+++ b/src/capacity.c
@@ -1,13 +1,35 @@
 #include "capacity.h"
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Samples before the speed is believed. */
-#define SAMPLES_NEEDED 4
-#define MS_A_SECOND    1000.0
+/* Newest samples that are compared with the older ones. */
+#define RECENT 16
+/* Samples between two comparisons. */
+#define CHECK_EVERY 4
+/* A change is believed beyond this many standard errors... */
+#define CHANGE_ERRORS 3.5
+/* ...when the time changed by this factor. */
+#define CHANGE_FACTOR 1.2
+/* The declared weight counts as much as this many samples. */
+#define DECLARED_SAMPLES 2.0
+/* Rounds of the split into costs and speeds. */
+#define SPLIT_ROUNDS 20
+/* Without a sample for this long an estimate begins to grow. */
+#define STALE_MS 10000
+/* It doubles in this time, */
+#define STALE_DOUBLE_MS 10000.0
+/* at most this many times. */
+#define STALE_DOUBLINGS 4.0
 
 static int compare(const void *a, const void *b);
-static double median(const capacity_t *c);
+static double typical(const uint32_t *times, size_t n);
+static size_t newest(const capacity_class_t *k, size_t skip, size_t want,
+		     uint32_t *out);
+static bool changed(const capacity_class_t *k);
+static void split_round(capacity_peer_t *peers, size_t n,
+			double cost[CAPACITY_CLASSES]);
+static void scale(capacity_peer_t *peers, size_t n);
 
 void capacity_init(capacity_t *c, uint32_t slots)
 {
@@ -17,40 +39,164 @@
 
 static int compare(const void *a, const void *b)
 {
-	double x = *(const double *)a;
-	double y = *(const double *)b;
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
 
 	return (x > y) - (x < y);
 }
 
-static double median(const capacity_t *c)
+/*
+ * Mean of the lower half: most of them did not wait for a slot behind work
+ * that the agent cannot see.
+ */
+static double typical(const uint32_t *times, size_t n)
 {
-	double sorted[CAPACITY_SAMPLES];
-	uint32_t n = c->n < CAPACITY_SAMPLES ? c->n : CAPACITY_SAMPLES;
+	uint32_t sorted[CAPACITY_SAMPLES];
+	size_t half = (n + 1) / 2;
+	double sum = 0;
 
-	memcpy(sorted, c->samples, n * sizeof(*sorted));
+	memcpy(sorted, times, n * sizeof(*sorted));
 	qsort(sorted, n, sizeof(*sorted), compare);
-	return sorted[n / 2];
+	for (size_t i = 0; i < half; i++)
+		sum += sorted[i];
+	return half ? sum / (double)half : 0;
 }
 
-void capacity_sample(capacity_t *c, uint64_t now, uint32_t weight,
-		     uint64_t took_ms, uint32_t in_flight)
+/* Copies samples, newest first, leaving out the `skip` newest. */
+static size_t newest(const capacity_class_t *k, size_t skip, size_t want,
+		     uint32_t *out)
 {
-	double share = 1.0;
+	size_t n = 0;
 
-	(void)now;
-	if (in_flight > c->slots && c->slots)
-		share = (double)in_flight / c->slots;
-	if (took_ms == 0)
-		took_ms = 1;
-	c->samples[c->n % CAPACITY_SAMPLES] =
-		weight * share * MS_A_SECOND / (double)took_ms;
-	c->n++;
-	if (c->n >= SAMPLES_NEEDED)
-		c->speed = median(c);
+	for (size_t i = skip; i < k->kept && n < want; i++)
+		out[n++] = k->times[(k->n - 1 - i) % CAPACITY_SAMPLES];
+	return n;
+}
+
+/* Mann and Whitney's test of the newest samples against the older ones. */
+static bool changed(const capacity_class_t *k)
+{
+	uint32_t recent[RECENT];
+	uint32_t older[CAPACITY_SAMPLES];
+	size_t n = newest(k, 0, RECENT, recent);
+	size_t m = newest(k, RECENT, CAPACITY_SAMPLES, older);
+	double greater = 0, error, ratio;
+
+	if (n < RECENT || m < RECENT)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		for (size_t j = 0; j < m; j++)
+			greater += recent[i] > older[j]	   ? 1
+				   : recent[i] == older[j] ? 0.5
+							   : 0;
+	error = sqrt((double)n * (double)m * (double)(n + m + 1) / 12);
+	if (fabs(greater - (double)n * (double)m / 2) < CHANGE_ERRORS * error)
+		return false;
+	ratio = (typical(recent, n) + 1) / (typical(older, m) + 1);
+	return ratio > CHANGE_FACTOR || ratio < 1 / CHANGE_FACTOR;
+}
+
+void capacity_sample(capacity_t *c, uint64_t now, uint32_t class_index,
+		     uint64_t took_ms)
+{
+	capacity_class_t *k;
+
+	if (class_index >= CAPACITY_CLASSES)
+		class_index = CAPACITY_CLASSES - 1;
+	k = &c->classes[class_index];
+	k->times[k->n++ % CAPACITY_SAMPLES] = (uint32_t)took_ms;
+	if (k->kept < CAPACITY_SAMPLES)
+		k->kept++;
+	c->sampled_ms = now;
+	c->untaught_ms = 0;
+	if (k->n % CHECK_EVERY == 0 && changed(k))
+		k->kept = RECENT;
+}
+
+capacity_time_t capacity_time(const capacity_t *c, uint32_t class_index)
+{
+	const capacity_class_t *k = &c->classes[class_index];
+	uint32_t times[CAPACITY_SAMPLES];
+	capacity_time_t result = { 0, k->kept };
+	size_t n = newest(k, 0, CAPACITY_SAMPLES, times);
+
+	if (n)
+		result.ms = typical(times, n);
+	/* Below the clock's resolution: as fast as can be told. */
+	if (n && result.ms <= 0)
+		result.ms = 1.0 / (double)(n + 1);
+	return result;
+}
+
+/* One step of a least squares fit of log time = log cost - log speed. */
+static void split_round(capacity_peer_t *peers, size_t n,
+			double cost[CAPACITY_CLASSES])
+{
+	for (size_t c = 0; c < CAPACITY_CLASSES; c++) {
+		double sum = 0, weight = 0;
+
+		for (size_t i = 0; i < n; i++) {
+			const capacity_time_t *t = &peers[i].times[c];
+
+			if (t->ms <= 0 || peers[i].speed <= 0)
+				continue;
+			sum += t->samples * log(t->ms * peers[i].speed);
+			weight += t->samples;
+		}
+		cost[c] = weight > 0 ? exp(sum / weight) : 0;
+	}
+	for (size_t i = 0; i < n; i++) {
+		double weight = DECLARED_SAMPLES;
+		double sum = weight * log(peers[i].declared);
+
+		for (size_t c = 0; c < CAPACITY_CLASSES; c++) {
+			const capacity_time_t *t = &peers[i].times[c];
+
+			if (t->ms <= 0 || cost[c] <= 0)
+				continue;
+			sum += t->samples * log(cost[c] / t->ms);
+			weight += t->samples;
+		}
+		peers[i].speed = exp(sum / weight);
+	}
+}
+
+/* Scales the speeds so that capacities sum up to the declared ones. */
+static void scale(capacity_peer_t *peers, size_t n)
+{
+	double declared = 0, learned = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		declared += peers[i].declared * peers[i].slots;
+		learned += peers[i].speed * peers[i].slots;
+	}
+	for (size_t i = 0; learned > 0 && i < n; i++)
+		peers[i].speed *= declared / learned;
+}
+
+void capacity_compare(capacity_peer_t *peers, size_t n)
+{
+	double cost[CAPACITY_CLASSES];
+
+	for (size_t i = 0; i < n; i++)
+		peers[i].speed = peers[i].declared;
+	for (int round = 0; round < SPLIT_ROUNDS; round++) {
+		split_round(peers, n, cost);
+		scale(peers, n);
+	}
+}
+
+void capacity_untaught(capacity_t *c, uint64_t now, uint64_t ms)
+{
+	if (now >= c->sampled_ms + STALE_MS)
+		c->untaught_ms += ms;
 }
 
 double capacity_value(const capacity_t *c)
 {
-	return c->speed * c->slots;
+	double doublings = (double)c->untaught_ms / STALE_DOUBLE_MS;
+
+	if (doublings > STALE_DOUBLINGS)
+		doublings = STALE_DOUBLINGS;
+	return c->speed * c->slots * exp2(doublings);
 }
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -4,34 +4,74 @@
 /*
  * capacity - what a backend server can carry, learned from its service times
  *
- * Each finished request gives one sample of speed: the weight served by one
- * slot in a second, corrected for the requests that shared the slots. The
- * capacity is the speed times the declared slots. Health and load endpoints
- * are not read.
+ * An agent keeps the service times of the last requests of each class. Their
+ * typical value is told to the group; the members' times are then split into
+ * a cost of each class and a speed of each member (time = cost / speed), so
+ * that classes of different cost compare. Health and load endpoints are not
+ * read. Only opens and requests teach: a host that serves feeds and gets no
+ * new request shows nothing of its speed.
+ *
+ * Clocks of whole milliseconds are enough: the mean of many differences of
+ * rounded times is exact, a median of them is not.
  */
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
-#define CAPACITY_SAMPLES 32 /* samples kept */
+#define CAPACITY_SAMPLES 256 /* kept, a class */
+#define CAPACITY_CLASSES 8   /* told apart; further ones share the last */
 
-typedef struct capacity {
-	double samples[CAPACITY_SAMPLES]; /* weight a slot and second */
+typedef struct capacity_class {
+	uint32_t times[CAPACITY_SAMPLES]; /* ms, a ring */
 	uint32_t n;			  /* samples ever taken */
-	double speed;			  /* median of those kept, 0 unknown */
-	uint32_t slots;			  /* declared */
+	uint32_t kept;			  /* newest that count */
+} capacity_class_t;
+
+typedef struct capacity {
+	capacity_class_t classes[CAPACITY_CLASSES];
+	uint32_t slots;	      /* declared */
+	double speed;	      /* relative to the group, 0 unknown */
+	uint64_t sampled_ms;  /* last sample */
+	uint64_t untaught_ms; /* since then, while others had samples */
 } capacity_t;
 
+/* Typical service time of one class at one member. */
+typedef struct capacity_time {
+	double ms;	  /* 0 unknown */
+	uint32_t samples; /* behind it */
+} capacity_time_t;
+
+/* A member's part in what the group learns together. */
+typedef struct capacity_peer {
+	double declared; /* weight */
+	uint32_t slots;
+	capacity_time_t times[CAPACITY_CLASSES];
+	double speed; /* result, 0 unknown */
+} capacity_peer_t;
+
 void capacity_init(capacity_t *c, uint32_t slots);
 
+/* A request of a class was served in a slot for so long. */
+void capacity_sample(capacity_t *c, uint64_t now, uint32_t class_index,
+		     uint64_t took_ms);
+
+capacity_time_t capacity_time(const capacity_t *c, uint32_t class_index);
+
 /*
- * A request of the given weight took so long while so many requests were in
- * flight, itself included.
+ * Splits the members' times into costs of classes and speeds of members. The
+ * speeds are scaled so that the group's capacity is its declared one.
  */
-void capacity_sample(capacity_t *c, uint64_t now, uint32_t weight,
-		     uint64_t took_ms, uint32_t in_flight);
+void capacity_compare(capacity_peer_t *peers, size_t n);
+
+/* The others were taught for so long while no request came here. */
+void capacity_untaught(capacity_t *c, uint64_t now, uint64_t ms);
 
-/* Learned capacity in weight a second, or 0 when nothing was learned. */
+/*
+ * Learned capacity in declared weight times slots, or 0 when nothing was
+ * learned. While only others are taught it grows slowly, so that a host
+ * believed slow is tried again.
+ */
 double capacity_value(const capacity_t *c);
 
 #endif
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -7,1526 +7,2233 @@
 #endif
 
 #include "cherviltray.pb-c.h"
-void ct__load__init(Ct__Load *message)
+void   ct__load__init
+                     (Ct__Load         *message)
 {
-	static const Ct__Load init_value = CT__LOAD__INIT;
-	*message = init_value;
+  static const Ct__Load init_value = CT__LOAD__INIT;
+  *message = init_value;
 }
-size_t ct__load__get_packed_size(const Ct__Load *message)
+size_t ct__load__get_packed_size
+                     (const Ct__Load *message)
 {
-	assert(message->base.descriptor == &ct__load__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__load__pack(const Ct__Load *message, uint8_t *out)
+size_t ct__load__pack
+                     (const Ct__Load *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__load__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__load__pack_to_buffer(const Ct__Load *message,
-				ProtobufCBuffer *buffer)
+size_t ct__load__pack_to_buffer
+                     (const Ct__Load *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__load__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Load *ct__load__unpack(ProtobufCAllocator *allocator, size_t len,
-			   const uint8_t *data)
+Ct__Load *
+       ct__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Load *)protobuf_c_message_unpack(&ct__load__descriptor,
-						     allocator, len, data);
+  return (Ct__Load *)
+     protobuf_c_message_unpack (&ct__load__descriptor,
+                                allocator, len, data);
 }
-void ct__load__free_unpacked(Ct__Load *message, ProtobufCAllocator *allocator)
+void   ct__load__free_unpacked
+                     (Ct__Load *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__load__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__packet__init(Ct__Packet *message)
+void   ct__packet__init
+                     (Ct__Packet         *message)
 {
-	static const Ct__Packet init_value = CT__PACKET__INIT;
-	*message = init_value;
+  static const Ct__Packet init_value = CT__PACKET__INIT;
+  *message = init_value;
 }
-size_t ct__packet__get_packed_size(const Ct__Packet *message)
+size_t ct__packet__get_packed_size
+                     (const Ct__Packet *message)
 {
-	assert(message->base.descriptor == &ct__packet__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__packet__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__packet__pack(const Ct__Packet *message, uint8_t *out)
+size_t ct__packet__pack
+                     (const Ct__Packet *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__packet__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__packet__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__packet__pack_to_buffer(const Ct__Packet *message,
-				  ProtobufCBuffer *buffer)
+size_t ct__packet__pack_to_buffer
+                     (const Ct__Packet *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__packet__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__packet__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Packet *ct__packet__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
+Ct__Packet *
+       ct__packet__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Packet *)protobuf_c_message_unpack(&ct__packet__descriptor,
-						       allocator, len, data);
+  return (Ct__Packet *)
+     protobuf_c_message_unpack (&ct__packet__descriptor,
+                                allocator, len, data);
 }
-void ct__packet__free_unpacked(Ct__Packet *message,
-			       ProtobufCAllocator *allocator)
+void   ct__packet__free_unpacked
+                     (Ct__Packet *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__packet__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__packet__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__held__init(Ct__Held *message)
+void   ct__held__init
+                     (Ct__Held         *message)
 {
-	static const Ct__Held init_value = CT__HELD__INIT;
-	*message = init_value;
+  static const Ct__Held init_value = CT__HELD__INIT;
+  *message = init_value;
 }
-size_t ct__held__get_packed_size(const Ct__Held *message)
+size_t ct__held__get_packed_size
+                     (const Ct__Held *message)
 {
-	assert(message->base.descriptor == &ct__held__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__held__pack(const Ct__Held *message, uint8_t *out)
+size_t ct__held__pack
+                     (const Ct__Held *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__held__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__held__pack_to_buffer(const Ct__Held *message,
-				ProtobufCBuffer *buffer)
+size_t ct__held__pack_to_buffer
+                     (const Ct__Held *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__held__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Held *ct__held__unpack(ProtobufCAllocator *allocator, size_t len,
-			   const uint8_t *data)
+Ct__Held *
+       ct__held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Held *)protobuf_c_message_unpack(&ct__held__descriptor,
-						     allocator, len, data);
+  return (Ct__Held *)
+     protobuf_c_message_unpack (&ct__held__descriptor,
+                                allocator, len, data);
 }
-void ct__held__free_unpacked(Ct__Held *message, ProtobufCAllocator *allocator)
+void   ct__held__free_unpacked
+                     (Ct__Held *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__held__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__digest__init(Ct__Digest *message)
+void   ct__digest__init
+                     (Ct__Digest         *message)
 {
-	static const Ct__Digest init_value = CT__DIGEST__INIT;
-	*message = init_value;
+  static const Ct__Digest init_value = CT__DIGEST__INIT;
+  *message = init_value;
 }
-size_t ct__digest__get_packed_size(const Ct__Digest *message)
+size_t ct__digest__get_packed_size
+                     (const Ct__Digest *message)
 {
-	assert(message->base.descriptor == &ct__digest__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__digest__pack(const Ct__Digest *message, uint8_t *out)
+size_t ct__digest__pack
+                     (const Ct__Digest *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__digest__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__digest__pack_to_buffer(const Ct__Digest *message,
-				  ProtobufCBuffer *buffer)
+size_t ct__digest__pack_to_buffer
+                     (const Ct__Digest *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__digest__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Digest *ct__digest__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
+Ct__Digest *
+       ct__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Digest *)protobuf_c_message_unpack(&ct__digest__descriptor,
-						       allocator, len, data);
+  return (Ct__Digest *)
+     protobuf_c_message_unpack (&ct__digest__descriptor,
+                                allocator, len, data);
 }
-void ct__digest__free_unpacked(Ct__Digest *message,
-			       ProtobufCAllocator *allocator)
+void   ct__digest__free_unpacked
+                     (Ct__Digest *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__digest__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__probe__init(Ct__Probe *message)
+void   ct__probe__init
+                     (Ct__Probe         *message)
 {
-	static const Ct__Probe init_value = CT__PROBE__INIT;
-	*message = init_value;
+  static const Ct__Probe init_value = CT__PROBE__INIT;
+  *message = init_value;
 }
-size_t ct__probe__get_packed_size(const Ct__Probe *message)
+size_t ct__probe__get_packed_size
+                     (const Ct__Probe *message)
 {
-	assert(message->base.descriptor == &ct__probe__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__probe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__probe__pack(const Ct__Probe *message, uint8_t *out)
+size_t ct__probe__pack
+                     (const Ct__Probe *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__probe__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__probe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__probe__pack_to_buffer(const Ct__Probe *message,
-				 ProtobufCBuffer *buffer)
+size_t ct__probe__pack_to_buffer
+                     (const Ct__Probe *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__probe__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__probe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Probe *ct__probe__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
+Ct__Probe *
+       ct__probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Probe *)protobuf_c_message_unpack(&ct__probe__descriptor,
-						      allocator, len, data);
+  return (Ct__Probe *)
+     protobuf_c_message_unpack (&ct__probe__descriptor,
+                                allocator, len, data);
 }
-void ct__probe__free_unpacked(Ct__Probe *message, ProtobufCAllocator *allocator)
+void   ct__probe__free_unpacked
+                     (Ct__Probe *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__probe__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__probe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__hello__init(Ct__Hello *message)
+void   ct__hello__init
+                     (Ct__Hello         *message)
 {
-	static const Ct__Hello init_value = CT__HELLO__INIT;
-	*message = init_value;
+  static const Ct__Hello init_value = CT__HELLO__INIT;
+  *message = init_value;
 }
-size_t ct__hello__get_packed_size(const Ct__Hello *message)
+size_t ct__hello__get_packed_size
+                     (const Ct__Hello *message)
 {
-	assert(message->base.descriptor == &ct__hello__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__hello__pack(const Ct__Hello *message, uint8_t *out)
+size_t ct__hello__pack
+                     (const Ct__Hello *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__hello__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__hello__pack_to_buffer(const Ct__Hello *message,
-				 ProtobufCBuffer *buffer)
+size_t ct__hello__pack_to_buffer
+                     (const Ct__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__hello__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Hello *ct__hello__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
+Ct__Hello *
+       ct__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Hello *)protobuf_c_message_unpack(&ct__hello__descriptor,
-						      allocator, len, data);
+  return (Ct__Hello *)
+     protobuf_c_message_unpack (&ct__hello__descriptor,
+                                allocator, len, data);
 }
-void ct__hello__free_unpacked(Ct__Hello *message, ProtobufCAllocator *allocator)
+void   ct__hello__free_unpacked
+                     (Ct__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__hello__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__service_part__init(Ct__ServicePart *message)
+void   ct__service_part__init
+                     (Ct__ServicePart         *message)
 {
-	static const Ct__ServicePart init_value = CT__SERVICE_PART__INIT;
-	*message = init_value;
+  static const Ct__ServicePart init_value = CT__SERVICE_PART__INIT;
+  *message = init_value;
 }
-size_t ct__service_part__get_packed_size(const Ct__ServicePart *message)
+size_t ct__service_part__get_packed_size
+                     (const Ct__ServicePart *message)
 {
-	assert(message->base.descriptor == &ct__service_part__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__service_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__service_part__pack(const Ct__ServicePart *message, uint8_t *out)
+size_t ct__service_part__pack
+                     (const Ct__ServicePart *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__service_part__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__service_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__service_part__pack_to_buffer(const Ct__ServicePart *message,
-					ProtobufCBuffer *buffer)
+size_t ct__service_part__pack_to_buffer
+                     (const Ct__ServicePart *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__service_part__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__service_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__ServicePart *ct__service_part__unpack(ProtobufCAllocator *allocator,
-					  size_t len, const uint8_t *data)
+Ct__ServicePart *
+       ct__service_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__ServicePart *)protobuf_c_message_unpack(
-		&ct__service_part__descriptor, allocator, len, data);
+  return (Ct__ServicePart *)
+     protobuf_c_message_unpack (&ct__service_part__descriptor,
+                                allocator, len, data);
 }
-void ct__service_part__free_unpacked(Ct__ServicePart *message,
-				     ProtobufCAllocator *allocator)
+void   ct__service_part__free_unpacked
+                     (Ct__ServicePart *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__service_part__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__service_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__config_pull__init(Ct__ConfigPull *message)
+void   ct__config_pull__init
+                     (Ct__ConfigPull         *message)
 {
-	static const Ct__ConfigPull init_value = CT__CONFIG_PULL__INIT;
-	*message = init_value;
+  static const Ct__ConfigPull init_value = CT__CONFIG_PULL__INIT;
+  *message = init_value;
 }
-size_t ct__config_pull__get_packed_size(const Ct__ConfigPull *message)
+size_t ct__config_pull__get_packed_size
+                     (const Ct__ConfigPull *message)
 {
-	assert(message->base.descriptor == &ct__config_pull__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__config_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__config_pull__pack(const Ct__ConfigPull *message, uint8_t *out)
+size_t ct__config_pull__pack
+                     (const Ct__ConfigPull *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__config_pull__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__config_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__config_pull__pack_to_buffer(const Ct__ConfigPull *message,
-				       ProtobufCBuffer *buffer)
+size_t ct__config_pull__pack_to_buffer
+                     (const Ct__ConfigPull *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__config_pull__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__config_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__ConfigPull *ct__config_pull__unpack(ProtobufCAllocator *allocator,
-					size_t len, const uint8_t *data)
+Ct__ConfigPull *
+       ct__config_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__ConfigPull *)protobuf_c_message_unpack(
-		&ct__config_pull__descriptor, allocator, len, data);
+  return (Ct__ConfigPull *)
+     protobuf_c_message_unpack (&ct__config_pull__descriptor,
+                                allocator, len, data);
 }
-void ct__config_pull__free_unpacked(Ct__ConfigPull *message,
-				    ProtobufCAllocator *allocator)
+void   ct__config_pull__free_unpacked
+                     (Ct__ConfigPull *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__config_pull__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__config_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__config_reply__init(Ct__ConfigReply *message)
+void   ct__config_reply__init
+                     (Ct__ConfigReply         *message)
 {
-	static const Ct__ConfigReply init_value = CT__CONFIG_REPLY__INIT;
-	*message = init_value;
+  static const Ct__ConfigReply init_value = CT__CONFIG_REPLY__INIT;
+  *message = init_value;
 }
-size_t ct__config_reply__get_packed_size(const Ct__ConfigReply *message)
+size_t ct__config_reply__get_packed_size
+                     (const Ct__ConfigReply *message)
 {
-	assert(message->base.descriptor == &ct__config_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__config_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__config_reply__pack(const Ct__ConfigReply *message, uint8_t *out)
+size_t ct__config_reply__pack
+                     (const Ct__ConfigReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__config_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__config_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__config_reply__pack_to_buffer(const Ct__ConfigReply *message,
-					ProtobufCBuffer *buffer)
+size_t ct__config_reply__pack_to_buffer
+                     (const Ct__ConfigReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__config_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__config_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__ConfigReply *ct__config_reply__unpack(ProtobufCAllocator *allocator,
-					  size_t len, const uint8_t *data)
+Ct__ConfigReply *
+       ct__config_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__ConfigReply *)protobuf_c_message_unpack(
-		&ct__config_reply__descriptor, allocator, len, data);
+  return (Ct__ConfigReply *)
+     protobuf_c_message_unpack (&ct__config_reply__descriptor,
+                                allocator, len, data);
 }
-void ct__config_reply__free_unpacked(Ct__ConfigReply *message,
-				     ProtobufCAllocator *allocator)
+void   ct__config_reply__free_unpacked
+                     (Ct__ConfigReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__config_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__config_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__flow_record__init(Ct__FlowRecord *message)
+void   ct__flow_record__init
+                     (Ct__FlowRecord         *message)
 {
-	static const Ct__FlowRecord init_value = CT__FLOW_RECORD__INIT;
-	*message = init_value;
+  static const Ct__FlowRecord init_value = CT__FLOW_RECORD__INIT;
+  *message = init_value;
 }
-size_t ct__flow_record__get_packed_size(const Ct__FlowRecord *message)
+size_t ct__flow_record__get_packed_size
+                     (const Ct__FlowRecord *message)
 {
-	assert(message->base.descriptor == &ct__flow_record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__flow_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__flow_record__pack(const Ct__FlowRecord *message, uint8_t *out)
+size_t ct__flow_record__pack
+                     (const Ct__FlowRecord *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__flow_record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__flow_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__flow_record__pack_to_buffer(const Ct__FlowRecord *message,
-				       ProtobufCBuffer *buffer)
+size_t ct__flow_record__pack_to_buffer
+                     (const Ct__FlowRecord *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__flow_record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__flow_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__FlowRecord *ct__flow_record__unpack(ProtobufCAllocator *allocator,
-					size_t len, const uint8_t *data)
+Ct__FlowRecord *
+       ct__flow_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__FlowRecord *)protobuf_c_message_unpack(
-		&ct__flow_record__descriptor, allocator, len, data);
+  return (Ct__FlowRecord *)
+     protobuf_c_message_unpack (&ct__flow_record__descriptor,
+                                allocator, len, data);
 }
-void ct__flow_record__free_unpacked(Ct__FlowRecord *message,
-				    ProtobufCAllocator *allocator)
+void   ct__flow_record__free_unpacked
+                     (Ct__FlowRecord *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__flow_record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__flow_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__handover__init(Ct__Handover *message)
+void   ct__handover__init
+                     (Ct__Handover         *message)
 {
-	static const Ct__Handover init_value = CT__HANDOVER__INIT;
-	*message = init_value;
+  static const Ct__Handover init_value = CT__HANDOVER__INIT;
+  *message = init_value;
 }
-size_t ct__handover__get_packed_size(const Ct__Handover *message)
+size_t ct__handover__get_packed_size
+                     (const Ct__Handover *message)
 {
-	assert(message->base.descriptor == &ct__handover__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__handover__pack(const Ct__Handover *message, uint8_t *out)
+size_t ct__handover__pack
+                     (const Ct__Handover *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__handover__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__handover__pack_to_buffer(const Ct__Handover *message,
-				    ProtobufCBuffer *buffer)
+size_t ct__handover__pack_to_buffer
+                     (const Ct__Handover *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__handover__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Handover *ct__handover__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+Ct__Handover *
+       ct__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Handover *)protobuf_c_message_unpack(
-		&ct__handover__descriptor, allocator, len, data);
+  return (Ct__Handover *)
+     protobuf_c_message_unpack (&ct__handover__descriptor,
+                                allocator, len, data);
 }
-void ct__handover__free_unpacked(Ct__Handover *message,
-				 ProtobufCAllocator *allocator)
+void   ct__handover__free_unpacked
+                     (Ct__Handover *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__handover__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__witness__init(Ct__Witness *message)
+void   ct__witness__init
+                     (Ct__Witness         *message)
 {
-	static const Ct__Witness init_value = CT__WITNESS__INIT;
-	*message = init_value;
+  static const Ct__Witness init_value = CT__WITNESS__INIT;
+  *message = init_value;
 }
-size_t ct__witness__get_packed_size(const Ct__Witness *message)
+size_t ct__witness__get_packed_size
+                     (const Ct__Witness *message)
 {
-	assert(message->base.descriptor == &ct__witness__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ct__witness__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ct__witness__pack(const Ct__Witness *message, uint8_t *out)
+size_t ct__witness__pack
+                     (const Ct__Witness *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &ct__witness__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ct__witness__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ct__witness__pack_to_buffer(const Ct__Witness *message,
-				   ProtobufCBuffer *buffer)
+size_t ct__witness__pack_to_buffer
+                     (const Ct__Witness *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &ct__witness__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ct__witness__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Ct__Witness *ct__witness__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+Ct__Witness *
+       ct__witness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Ct__Witness *)protobuf_c_message_unpack(
-		&ct__witness__descriptor, allocator, len, data);
+  return (Ct__Witness *)
+     protobuf_c_message_unpack (&ct__witness__descriptor,
+                                allocator, len, data);
 }
-void ct__witness__free_unpacked(Ct__Witness *message,
-				ProtobufCAllocator *allocator)
+void   ct__witness__free_unpacked
+                     (Ct__Witness *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__witness__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__witness__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ct__query__init(Ct__Query *message)
+void   ct__query__init
+                     (Ct__Query         *message)
 {
-	static const Ct__Query init_value = CT__QUERY__INIT;
-	*message = init_value;
+  static const Ct__Query init_value = CT__QUERY__INIT;
+  *message = init_value;
 }
-size_t ct__query__get_packed_size(const Ct__Query *message)
+size_t ct__query__get_packed_size
+                     (const Ct__Query *message)
 {
-	assert(message->base.descriptor == &ct__query__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
-}
-size_t ct__query__pack(const Ct__Query *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &ct__query__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t ct__query__pack_to_buffer(const Ct__Query *message,
-				 ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &ct__query__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
-}
-Ct__Query *ct__query__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
-{
-	return (Ct__Query *)protobuf_c_message_unpack(&ct__query__descriptor,
-						      allocator, len, data);
-}
-void ct__query__free_unpacked(Ct__Query *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__query__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-void ct__answer__init(Ct__Answer *message)
-{
-	static const Ct__Answer init_value = CT__ANSWER__INIT;
-	*message = init_value;
-}
-size_t ct__answer__get_packed_size(const Ct__Answer *message)
-{
-	assert(message->base.descriptor == &ct__answer__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
-}
-size_t ct__answer__pack(const Ct__Answer *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &ct__answer__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t ct__answer__pack_to_buffer(const Ct__Answer *message,
-				  ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &ct__answer__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
-}
-Ct__Answer *ct__answer__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
-{
-	return (Ct__Answer *)protobuf_c_message_unpack(&ct__answer__descriptor,
-						       allocator, len, data);
-}
-void ct__answer__free_unpacked(Ct__Answer *message,
-			       ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &ct__answer__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-static const ProtobufCFieldDescriptor ct__load__field_descriptors[9] = {
-	{
-		"target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Load, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Ct__Load, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Load, state), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"work", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					 /* quantifier_offset */
-		offsetof(Ct__Load, work), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"capacity", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Load, capacity), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"in_flight", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Load, in_flight), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"held", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					 /* quantifier_offset */
-		offsetof(Ct__Load, held), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"speed", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Load, speed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"full", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					 /* quantifier_offset */
-		offsetof(Ct__Load, full), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  assert(message->base.descriptor == &ct__query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__query__pack
+                     (const Ct__Query *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__query__pack_to_buffer
+                     (const Ct__Query *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__Query *
+       ct__query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__Query *)
+     protobuf_c_message_unpack (&ct__query__descriptor,
+                                allocator, len, data);
+}
+void   ct__query__free_unpacked
+                     (Ct__Query *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ct__answer__init
+                     (Ct__Answer         *message)
+{
+  static const Ct__Answer init_value = CT__ANSWER__INIT;
+  *message = init_value;
+}
+size_t ct__answer__get_packed_size
+                     (const Ct__Answer *message)
+{
+  assert(message->base.descriptor == &ct__answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ct__answer__pack
+                     (const Ct__Answer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ct__answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ct__answer__pack_to_buffer
+                     (const Ct__Answer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ct__answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ct__Answer *
+       ct__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ct__Answer *)
+     protobuf_c_message_unpack (&ct__answer__descriptor,
+                                allocator, len, data);
+}
+void   ct__answer__free_unpacked
+                     (Ct__Answer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ct__answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor ct__load__field_descriptors[12] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_time_us",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__Load, n_class_time_us),
+    offsetof(Ct__Load, class_time_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_samples",
+    51,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__Load, n_class_samples),
+    offsetof(Ct__Load, class_samples),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_age_ms",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, sample_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__load__field_indices_by_name[] = {
-	4, /* field[4] = capacity */
-	8, /* field[8] = full */
-	6, /* field[6] = held */
-	5, /* field[5] = in_flight */
-	1, /* field[1] = incarnation */
-	7, /* field[7] = speed */
-	2, /* field[2] = state */
-	0, /* field[0] = target */
-	3, /* field[3] = work */
+  4,   /* field[4] = capacity */
+  10,   /* field[10] = class_samples */
+  9,   /* field[9] = class_time_us */
+  8,   /* field[8] = full */
+  6,   /* field[6] = held */
+  5,   /* field[5] = in_flight */
+  1,   /* field[1] = incarnation */
+  11,   /* field[11] = sample_age_ms */
+  7,   /* field[7] = speed */
+  2,   /* field[2] = state */
+  0,   /* field[0] = target */
+  3,   /* field[3] = work */
 };
-static const ProtobufCIntRange ct__load__number_ranges[1 + 1] = { { 1, 0 },
-								  { 0, 9 } };
-const ProtobufCMessageDescriptor ct__load__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Load",
-	"Load",
-	"Ct__Load",
-	"ct",
-	sizeof(Ct__Load),
-	9,
-	ct__load__field_descriptors,
-	ct__load__field_indices_by_name,
-	1,
-	ct__load__number_ranges,
-	(ProtobufCMessageInit)ct__load__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange ct__load__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 50, 9 },
+  { 0, 12 }
 };
-static const ProtobufCFieldDescriptor ct__packet__field_descriptors[11] = {
-	{
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"step", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, step), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reply_ip", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, reply_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reply_port", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, reply_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"asked", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
-		offsetof(Ct__Packet, n_asked), offsetof(Ct__Packet, asked),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"unasked", 8, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_FIXED32, offsetof(Ct__Packet, n_unasked),
-		offsetof(Ct__Packet, unasked), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"candidates", 9, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_FIXED32, offsetof(Ct__Packet, n_candidates),
-		offsetof(Ct__Packet, candidates), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"last_resort", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, last_resort), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"inner", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(Ct__Packet, inner), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor ct__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Load",
+  "Load",
+  "Ct__Load",
+  "ct",
+  sizeof(Ct__Load),
+  12,
+  ct__load__field_descriptors,
+  ct__load__field_indices_by_name,
+  2,  ct__load__number_ranges,
+  (ProtobufCMessageInit) ct__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ct__packet__field_descriptors[11] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply_ip",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, reply_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply_port",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, reply_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Packet, n_asked),
+    offsetof(Ct__Packet, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unasked",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Packet, n_unasked),
+    offsetof(Ct__Packet, unasked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "candidates",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Packet, n_candidates),
+    offsetof(Ct__Packet, candidates),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_resort",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, last_resort),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inner",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, inner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__packet__field_indices_by_name[] = {
-	6,  /* field[6] = asked */
-	8,  /* field[8] = candidates */
-	2,  /* field[2] = digest */
-	10, /* field[10] = inner */
-	9,  /* field[9] = last_resort */
-	4,  /* field[4] = reply_ip */
-	5,  /* field[5] = reply_port */
-	0,  /* field[0] = service */
-	3,  /* field[3] = step */
-	7,  /* field[7] = unasked */
-	1,  /* field[1] = version */
+  6,   /* field[6] = asked */
+  8,   /* field[8] = candidates */
+  2,   /* field[2] = digest */
+  10,   /* field[10] = inner */
+  9,   /* field[9] = last_resort */
+  4,   /* field[4] = reply_ip */
+  5,   /* field[5] = reply_port */
+  0,   /* field[0] = service */
+  3,   /* field[3] = step */
+  7,   /* field[7] = unasked */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ct__packet__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 15, 10 },
+  { 0, 11 }
 };
-static const ProtobufCIntRange ct__packet__number_ranges[2 + 1] = { { 1, 0 },
-								    { 15, 10 },
-								    { 0, 11 } };
-const ProtobufCMessageDescriptor ct__packet__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Packet",
-	"Packet",
-	"Ct__Packet",
-	"ct",
-	sizeof(Ct__Packet),
-	11,
-	ct__packet__field_descriptors,
-	ct__packet__field_indices_by_name,
-	2,
-	ct__packet__number_ranges,
-	(ProtobufCMessageInit)ct__packet__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__packet__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Packet",
+  "Packet",
+  "Ct__Packet",
+  "ct",
+  sizeof(Ct__Packet),
+  11,
+  ct__packet__field_descriptors,
+  ct__packet__field_indices_by_name,
+  2,  ct__packet__number_ranges,
+  (ProtobufCMessageInit) ct__packet__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__held__field_descriptors[14] = {
-	{
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"src_ip", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, src_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"dst_ip", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, dst_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"src_port", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, src_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"dst_port", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, dst_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"protocol", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, protocol), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"refused", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, refused), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"gone", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					 /* quantifier_offset */
-		offsetof(Ct__Held, gone), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"load", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, load), &ct__load__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"agent_ip", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, agent_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"agent_port", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Held, agent_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__held__field_descriptors[14] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "src_ip",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, src_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dst_ip",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, dst_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "src_port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, src_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dst_port",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, dst_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "protocol",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, load),
+    &ct__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_ip",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, agent_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_port",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Held, agent_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__held__field_indices_by_name[] = {
-	12, /* field[12] = agent_ip */
-	13, /* field[13] = agent_port */
-	2,  /* field[2] = digest */
-	5,  /* field[5] = dst_ip */
-	7,  /* field[7] = dst_port */
-	10, /* field[10] = gone */
-	11, /* field[11] = load */
-	8,  /* field[8] = protocol */
-	9,  /* field[9] = refused */
-	0,  /* field[0] = service */
-	4,  /* field[4] = src_ip */
-	6,  /* field[6] = src_port */
-	3,  /* field[3] = target */
-	1,  /* field[1] = version */
+  12,   /* field[12] = agent_ip */
+  13,   /* field[13] = agent_port */
+  2,   /* field[2] = digest */
+  5,   /* field[5] = dst_ip */
+  7,   /* field[7] = dst_port */
+  10,   /* field[10] = gone */
+  11,   /* field[11] = load */
+  8,   /* field[8] = protocol */
+  9,   /* field[9] = refused */
+  0,   /* field[0] = service */
+  4,   /* field[4] = src_ip */
+  6,   /* field[6] = src_port */
+  3,   /* field[3] = target */
+  1,   /* field[1] = version */
 };
-static const ProtobufCIntRange ct__held__number_ranges[1 + 1] = { { 1, 0 },
-								  { 0, 14 } };
-const ProtobufCMessageDescriptor ct__held__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Held",
-	"Held",
-	"Ct__Held",
-	"ct",
-	sizeof(Ct__Held),
-	14,
-	ct__held__field_descriptors,
-	ct__held__field_indices_by_name,
-	1,
-	ct__held__number_ranges,
-	(ProtobufCMessageInit)ct__held__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange ct__held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor ct__held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Held",
+  "Held",
+  "Ct__Held",
+  "ct",
+  sizeof(Ct__Held),
+  14,
+  ct__held__field_descriptors,
+  ct__held__field_indices_by_name,
+  1,  ct__held__number_ranges,
+  (ProtobufCMessageInit) ct__held__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__digest__field_descriptors[7] = {
-	{
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Digest, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Digest, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Digest, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"load", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(Ct__Digest, load), &ct__load__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rumours", 5, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(Ct__Digest, n_rumours),
-		offsetof(Ct__Digest, rumours), &ct__load__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"agent_ip", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Digest, agent_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"agent_port", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Digest, agent_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__digest__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, load),
+    &ct__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rumours",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__Digest, n_rumours),
+    offsetof(Ct__Digest, rumours),
+    &ct__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_ip",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, agent_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, agent_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__digest__field_indices_by_name[] = {
-	5, /* field[5] = agent_ip */
-	6, /* field[6] = agent_port */
-	2, /* field[2] = digest */
-	3, /* field[3] = load */
-	4, /* field[4] = rumours */
-	0, /* field[0] = service */
-	1, /* field[1] = version */
+  5,   /* field[5] = agent_ip */
+  6,   /* field[6] = agent_port */
+  2,   /* field[2] = digest */
+  3,   /* field[3] = load */
+  4,   /* field[4] = rumours */
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ct__digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
 };
-static const ProtobufCIntRange ct__digest__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 7 } };
-const ProtobufCMessageDescriptor ct__digest__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Digest",
-	"Digest",
-	"Ct__Digest",
-	"ct",
-	sizeof(Ct__Digest),
-	7,
-	ct__digest__field_descriptors,
-	ct__digest__field_indices_by_name,
-	1,
-	ct__digest__number_ranges,
-	(ProtobufCMessageInit)ct__digest__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Digest",
+  "Digest",
+  "Ct__Digest",
+  "ct",
+  sizeof(Ct__Digest),
+  7,
+  ct__digest__field_descriptors,
+  ct__digest__field_indices_by_name,
+  1,  ct__digest__number_ranges,
+  (ProtobufCMessageInit) ct__digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__probe__field_descriptors[8] = {
-	{
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"origin_ip", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, origin_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"origin_port", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, origin_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"number", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, number), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"answer", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, answer), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 7, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Ct__Probe, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"relay", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Probe, relay), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__probe__field_descriptors[8] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_ip",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, origin_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, origin_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Probe, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__probe__field_indices_by_name[] = {
-	5, /* field[5] = answer */
-	6, /* field[6] = incarnation */
-	4, /* field[4] = number */
-	2, /* field[2] = origin_ip */
-	3, /* field[3] = origin_port */
-	7, /* field[7] = relay */
-	0, /* field[0] = service */
-	1, /* field[1] = target */
+  5,   /* field[5] = answer */
+  6,   /* field[6] = incarnation */
+  4,   /* field[4] = number */
+  2,   /* field[2] = origin_ip */
+  3,   /* field[3] = origin_port */
+  7,   /* field[7] = relay */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange ct__probe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
 };
-static const ProtobufCIntRange ct__probe__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 8 } };
-const ProtobufCMessageDescriptor ct__probe__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Probe",
-	"Probe",
-	"Ct__Probe",
-	"ct",
-	sizeof(Ct__Probe),
-	8,
-	ct__probe__field_descriptors,
-	ct__probe__field_indices_by_name,
-	1,
-	ct__probe__number_ranges,
-	(ProtobufCMessageInit)ct__probe__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__probe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Probe",
+  "Probe",
+  "Ct__Probe",
+  "ct",
+  sizeof(Ct__Probe),
+  8,
+  ct__probe__field_descriptors,
+  ct__probe__field_indices_by_name,
+  1,  ct__probe__number_ranges,
+  (ProtobufCMessageInit) ct__probe__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__hello__field_descriptors[4] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Hello, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Hello, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"want_answer", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Hello, want_answer), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"role", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Hello, role), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__hello__field_descriptors[4] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want_answer",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, want_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__hello__field_indices_by_name[] = {
-	1, /* field[1] = digest */
-	3, /* field[3] = role */
-	0, /* field[0] = version */
-	2, /* field[2] = want_answer */
+  1,   /* field[1] = digest */
+  3,   /* field[3] = role */
+  0,   /* field[0] = version */
+  2,   /* field[2] = want_answer */
 };
-static const ProtobufCIntRange ct__hello__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 4 } };
-const ProtobufCMessageDescriptor ct__hello__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Hello",
-	"Hello",
-	"Ct__Hello",
-	"ct",
-	sizeof(Ct__Hello),
-	4,
-	ct__hello__field_descriptors,
-	ct__hello__field_indices_by_name,
-	1,
-	ct__hello__number_ranges,
-	(ProtobufCMessageInit)ct__hello__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange ct__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ct__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Hello",
+  "Hello",
+  "Ct__Hello",
+  "ct",
+  sizeof(Ct__Hello),
+  4,
+  ct__hello__field_descriptors,
+  ct__hello__field_indices_by_name,
+  1,  ct__hello__number_ranges,
+  (ProtobufCMessageInit) ct__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__service_part__field_descriptors[3] = {
-	{
-		"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__ServicePart, id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__ServicePart, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Ct__ServicePart, text), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__service_part__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ServicePart, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ServicePart, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ServicePart, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__service_part__field_indices_by_name[] = {
-	1, /* field[1] = digest */
-	0, /* field[0] = id */
-	2, /* field[2] = text */
+  1,   /* field[1] = digest */
+  0,   /* field[0] = id */
+  2,   /* field[2] = text */
 };
-static const ProtobufCIntRange ct__service_part__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 3 }
+static const ProtobufCIntRange ct__service_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor ct__service_part__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.ServicePart",
-	"ServicePart",
-	"Ct__ServicePart",
-	"ct",
-	sizeof(Ct__ServicePart),
-	3,
-	ct__service_part__field_descriptors,
-	ct__service_part__field_indices_by_name,
-	1,
-	ct__service_part__number_ranges,
-	(ProtobufCMessageInit)ct__service_part__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__service_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.ServicePart",
+  "ServicePart",
+  "Ct__ServicePart",
+  "ct",
+  sizeof(Ct__ServicePart),
+  3,
+  ct__service_part__field_descriptors,
+  ct__service_part__field_indices_by_name,
+  1,  ct__service_part__number_ranges,
+  (ProtobufCMessageInit) ct__service_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__config_pull__field_descriptors[2] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__ConfigPull, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__ConfigPull, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__config_pull__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigPull, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigPull, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__config_pull__field_indices_by_name[] = {
-	1, /* field[1] = digest */
-	0, /* field[0] = version */
+  1,   /* field[1] = digest */
+  0,   /* field[0] = version */
 };
-static const ProtobufCIntRange ct__config_pull__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 2 }
+static const ProtobufCIntRange ct__config_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor ct__config_pull__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.ConfigPull",
-	"ConfigPull",
-	"Ct__ConfigPull",
-	"ct",
-	sizeof(Ct__ConfigPull),
-	2,
-	ct__config_pull__field_descriptors,
-	ct__config_pull__field_indices_by_name,
-	1,
-	ct__config_pull__number_ranges,
-	(ProtobufCMessageInit)ct__config_pull__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__config_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.ConfigPull",
+  "ConfigPull",
+  "Ct__ConfigPull",
+  "ct",
+  sizeof(Ct__ConfigPull),
+  2,
+  ct__config_pull__field_descriptors,
+  ct__config_pull__field_indices_by_name,
+  1,  ct__config_pull__number_ranges,
+  (ProtobufCMessageInit) ct__config_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__config_reply__field_descriptors[5] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Ct__ConfigReply, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__ConfigReply, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"base_version", 3, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(Ct__ConfigReply, base_version), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"parts", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Ct__ConfigReply, n_parts),
-		offsetof(Ct__ConfigReply, parts), &ct__service_part__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"order", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
-		offsetof(Ct__ConfigReply, n_order),
-		offsetof(Ct__ConfigReply, order), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__config_reply__field_descriptors[5] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigReply, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__ConfigReply, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__ConfigReply, n_parts),
+    offsetof(Ct__ConfigReply, parts),
+    &ct__service_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ct__ConfigReply, n_order),
+    offsetof(Ct__ConfigReply, order),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__config_reply__field_indices_by_name[] = {
-	2, /* field[2] = base_version */
-	1, /* field[1] = digest */
-	4, /* field[4] = order */
-	3, /* field[3] = parts */
-	0, /* field[0] = version */
+  2,   /* field[2] = base_version */
+  1,   /* field[1] = digest */
+  4,   /* field[4] = order */
+  3,   /* field[3] = parts */
+  0,   /* field[0] = version */
 };
-static const ProtobufCIntRange ct__config_reply__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
+static const ProtobufCIntRange ct__config_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor ct__config_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.ConfigReply",
-	"ConfigReply",
-	"Ct__ConfigReply",
-	"ct",
-	sizeof(Ct__ConfigReply),
-	5,
-	ct__config_reply__field_descriptors,
-	ct__config_reply__field_indices_by_name,
-	1,
-	ct__config_reply__number_ranges,
-	(ProtobufCMessageInit)ct__config_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__config_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.ConfigReply",
+  "ConfigReply",
+  "Ct__ConfigReply",
+  "ct",
+  sizeof(Ct__ConfigReply),
+  5,
+  ct__config_reply__field_descriptors,
+  ct__config_reply__field_indices_by_name,
+  1,  ct__config_reply__number_ranges,
+  (ProtobufCMessageInit) ct__config_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__flow_record__field_descriptors[13] = {
-	{
-		"src_ip", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, src_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"dst_ip", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, dst_ip), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"src_port", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, src_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"dst_port", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, dst_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"protocol", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, protocol), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, state), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"caller_next", 7, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED32, 0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, caller_next), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"server_next", 8, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED32, 0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, server_next), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"server_isn", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, server_isn), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"caller_isn", 10, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED32, 0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, caller_isn), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"class_index", 11, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, class_index), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"request_open", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, request_open), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes_delivered", 13, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(Ct__FlowRecord, bytes_delivered), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__flow_record__field_descriptors[13] =
+{
+  {
+    "src_ip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, src_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dst_ip",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, dst_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "src_port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, src_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dst_port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, dst_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "protocol",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_next",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, caller_next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_next",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, server_next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_isn",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, server_isn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_isn",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, caller_isn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_index",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, class_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_open",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, request_open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes_delivered",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, bytes_delivered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__flow_record__field_indices_by_name[] = {
-	12, /* field[12] = bytes_delivered */
-	9,  /* field[9] = caller_isn */
-	6,  /* field[6] = caller_next */
-	10, /* field[10] = class_index */
-	1,  /* field[1] = dst_ip */
-	3,  /* field[3] = dst_port */
-	4,  /* field[4] = protocol */
-	11, /* field[11] = request_open */
-	8,  /* field[8] = server_isn */
-	7,  /* field[7] = server_next */
-	0,  /* field[0] = src_ip */
-	2,  /* field[2] = src_port */
-	5,  /* field[5] = state */
+  12,   /* field[12] = bytes_delivered */
+  9,   /* field[9] = caller_isn */
+  6,   /* field[6] = caller_next */
+  10,   /* field[10] = class_index */
+  1,   /* field[1] = dst_ip */
+  3,   /* field[3] = dst_port */
+  4,   /* field[4] = protocol */
+  11,   /* field[11] = request_open */
+  8,   /* field[8] = server_isn */
+  7,   /* field[7] = server_next */
+  0,   /* field[0] = src_ip */
+  2,   /* field[2] = src_port */
+  5,   /* field[5] = state */
 };
-static const ProtobufCIntRange ct__flow_record__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 13 }
+static const ProtobufCIntRange ct__flow_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor ct__flow_record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.FlowRecord",
-	"FlowRecord",
-	"Ct__FlowRecord",
-	"ct",
-	sizeof(Ct__FlowRecord),
-	13,
-	ct__flow_record__field_descriptors,
-	ct__flow_record__field_indices_by_name,
-	1,
-	ct__flow_record__number_ranges,
-	(ProtobufCMessageInit)ct__flow_record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__flow_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.FlowRecord",
+  "FlowRecord",
+  "Ct__FlowRecord",
+  "ct",
+  sizeof(Ct__FlowRecord),
+  13,
+  ct__flow_record__field_descriptors,
+  ct__flow_record__field_indices_by_name,
+  1,  ct__flow_record__number_ranges,
+  (ProtobufCMessageInit) ct__flow_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__handover__field_descriptors[7] = {
-	{
-		"request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Handover, request), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"complete", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Handover, complete), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Handover, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 4, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Ct__Handover, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"capacity", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Handover, capacity), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"speed", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Handover, speed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"flows", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Ct__Handover, n_flows), offsetof(Ct__Handover, flows),
-		&ct__flow_record__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__handover__field_descriptors[7] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flows",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__Handover, n_flows),
+    offsetof(Ct__Handover, flows),
+    &ct__flow_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__handover__field_indices_by_name[] = {
-	4, /* field[4] = capacity */
-	1, /* field[1] = complete */
-	6, /* field[6] = flows */
-	3, /* field[3] = incarnation */
-	0, /* field[0] = request */
-	5, /* field[5] = speed */
-	2, /* field[2] = target */
+  4,   /* field[4] = capacity */
+  1,   /* field[1] = complete */
+  6,   /* field[6] = flows */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = request */
+  5,   /* field[5] = speed */
+  2,   /* field[2] = target */
 };
-static const ProtobufCIntRange ct__handover__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 7 }
+static const ProtobufCIntRange ct__handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor ct__handover__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Handover",
-	"Handover",
-	"Ct__Handover",
-	"ct",
-	sizeof(Ct__Handover),
-	7,
-	ct__handover__field_descriptors,
-	ct__handover__field_indices_by_name,
-	1,
-	ct__handover__number_ranges,
-	(ProtobufCMessageInit)ct__handover__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Handover",
+  "Handover",
+  "Ct__Handover",
+  "ct",
+  sizeof(Ct__Handover),
+  7,
+  ct__handover__field_descriptors,
+  ct__handover__field_indices_by_name,
+  1,  ct__handover__number_ranges,
+  (ProtobufCMessageInit) ct__handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__witness__field_descriptors[6] = {
-	{
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Ct__Witness, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Ct__Witness, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Ct__Witness, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"opened", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Ct__Witness, n_opened), offsetof(Ct__Witness, opened),
-		&ct__flow_record__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"closed", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Ct__Witness, n_closed), offsetof(Ct__Witness, closed),
-		&ct__flow_record__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"whole", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Ct__Witness, whole), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__witness__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "opened",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__Witness, n_opened),
+    offsetof(Ct__Witness, opened),
+    &ct__flow_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__Witness, n_closed),
+    offsetof(Ct__Witness, closed),
+    &ct__flow_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__witness__field_indices_by_name[] = {
-	4, /* field[4] = closed */
-	2, /* field[2] = incarnation */
-	3, /* field[3] = opened */
-	0, /* field[0] = service */
-	1, /* field[1] = target */
-	5, /* field[5] = whole */
+  4,   /* field[4] = closed */
+  2,   /* field[2] = incarnation */
+  3,   /* field[3] = opened */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
+  5,   /* field[5] = whole */
 };
-static const ProtobufCIntRange ct__witness__number_ranges[1 + 1] = { { 1, 0 },
-								     { 0, 6 } };
-const ProtobufCMessageDescriptor ct__witness__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Witness",
-	"Witness",
-	"Ct__Witness",
-	"ct",
-	sizeof(Ct__Witness),
-	6,
-	ct__witness__field_descriptors,
-	ct__witness__field_indices_by_name,
-	1,
-	ct__witness__number_ranges,
-	(ProtobufCMessageInit)ct__witness__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange ct__witness__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ct__witness__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Witness",
+  "Witness",
+  "Ct__Witness",
+  "ct",
+  sizeof(Ct__Witness),
+  6,
+  ct__witness__field_descriptors,
+  ct__witness__field_indices_by_name,
+  1,  ct__witness__number_ranges,
+  (ProtobufCMessageInit) ct__witness__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__query__field_descriptors[2] = {
-	{
-		"command", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Ct__Query, command), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"argument", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Ct__Query, argument), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__query__field_descriptors[2] =
+{
+  {
+    "command",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Query, command),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "argument",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Query, argument),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__query__field_indices_by_name[] = {
-	1, /* field[1] = argument */
-	0, /* field[0] = command */
+  1,   /* field[1] = argument */
+  0,   /* field[0] = command */
+};
+static const ProtobufCIntRange ct__query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange ct__query__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 2 } };
-const ProtobufCMessageDescriptor ct__query__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Query",
-	"Query",
-	"Ct__Query",
-	"ct",
-	sizeof(Ct__Query),
-	2,
-	ct__query__field_descriptors,
-	ct__query__field_indices_by_name,
-	1,
-	ct__query__number_ranges,
-	(ProtobufCMessageInit)ct__query__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Query",
+  "Query",
+  "Ct__Query",
+  "ct",
+  sizeof(Ct__Query),
+  2,
+  ct__query__field_descriptors,
+  ct__query__field_indices_by_name,
+  1,  ct__query__number_ranges,
+  (ProtobufCMessageInit) ct__query__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__answer__field_descriptors[2] = {
-	{
-		"ok", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					 /* quantifier_offset */
-		offsetof(Ct__Answer, ok), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"text", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Ct__Answer, text), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor ct__answer__field_descriptors[2] =
+{
+  {
+    "ok",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Answer, ok),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Answer, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__answer__field_indices_by_name[] = {
-	0, /* field[0] = ok */
-	1, /* field[1] = text */
+  0,   /* field[0] = ok */
+  1,   /* field[1] = text */
+};
+static const ProtobufCIntRange ct__answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange ct__answer__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 2 } };
-const ProtobufCMessageDescriptor ct__answer__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"ct.Answer",
-	"Answer",
-	"Ct__Answer",
-	"ct",
-	sizeof(Ct__Answer),
-	2,
-	ct__answer__field_descriptors,
-	ct__answer__field_indices_by_name,
-	1,
-	ct__answer__number_ranges,
-	(ProtobufCMessageInit)ct__answer__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor ct__answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ct.Answer",
+  "Answer",
+  "Ct__Answer",
+  "ct",
+  sizeof(Ct__Answer),
+  2,
+  ct__answer__field_descriptors,
+  ct__answer__field_indices_by_name,
+  1,  ct__answer__number_ranges,
+  (ProtobufCMessageInit) ct__answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -78,10 +78,24 @@
    * takes no more opens
    */
   protobuf_c_boolean full;
+  /*
+   * typical service time by class
+   */
+  size_t n_class_time_us;
+  uint32_t *class_time_us;
+  /*
+   * samples behind each of them
+   */
+  size_t n_class_samples;
+  uint32_t *class_samples;
+  /*
+   * since the last one
+   */
+  uint32_t sample_age_ms;
 };
 #define CT__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/flow_table.c
+++ b/src/flow_table.c
@@ -117,6 +117,7 @@
 	f->state_ms = now;
 	f->serial = ++t->serial;
 	list_init(&f->kept);
+	list_init(&f->slot_wait);
 	list_append(&t->buckets[hash & t->mask], &f->chain);
 	list_append(&t->recent, &f->recent);
 	t->count++;
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -57,12 +57,14 @@
 	bool counted;	      /* its weight is part of the work held */
 	bool caller_fin;
 	bool server_fin;
-	bool delivered;	       /* payload has reached the backend server */
-	bool request_open;     /* payload without an answer */
-	uint32_t request_load; /* requests in flight when it started */
-	uint64_t request_ms;   /* when it started */
-	uint32_t tries;	       /* probes sent in FLOW_TRIAL */
-	list_t kept;	       /* kept_packet_t, owned */
+	bool delivered;	     /* payload has reached the backend server */
+	bool request_open;   /* payload without an answer */
+	uint64_t request_ms; /* last byte of it delivered */
+	bool in_slot;	     /* believed to be served, not waiting */
+	uint64_t slot_ms;    /* since when */
+	list_t slot_wait;    /* in the agent's list of waiting requests */
+	uint32_t tries;	     /* probes sent in FLOW_TRIAL */
+	list_t kept;	     /* kept_packet_t, owned */
 	size_t nkept;
 } flow_t;
 
--- a/src/group.c
+++ b/src/group.c
@@ -6,6 +6,8 @@
 #define THOUSAND 1000.0
 
 static member_t *member_add(group_t *group, uint32_t id);
+static void take_times(member_t *m, const load_msg_t *load);
+static bool has_times(const member_t *m);
 static double mean_learned_per_weight(const group_t *group);
 static double weight_at(const member_t *m, double per_weight);
 
@@ -64,6 +66,23 @@
 	return 0;
 }
 
+/* Only digests carry service times. */
+static void take_times(member_t *m, const load_msg_t *load)
+{
+	if (!load->n_class_time_us ||
+	    load->n_class_samples != load->n_class_time_us)
+		return;
+	memset(m->times, 0, sizeof(m->times));
+	for (size_t c = 0; c < load->n_class_time_us && c < CAPACITY_CLASSES;
+	     c++) {
+		m->times[c].ms = load->class_time_us[c] / THOUSAND;
+		m->times[c].samples = load->class_samples[c] < CAPACITY_SAMPLES
+					      ? load->class_samples[c]
+					      : CAPACITY_SAMPLES;
+	}
+	m->sample_age_ms = load->sample_age_ms;
+}
+
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent)
 {
@@ -86,6 +105,7 @@
 	m->capacity = load->capacity / THOUSAND;
 	m->speed = load->speed / THOUSAND;
 	m->work = load->work;
+	take_times(m, load);
 	m->unseen = 0;
 	m->in_flight = load->in_flight;
 	m->held = load->held;
@@ -142,6 +162,59 @@
 			       : m->declared * m->slots * per_weight;
 }
 
+static bool has_times(const member_t *m)
+{
+	for (size_t c = 0; c < CAPACITY_CLASSES; c++)
+		if (m->times[c].samples)
+			return true;
+	return false;
+}
+
+double group_speed(const group_t *group, uint32_t id)
+{
+	capacity_peer_t *peers = calloc(group->n + 1, sizeof(*peers));
+	const member_t *self = NULL;
+	double speed = 0;
+	size_t n = 0, at = 0;
+
+	if (!peers)
+		return 0;
+	for (size_t i = 0; i < group->n; i++) {
+		const member_t *m = &group->members[i];
+
+		if (!m->configured)
+			continue;
+		if (m->id == id) {
+			self = m;
+			at = n;
+		}
+		peers[n].declared = m->declared;
+		peers[n].slots = m->slots;
+		memcpy(peers[n++].times, m->times, sizeof(m->times));
+	}
+	if (self && has_times(self)) {
+		capacity_compare(peers, n);
+		speed = peers[at].speed;
+	}
+	free(peers);
+	return speed;
+}
+
+bool group_samples_newer(const group_t *group, uint32_t age_ms)
+{
+	size_t newer = 0, n = 0;
+
+	for (size_t i = 0; i < group->n; i++) {
+		const member_t *m = &group->members[i];
+
+		if (!m->configured || !has_times(m))
+			continue;
+		n++;
+		newer += m->sample_age_ms < age_ms;
+	}
+	return newer * 2 > n;
+}
+
 double member_rank_weight(const group_t *group, const member_t *m)
 {
 	return weight_at(m, mean_learned_per_weight(group));
--- a/src/group.h
+++ b/src/group.h
@@ -13,6 +13,7 @@
  * clock.
  */
 
+#include "capacity.h"
 #include "config.h"
 #include "endpoint.h"
 #include "wire.h"
@@ -50,9 +51,11 @@
 	bool full;	      /* said that it takes no opens */
 	double capacity;      /* learned, in class weights; 0 unknown */
 	double speed;	      /* learned, weight a slot and second; 0 unknown */
-	double work;	      /* weighted work held */
-	double placed;	      /* weighted opens that we placed, ever */
-	double unseen;	      /* those placed since the load was heard */
+	capacity_time_t times[CAPACITY_CLASSES]; /* told in digests */
+	uint32_t sample_age_ms;			 /* when they were told */
+	double work;				 /* weighted work held */
+	double placed; /* weighted opens that we placed, ever */
+	double unseen; /* those placed since the load was heard */
 	uint32_t in_flight;
 	uint32_t held;
 } member_t;
@@ -94,6 +97,15 @@
 /* Notes that an open of this weight was placed with the member. */
 void member_placed(member_t *m, double weight);
 
+/*
+ * Compares the members' service times. Returns the speed of a member that
+ * has told any, relative to the declared weights, else 0.
+ */
+double group_speed(const group_t *group, uint32_t id);
+
+/* True when most members told of newer samples than age_ms. */
+bool group_samples_newer(const group_t *group, uint32_t age_ms);
+
 /* Work held, and placed since it was told, over capacity. */
 double member_utilisation(const group_t *group, const member_t *m);
 
