Pass on an open when requests wait at twice the group's rate

A host that slows down, or starts cold, went on taking opens until a second passed and its new times outweighed the old ones. An agent now also passes an open on when it has more than one request a slot and twice the group's. New work is now measured in windows of 10, 20, 30 and 60 s after the event.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -23,13 +23,11 @@
 #define STEADY_S     150  /* the window begins */
 #define END_S	     240
 #define EVENT_S	     120 /* a host slows or is added */
-#define NEW_S	     10	 /* window of new work after the event */
 #define INTERVAL_MS  1000
 #define LOAD	     0.7
 #define OPEN_MS	     20 /* work of an open at speed 1 */
 #define SLOW_HOST    5
 #define ADDED_HOST   6
-#define FAIR_NEW     1.25
 #define LOGS_A_S     40
 #define LOG_COST     3 /* times what its weight says */
 #define MS	     1000
@@ -38,6 +36,10 @@
 #define COLD_SPEED   0.25
 #define CONFIG_BYTES 8192
 
+/* Windows of new work after the event end at these seconds. */
+static const unsigned windows[] = { 0, 10, 30, 60, 120 };
+#define WINDOWS (sizeof(windows) / sizeof(windows[0]))
+
 /* Four times apart. */
 static const double speeds[HOSTS] = { 0.5, 0.7, 1, 1, 1.4, 1.7, 2 };
 /* How wrong the declared weights are. */
@@ -97,9 +99,9 @@
 	double feeds_due;
 	double logs_due;
 	unsigned hosts;
-	uint64_t placed[HOSTS]; /* opens accepted, when last looked */
-	unsigned recovered_s;	/* after the event, 0 for never */
-	unsigned fair_s;	/* the added host reached nine tenths */
+	uint64_t placed[HOSTS];	   /* opens accepted, when last looked */
+	double new_share[WINDOWS]; /* of the host that slows */
+	unsigned fair_s;	   /* the added host reached nine tenths */
 	double greatest_sum, smallest_sum, greatest_worst;
 	unsigned samples;
 	GArray *feeds; /* feed_t */
@@ -235,17 +237,9 @@
 
 static void after_event(run_t *r, unsigned second, const double *u, double mean)
 {
-	double share;
-
-	if (second % NEW_S == 0 && second >= EVENT_S) {
-		share = new_share(r, SLOW_HOST);
-		if (second > EVENT_S && r->scenario->slows) {
-			if (share > FAIR_NEW)
-				r->recovered_s = 0;
-			else if (!r->recovered_s)
-				r->recovered_s = second - EVENT_S;
-		}
-	}
+	for (size_t i = 0; i < WINDOWS; i++)
+		if (second == EVENT_S + windows[i])
+			r->new_share[i] = new_share(r, SLOW_HOST);
 	if (r->scenario->added && r->hosts == HOSTS && !r->fair_s &&
 	    u[ADDED_HOST] >= 0.9 * mean)
 		r->fair_s = second - EVENT_S;
@@ -339,13 +333,15 @@
 
 	printf("{\"bench\":\"policy\",\"scenario\":\"%s\",\"policy\":\"%s\","
 	       "\"greatest_mean\":%.4f,\"greatest_worst\":%.4f,"
-	       "\"smallest_mean\":%.4f,\"new_work_fair_s\":%u,"
+	       "\"smallest_mean\":%.4f,\"new_work_share\":[%.3f,%.3f,%.3f,%.3f]"
+	       ","
 	       "\"added_fair_s\":%u,\"requests\":%zu,\"passed\":%llu,"
 	       "\"first_byte_p50_ms\":%llu,\"first_byte_p99_ms\":%llu,"
 	       "\"learned\":[",
 	       r->scenario->name, r->step->name, r->greatest_sum / r->samples,
-	       r->greatest_worst, r->smallest_sum / r->samples, r->recovered_s,
-	       r->fair_s, n, (unsigned long long)passed(r),
+	       r->greatest_worst, r->smallest_sum / r->samples, r->new_share[1],
+	       r->new_share[2], r->new_share[3], r->new_share[4], r->fair_s, n,
+	       (unsigned long long)passed(r),
 	       (unsigned long long)first_byte_ms(r, 50),
 	       (unsigned long long)first_byte_ms(r, 99));
 	for (unsigned i = 0; i < r->hosts; i++) {
--- a/src/group.c
+++ b/src/group.c
@@ -249,6 +249,21 @@
 	return capacity > 0 ? work / capacity : 0;
 }
 
+double group_waiting(const group_t *group, uint64_t now)
+{
+	double waiting = 0, slots = 0;
+
+	for (size_t i = 0; i < group->n; i++) {
+		const member_t *m = &group->members[i];
+
+		if (!member_takes_opens(m, now))
+			continue;
+		waiting += m->in_flight;
+		slots += m->slots;
+	}
+	return slots > 0 ? waiting / slots : 0;
+}
+
 size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
 		  uint32_t *order, size_t want)
 {
--- a/src/group.h
+++ b/src/group.h
@@ -112,6 +112,9 @@
 /* Mean utilisation of the members that take opens, weighted by capacity. */
 double group_utilisation(const group_t *group, uint64_t now);
 
+/* Requests without an answer, a slot of the members that take opens. */
+double group_waiting(const group_t *group, uint64_t now);
+
 /*
  * Positions of the best members for a flow, best first. With opens, only
  * members that take opens; otherwise all, in the order to look them up.
--- a/src/policy.c
+++ b/src/policy.c
@@ -3,6 +3,10 @@
 
 /* An open is taken up to this much above the group's utilisation. */
 #define HUNT_SLACK 1.005
+/* Requests a slot at which an open is passed on... */
+#define QUEUE_SLACK 1.0
+/* ...when the group has less by this factor. */
+#define QUEUE_FACTOR 2.0
 /* Candidates weighed against each other. */
 #define TWO_CHOICES 2
 
@@ -102,6 +106,11 @@
 /* True when our utilisation is no worse than the group's. */
 static bool own_share(const group_t *group, const member_t *self, uint64_t now)
 {
+	double waiting = (double)self->in_flight / self->slots;
+
+	if (waiting > QUEUE_SLACK &&
+	    waiting > group_waiting(group, now) * QUEUE_FACTOR)
+		return false;
 	return member_utilisation(group, self) <=
 	       group_utilisation(group, now) * HUNT_SLACK;
 }
