--- a/src/capacity.c
+++ b/src/capacity.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Newest samples that are compared with the older ones. */
-#define RECENT 16
+#define RECENT 32
 /* Samples between two comparisons. */
 #define CHECK_EVERY 4
 /* A change is believed beyond this many standard errors... */
