Pass an open on to the least loaded candidate left

The agent passed an open to the next candidate of the balancer's order, though its digests are newer. It now takes the least loaded of those left.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -103,6 +103,7 @@
 	double new_share[WINDOWS]; /* of the host that slows */
 	unsigned fair_s;	   /* the added host reached nine tenths */
 	double greatest_sum, smallest_sum, greatest_worst;
+	double fill_sum;
 	unsigned samples;
 	GArray *feeds; /* feed_t */
 	GString *series;
@@ -260,6 +261,8 @@
 		least = u[i] < least ? u[i] : least;
 	}
 	mean = work > 0 ? work / capacity : 1;
+	if (second > FILL_S / 2 && second <= FILL_S)
+		r->fill_sum += most / mean;
 	g_string_append_printf(r->series, "%s[%u,%.4f,%.4f]",
 			       r->series->len ? "," : "", second, most / mean,
 			       least / mean);
@@ -333,14 +336,18 @@
 
 	printf("{\"bench\":\"policy\",\"scenario\":\"%s\",\"policy\":\"%s\","
 	       "\"greatest_mean\":%.4f,\"greatest_worst\":%.4f,"
-	       "\"smallest_mean\":%.4f,\"new_work_share\":[%.3f,%.3f,%.3f,%.3f]"
+	       "\"smallest_mean\":%.4f,\"fill_greatest\":%.4f,"
+	       "\"new_work_share\":[%.3f,%.3f,%.3f,%.3f]"
 	       ","
-	       "\"added_fair_s\":%u,\"requests\":%zu,\"passed\":%llu,"
+	       "\"added_fair_s\":%u,\"control_bytes\":%llu,\"requests\":%zu,"
+	       "\"passed\":%llu,"
 	       "\"first_byte_p50_ms\":%llu,\"first_byte_p99_ms\":%llu,"
 	       "\"learned\":[",
 	       r->scenario->name, r->step->name, r->greatest_sum / r->samples,
-	       r->greatest_worst, r->smallest_sum / r->samples, r->new_share[1],
-	       r->new_share[2], r->new_share[3], r->new_share[4], r->fair_s, n,
+	       r->greatest_worst, r->smallest_sum / r->samples,
+	       r->fill_sum / (FILL_S - FILL_S / 2), r->new_share[1],
+	       r->new_share[2], r->new_share[3], r->new_share[4], r->fair_s,
+	       (unsigned long long)world_control_bytes(r->world), n,
 	       (unsigned long long)passed(r),
 	       (unsigned long long)first_byte_ms(r, 50),
 	       (unsigned long long)first_byte_ms(r, 99));
--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -1,8 +1,12 @@
 #include "agent_int.h"
 
+/* Candidates that an open keeps when it is passed on. */
+#define CANDIDATES_MAX 16
+
 static bool opens_allowed(const agent_t *a);
 static bool keeps(agent_t *a, uint64_t now);
 static uint32_t open_weight(const agent_t *a, const packet_t *p);
+static size_t best_candidate(agent_t *a, uint64_t now, const arrival_t *in);
 static bool pass_open(agent_t *a, uint64_t now, const arrival_t *in);
 static void take_open(agent_t *a, uint64_t now, const arrival_t *in);
 static void refuse_open(agent_t *a, const arrival_t *in);
@@ -45,32 +49,55 @@
 	return 1;
 }
 
-/* Offers the open to the next candidate. Returns false when none is left. */
-static bool pass_open(agent_t *a, uint64_t now, const arrival_t *in)
+/* The least loaded candidate left, by the group's digests; n for none. */
+static size_t best_candidate(agent_t *a, uint64_t now, const arrival_t *in)
 {
+	size_t best = in->ncandidates;
+	double least = 0;
+
 	for (size_t i = 0; i < in->ncandidates; i++) {
-		member_t *m = group_member(&a->group, in->candidates[i]);
-		packet_msg_t msg;
+		const member_t *m = group_member(&a->group, in->candidates[i]);
+		double load;
 
 		if (!m || m->id == a->target->id || !member_takes_opens(m, now))
 			continue;
-		ct__packet__init(&msg);
-		msg.service = a->service->id;
-		msg.version = a->config->version;
-		msg.digest = a->config->digest;
-		msg.step = STEP_OPEN;
-		msg.reply_ip = in->reply.ip;
-		msg.reply_port = in->reply.port;
-		msg.candidates = (uint32_t *)in->candidates + i + 1;
-		msg.n_candidates = in->ncandidates - i - 1;
-		msg.inner.data = (uint8_t *)in->packet.data;
-		msg.inner.len = in->packet.len;
-		counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
-		member_placed(m, open_weight(a, &in->packet));
-		a->ops.send(a->ctx, &m->agent, MSG_PACKET, &msg);
-		return true;
+		load = member_utilisation(&a->group, m);
+		if (best < in->ncandidates && load >= least)
+			continue;
+		best = i;
+		least = load;
 	}
-	return false;
+	return best;
+}
+
+/* Offers the open to the next candidate. Returns false when none is left. */
+static bool pass_open(agent_t *a, uint64_t now, const arrival_t *in)
+{
+	size_t best = best_candidate(a, now, in);
+	uint32_t left[CANDIDATES_MAX];
+	packet_msg_t msg;
+	member_t *m;
+
+	if (best == in->ncandidates)
+		return false;
+	m = group_member(&a->group, in->candidates[best]);
+	ct__packet__init(&msg);
+	for (size_t i = 0; i < in->ncandidates; i++)
+		if (i != best && msg.n_candidates < CANDIDATES_MAX)
+			left[msg.n_candidates++] = in->candidates[i];
+	msg.service = a->service->id;
+	msg.version = a->config->version;
+	msg.digest = a->config->digest;
+	msg.step = STEP_OPEN;
+	msg.reply_ip = in->reply.ip;
+	msg.reply_port = in->reply.port;
+	msg.candidates = left;
+	msg.inner.data = (uint8_t *)in->packet.data;
+	msg.inner.len = in->packet.len;
+	member_placed(m, open_weight(a, &in->packet));
+	counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
+	a->ops.send(a->ctx, &m->agent, MSG_PACKET, &msg);
+	return true;
 }
 
 static void take_open(agent_t *a, uint64_t now, const arrival_t *in)
--- a/test/world.c
+++ b/test/world.c
@@ -1,4 +1,5 @@
 #include "world.h"
+#include "../src/seal.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +9,9 @@
 #define TCP_TICK_MS 10
 #define FROZEN_MAX  512		/* packets that wait for a frozen process */
 #define CALLER_IP   0xcb007107U /* 203.0.113.7 */
-#define CUTS_MAX    256
+/* Bytes of a seal, UDP and IP around a message. */
+#define MESSAGE_OVERHEAD (SEAL_HEADER + 28)
+#define CUTS_MAX	 256
 
 typedef enum event_kind {
 	EVENT_TICK,
@@ -69,6 +72,8 @@
 	size_t ncuts;
 	GHashTable *records; /* of servers that are gone: id to count */
 	wire_arena_t arena;
+	uint64_t control_bytes;
+	uint64_t control_messages;
 	config_t *first;
 	world_tap_fn tap;
 	void *tap_ctx;
@@ -194,6 +199,10 @@
 	if (len > sizeof(buf))
 		return;
 	wire_pack(msg, buf);
+	if (kind != MSG_PACKET && kind != MSG_HELD) {
+		w->control_bytes += len + MESSAGE_OVERHEAD;
+		w->control_messages++;
+	}
 	for (unsigned i = 0; i < w->nagents; i++)
 		if (endpoint_equal(&w->agents[i].listen, to)) {
 			transmit(w, EVENT_MESSAGE, p->place, w->agents[i].place,
@@ -825,6 +834,16 @@
 	config_unref(config);
 }
 
+uint64_t world_control_bytes(const world_t *w)
+{
+	return w->control_bytes;
+}
+
+uint64_t world_control_messages(const world_t *w)
+{
+	return w->control_messages;
+}
+
 balancer_t *world_balancer(world_t *w, unsigned index)
 {
 	return w->balancers[index].balancer;
--- a/test/world.h
+++ b/test/world.h
@@ -120,6 +120,10 @@
 		     const char *text);
 void world_configure_all(world_t *w, const char *text);
 
+/* Bytes of messages sent that carry no packet, and their number. */
+uint64_t world_control_bytes(const world_t *w);
+uint64_t world_control_messages(const world_t *w);
+
 balancer_t *world_balancer(world_t *w, unsigned index);
 agent_t *world_agent(world_t *w, unsigned index);
 app_server_t *world_server(world_t *w, unsigned index);
