Tell the group at once when the work held moved by a twentieth

Between two digests others went on with the old load. An agent now sends its digest when its work moved by 5 % or its fullness changed, at most each 250 ms. Without the count of opens placed since a load was heard the passed opens would be 5,900 and 5,174, so that count stays.

--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -1,9 +1,13 @@
 #include "agent_int.h"
+#include <math.h>
 #include <string.h>
 
 /* Members tell each other their load this often. */
 #define DIGEST_MS 1000
-#define US_A_MS	  1000
+/* On a change of work by this part, but not more often. */
+#define DIGEST_CHANGE 0.05
+#define DIGEST_MIN_MS 250
+#define US_A_MS	      1000
 /* Our samples are old when most members' are newer by this factor. */
 #define STALE_RATIO 4
 /* Silent for longer: suspected, then dead. */
@@ -16,6 +20,7 @@
 static size_t classes_told(const agent_t *a);
 static void learn(agent_t *a, uint64_t now);
 static void send_digests(agent_t *a, uint64_t now);
+static bool worth_telling(const agent_t *a, uint64_t now);
 static void watch_members(agent_t *a, uint64_t now);
 
 member_t *membership_self(agent_t *a)
@@ -104,6 +109,17 @@
 	}
 }
 
+/* A change that others should know of before the second is over. */
+static bool worth_telling(const agent_t *a, uint64_t now)
+{
+	double moved = fabs(a->work - a->told_work);
+
+	if (now < a->told_ms + DIGEST_MIN_MS)
+		return false;
+	return a->told_full != admit_full(a) ||
+	       moved > a->told_work * DIGEST_CHANGE + 1;
+}
+
 static void watch_members(agent_t *a, uint64_t now)
 {
 	for (size_t i = 0; i < a->group.n; i++) {
@@ -130,10 +146,16 @@
 {
 	membership_self(a);
 	watch_members(a, now);
-	if (now < a->digest_ms)
+	if (now < a->digest_ms && now < a->learn_ms && !worth_telling(a, now))
 		return;
+	if (now >= a->learn_ms) {
+		a->learn_ms = now + DIGEST_MS;
+		learn(a, now);
+	}
 	a->digest_ms = now + DIGEST_MS;
-	learn(a, now);
+	a->told_ms = now;
+	a->told_work = a->work;
+	a->told_full = admit_full(a);
 	send_digests(a, now);
 }
 
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -44,6 +44,10 @@
 	uint64_t incarnation;
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
+	uint64_t learn_ms;  /* when to compare service times again */
+	uint64_t told_ms;   /* when the last one was sent */
+	double told_work;   /* what it said */
+	bool told_full;
 	uint64_t last_tick_ms;
 	uint64_t random; /* state of the random numbers */
 	flow_table_t *flows;
