--- a/test/harness.c
+++ b/test/harness.c
@@ -152,7 +152,8 @@
 {
 	harness_proc_t *p = &h->balancers[i];
 	char packets[ENDPOINT_TEXT], listen[ENDPOINT_TEXT],
-		operators[ENDPOINT_TEXT], source[256], log[96], text[1024];
+		operators[ENDPOINT_TEXT], fabric[ENDPOINT_TEXT], source[256],
+		log[96], text[1024];
 	char *path = program_path("cherviltray-balancer");
 	char *argv[] = { path, "--settings", p->settings, NULL };
 
@@ -165,9 +166,11 @@
 	source_lines(h, source, sizeof(source));
 	snprintf(text, sizeof(text),
 		 "name = \"%s\"\nzone = \"a\"\npackets = \"%s\"\n"
-		 "listen = \"%s\"\noperators = \"%s\"\nkey_file = \"%s\"\n"
+		 "fabric = \"%s\"\nlisten = \"%s\"\noperators = "
+		 "\"%s\"\nkey_file = \"%s\"\n"
 		 "%s%s",
 		 p->name, endpoint_format(&p->extra, packets),
+		 endpoint_format(&h->fabric_at, fabric),
 		 endpoint_format(&p->listen, listen),
 		 endpoint_format(&p->operators, operators), h->key_path, source,
 		 h->options.balancer_settings ? h->options.balancer_settings
@@ -305,7 +308,7 @@
 		text = g_strdup(h->options.config_text);
 	}
 	if (write_file(h->key_path, KEY_TEXT "\n") == 0 &&
-	    harness_write_config(h, text) == 0)
+	    chmod(h->key_path, 0600) == 0 && harness_write_config(h, text) == 0)
 		ret = config_load(h->config_path, &h->config, &err);
 	g_free(text);
 	if (ret < 0)
@@ -358,6 +361,10 @@
 		goto fail;
 	for (size_t s = 0; s < h->config->nservices; s++)
 		h->nagents += (unsigned)h->config->services[s].ntargets;
+	if (options->agents && options->agents < h->nagents)
+		h->nagents = options->agents;
+	if (h->nagents > HARNESS_AGENTS)
+		goto fail;
 	for (unsigned i = 0; i < h->nagents; i++)
 		if (harness_start_server(h, i) < 0 ||
 		    harness_start_agent(h, i) < 0)
--- a/test/world.h
+++ b/test/world.h
@@ -52,6 +52,7 @@
 	double report_factor;
 	mechanisms_t off;	/* of balancers and agents */
 	const policy_t *policy; /* NULL: the one in use */
+	bool naive;		/* run naive.h in place of the library */
 } world_options_t;
 
 /* A request's end, kept by the world. */
@@ -120,6 +121,10 @@
 		     const char *text);
 void world_configure_all(world_t *w, const char *text);
 
+/* Starts agents and servers of a document's new targets; in force nowhere
+ * else yet. */
+void world_declare(world_t *w, const char *text);
+
 /* Bytes of messages sent that carry no packet, and their number. */
 uint64_t world_control_bytes(const world_t *w);
 uint64_t world_control_messages(const world_t *w);
@@ -140,6 +145,9 @@
 size_t world_broken(const world_t *w);
 void world_records(const world_t *w, uint64_t *records, uint64_t *doubled);
 
+/* How often an id was recorded, by any server ever. */
+size_t world_recorded(const world_t *w, uint64_t id);
+
 /* A caller's own packet, put into the fabric: balancer UINT32_MAX is any. */
 void world_inject(world_t *w, unsigned balancer, const uint8_t *packet,
 		  size_t len);
@@ -148,4 +156,13 @@
 typedef void (*world_tap_fn)(void *ctx, const packet_t *p);
 void world_tap(world_t *w, world_tap_fn tap, void *ctx);
 
+/* Sees each packet that is about to be sent, or handed to a process on the
+ * same host. One to a process that is not there is not seen. */
+typedef void (*world_watch_fn)(void *ctx, place_t from, place_t to,
+			       const packet_t *p);
+void world_watch(world_t *w, world_watch_fn watch, void *ctx);
+
+/* True when the process runs. */
+bool world_alive(world_t *w, place_kind_t kind, unsigned index);
+
 #endif
