--- a/src/balancer.c
+++ b/src/balancer.c
@@ -51,6 +51,8 @@
 	b->ops = *ops;
 	b->ctx = ctx;
 	b->policy = options->policy ? options->policy : policy_default;
+	if (without(options->off, MECHANISM_HUNT))
+		b->policy = &policy_rendezvous;
 	b->retry_saved = RETRIES_AT_START * RETRY_COST;
 	b->hints = hint_cache_new(options->cache_flows);
 	b->pending = pending_opens_new(PENDING_LIMIT);
