--- a/test/world_int.h
+++ b/test/world_int.h
@@ -11,6 +11,7 @@
 #include "naive.h"
 #include "world.h"
 
+#define START_MS    1000
 #define TICK_MS	    50
 #define TCP_TICK_MS 10
 #define CALLER_IP   0xcb007107U /* 203.0.113.7 */
@@ -76,6 +77,8 @@
 	size_t ncuts;
 	GHashTable *records; /* of servers that are gone: id to count */
 	wire_arena_t arena;
+	uint64_t control_bytes;
+	uint64_t control_messages;
 	config_t *first;
 	world_tap_fn tap;
 	void *tap_ctx;
