Show the whole system in one command: make demo

Cause: a stranger had no way to see the system at work. Ruled out: a shell script; the harness of the tests starts and ends processes by pid and leaves none behind.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 all: $(PROGRAMS)
 
-everything: $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
+everything: $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo
 
 $(BUILD)/src/%.pb-c.o: C_WARNINGS = -Wno-error
 
@@ -58,12 +58,20 @@
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
 $(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(TEST_OBJ)
+$(BUILD)/demo: $(BUILD)/test/demo.o $(TEST_OBJ)
 
-$(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES): $(BUILD)/libcherviltray.a
+$(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo: \
+	$(BUILD)/libcherviltray.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libcherviltray.a \
 		$(LDLIBS)
 
+# The whole system on loopback, with failures.
+demo:
+	$(MAKE) packages
+	$(MAKE) $(PROGRAMS) $(FAKES) $(BUILD)/demo
+	$(BUILD)/demo
+
 # Formatter, linter, manual pages, then each test program in turn.
 packages:
 	test/install_packages
@@ -114,7 +122,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all everything packages check check-format check-lint check-man \
+.PHONY: demo all everything packages check check-format check-lint check-man \
 	check-tests format proto clean
 .SECONDARY:
 
