--- a/bench/bench_decision.c
+++ b/bench/bench_decision.c
@@ -187,8 +187,7 @@
 	for (int r = 0; r < ROUNDS; r++) {
 		begun = now_ns();
 		for (int i = 0; i < FLOWS; i++)
-			len += wire_bound(MSG_PACKET, &msg) +
-			       wire_pack(&msg, buf + SEAL_HEADER);
+			len += wire_pack_within(&msg, buf + SEAL_HEADER, 9000);
 		pack = MIN(pack, (double)(now_ns() - begun) / FLOWS);
 		begun = now_ns();
 		for (int i = 0; i < FLOWS; i++)
--- a/src/agent_flow.c
+++ b/src/agent_flow.c
@@ -1,14 +1,17 @@
 #include "agent_int.h"
-
-/* Sequence numbers of one flow stay this close to each other, in bytes. */
-#define SEQ_NEAR (16 * 1024 * 1024)
+#include <string.h>
 
 static bool near(uint32_t a, uint32_t b);
 static void follow_caller(agent_t *a, uint64_t now, flow_t *f,
 			  const packet_t *p);
+static void slot_begin(agent_t *a, uint64_t now, flow_t *f);
+static void slot_end(agent_t *a, uint64_t now, flow_t *f);
 static void request_begin(agent_t *a, uint64_t now, flow_t *f);
-static uint64_t flow_lifetime(const flow_t *f);
-static bool flow_tick(agent_t *a, uint64_t now, flow_t *f);
+static void keepalive(agent_t *a, flow_t *f);
+static uint64_t brief_lifetime(const flow_t *f);
+static void brief_tick(agent_t *a, uint64_t now, flow_t *f);
+static void idle_tick(agent_t *a, uint64_t now, flow_t *f);
+static bool service_time(const flow_t *f, uint64_t now, uint64_t *took);
 
 static bool near(uint32_t a, uint32_t b)
 {
@@ -17,6 +20,19 @@
 	return d > -SEQ_NEAR && d < SEQ_NEAR;
 }
 
+void flow_classify(const agent_t *a, flow_t *f)
+{
+	f->weight = 1;
+	for (uint32_t i = 0; i < a->service->nclasses; i++) {
+		const class_t *c = &a->service->classes[i];
+
+		if (c->port != f->key.dport || c->proto != f->key.proto)
+			continue;
+		f->class_index = i;
+		f->weight = c->weight;
+	}
+}
+
 void flow_count(agent_t *a, flow_t *f)
 {
 	if (f->counted)
@@ -35,8 +51,15 @@
 
 void flow_enter(agent_t *a, flow_t *f, uint64_t now, flow_state_t state)
 {
+	if (f->state == FLOW_OPENING && state != FLOW_OPENING)
+		flow_drop_kept(f);
 	f->state = state;
 	f->state_ms = now;
+	flow_table_set_brief(a->flows, f, state != FLOW_ESTABLISHED);
+	if (state == FLOW_ESTABLISHED)
+		witness_opened(a, f);
+	else
+		witness_closed(a, f);
 	if (state == FLOW_CLOSING || state == FLOW_LOST ||
 	    state == FLOW_DENIED) {
 		flow_request_end(a, now, f, false);
@@ -46,8 +69,9 @@
 
 void flow_forget(agent_t *a, flow_t *f)
 {
-	flow_request_end(a, 0, f, false);
+	flow_request_end(a, a->last_tick_ms, f, false);
 	flow_uncount(a, f);
+	witness_closed(a, f);
 	counter_add(&a->counters, COUNTER_FLOWS_CLOSED, 1);
 	flow_table_remove(a->flows, f);
 }
@@ -76,27 +100,70 @@
 	return near(p->ack, f->server_next);
 }
 
+static void slot_begin(agent_t *a, uint64_t now, flow_t *f)
+{
+	a->in_slots++;
+	f->in_slot = true;
+	f->slot_ms = now;
+}
+
+/* The server is taken to serve first come first served in its slots. */
 static void request_begin(agent_t *a, uint64_t now, flow_t *f)
 {
 	f->request_open = true;
 	f->request_ms = now;
-	f->request_load = ++a->in_flight;
+	a->in_flight++;
+	if (a->in_slots < a->target->slots)
+		slot_begin(a, now, f);
+	else
+		list_append(&a->slot_waits, &f->slot_wait);
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
 }
 
+/* Time in a slot; false when it began before this agent saw the flow. */
+static bool service_time(const flow_t *f, uint64_t now, uint64_t *took)
+{
+	uint64_t from = f->request_ms;
+
+	if (!f->in_slot && list_empty(&f->slot_wait))
+		return false;
+	if (f->in_slot && f->slot_ms > from)
+		from = f->slot_ms;
+	*took = now - from;
+	return true;
+}
+
+static void slot_end(agent_t *a, uint64_t now, flow_t *f)
+{
+	list_remove(&f->slot_wait);
+	if (!f->in_slot)
+		return;
+	f->in_slot = false;
+	a->in_slots--;
+	if (!list_empty(&a->slot_waits)) {
+		flow_t *next =
+			list_entry(a->slot_waits.next, flow_t, slot_wait);
+
+		list_remove(&next->slot_wait);
+		slot_begin(a, now, next);
+	}
+}
+
 void flow_request_end(agent_t *a, uint64_t now, flow_t *f, bool answered)
 {
+	uint64_t took;
+
 	if (!f->request_open)
 		return;
 	f->request_open = false;
 	if (answered) {
-		uint32_t load = (f->request_load + a->in_flight) / 2;
-
 		counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
-		capacity_sample(&a->capacity, now, f->weight,
-				now - f->request_ms, load);
+		if (service_time(f, now, &took))
+			capacity_sample(&a->capacity, now, f->class_index,
+					took);
 	}
 	a->in_flight--;
+	slot_end(a, now, f);
 }
 
 static void follow_caller(agent_t *a, uint64_t now, flow_t *f,
@@ -110,6 +177,8 @@
 			request_begin(a, now, f);
 		return;
 	}
+	if (p->flags & TCP_ACK)
+		f->caller_ack = p->ack;
 	if (p->flags & TCP_FIN) {
 		f->caller_fin = true;
 		next++;
@@ -118,8 +187,11 @@
 		flow_enter(a, f, now, FLOW_ESTABLISHED);
 	if (p->payload_len) {
 		f->delivered = true;
-		if (seq_diff(next, f->caller_next) > 0 && !f->request_open)
-			request_begin(a, now, f);
+		if (seq_diff(next, f->caller_next) > 0) {
+			if (!f->request_open)
+				request_begin(a, now, f);
+			f->request_ms = now;
+		}
 	}
 	if (seq_diff(next, f->caller_next) > 0)
 		f->caller_next = next;
@@ -132,47 +204,156 @@
 void flow_deliver(agent_t *a, uint64_t now, flow_t *f, const packet_t *p)
 {
 	flow_table_touch(a->flows, f, now);
+	f->caller_ms = now;
+	f->keepalives = 0;
 	if (!packet_is_open(p))
 		follow_caller(a, now, f, p);
+	else if (p->payload_len)
+		f->delivered = true;
 	counter_add(&a->counters, COUNTER_PACKETS_OUT, 1);
+	if (p->key.proto == PROTO_TCP && (packet_is_open(p) || p->payload_len))
+		server_asked(a, now);
 	a->ops.deliver(a->ctx, p->data, p->len);
 }
 
-static uint64_t flow_lifetime(const flow_t *f)
+refusal_t flow_word(const flow_t *f)
+{
+	return f->delivered ? REFUSAL_OUTCOME_UNKNOWN : REFUSAL_NOT_RUN;
+}
+
+/*
+ * The number is right if the caller has got all that its server sent; if not
+ * the caller answers, and that answer is refused with its own number (RFC
+ * 5961).
+ */
+void flow_tell(agent_t *a, uint64_t now, flow_t *f)
+{
+	packet_t reset = { .key = flow_key_reverse(&f->key),
+			   .seq = f->server_next,
+			   .ack = f->caller_next,
+			   .flags = TCP_RST | TCP_ACK };
+	char text[REFUSAL_TEXT];
+	uint8_t buf[PACKET_MAX];
+	size_t len;
+
+	f->told = true;
+	refusal_format(flow_word(f), RETRY_AFTER_S, text);
+	flow_enter(a, f, now, FLOW_CLOSING);
+	if (f->key.proto != PROTO_TCP ||
+	    without(a->options.off, MECHANISM_REFUSAL))
+		return;
+	reset.payload = (const uint8_t *)text;
+	reset.payload_len = strlen(text);
+	len = packet_build(&reset, buf);
+	counter_add(&a->counters, COUNTER_FLOWS_RESET, 1);
+	a->ops.reply(a->ctx, buf, len);
+}
+
+void flow_reset_server(agent_t *a, flow_t *f)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t reset = { .key = f->key,
+			   .seq = f->caller_next,
+			   .flags = TCP_RST };
+
+	if (f->key.proto != PROTO_TCP)
+		return;
+	a->ops.deliver(a->ctx, buf, packet_build(&reset, buf));
+}
+
+/*
+ * A segment that carries nothing and lies before the window: a server with
+ * the connection acknowledges it, one without it resets (RFC 793). It
+ * acknowledges no more than the caller did.
+ */
+void flow_probe(agent_t *a, flow_t *f)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t p = { .key = f->key,
+		       .seq = f->caller_next - SEQ_BEFORE,
+		       .ack = f->caller_ack,
+		       .flags = TCP_ACK,
+		       .window = UINT16_MAX };
+
+	f->probed = true;
+	a->ops.deliver(a->ctx, buf, packet_build(&p, buf));
+}
+
+/* Asks the caller in the server's name; its answer goes to the server. */
+static void keepalive(agent_t *a, flow_t *f)
+{
+	uint8_t buf[PACKET_MAX];
+	packet_t p = { .key = flow_key_reverse(&f->key),
+		       .seq = f->server_next - 1,
+		       .ack = f->caller_next,
+		       .flags = TCP_ACK,
+		       .window = UINT16_MAX };
+
+	f->keepalives++;
+	counter_add(&a->counters, COUNTER_KEEPALIVES, 1);
+	a->ops.reply(a->ctx, buf, packet_build(&p, buf));
+}
+
+static uint64_t brief_lifetime(const flow_t *f)
 {
 	switch (f->state) {
 	case FLOW_OPENING:
 	case FLOW_HALF:
 		return HALF_OPEN_MS;
-	case FLOW_CLOSING:
-	case FLOW_LOST:
 	case FLOW_DENIED:
-		return CLOSING_MS;
+		return f->silent ? TRIAL_AGAIN_MS : CLOSING_MS;
 	default:
-		return f->key.proto == PROTO_UDP ? UDP_IDLE_MS : IDLE_MS;
+		return CLOSING_MS;
 	}
 }
 
-/* Returns false when the flow was forgotten. */
-static bool flow_tick(agent_t *a, uint64_t now, flow_t *f)
+static void brief_tick(agent_t *a, uint64_t now, flow_t *f)
 {
-	uint64_t since =
-		f->state == FLOW_ESTABLISHED ? f->last_ms : f->state_ms;
-
 	if (f->state == FLOW_TRIAL) {
-		lookup_trial_tick(a, now, f);
-		return true;
+		trial_tick(a, now, f);
+		return;
 	}
-	if (since + flow_lifetime(f) > now)
-		return true;
-	if (f->state != FLOW_CLOSING)
+	if (f->state_ms + brief_lifetime(f) > now)
+		return;
+	if (f->state == FLOW_OPENING || f->state == FLOW_HALF) {
 		counter_add(&a->counters, COUNTER_FLOWS_EXPIRED, 1);
+		flow_reset_server(a, f);
+	}
+	flow_forget(a, f);
+}
+
+static void idle_tick(agent_t *a, uint64_t now, flow_t *f)
+{
+	if (f->key.proto == PROTO_TCP && f->state == FLOW_ESTABLISHED &&
+	    f->keepalives < KEEPALIVES) {
+		keepalive(a, f);
+		flow_table_touch(a->flows, f, now);
+		return;
+	}
+	counter_add(&a->counters, COUNTER_FLOWS_EXPIRED, 1);
+	if (f->state == FLOW_ESTABLISHED)
+		flow_reset_server(a, f);
 	flow_forget(a, f);
-	return false;
 }
 
 void flows_tick(agent_t *a, uint64_t now)
 {
-	list_each_safe(node, after, flow_table_recent(a->flows))
-		flow_tick(a, now, list_entry(node, flow_t, recent));
+	static const struct {
+		uint8_t proto;
+		uint64_t idle_ms;
+	} kinds[] = { { PROTO_TCP, IDLE_MS }, { PROTO_UDP, UDP_IDLE_MS } };
+
+	list_each_safe(node, after, flow_table_brief(a->flows))
+		brief_tick(a, now, list_entry(node, flow_t, brief));
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(*kinds); i++) {
+		list_t *flows = flow_table_recent(a->flows, kinds[i].proto);
+
+		while (!list_empty(flows)) {
+			flow_t *f = list_entry(flows->next, flow_t, recent);
+
+			if (f->last_ms + kinds[i].idle_ms > now)
+				break;
+			idle_tick(a, now, f);
+		}
+	}
 }
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -78,10 +78,24 @@
    * takes no more opens
    */
   protobuf_c_boolean full;
+  /*
+   * typical service time by class
+   */
+  size_t n_class_time_us;
+  uint32_t *class_time_us;
+  /*
+   * samples behind each of them
+   */
+  size_t n_class_samples;
+  uint32_t *class_samples;
+  /*
+   * since the last one
+   */
+  uint32_t sample_age_ms;
 };
 #define CT__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -261,10 +275,18 @@
    * process_role_t
    */
   uint32_t role;
+  /*
+   * since anyone watched the platform
+   */
+  uint32_t platform_age_ms;
+  /*
+   * since one of the chosen readers did; 0 in
+   */
+  uint32_t reader_age_ms;
 };
 #define CT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__hello__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -381,10 +403,18 @@
    * the list replaces what was known
    */
   protobuf_c_boolean whole;
+  /*
+   * 7 bytes a flow, most significant first: caller's address and port, class.
+   */
+  ProtobufCBinaryData opened_flows;
+  /*
+   * 4 bytes a flow: low half of its hash
+   */
+  ProtobufCBinaryData closed_flows;
 };
 #define CT__WITNESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__witness__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, {0,NULL}, {0,NULL} }
 
 
 /*
--- a/src/dgram.c
+++ b/src/dgram.c
@@ -90,12 +90,12 @@
 	uint8_t *buf;
 	size_t len;
 
-	if (wire_bound(kind, msg) > room && wire_size(msg) > room) {
+	buf = udp_socket_reserve(d->socket);
+	len = wire_pack_within(msg, buf + SEAL_HEADER, room);
+	if (!len && wire_size(msg)) {
 		counter_add(d->counters, COUNTER_SEND_FAILED, 1);
 		return;
 	}
-	buf = udp_socket_reserve(d->socket);
-	len = wire_pack(msg, buf + SEAL_HEADER);
 	len = seal_close(d->seal, (uint8_t)kind, wall_clock_ms(), buf, len);
 	counter_add(d->counters, COUNTER_MESSAGES_OUT, 1);
 	counter_add(d->counters, COUNTER_MESSAGE_BYTES_OUT, len);
