Rank many members from a kept list, with one mix a member

Cause: each rank copied ids and weights out of the members, took the mean of all learned capacities, and mixed each id twice. Change: a group keeps the list of ids and weights and makes it anew only when it changes (one learned capacity changes its own entry); members that take no opens are passed over when they would win; one multiplication spreads an id. Test: members_not_accepted_leave_no_trace; the exact reference still holds.

--- a/bench/bench_decision.c
+++ b/bench/bench_decision.c
@@ -102,6 +102,7 @@
 		ct__load__init(&loads[i]);
 		loads[i].target = t->id;
 		loads[i].incarnation = 1;
+		loads[i].capacity = 5000;
 		ct__held__init(&answers[i]);
 		answers[i].service = s->id;
 		answers[i].src_ip = p.key.src;
--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -33,7 +33,7 @@
 	self->work = a->work;
 	self->unseen = 0;
 	self->in_flight = a->in_flight;
-	self->capacity = agent_capacity(a);
+	group_learned(&a->group, self, agent_capacity(a));
 	self->speed = a->capacity.speed;
 	self->full = admit_full(a);
 	return self;
@@ -90,7 +90,7 @@
 	a->capacity.speed = group_speed(&a->group, self->id);
 	if (group_samples_newer(&a->group, self->sample_age_ms / STALE_RATIO))
 		capacity_untaught(&a->capacity, now, DIGEST_MS);
-	self->capacity = agent_capacity(a);
+	group_learned(&a->group, self, agent_capacity(a));
 }
 
 static void send_digests(agent_t *a, uint64_t now)
--- a/src/balancer_explain.c
+++ b/src/balancer_explain.c
@@ -10,7 +10,7 @@
 	uint32_t order[BALANCER_CANDIDATES];
 	endpoint_t hint;
 	char text[ENDPOINT_TEXT];
-	const group_t *g;
+	group_t *g;
 	size_t n;
 
 	service = b->config ? config_classify(b->config, key->dst, key->dport,
@@ -21,7 +21,7 @@
 				   "this address, port and protocol\"}");
 		return g_string_free(s, FALSE);
 	}
-	g = balancer_group(b, service->id);
+	g = (group_t *)balancer_group(b, service->id);
 	g_string_append_printf(s, "\"service\":\"%s\",\"class\":\"%s\"",
 			       service->name, cls->name);
 	if (hint_cache_get(b->hints, hash, &hint))
--- a/src/group.c
+++ b/src/group.c
@@ -1,11 +1,20 @@
 #include "group.h"
-#include "rank.h"
 #include <stdlib.h>
 #include <string.h>
 
 #define THOUSAND 1000.0
 
+/* What decides whether a member is ranked. */
+typedef struct rank_for {
+	const group_t *group;
+	uint64_t now;
+} rank_for_t;
+
 static member_t *member_add(group_t *group, uint32_t id);
+static void group_changed(group_t *group);
+static int refresh(group_t *group);
+static int takes_opens(const void *ctx, uint32_t position);
+static int any_member(const void *ctx, uint32_t position);
 static void take_times(member_t *m, const load_msg_t *load);
 static bool has_times(const member_t *m);
 static double mean_learned_per_weight(const group_t *group);
@@ -14,6 +23,7 @@
 void group_clear(group_t *group)
 {
 	free(group->members);
+	free(group->ranked);
 	memset(group, 0, sizeof(*group));
 }
 
@@ -26,6 +36,7 @@
 	if (!grown)
 		return NULL;
 	group->members = grown;
+	group_changed(group);
 	m = &grown[group->n++];
 	memset(m, 0, sizeof(*m));
 	m->id = id;
@@ -51,6 +62,7 @@
 int group_configure(group_t *group, const service_t *service, uint64_t now)
 {
 	group->service = service->id;
+	group_changed(group);
 	for (size_t i = 0; i < group->n; i++) {
 		if (group->members[i].configured)
 			group->members[i].heard_ms = now;
@@ -91,6 +103,23 @@
 	m->sample_age_ms = load->sample_age_ms;
 }
 
+static void group_changed(group_t *group)
+{
+	group->ranked_valid = false;
+}
+
+/* A learned weight that changes concerns its member alone. */
+void group_learned(group_t *group, member_t *m, double capacity)
+{
+	bool alone = m->capacity > 0 && capacity > 0 && !group->unlearned;
+
+	m->capacity = capacity;
+	if (group->ranked_valid && alone)
+		group->ranked[m - group->members].weight = capacity;
+	else
+		group_changed(group);
+}
+
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent)
 {
@@ -110,7 +139,7 @@
 	m->avoid_until = 0;
 	m->unanswered = 0;
 	m->full = load->full;
-	m->capacity = load->capacity / THOUSAND;
+	group_learned(group, m, load->capacity / THOUSAND);
 	m->speed = load->speed / THOUSAND;
 	m->work = load->work;
 	take_times(m, load);
@@ -131,6 +160,7 @@
 			continue;
 		}
 		*m = group->members[--group->n];
+		group_changed(group);
 	}
 }
 
@@ -225,6 +255,8 @@
 
 double member_rank_weight(const group_t *group, const member_t *m)
 {
+	if (m->capacity > 0)
+		return m->capacity;
 	return weight_at(m, mean_learned_per_weight(group));
 }
 
@@ -272,40 +304,54 @@
 	return slots > 0 ? waiting / slots : 0;
 }
 
-size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
-		  uint32_t *order, size_t want)
+/* Makes the list to rank anew when something in it has changed. */
+static int refresh(group_t *group)
 {
-	rank_member_t stack[64];
-	rank_member_t *list = stack;
-	uint32_t positions_stack[64];
-	uint32_t *positions = positions_stack;
-	double per_weight = mean_learned_per_weight(group);
-	size_t n = 0;
+	rank_member_t *grown;
+	double per_weight;
 
-	if (group->n > 64) {
-		list = malloc(group->n * sizeof(*list));
-		positions = malloc(group->n * sizeof(*positions));
-		if (!list || !positions)
-			goto out;
-	}
+	if (group->ranked_valid)
+		return 0;
+	grown = realloc(group->ranked, group->n * sizeof(*grown));
+	if (!grown)
+		return -1;
+	group->ranked = grown;
+	per_weight = mean_learned_per_weight(group);
+	group->unlearned = false;
 	for (size_t i = 0; i < group->n; i++) {
 		const member_t *m = &group->members[i];
 
-		if (opens && !member_takes_opens(m, now))
-			continue;
-		list[n].id = m->id;
-		list[n].weight = weight_at(m, per_weight);
-		positions[n++] = (uint32_t)i;
+		grown[i].id = m->id;
+		grown[i].weight = weight_at(m, per_weight);
+		group->unlearned |= m->capacity <= 0;
 	}
-	n = rank_best(hash, list, n, order, want);
-	for (size_t i = 0; i < n; i++)
-		order[i] = positions[order[i]];
-out:
-	if (list != stack)
-		free(list);
-	if (positions != positions_stack)
-		free(positions);
-	return n;
+	group->ranked_valid = true;
+	return 0;
+}
+
+static int takes_opens(const void *ctx, uint32_t position)
+{
+	const rank_for_t *r = ctx;
+
+	return member_takes_opens(&r->group->members[position], r->now);
+}
+
+static int any_member(const void *ctx, uint32_t position)
+{
+	(void)ctx;
+	(void)position;
+	return 1;
+}
+
+size_t group_rank(group_t *group, uint64_t now, uint64_t hash, bool opens,
+		  uint32_t *order, size_t want)
+{
+	rank_for_t r = { group, now };
+
+	if (!group->n || refresh(group) < 0)
+		return 0;
+	return rank_best_of(hash, group->ranked, group->n, order, want,
+			    opens ? takes_opens : any_member, &r);
 }
 
 const char *member_state_name(member_state_t state)
--- a/src/group.h
+++ b/src/group.h
@@ -16,6 +16,7 @@
 #include "capacity.h"
 #include "config.h"
 #include "endpoint.h"
+#include "rank.h"
 #include "wire.h"
 #include <stdbool.h>
 #include <stddef.h>
@@ -64,7 +65,10 @@
 	uint64_t service; /* service id */
 	member_t *members;
 	size_t n;
-	size_t turn; /* of round robin */
+	size_t turn;	       /* of round robin */
+	rank_member_t *ranked; /* id and weight of each member, owned */
+	bool ranked_valid;
+	bool unlearned; /* a member's capacity is not known */
 } group_t;
 
 void group_clear(group_t *group);
@@ -85,6 +89,9 @@
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent);
 
+/* Sets the capacity that a member has learned, 0 when it has none. */
+void group_learned(group_t *group, member_t *m, double capacity);
+
 /* Forgets members that left the configuration and fell silent. */
 void group_expire(group_t *group, uint64_t now);
 
@@ -122,7 +129,7 @@
  * Positions of the best members for a flow, best first. With opens, only
  * members that take opens; otherwise all, in the order to look them up.
  */
-size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
+size_t group_rank(group_t *group, uint64_t now, uint64_t hash, bool opens,
 		  uint32_t *order, size_t want);
 
 const char *member_state_name(member_state_t state);
--- a/src/rank.c
+++ b/src/rank.c
@@ -6,6 +6,8 @@
 #define SHORT_LIST 16
 /* Covers the rounding of the bound that spares a logarithm. */
 #define BOUND_MARGIN 1e-9
+/* Odd: spreads an id over all bits. */
+#define ID_SPREAD 0x9e3779b97f4a7c15ULL
 
 typedef struct scored {
 	double score;
@@ -13,17 +15,20 @@
 	uint32_t position;
 } scored_t;
 
-static uint64_t mix(uint64_t x);
-static double uniform(uint64_t hash, uint32_t id);
+static inline uint64_t mix(uint64_t x);
+static inline double uniform(uint64_t hash, uint32_t id);
 static int better(const scored_t *a, const scored_t *b);
 static int compare(const void *a, const void *b);
+static int all_accepted(const void *ctx, uint32_t position);
 static size_t best_few(uint64_t hash, const rank_member_t *members, size_t n,
-		       uint32_t *order, size_t want);
+		       uint32_t *order, size_t want, rank_accept_fn accept,
+		       const void *ctx);
 static size_t best_many(uint64_t hash, const rank_member_t *members, size_t n,
-			uint32_t *order, size_t want);
+			uint32_t *order, size_t want, rank_accept_fn accept,
+			const void *ctx);
 
 /* Finaliser of SplitMix64: each input bit reaches each output bit. */
-static uint64_t mix(uint64_t x)
+static inline uint64_t mix(uint64_t x)
 {
 	x += 0x9e3779b97f4a7c15ULL;
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -32,12 +37,12 @@
 }
 
 /* A number between 0 and 1, neither included. */
-static double uniform(uint64_t hash, uint32_t id)
+static inline double uniform(uint64_t hash, uint32_t id)
 {
-	uint64_t h = mix(hash ^ mix(id));
+	uint64_t h = mix(hash ^ id * ID_SPREAD);
 
-	/* The half is lost to rounding for the greatest values. */
-	return ((double)(h >> 12) + 0.5) * 0x1.0p-52;
+	/* One bit more, and the half would be lost for the greatest values. */
+	return ((double)(int64_t)(h >> 12) + 0.5) * 0x1.0p-52;
 }
 
 double rank_score(uint64_t hash, const rank_member_t *member)
@@ -62,7 +67,8 @@
  * bound lies under the worst one kept is passed over without a logarithm.
  */
 static size_t best_few(uint64_t hash, const rank_member_t *members, size_t n,
-		       uint32_t *order, size_t want)
+		       uint32_t *order, size_t want, rank_accept_fn accept,
+		       const void *ctx)
 {
 	scored_t kept[SHORT_LIST];
 	double least = 0;
@@ -70,13 +76,16 @@
 
 	for (size_t i = 0; i < n; i++) {
 		double u = uniform(hash, members[i].id);
-		scored_t s = { 0, members[i].id, (uint32_t)i };
+		scored_t s;
 		size_t at;
 
-		if (nkept == want &&
-		    members[i].weight < least * (1 - u) * (1 - BOUND_MARGIN))
+		if (members[i].weight < least * (1 - u) * (1 - BOUND_MARGIN))
+			continue;
+		if (!accept(ctx, (uint32_t)i))
 			continue;
 		s.score = -members[i].weight / log(u);
+		s.id = members[i].id;
+		s.position = (uint32_t)i;
 		if (nkept < want)
 			nkept++;
 		else if (!better(&s, &kept[want - 1]))
@@ -84,7 +93,8 @@
 		for (at = nkept - 1; at > 0 && better(&s, &kept[at - 1]); at--)
 			kept[at] = kept[at - 1];
 		kept[at] = s;
-		least = kept[nkept - 1].score;
+		if (nkept == want)
+			least = kept[want - 1].score;
 	}
 	for (size_t i = 0; i < nkept; i++)
 		order[i] = kept[i].position;
@@ -92,32 +102,53 @@
 }
 
 static size_t best_many(uint64_t hash, const rank_member_t *members, size_t n,
-			uint32_t *order, size_t want)
+			uint32_t *order, size_t want, rank_accept_fn accept,
+			const void *ctx)
 {
 	scored_t *all = malloc(n * sizeof(*all));
+	size_t found = 0;
 
 	if (!all)
-		return best_few(hash, members, n, order, SHORT_LIST);
+		return best_few(hash, members, n, order, SHORT_LIST, accept,
+				ctx);
 	for (size_t i = 0; i < n; i++) {
-		all[i].score = rank_score(hash, &members[i]);
-		all[i].id = members[i].id;
-		all[i].position = (uint32_t)i;
+		if (!accept(ctx, (uint32_t)i))
+			continue;
+		all[found].score = rank_score(hash, &members[i]);
+		all[found].id = members[i].id;
+		all[found++].position = (uint32_t)i;
 	}
-	qsort(all, n, sizeof(*all), compare);
+	qsort(all, found, sizeof(*all), compare);
+	if (want > found)
+		want = found;
 	for (size_t i = 0; i < want; i++)
 		order[i] = all[i].position;
 	free(all);
 	return want;
 }
 
-size_t rank_best(uint64_t hash, const rank_member_t *members, size_t n,
-		 uint32_t *order, size_t want)
+static int all_accepted(const void *ctx, uint32_t position)
+{
+	(void)ctx;
+	(void)position;
+	return 1;
+}
+
+size_t rank_best_of(uint64_t hash, const rank_member_t *members, size_t n,
+		    uint32_t *order, size_t want, rank_accept_fn accept,
+		    const void *ctx)
 {
 	if (want > n)
 		want = n;
 	if (want == 0)
 		return 0;
 	if (want > SHORT_LIST)
-		return best_many(hash, members, n, order, want);
-	return best_few(hash, members, n, order, want);
+		return best_many(hash, members, n, order, want, accept, ctx);
+	return best_few(hash, members, n, order, want, accept, ctx);
+}
+
+size_t rank_best(uint64_t hash, const rank_member_t *members, size_t n,
+		 uint32_t *order, size_t want)
+{
+	return rank_best_of(hash, members, n, order, want, all_accepted, NULL);
 }
--- a/src/rank.h
+++ b/src/rank.h
@@ -27,6 +27,16 @@
 size_t rank_best(uint64_t hash, const rank_member_t *members, size_t n,
 		 uint32_t *order, size_t want);
 
+/*
+ * The same among the members that are accepted; it is asked of few, so it may
+ * cost something.
+ */
+typedef int (*rank_accept_fn)(const void *ctx, uint32_t position);
+
+size_t rank_best_of(uint64_t hash, const rank_member_t *members, size_t n,
+		    uint32_t *order, size_t want, rank_accept_fn accept,
+		    const void *ctx);
+
 /* Score of one member; higher is better. */
 double rank_score(uint64_t hash, const rank_member_t *member);
 
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -94,6 +94,34 @@
 }
 END_TEST
 
+static int even(const void *ctx, uint32_t position)
+{
+	return *(const uint32_t *)ctx == 0 || position % 2 == 0;
+}
+
+/* The best of the accepted are those of a list that holds no others. */
+START_TEST(members_not_accepted_leave_no_trace)
+{
+	static const size_t wants[] = { 1, 3, 16, 40, 100 };
+	static rank_member_t m[100], fewer[50];
+	uint32_t a[100], b[100], some = 1;
+
+	for (int r = 0; r < 400; r++) {
+		uint64_t hash = next_random();
+		size_t want = wants[r % 5];
+		size_t n;
+
+		fill(m, 100, 0);
+		for (int i = 0; i < 50; i++)
+			fewer[i] = m[2 * i];
+		n = rank_best_of(hash, m, 100, a, want, even, &some);
+		ck_assert_uint_eq(n, rank_best(hash, fewer, 50, b, want));
+		for (size_t i = 0; i < n; i++)
+			ck_assert_uint_eq(a[i], 2 * b[i]);
+	}
+}
+END_TEST
+
 START_TEST(shares_follow_weights)
 {
 	static const double weights[] = { 1, 2, 4, 0.5, 1, 0, 3 };
@@ -183,14 +211,6 @@
 	return x;
 }
 
-static uint64_t mix(uint64_t x)
-{
-	x += 0x9e3779b97f4a7c15ULL;
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-	return x ^ (x >> 31);
-}
-
 /* The hash for which member 1 draws the greatest or the smallest number. */
 static uint64_t hash_that_draws(uint64_t drawn)
 {
@@ -198,7 +218,7 @@
 
 	x = unshift(x * inverse(0x94d049bb133111ebULL), 27);
 	x = unshift(x * inverse(0xbf58476d1ce4e5b9ULL), 30);
-	return (x - 0x9e3779b97f4a7c15ULL) ^ mix(1);
+	return (x - 0x9e3779b97f4a7c15ULL) ^ 0x9e3779b97f4a7c15ULL;
 }
 
 /* The greatest number drawn must win, not divide by a logarithm of 0. */
@@ -226,6 +246,7 @@
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, fast_rank_equals_the_slow_one);
+	tcase_add_test(tc, members_not_accepted_leave_no_trace);
 	tcase_add_test(tc, shares_follow_weights);
 	tcase_add_test(tc, a_change_of_one_member_moves_only_its_flows);
 	tcase_add_test(tc, order_of_the_members_does_not_matter);
