Ask a full member again after half a second

Change: 'full' holds for 500 ms. Ruled out: a poll of full members, since an open asks the same. When members are full, silent ones are not tried instead. Tests: all_full_is_told_at_once goes on past the half second. The other tests' answers now carry work, since a silent member otherwise ranks last.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -21,6 +21,7 @@
 static const service_t *service_of(const balancer_t *b, const group_t *g);
 static void packet_message(balancer_t *b, packet_msg_t *msg, uint64_t service,
 			   packet_step_t step, const packet_t *p);
+static bool any_full(const group_t *g, uint64_t now);
 static size_t candidates(const balancer_t *b, group_t *g, uint64_t now,
 			 const pending_open_t *open, const member_t *first,
 			 uint32_t *ids);
@@ -157,6 +158,14 @@
 	msg->inner.len = p->len;
 }
 
+static bool any_full(const group_t *g, uint64_t now)
+{
+	for (size_t i = 0; i < g->n; i++)
+		if (member_full(&g->members[i], now))
+			return true;
+	return false;
+}
+
 /*
  * Members to offer an open to: the one given, then those that the open was not
  * offered to yet, best first. When all seem silent, the fault is likely ours,
@@ -171,7 +180,7 @@
 	size_t n = b->policy->candidates(g, now, open->hash, order, want);
 	size_t kept = 0;
 
-	if (n == 0)
+	if (n == 0 && !any_full(g, now))
 		n = b->policy->candidates(g, AVOIDED_TOO, open->hash, order,
 					  want);
 	if (first)
--- a/src/group.c
+++ b/src/group.c
@@ -171,13 +171,18 @@
 
 bool member_takes_opens(const member_t *m, uint64_t now)
 {
-	if (!m->configured || m->draining || m->full)
+	if (!m->configured || m->draining || member_full(m, now))
 		return false;
 	if (m->state != MEMBER_ALIVE)
 		return false;
 	return m->avoid_until <= now;
 }
 
+bool member_full(const member_t *m, uint64_t now)
+{
+	return m->full && m->heard_ms + FULL_MS > now;
+}
+
 /* Learned capacity a declared weight, over the members that have learned. */
 static double mean_learned_per_weight(const group_t *group)
 {
--- a/src/group.h
+++ b/src/group.h
@@ -24,6 +24,8 @@
 
 /* Flows are ranked on this clock: a load older than this says nothing. */
 #define LOAD_FRESH_MS 5000
+/* A full member that gets no opens says nothing: it is asked again then. */
+#define FULL_MS 500
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
 
@@ -95,6 +97,9 @@
 /* Forgets members that left the configuration and fell silent. */
 void group_expire(group_t *group, uint64_t now);
 
+/* True when the member said lately that it takes no opens. */
+bool member_full(const member_t *m, uint64_t now);
+
 /* True when opens may be offered to the member. */
 bool member_takes_opens(const member_t *m, uint64_t now);
 
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -113,7 +113,7 @@
 {
 	config_unref(config);
 	config = document(version, state);
-	balancer_configure(b, 0, config);
+	balancer_configure(b, NOW, config);
 }
 
 static void begin(unsigned retry_percent, mechanisms_t off)
@@ -183,6 +183,7 @@
 	load.target = id_of(member);
 	load.incarnation = 1;
 	load.full = full;
+	load.work = 10;
 	msg.service = config->services[0].id;
 	msg.version = config->version;
 	msg.target = load.target;
@@ -439,6 +440,12 @@
 	ck_assert_uint_eq(nsent, 0);
 	ck_assert_uint_eq(nreplies, 1);
 	expect_not_run();
+	/* Full members say nothing more by themselves: they are asked again. */
+	syn(NOW + FULL_MS - 1, 8);
+	ck_assert_uint_eq(nsent, 0);
+	syn(NOW + FULL_MS, 9);
+	ck_assert_uint_eq(nsent, 1);
+	ck_assert_uint_eq(nreplies, 2);
 	teardown();
 	begin(10, 1U << MECHANISM_REFUSAL);
 	configure(2, "draining");
@@ -547,6 +554,7 @@
 	configure(2, "active");
 	for (uint16_t port = 1; port < 50; port++)
 		syn(NOW, port);
+	ck_assert_uint_eq(nsent, 49);
 	for (unsigned i = 0; i < nsent; i++)
 		ck_assert_uint_eq(sent[i].member, 2);
 }
