--- a/test/matrix_faults.c
+++ b/test/matrix_faults.c
@@ -10,7 +10,7 @@
 #define REORDER_MS	25
 #define ONE_WAY_MS	3
 #define UPLOAD_PART	30000
-#define UPLOAD_WHOLE	100000
+#define UPLOAD_WHOLE	75000
 
 static void kill_balancer(cell_t *c)
 {
