--- a/test/cases_load.c
+++ b/test/cases_load.c
@@ -16,7 +16,8 @@
 #define FIRST_PORT     50000
 #define RAW_OPENS      12
 #define BALANCED_FLOWS 200
-#define BALANCED_OVER  115 /* percent of the mean */
+#define BALANCED_OVER  108 /* percent of the mean, over all runs */
+#define BALANCED_RUNS  5
 
 static char *small_targets(case_run_t *run, const char *connections)
 {
@@ -207,7 +208,8 @@
 	case_end(run);
 }
 
-static void opens_are_hunted(case_run_t *run)
+/* Work of the fullest target in percent of the mean. */
+static size_t fill_targets(case_run_t *run)
 {
 	cell_t *c = &run->cell;
 	size_t greatest = 0, held = 0;
@@ -223,9 +225,18 @@
 		held += n;
 		greatest = n > greatest ? n : greatest;
 	}
-	expect(run, greatest * SPOTS * 100 <= held * BALANCED_OVER,
-	       "flows of the fullest", greatest);
 	case_end(run);
+	return greatest * SPOTS * 100 / held;
+}
+
+static void opens_are_hunted(case_run_t *run)
+{
+	size_t sum = 0;
+
+	for (unsigned i = 0; i < BALANCED_RUNS; i++, run->seed++)
+		sum += fill_targets(run);
+	expect(run, sum <= BALANCED_RUNS * BALANCED_OVER,
+	       "percent of the mean, over all runs", sum);
 }
 
 /* clang-format off */
--- a/test/test_matrix.c
+++ b/test/test_matrix.c
@@ -129,8 +129,8 @@
 	       (unsigned long long)o->misrouted,
 	       (unsigned long long)n->misrouted, (unsigned long long)o->untrue,
 	       (unsigned long long)n->untrue,
-	       (unsigned long long)(o->hung + o->wordless),
-	       (unsigned long long)(n->hung + n->wordless),
+	       (unsigned long long)o->hung + o->wordless,
+	       (unsigned long long)n->hung + n->wordless,
 	       (unsigned long long)o->lost, (unsigned long long)n->lost,
 	       (unsigned long long)o->told_ms);
 }
