--- a/src/agent.c
+++ b/src/agent.c
@@ -4,12 +4,16 @@
 #include <string.h>
 
 #define THOUSAND 1000.0
+/* Bytes of one hint, and bytes a second and at once of hints for lookups. */
+#define HINT_BYTES 160
+#define HINT_RATE  1000
+#define HINT_BURST 16000
 
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
+static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f);
 static const class_t *class_of(const agent_t *a, const packet_t *p,
 			       uint32_t *index);
-static void handle(agent_t *a, uint64_t now, const arrival_t *in);
 
 agent_t *agent_new(const agent_options_t *options, const agent_ops_t *ops,
 		   void *ctx)
@@ -24,8 +28,12 @@
 	a->incarnation = options->incarnation;
 	a->random = options->random_seed;
 	a->flows = flow_table_new(options->flows);
-	if (!a->flows) {
-		free(a);
+	a->hint_credit = HINT_BURST;
+	a->silences = silences_new();
+	a->witness = witness_new();
+	a->rumours = rumours_new();
+	if (!a->flows || !a->silences || !a->witness || !a->rumours) {
+		agent_free(a);
 		return NULL;
 	}
 	return a;
@@ -35,8 +43,11 @@
 {
 	if (!a)
 		return;
-	lookup_free(a);
+	silences_free(a->silences);
+	wire_arena_clear(&a->arena);
 	flow_table_free(a->flows);
+	witness_free(a->witness);
+	free(a->rumours);
 	group_clear(&a->group);
 	config_unref(a->config);
 	config_unref(a->home);
@@ -110,7 +121,7 @@
 	load->in_flight = a->in_flight;
 	load->held = (uint32_t)flow_table_count(a->flows);
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
-	load->full = admit_full(a);
+	load->full = admit_full(a) || a->server_down;
 }
 
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone)
@@ -172,17 +183,58 @@
 	return NULL;
 }
 
-static void handle(agent_t *a, uint64_t now, const arrival_t *in)
+bool hint_allowed(agent_t *a, uint64_t now)
+{
+	uint64_t earned = (now - a->hint_ms) * HINT_RATE / 1000;
+
+	if (earned) {
+		a->hint_ms = now;
+		a->hint_credit = earned > HINT_BURST - (uint64_t)a->hint_credit
+					 ? HINT_BURST
+					 : a->hint_credit + (int32_t)earned;
+	}
+	if (a->hint_credit < HINT_BYTES) {
+		counter_add(&a->counters, COUNTER_HINTS_WITHHELD, 1);
+		return false;
+	}
+	a->hint_credit -= HINT_BYTES;
+	return true;
+}
+
+/*
+ * A SYN that came before. Returns true when it was dealt with: its flow is
+ * over, refused, or the caller took another answer to it.
+ */
+static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f)
+{
+	if (f->key.proto != PROTO_TCP || f->caller_isn != in->packet.seq ||
+	    (f->state != FLOW_CLOSING && f->state != FLOW_LOST))
+		return false;
+	if (f->told)
+		agent_refuse(a, &in->packet, flow_word(f));
+	agent_tell(a, in, true, false);
+	return true;
+}
+
+void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in)
 {
 	flow_t *f = flow_table_find(a->flows, &in->packet.key, in->hash);
 
-	if (f && f->state == FLOW_CLOSING && packet_is_open(&in->packet) &&
-	    f->caller_isn != in->packet.seq) {
-		flow_forget(a, f);
-		f = NULL;
+	if (f && packet_is_open(&in->packet) && finished_open(a, in, f))
+		return;
+	if (f && f->state == FLOW_CLOSING) {
+		if (packet_is_open(&in->packet)) {
+			flow_forget(a, f);
+			f = NULL;
+		} else if (f->told) {
+			agent_refuse(a, &in->packet, flow_word(f));
+			return;
+		}
 	}
 	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
-		if (in->step == STEP_OPEN || in->nasked || in->nunasked)
+		if (in->step == STEP_OPEN)
+			agent_tell(a, in, false, false);
+		else if (in->nasked && hint_allowed(a, now))
 			agent_tell(a, in, false, false);
 		flow_deliver(a, now, f, &in->packet);
 		return;
@@ -193,29 +245,73 @@
 		lookup_packet(a, now, in);
 }
 
-static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
-			const packet_msg_t *msg)
+int arrival_parse(agent_t *a, const packet_msg_t *msg, arrival_t *in)
 {
-	arrival_t in = { .step = (packet_step_t)msg->step,
-			 .reply = { msg->reply_ip, (uint16_t)msg->reply_port },
-			 .asked = msg->asked,
-			 .nasked = msg->n_asked,
-			 .unasked = msg->unasked,
-			 .nunasked = msg->n_unasked,
-			 .candidates = msg->candidates,
-			 .ncandidates = msg->n_candidates,
-			 .last_resort = msg->last_resort };
 	packet_status_t status;
-	uint32_t index;
 
-	counter_add(&a->counters, COUNTER_PACKETS_IN, 1);
-	status = packet_parse(msg->inner.data, msg->inner.len, &in.packet);
+	*in = (arrival_t){
+		.version = msg->version,
+		.step = (packet_step_t)msg->step,
+		.reply = { msg->reply_ip, (uint16_t)msg->reply_port },
+		.asked = msg->asked,
+		.nasked = msg->n_asked,
+		.unasked = msg->unasked,
+		.nunasked = msg->n_unasked,
+		.known = msg->known,
+		.known_agents = msg->known_agents,
+		.nknown = msg->n_known,
+		.candidates = msg->candidates,
+		.ncandidates = msg->n_candidates,
+		.last_resort = msg->last_resort,
+		.mixed = msg->mixed,
+		.silence_over = msg->silence_over,
+	};
+	if (in->nknown > msg->n_known_agents)
+		in->nknown = msg->n_known_agents;
+	status = packet_parse(msg->inner.data, msg->inner.len, &in->packet);
 	if (status != PACKET_OK) {
 		counter_add(&a->counters,
 			    (counter_t)(COUNTER_DROP_TRUNCATED + status - 1),
 			    1);
-		return;
+		return -1;
 	}
+	in->hash = flow_key_hash(&in->packet.key, a->options.rank_seed);
+	return 0;
+}
+
+void arrival_message(const arrival_t *in, packet_msg_t *msg)
+{
+	ct__packet__init(msg);
+	msg->version = in->version;
+	msg->step = in->step;
+	msg->reply_ip = in->reply.ip;
+	msg->reply_port = in->reply.port;
+	msg->asked = (uint32_t *)in->asked;
+	msg->n_asked = in->nasked;
+	msg->unasked = (uint32_t *)in->unasked;
+	msg->n_unasked = in->nunasked;
+	msg->known = (uint32_t *)in->known;
+	msg->n_known = in->nknown;
+	msg->known_agents = (uint64_t *)in->known_agents;
+	msg->n_known_agents = in->nknown;
+	msg->candidates = (uint32_t *)in->candidates;
+	msg->n_candidates = in->ncandidates;
+	msg->last_resort = in->last_resort;
+	msg->mixed = in->mixed;
+	msg->silence_over = in->silence_over;
+	msg->inner.data = (uint8_t *)in->packet.data;
+	msg->inner.len = in->packet.len;
+}
+
+static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
+			const packet_msg_t *msg)
+{
+	arrival_t in;
+	uint32_t index;
+
+	counter_add(&a->counters, COUNTER_PACKETS_IN, 1);
+	if (arrival_parse(a, msg, &in) < 0)
+		return;
 	if (!a->service) {
 		counter_add(&a->counters, COUNTER_DROP_NO_CONFIG, 1);
 		return;
@@ -228,12 +324,13 @@
 		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
 		return;
 	}
-	if (msg->n_asked > a->group.n + a->service->ntargets) {
+	if (in.nasked > NAMED_MAX || in.nunasked > NAMED_MAX) {
 		counter_add(&a->counters, COUNTER_DROP_HOP_LIMIT, 1);
 		return;
 	}
-	in.hash = flow_key_hash(&in.packet.key, a->options.rank_seed);
-	handle(a, now, &in);
+	if (in.nasked == 0)
+		rumours_tell(a, now, &in.reply);
+	agent_arrival(a, now, &in);
 }
 
 void agent_message(agent_t *a, uint64_t now, const endpoint_t *from,
@@ -246,6 +343,9 @@
 	case MSG_DIGEST:
 		membership_digest(a, now, from, msg);
 		return;
+	case MSG_WITNESS:
+		witness_take(a, now, msg);
+		return;
 	case MSG_PROBE:
 		membership_probe(a, now, from, msg);
 		return;
@@ -259,6 +359,10 @@
 	if (!a->service)
 		return;
 	flows_tick(a, now);
+	server_tick(a, now);
+	witness_tick(a, now);
+	rumours_tick(a, now);
+	silences_tick(a, now);
 	membership_tick(a, now);
 	a->last_tick_ms = now;
 }
