--- a/test/cases_loss.c
+++ b/test/cases_loss.c
@@ -12,6 +12,7 @@
 #define NOBODY_AGAIN   500 /* ms between a caller's repeats */
 #define STRANGER_FLAGS (TCP_ACK | TCP_PSH)
 #define RETRIES	       3
+#define RETRIED_STEPS  5 /* those of a log */
 
 /* What a caller was told of a flow that it did not open here. */
 typedef struct stranger {
@@ -178,6 +179,15 @@
 	case_end(run);
 }
 
+/* Says which loss and step the failure was seen at. */
+static void name_cell(case_run_t *run, const fault_t *f, const step_t *s)
+{
+	g_strlcat(run->why, ", ", CASE_WHY);
+	g_strlcat(run->why, f->name, CASE_WHY);
+	g_strlcat(run->why, " at ", CASE_WHY);
+	g_strlcat(run->why, s->name, CASE_WHY);
+}
+
 static void log_retried_after_each_loss(case_run_t *run)
 {
 	static const char *const losses[] = {
@@ -185,10 +195,16 @@
 		"agent_restarted", "balancer_killed", "answers_cut"
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(losses); i++)
-		for (size_t j = 0; j < 5; j++)
-			lose_and_retry(run, matrix_fault(losses[i]),
-				       &matrix_steps[j]);
+	for (size_t n = 0; n < G_N_ELEMENTS(losses) * RETRIED_STEPS; n++) {
+		const fault_t *f = matrix_fault(losses[n / RETRIED_STEPS]);
+		const step_t *s = &matrix_steps[n % RETRIED_STEPS];
+
+		lose_and_retry(run, f, s);
+		if (!run->why[0])
+			continue;
+		name_cell(run, f, s);
+		return;
+	}
 }
 
 /* Packets arrive on both sides; nobody is told that its flow is unknown. */
