--- a/Makefile
+++ b/Makefile
@@ -50,10 +50,9 @@
 $(BUILD)/cherviltray-agent: $(BUILD)/src/agent_main.o
 $(BUILD)/cherviltray: $(CLI_OBJ)
 $(FAKES): $(BUILD)/%: $(BUILD)/test/%.o
-# What the tests share: the harness, the model of a backend server.
-TEST_SHARED = harness app_server world world_network world_process naive \
-	matrix matrix_faults cases cases_change cases_loss cases_load \
-	agent_rig
+# What the tests and benches share: all that is no program of its own.
+TEST_SHARED = $(filter-out test_% fake_% demo,$(patsubst test/%.c,%,\
+	$(wildcard test/*.c)))
 TEST_OBJ = $(TEST_SHARED:%=$(BUILD)/test/%.o)
 $(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(TEST_OBJ)
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
