Free the requests that are open when a caller goes

The leak checker found that caller_free() freed connections but not the requests on them: seen only where requests hang at the end of a cell. The caller now keeps its requests in a list.

--- a/src/caller.c
+++ b/src/caller.c
@@ -9,6 +9,7 @@
 	caller_ops_t ops;
 	void *ctx;
 	mini_tcp_t *tcp;
+	list_t requests;
 	uint32_t source;
 	uint16_t next_port;
 	uint64_t now; /* of the call under way */
@@ -57,6 +58,7 @@
 	c->ctx = ctx;
 	c->source = source;
 	c->next_port = FIRST_PORT;
+	list_init(&c->requests);
 	c->tcp = mini_tcp_new(&tcp_ops, c, seed);
 	if (!c->tcp) {
 		free(c);
@@ -69,6 +71,8 @@
 {
 	if (!c)
 		return;
+	list_each_safe(node, after, &c->requests)
+		free(list_entry(node, caller_request_t, all));
 	mini_tcp_free(c->tcp);
 	free(c);
 }
@@ -204,6 +208,7 @@
 		end_closed(r, how, reason, reason_len);
 	r->ended_ms = c->now;
 	c->ops.ended(c->ctx, r);
+	list_remove(&r->all);
 	free(r);
 }
 
@@ -234,6 +239,7 @@
 		return NULL;
 	}
 	mini_conn_set_data(r->conn, r);
+	list_append(&c->requests, &r->all);
 	return r;
 }
 
--- a/src/caller.h
+++ b/src/caller.h
@@ -11,6 +11,7 @@
  */
 
 #include "app_model.h"
+#include "list.h"
 #include "mini_tcp.h"
 #include "refusal.h"
 
@@ -29,6 +30,7 @@
 } outcome_t;
 
 typedef struct caller_request {
+	list_t all;
 	app_request_t app;
 	flow_key_t key;
 	void *data; /* the user's */
