--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -76,6 +76,10 @@
 	uint64_t incarnation;
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
+	uint64_t learn_ms;  /* when to compare service times again */
+	uint64_t told_ms;   /* when the last one was sent */
+	double told_work;   /* what it said */
+	bool told_full;
 	uint64_t last_tick_ms;
 	uint64_t random; /* state of the random numbers */
 	flow_table_t *flows;
@@ -83,6 +87,8 @@
 	capacity_t capacity;
 	uint32_t work;	    /* weighted, of the flows held */
 	uint32_t in_flight; /* requests without an answer */
+	uint32_t in_slots;  /* of them believed to be served */
+	list_t slot_waits;  /* flows whose request waits for a slot */
 	counters_t counters;
 	silences_t *silences; /* lookups that could not be finished */
 	witness_t *witness;   /* what is told to peers and known of theirs */
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -637,7 +637,7 @@
   assert(message->base.descriptor == &ct__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ct__load__field_descriptors[12] =
 {
   {
     "target",
@@ -747,22 +747,62 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "class_time_us",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__Load, n_class_time_us),
+    offsetof(Ct__Load, class_time_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_samples",
+    51,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__Load, n_class_samples),
+    offsetof(Ct__Load, class_samples),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_age_ms",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, sample_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__load__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
+  10,   /* field[10] = class_samples */
+  9,   /* field[9] = class_time_us */
   8,   /* field[8] = full */
   6,   /* field[6] = held */
   5,   /* field[5] = in_flight */
   1,   /* field[1] = incarnation */
+  11,   /* field[11] = sample_age_ms */
   7,   /* field[7] = speed */
   2,   /* field[2] = state */
   0,   /* field[0] = target */
   3,   /* field[3] = work */
 };
-static const ProtobufCIntRange ct__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 50, 9 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ct__load__descriptor =
 {
@@ -772,10 +812,10 @@
   "Ct__Load",
   "ct",
   sizeof(Ct__Load),
-  9,
+  12,
   ct__load__field_descriptors,
   ct__load__field_indices_by_name,
-  1,  ct__load__number_ranges,
+  2,  ct__load__number_ranges,
   (ProtobufCMessageInit) ct__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/flow_table.c
+++ b/src/flow_table.c
@@ -124,6 +124,7 @@
 	list_init(&f->brief);
 	list_init(&f->news);
 	list_init(&f->kept);
+	list_init(&f->slot_wait);
 	list_append(&t->buckets[hash & t->mask], &f->chain);
 	list_append(flow_table_recent(t, key->proto), &f->recent);
 	t->count++;
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -55,17 +55,19 @@
 	bool counted;	      /* its weight is part of the work held */
 	bool caller_fin;
 	bool server_fin;
-	bool delivered;	       /* payload has reached the backend server */
-	bool request_open;     /* payload without an answer */
-	uint32_t request_load; /* requests in flight when it started */
-	uint64_t request_ms;   /* when it started */
-	bool witnessed;	       /* its witnesses were told */
-	bool told;	       /* the caller was told that it is lost */
-	bool probed;	       /* an acknowledgement to us is expected */
-	uint8_t keepalives;    /* sent to the caller without an answer */
-	uint32_t tries;	       /* probes sent in FLOW_TRIAL */
-	bool silent;	       /* in FLOW_DENIED: the server did not answer */
-	list_t kept;	       /* kept_packet_t, owned */
+	bool delivered;	     /* payload has reached the backend server */
+	bool request_open;   /* payload without an answer */
+	uint64_t request_ms; /* last byte of it delivered */
+	bool in_slot;	     /* believed to be served, not waiting */
+	uint64_t slot_ms;    /* since when */
+	list_t slot_wait;    /* in the agent's list of waiting requests */
+	bool witnessed;	     /* its witnesses were told */
+	bool told;	     /* the caller was told that it is lost */
+	bool probed;	     /* an acknowledgement to us is expected */
+	uint8_t keepalives;  /* sent to the caller without an answer */
+	uint32_t tries;	     /* probes sent in FLOW_TRIAL */
+	bool silent;	     /* in FLOW_DENIED: the server did not answer */
+	list_t kept;	     /* kept_packet_t, owned */
 	size_t nkept;
 } flow_t;
 
--- a/test/world.h
+++ b/test/world.h
@@ -47,7 +47,7 @@
 	double chunk_ms;      /* of the servers, see app_server.h */
 	double class_cost[APP_KINDS];
 	double spread;
-	uint64_t cold_ms;
+	uint64_t cold_ms; /* of servers that start later */
 	double cold_speed;
 	double report_factor;
 	mechanisms_t off;	/* of balancers and agents */
@@ -125,6 +125,10 @@
  * else yet. */
 void world_declare(world_t *w, const char *text);
 
+/* Bytes of messages sent that carry no packet, and their number. */
+uint64_t world_control_bytes(const world_t *w);
+uint64_t world_control_messages(const world_t *w);
+
 balancer_t *world_balancer(world_t *w, unsigned index);
 agent_t *world_agent(world_t *w, unsigned index);
 app_server_t *world_server(world_t *w, unsigned index);
--- a/test/world_process.c
+++ b/test/world_process.c
@@ -1,8 +1,12 @@
 #include "world_int.h"
+#include "../src/seal.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Bytes of a seal, UDP and IP around a message. */
+#define MESSAGE_OVERHEAD (SEAL_HEADER + 28)
+
 static void send_message(void *ctx, const endpoint_t *to, msg_kind_t kind,
 			 const void *msg)
 {
@@ -14,6 +18,10 @@
 	if (len > sizeof(buf))
 		return;
 	wire_pack(msg, buf);
+	if (kind != MSG_PACKET && kind != MSG_HELD) {
+		w->control_bytes += len + MESSAGE_OVERHEAD;
+		w->control_messages++;
+	}
 	for (unsigned i = 0; i < w->nagents; i++)
 		if (endpoint_equal(&w->agents[i].listen, to)) {
 			world_transmit(w, EVENT_MESSAGE, p->place,
@@ -140,6 +148,8 @@
 	if (o->service_ms > 0)
 		options.service_ms = o->service_ms;
 	memcpy(options.class_cost, o->class_cost, sizeof(options.class_cost));
+	if (p->world->now == START_MS)
+		options.cold_ms = 0;
 	if (o->speeds)
 		options.speed = o->speeds[p->place.index];
 	p->server = app_server_new(&options, &ops, p);
