--- a/src/group.c
+++ b/src/group.c
@@ -141,7 +141,9 @@
 
 bool member_takes_opens(const member_t *m, uint64_t now)
 {
-	if (!m->configured || m->draining || m->full)
+	if (!m->configured || m->draining)
+		return false;
+	if (m->full && m->heard_ms + FULL_MS > now)
 		return false;
 	if (m->state != MEMBER_ALIVE)
 		return false;
--- a/src/group.h
+++ b/src/group.h
@@ -23,6 +23,8 @@
 
 /* Flows are ranked on this clock: a load older than this says nothing. */
 #define LOAD_FRESH_MS 5000
+/* A member that said it is full is offered an open again after this. */
+#define FULL_MS 500
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
 
