--- a/src/caller.c
+++ b/src/caller.c
@@ -9,6 +9,7 @@
 	caller_ops_t ops;
 	void *ctx;
 	mini_tcp_t *tcp;
+	list_t requests;
 	uint32_t source;
 	uint16_t next_port;
 	uint64_t now;	 /* of the call under way */
@@ -71,6 +72,8 @@
 {
 	if (!c)
 		return;
+	list_each_safe(node, after, &c->requests)
+		free(list_entry(node, caller_request_t, all));
 	mini_tcp_free(c->tcp);
 	list_each_safe(node, after, &c->requests)
 		free(list_entry(node, caller_request_t, all));
