--- a/src/agent.c
+++ b/src/agent.c
@@ -61,8 +61,11 @@
 	const service_t *service =
 		config_target_by_name(config, a->options.target, &target);
 
-	if (!a->started_ms)
+	if (!a->started_ms) {
 		a->started_ms = now;
+		a->asks_server = true;
+		a->asks_until_ms = now + START_MS;
+	}
 	config_ref(config);
 	config_unref(a->config);
 	a->config = config;
@@ -119,7 +122,7 @@
 	load->work = a->work;
 	load->capacity = (uint32_t)(agent_capacity(a) * THOUSAND);
 	load->in_flight = a->in_flight;
-	load->held = (uint32_t)flow_table_count(a->flows);
+	load->held = a->held;
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
 	load->full = admit_full(a) || a->server_down;
 }
@@ -265,6 +268,8 @@
 		.last_resort = msg->last_resort,
 		.mixed = msg->mixed,
 		.silence_over = msg->silence_over,
+		.untried = msg->untried,
+		.ask_servers = msg->ask_servers,
 	};
 	if (in->nknown > msg->n_known_agents)
 		in->nknown = msg->n_known_agents;
@@ -299,6 +304,8 @@
 	msg->last_resort = in->last_resort;
 	msg->mixed = in->mixed;
 	msg->silence_over = in->silence_over;
+	msg->untried = in->untried;
+	msg->ask_servers = in->ask_servers;
 	msg->inner.data = (uint8_t *)in->packet.data;
 	msg->inner.len = in->packet.len;
 }
@@ -358,6 +365,8 @@
 {
 	if (!a->service)
 		return;
+	if (a->asks_until_ms <= now)
+		a->asks_server = false;
 	flows_tick(a, now);
 	server_tick(a, now);
 	witness_tick(a, now);
@@ -379,7 +388,7 @@
 
 size_t agent_held(const agent_t *a)
 {
-	return flow_table_count(a->flows);
+	return a->held;
 }
 
 uint32_t agent_in_flight(const agent_t *a)
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -8,12 +8,12 @@
 #define RETRY_SAVED_MAX 5000
 /* Hundredths that one retried open costs. */
 #define RETRY_COST 100
-/* Best members looked at to begin a look-up. */
-#define LOOKUP_RANKS 4
 /* Time to come back that a refusal carries, in seconds. */
 #define RETRY_AFTER_S 2
 /* A time at which no member is avoided any more. */
 #define AVOIDED_TOO UINT64_MAX
+/* Best members looked at to begin a look-up. */
+#define LOOKUP_RANKS 4
 
 static group_t *group_at(balancer_t *b, uint32_t address, uint16_t port,
 			 uint8_t proto, uint64_t service);
@@ -38,6 +38,7 @@
 static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
 static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
 			endpoint_t *agent);
+static group_t *group_of(balancer_t *b, uint64_t service);
 static void take_digest(balancer_t *b, uint64_t now,
 			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
@@ -404,14 +405,20 @@
 		pending_opens_remove(b->pending, open);
 }
 
+/* A search: digests come seldom. */
+static group_t *group_of(balancer_t *b, uint64_t service)
+{
+	for (size_t i = 0; i < b->ngroups; i++)
+		if (b->groups[i].service == service)
+			return &b->groups[i];
+	return NULL;
+}
+
 /* An agent's word on members of its group that are dead. */
 static void take_digest(balancer_t *b, uint64_t now, const digest_msg_t *digest)
 {
-	group_t *g = NULL;
+	group_t *g = group_of(b, digest->service);
 
-	for (size_t i = 0; i < b->ngroups && !g; i++)
-		if (b->groups[i].service == digest->service)
-			g = &b->groups[i];
 	if (!g)
 		return;
 	if (digest->load)
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -29,10 +29,10 @@
 #define OPEN_MISSES 2
 /* A member is avoided for this long, or until it is heard of. */
 #define AVOID_MS 3000
-/* A member that agents say is dead is avoided for this long. */
-#define RUMOUR_MS 10000
 /* Retries that a balancer may make before its opens have earned any. */
 #define RETRIES_AT_START 10
+/* A member that agents say is dead is avoided for this long. */
+#define RUMOUR_MS 10000
 
 typedef struct balancer balancer_t;
 
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -779,7 +779,7 @@
   (ProtobufCMessageInit) ct__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__packet__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ct__packet__field_descriptors[17] =
 {
   {
     "service",
@@ -961,8 +961,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "untried",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, untried),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_servers",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, ask_servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__packet__field_indices_by_name[] = {
+  16,   /* field[16] = ask_servers */
   6,   /* field[6] = asked */
   8,   /* field[8] = candidates */
   2,   /* field[2] = digest */
@@ -977,6 +1002,7 @@
   14,   /* field[14] = silence_over */
   3,   /* field[3] = step */
   7,   /* field[7] = unasked */
+  15,   /* field[15] = untried */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange ct__packet__number_ranges[3 + 1] =
@@ -984,7 +1010,7 @@
   { 1, 0 },
   { 15, 10 },
   { 30, 11 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor ct__packet__descriptor =
 {
@@ -994,7 +1020,7 @@
   "Ct__Packet",
   "ct",
   sizeof(Ct__Packet),
-  15,
+  17,
   ct__packet__field_descriptors,
   ct__packet__field_indices_by_name,
   3,  ct__packet__number_ranges,
@@ -1453,7 +1479,7 @@
   (ProtobufCMessageInit) ct__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ct__hello__field_descriptors[6] =
 {
   {
     "version",
@@ -1503,17 +1529,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_age_ms",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, platform_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reader_age_ms",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, reader_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__hello__field_indices_by_name[] = {
   1,   /* field[1] = digest */
+  4,   /* field[4] = platform_age_ms */
+  5,   /* field[5] = reader_age_ms */
   3,   /* field[3] = role */
   0,   /* field[0] = version */
   2,   /* field[2] = want_answer */
 };
-static const ProtobufCIntRange ct__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 41, 4 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ct__hello__descriptor =
 {
@@ -1523,10 +1576,10 @@
   "Ct__Hello",
   "ct",
   sizeof(Ct__Hello),
-  4,
+  6,
   ct__hello__field_descriptors,
   ct__hello__field_indices_by_name,
-  1,  ct__hello__number_ranges,
+  2,  ct__hello__number_ranges,
   (ProtobufCMessageInit) ct__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -152,10 +152,18 @@
    * the wait for members that can't be asked is over
    */
   protobuf_c_boolean silence_over;
+  /*
+   * some hop did not ask its backend server
+   */
+  protobuf_c_boolean untried;
+  /*
+   * second time: each hop asks its backend server
+   */
+  protobuf_c_boolean ask_servers;
 };
 #define CT__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__packet__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -261,10 +269,18 @@
    * process_role_t
    */
   uint32_t role;
+  /*
+   * since anyone watched the platform
+   */
+  uint32_t platform_age_ms;
+  /*
+   * since one of the chosen readers did; 0 in
+   */
+  uint32_t reader_age_ms;
 };
 #define CT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__hello__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -62,6 +62,7 @@
 	bool witnessed;	       /* its witnesses were told */
 	bool told;	       /* the caller was told that it is lost */
 	bool probed;	       /* an acknowledgement to us is expected */
+	uint8_t tellings;      /* how often the caller was told */
 	uint8_t keepalives;    /* sent to the caller without an answer */
 	uint32_t tries;	       /* probes sent in FLOW_TRIAL */
 	bool silent;	       /* in FLOW_DENIED: the server did not answer */
