Tell balancers of dead members though they are quiet

Cause: callers of a lost host answered the witness, but balancers that had sent nothing to a live member since went on sending these answers by their hints to the dead one.

--- a/src/agent.c
+++ b/src/agent.c
@@ -336,7 +336,7 @@
 		return;
 	}
 	if (in.nasked == 0)
-		rumours_tell(a, now, &in.reply);
+		rumours_heard(a, now, &in.reply);
 	agent_arrival(a, now, &in);
 }
 
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -189,7 +189,7 @@
 /* agent_rumour.c: balancers that send to us hear of dead members */
 rumours_t *rumours_new(void);
 void rumours_tick(agent_t *a, uint64_t now);
-void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer);
+void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
--- a/src/agent_rumour.c
+++ b/src/agent_rumour.c
@@ -4,14 +4,19 @@
 /* Balancers remembered, a power of two, and how often one is told. */
 #define REMEMBERED 64
 #define TELL_MS	   3000
+/* One that was silent for longer is not told. */
+#define REMEMBERED_MS 600000
 /* Dead members named in one message. */
 #define RUMOURS 8
 
 typedef struct told {
 	endpoint_t balancer;
+	uint64_t heard_ms;
 	uint64_t told_ms;
 } told_t;
 
+static void tell(agent_t *a, uint64_t now, told_t *t);
+
 struct rumours {
 	told_t told[REMEMBERED];
 	load_msg_t dead[RUMOURS];
@@ -27,7 +32,6 @@
 {
 	rumours_t *r = a->rumours;
 
-	(void)now;
 	r->ndead = 0;
 	for (size_t i = 0; i < a->group.n && r->ndead < RUMOURS; i++) {
 		const member_t *m = &a->group.members[i];
@@ -41,25 +45,24 @@
 		load->state = MEMBER_DEAD;
 		r->ndead++;
 	}
+	if (r->ndead == 0)
+		return;
+	for (size_t i = 0; i < REMEMBERED; i++)
+		if (r->told[i].balancer.port &&
+		    r->told[i].heard_ms + REMEMBERED_MS > now)
+			tell(a, now, &r->told[i]);
 }
 
-void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer)
+/* Tells one balancer, at most once in TELL_MS and within the bound. */
+static void tell(agent_t *a, uint64_t now, told_t *t)
 {
 	rumours_t *r = a->rumours;
-	size_t slot = (balancer->ip * 31 + balancer->port) % REMEMBERED;
-	told_t *t = &r->told[slot];
 	load_msg_t *list[RUMOURS];
 	digest_msg_t msg;
 	load_msg_t load;
 
-	if (r->ndead == 0 || !balancer->port)
-		return;
-	if (endpoint_equal(&t->balancer, balancer) &&
-	    t->told_ms + TELL_MS > now)
+	if (t->told_ms + TELL_MS > now || !hint_allowed(a, now))
 		return;
-	if (!hint_allowed(a, now))
-		return;
-	t->balancer = *balancer;
 	t->told_ms = now;
 	for (size_t i = 0; i < r->ndead; i++)
 		list[i] = &r->dead[i];
@@ -73,5 +76,22 @@
 	msg.n_rumours = r->ndead;
 	msg.agent_ip = a->options.self.ip;
 	msg.agent_port = a->options.self.port;
-	a->ops.send(a->ctx, balancer, MSG_DIGEST, &msg);
+	a->ops.send(a->ctx, &t->balancer, MSG_DIGEST, &msg);
+}
+
+void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer)
+{
+	told_t *t;
+
+	if (!balancer->port)
+		return;
+	t = &a->rumours
+		     ->told[(balancer->ip * 31 + balancer->port) % REMEMBERED];
+	if (!endpoint_equal(&t->balancer, balancer)) {
+		t->balancer = *balancer;
+		t->told_ms = 0;
+	}
+	t->heard_ms = now;
+	if (a->rumours->ndead)
+		tell(a, now, t);
 }
