Find flows again after an agent and its server started anew

Cause: a restarted agent that had not noticed its server's restart left quiet callers hanging, and one whose target had been deleted dropped all packets.

--- a/src/agent.c
+++ b/src/agent.c
@@ -55,6 +55,32 @@
 	free(a);
 }
 
+bool agent_find_home(agent_t *a, uint64_t now, uint64_t id, uint32_t address)
+{
+	const service_t *found = NULL;
+
+	if (a->service)
+		return true;
+	for (size_t i = 0; a->config && i < a->config->nservices; i++) {
+		const service_t *s = &a->config->services[i];
+
+		if (s->id == id || s->address == address)
+			found = s;
+	}
+	if (!found || group_configure(&a->group, found, now) < 0)
+		return false;
+	config_unref(a->home);
+	a->home = config_ref(a->config);
+	a->service = found;
+	a->target = &a->orphan;
+	memcpy(a->orphan.name, a->options.target, sizeof(a->orphan.name));
+	a->orphan.id = (uint32_t)config_name_hash(a->options.target);
+	a->orphan.agent = a->options.self;
+	a->orphan.state = TARGET_DRAINING;
+	agent_audit(a, "home-found", found->name);
+	return true;
+}
+
 int agent_configure(agent_t *a, uint64_t now, config_t *config)
 {
 	const target_t *target = NULL;
@@ -319,7 +345,7 @@
 	counter_add(&a->counters, COUNTER_PACKETS_IN, 1);
 	if (arrival_parse(a, msg, &in) < 0)
 		return;
-	if (!a->service) {
+	if (!agent_find_home(a, now, msg->service, in.packet.key.dst)) {
 		counter_add(&a->counters, COUNTER_DROP_NO_CONFIG, 1);
 		return;
 	}
--- a/src/agent_answer.c
+++ b/src/agent_answer.c
@@ -108,12 +108,12 @@
 	uint64_t hash;
 	flow_t *f;
 
-	if (!a->service)
-		return;
 	if (packet_parse(packet, len, &p) != PACKET_OK) {
 		counter_add(&a->counters, COUNTER_ANSWERS_UNKNOWN, 1);
 		return;
 	}
+	if (!agent_find_home(a, now, 0, p.key.src))
+		return;
 	server_heard(a, now);
 	key = flow_key_reverse(&p.key);
 	hash = flow_key_hash(&key, a->options.rank_seed);
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -71,6 +71,7 @@
 	config_t *home;		  /* last one with our target in it */
 	const service_t *service; /* in home */
 	const target_t *target;	  /* in home */
+	target_t orphan;	  /* our target when no document has it */
 	bool configured;	  /* our target is in the one in force */
 	bool leaving;		  /* the process is stopping */
 	bool complete;		  /* the table knows all flows */
@@ -137,6 +138,11 @@
 void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in);
 /* Hints for packets that were looked up are bounded in bytes a second. */
 bool hint_allowed(agent_t *a, uint64_t now);
+/*
+ * An agent whose target was deleted before it started finds its service by
+ * the packets that still come. Returns false when it has none.
+ */
+bool agent_find_home(agent_t *a, uint64_t now, uint64_t id, uint32_t address);
 /* Tells the balancer where the flow is; flow NULL: nobody holds it. */
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
--- a/src/agent_witness.c
+++ b/src/agent_witness.c
@@ -29,6 +29,8 @@
 #define BUCKETS	 4096 /* a power of two */
 /* A dead holder's callers are asked when it was silent for this long. */
 #define LOST_MS 5500
+/* A holder that started anew has this long to tell its flows again. */
+#define RETOLD_MS 5000
 /* Callers asked at a tick, times each is asked, and the time between. */
 #define PROBES_A_TICK 100
 #define PROBES	      3
@@ -43,7 +45,8 @@
 	uint32_t ip;
 	uint16_t port;
 	uint8_t class_index;
-	uint8_t probes; /* sent */
+	uint8_t probes;	      /* sent */
+	uint64_t incarnation; /* of the holder that told it */
 	uint64_t heard_ms;
 	uint64_t probe_ms; /* the last one */
 } known_flow_t;
@@ -68,7 +71,7 @@
 
 static void forget(witness_t *w, known_flow_t *k);
 static known_flow_t *find(witness_t *w, uint32_t holder, uint32_t hash);
-static void learn(agent_t *a, uint64_t now, uint32_t holder,
+static void learn(agent_t *a, uint64_t now, const witness_msg_t *msg,
 		  const uint8_t *bytes);
 static size_t choose(const agent_t *a, uint32_t *peers);
 static void note_peers(agent_t *a, uint64_t now);
@@ -79,6 +82,7 @@
 static void send_batch(agent_t *a, uint64_t now);
 static void probe(agent_t *a, uint64_t now, known_flow_t *k);
 static bool holder_lost(agent_t *a, uint64_t now, const known_flow_t *k);
+static bool holder_restarted(agent_t *a, uint64_t now, known_flow_t *k);
 static void watch(agent_t *a, uint64_t now);
 static bool any_dead(const agent_t *a);
 
@@ -145,7 +149,7 @@
 	return NULL;
 }
 
-static void learn(agent_t *a, uint64_t now, uint32_t holder,
+static void learn(agent_t *a, uint64_t now, const witness_msg_t *msg,
 		  const uint8_t *bytes)
 {
 	witness_t *w = a->witness;
@@ -160,7 +164,7 @@
 	key.sport = (uint16_t)(bytes[4] << 8 | bytes[5]);
 	key.dport = a->service->classes[bytes[6]].port;
 	hash = (uint32_t)flow_key_hash(&key, a->options.rank_seed);
-	k = find(w, holder, hash);
+	k = find(w, msg->target, hash);
 	if (!k) {
 		if (w->nknown >= KNOWN_FLOWS_MAX)
 			return;
@@ -171,7 +175,8 @@
 		list_init(&k->order);
 		list_append(&w->buckets[hash & (BUCKETS - 1)], &k->chain);
 	}
-	k->holder = holder;
+	k->holder = msg->target;
+	k->incarnation = msg->incarnation;
 	k->hash = hash;
 	k->ip = key.src;
 	k->port = key.sport;
@@ -190,7 +195,7 @@
 		return;
 	for (size_t i = 0; i + OPENED_BYTES <= msg->opened_flows.len;
 	     i += OPENED_BYTES)
-		learn(a, now, msg->target, msg->opened_flows.data + i);
+		learn(a, now, msg, msg->opened_flows.data + i);
 	for (size_t i = 0; i + CLOSED_BYTES <= msg->closed_flows.len;
 	     i += CLOSED_BYTES) {
 		uint32_t hash = (uint32_t)closed[i] << 24 |
@@ -408,6 +413,24 @@
 	return m->state == MEMBER_DEAD && m->heard_ms + LOST_MS <= now;
 }
 
+/*
+ * The holder has started anew and did not tell this flow again: perhaps it
+ * does not know of it. The caller's answer makes it ask its backend server.
+ */
+static bool holder_restarted(agent_t *a, uint64_t now, known_flow_t *k)
+{
+	const member_t *m = group_member(&a->group, k->holder);
+
+	if (!m || !member_reachable(m) || m->incarnation <= k->incarnation ||
+	    k->heard_ms + RETOLD_MS > now)
+		return false;
+	if (k->probes < PROBES)
+		return true;
+	k->incarnation = m->incarnation;
+	k->probes = 0;
+	return false;
+}
+
 static void watch(agent_t *a, uint64_t now)
 {
 	witness_t *w = a->witness;
@@ -423,7 +446,8 @@
 		}
 		if (sent == PROBES_A_TICK)
 			return;
-		if (k->probe_ms + PROBE_MS > now || !holder_lost(a, now, k))
+		if (k->probe_ms + PROBE_MS > now ||
+		    (!holder_restarted(a, now, k) && !holder_lost(a, now, k)))
 			continue;
 		if (k->probes == PROBES) {
 			forget(w, k);
