--- a/src/agent_flow.c
+++ b/src/agent_flow.c
@@ -38,6 +38,7 @@
 	if (f->counted)
 		return;
 	f->counted = true;
+	a->held++;
 	a->work += f->weight;
 }
 
@@ -46,6 +47,7 @@
 	if (!f->counted)
 		return;
 	f->counted = false;
+	a->held--;
 	a->work -= f->weight;
 }
 
@@ -56,10 +58,10 @@
 	f->state = state;
 	f->state_ms = now;
 	flow_table_set_brief(a->flows, f, state != FLOW_ESTABLISHED);
-	if (state == FLOW_ESTABLISHED)
-		witness_opened(a, f);
-	else
+	if (state == FLOW_CLOSING || state == FLOW_LOST || state == FLOW_DENIED)
 		witness_closed(a, f);
+	else if (state != FLOW_TRIAL && !f->witnessed)
+		witness_opened(a, f);
 	if (state == FLOW_CLOSING || state == FLOW_LOST ||
 	    state == FLOW_DENIED) {
 		flow_request_end(a, now, f, false);
@@ -237,6 +239,7 @@
 	size_t len;
 
 	f->told = true;
+	f->tellings++;
 	refusal_format(flow_word(f), RETRY_AFTER_S, text);
 	flow_enter(a, f, now, FLOW_CLOSING);
 	if (f->key.proto != PROTO_TCP ||
@@ -303,7 +306,7 @@
 	case FLOW_DENIED:
 		return f->silent ? TRIAL_AGAIN_MS : CLOSING_MS;
 	default:
-		return CLOSING_MS;
+		return f->told ? TOLD_MS : CLOSING_MS;
 	}
 }
 
@@ -313,6 +316,12 @@
 		trial_tick(a, now, f);
 		return;
 	}
+	/* The reset may have been lost on its way. */
+	if (f->told && f->tellings < TELLINGS &&
+	    f->state_ms + (TELL_AGAIN_MS << (f->tellings - 1)) <= now) {
+		flow_tell(a, now, f);
+		return;
+	}
 	if (f->state_ms + brief_lifetime(f) > now)
 		return;
 	if (f->state == FLOW_OPENING || f->state == FLOW_HALF) {
--- a/src/agent_witness.c
+++ b/src/agent_witness.c
@@ -3,23 +3,34 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Time between two messages to the witnesses, and their number. */
-#define SAME_ZONE 1e-9 /* factor of the score: another zone goes first */
-#define BATCH_MS  2000
 #define WITNESSES 2
-/* Bytes of flows in one message: with both witnesses 1.3 KB a second. */
-#define BATCH_BYTES 1300
-/* Old flows are told again in this much of it, against lost messages. */
-#define REFRESH_BYTES 512
+#define SAME_ZONE 1e-9 /* factor of the score: another zone goes first */
+/* Bytes that may go to one witness: a second, and at once. */
+#define BYTES_A_SECOND 650
+#define BYTES_AT_ONCE  1300
+/* What a message has besides its flows, sealed. */
+#define OVERHEAD_BYTES 96
+/* What waits goes out after this long at the latest if the bound lets it. */
+#define BATCH_MS 1000
+/* Bytes of flows in one message. */
+#define BATCH_BYTES 1024
+/* Flows told before are told again, against lost messages. */
+#define REFRESH_MS    2000
+#define REFRESH_BYTES 256
 #define OPENED_BYTES  7
 #define CLOSED_BYTES  4
 #define CLOSED_MAX    256 /* closed flows that wait for the next message */
 /* Flows of others known, and how long without being told again. */
 #define KNOWN_FLOWS_MAX 16384
 #define KNOWN_MS	(10 * 60 * 1000)
-#define BUCKETS		4096 /* a power of two */
+/* The witnesses are chosen, and what is known is looked through, so often. */
+#define PEERS_MS 1000
+#define WATCH_MS 1000
+#define BUCKETS	 4096 /* a power of two */
 /* A dead holder's callers are asked when it was silent for this long. */
 #define LOST_MS 5500
+/* A holder that started anew has this long to tell its flows again. */
+#define RETOLD_MS 5000
 /* Callers asked at a tick, times each is asked, and the time between. */
 #define PROBES_A_TICK 100
 #define PROBES	      3
@@ -34,7 +45,8 @@
 	uint32_t ip;
 	uint16_t port;
 	uint8_t class_index;
-	uint8_t probes; /* sent */
+	uint8_t probes;	      /* sent */
+	uint64_t incarnation; /* of the holder that told it */
 	uint64_t heard_ms;
 	uint64_t probe_ms; /* the last one */
 } known_flow_t;
@@ -44,9 +56,14 @@
 	list_t cycle; /* flows told, the one told longest ago first */
 	uint32_t closed[CLOSED_MAX];
 	size_t nclosed;
-	uint64_t batch_ms; /* when the next message is due */
+	int64_t credit;	     /* thousandths of bytes that may be sent */
+	uint64_t batch_ms;   /* when what waits goes out, few or many */
+	uint64_t credit_ms;  /* when it was last raised */
+	uint64_t refresh_ms; /* when old flows are due */
 	uint32_t peers[WITNESSES];
 	size_t npeers;
+	uint64_t peers_ms; /* when they are chosen again */
+	uint64_t watch_ms; /* when the known flows are looked through */
 	list_t buckets[BUCKETS];
 	list_t known; /* known_flow_t, owned */
 	size_t nknown;
@@ -54,15 +71,18 @@
 
 static void forget(witness_t *w, known_flow_t *k);
 static known_flow_t *find(witness_t *w, uint32_t holder, uint32_t hash);
-static void learn(agent_t *a, uint64_t now, uint32_t holder,
+static void learn(agent_t *a, uint64_t now, const witness_msg_t *msg,
 		  const uint8_t *bytes);
 static size_t choose(const agent_t *a, uint32_t *peers);
-static void note_peers(agent_t *a);
+static void note_peers(agent_t *a, uint64_t now);
 static size_t put_flow(const flow_t *f, uint8_t *out);
 static size_t put_flows(witness_t *w, list_t *from, size_t bytes, uint8_t *out);
-static void send_batch(agent_t *a);
+static size_t credit(witness_t *w, uint64_t now);
+static size_t put_closed(witness_t *w, size_t bytes, uint8_t *out);
+static void send_batch(agent_t *a, uint64_t now);
 static void probe(agent_t *a, uint64_t now, known_flow_t *k);
 static bool holder_lost(agent_t *a, uint64_t now, const known_flow_t *k);
+static bool holder_restarted(agent_t *a, uint64_t now, known_flow_t *k);
 static void watch(agent_t *a, uint64_t now);
 static bool any_dead(const agent_t *a);
 
@@ -129,7 +149,7 @@
 	return NULL;
 }
 
-static void learn(agent_t *a, uint64_t now, uint32_t holder,
+static void learn(agent_t *a, uint64_t now, const witness_msg_t *msg,
 		  const uint8_t *bytes)
 {
 	witness_t *w = a->witness;
@@ -144,7 +164,7 @@
 	key.sport = (uint16_t)(bytes[4] << 8 | bytes[5]);
 	key.dport = a->service->classes[bytes[6]].port;
 	hash = (uint32_t)flow_key_hash(&key, a->options.rank_seed);
-	k = find(w, holder, hash);
+	k = find(w, msg->target, hash);
 	if (!k) {
 		if (w->nknown >= KNOWN_FLOWS_MAX)
 			return;
@@ -155,7 +175,8 @@
 		list_init(&k->order);
 		list_append(&w->buckets[hash & (BUCKETS - 1)], &k->chain);
 	}
-	k->holder = holder;
+	k->holder = msg->target;
+	k->incarnation = msg->incarnation;
 	k->hash = hash;
 	k->ip = key.src;
 	k->port = key.sport;
@@ -174,7 +195,7 @@
 		return;
 	for (size_t i = 0; i + OPENED_BYTES <= msg->opened_flows.len;
 	     i += OPENED_BYTES)
-		learn(a, now, msg->target, msg->opened_flows.data + i);
+		learn(a, now, msg, msg->opened_flows.data + i);
 	for (size_t i = 0; i + CLOSED_BYTES <= msg->closed_flows.len;
 	     i += CLOSED_BYTES) {
 		uint32_t hash = (uint32_t)closed[i] << 24 |
@@ -221,13 +242,17 @@
 }
 
 /* A new witness is told of all flows as fast as the bound lets. */
-static void note_peers(agent_t *a)
+static void note_peers(agent_t *a, uint64_t now)
 {
 	witness_t *w = a->witness;
 	uint32_t peers[WITNESSES];
-	size_t n = choose(a, peers);
 	bool new_one = false;
+	size_t n;
 
+	if (now < w->peers_ms)
+		return;
+	w->peers_ms = now + PEERS_MS;
+	n = choose(a, peers);
 	for (size_t i = 0; i < n; i++) {
 		bool old = false;
 
@@ -278,36 +303,73 @@
 	return len;
 }
 
-static void send_batch(agent_t *a)
+/* Bytes that may be sent now. */
+static size_t credit(witness_t *w, uint64_t now)
+{
+	int64_t most = (int64_t)BYTES_AT_ONCE * 1000;
+
+	w->credit += (int64_t)(now - w->credit_ms) * BYTES_A_SECOND;
+	w->credit_ms = now;
+	if (w->credit > most)
+		w->credit = most;
+	return w->credit > 0 ? (size_t)w->credit / 1000 : 0;
+}
+
+static size_t put_closed(witness_t *w, size_t bytes, uint8_t *out)
+{
+	size_t len = 0;
+	size_t n = 0;
+
+	while (n < w->nclosed && len + CLOSED_BYTES <= bytes) {
+		uint32_t hash = w->closed[n++];
+
+		out[len++] = (uint8_t)(hash >> 24);
+		out[len++] = (uint8_t)(hash >> 16);
+		out[len++] = (uint8_t)(hash >> 8);
+		out[len++] = (uint8_t)hash;
+	}
+	w->nclosed -= n;
+	memmove(w->closed, w->closed + n, w->nclosed * sizeof(*w->closed));
+	return len;
+}
+
+/* News go out as soon as the bound lets them, old flows when there is room. */
+static void send_batch(agent_t *a, uint64_t now)
 {
 	witness_t *w = a->witness;
 	uint8_t opened[BATCH_BYTES];
-	uint8_t closed[CLOSED_MAX * CLOSED_BYTES];
-	size_t nopened, nclosed = 0;
-	size_t refresh = REFRESH_BYTES;
+	uint8_t closed[BATCH_BYTES];
+	size_t room = credit(w, now);
 	witness_msg_t msg;
 
-	for (size_t i = 0; i < w->nclosed; i++) {
-		closed[nclosed++] = (uint8_t)(w->closed[i] >> 24);
-		closed[nclosed++] = (uint8_t)(w->closed[i] >> 16);
-		closed[nclosed++] = (uint8_t)(w->closed[i] >> 8);
-		closed[nclosed++] = (uint8_t)w->closed[i];
-	}
-	nopened = put_flows(w, &w->fresh, BATCH_BYTES - nclosed, opened);
-	if (refresh > BATCH_BYTES - nclosed - nopened)
-		refresh = BATCH_BYTES - nclosed - nopened;
-	nopened += put_flows(w, &w->cycle, refresh, opened + nopened);
-	w->nclosed = 0;
-	if (nopened + nclosed == 0)
+	if (room < OVERHEAD_BYTES + OPENED_BYTES || !w->npeers)
 		return;
+	room -= OVERHEAD_BYTES;
+	if (room > BATCH_BYTES)
+		room = BATCH_BYTES;
 	ct__witness__init(&msg);
+	msg.opened_flows.data = opened;
+	msg.opened_flows.len = put_flows(w, &w->fresh, room, opened);
+	room -= msg.opened_flows.len;
+	msg.closed_flows.data = closed;
+	msg.closed_flows.len = put_closed(w, room, closed);
+	room -= msg.closed_flows.len;
+	if (now >= w->refresh_ms) {
+		w->refresh_ms = now + REFRESH_MS;
+		msg.opened_flows.len +=
+			put_flows(w, &w->cycle,
+				  room < REFRESH_BYTES ? room : REFRESH_BYTES,
+				  opened + msg.opened_flows.len);
+	}
+	if (msg.opened_flows.len + msg.closed_flows.len == 0)
+		return;
 	msg.service = a->service->id;
 	msg.target = a->target->id;
 	msg.incarnation = a->incarnation;
-	msg.opened_flows.data = opened;
-	msg.opened_flows.len = nopened;
-	msg.closed_flows.data = closed;
-	msg.closed_flows.len = nclosed;
+	w->batch_ms = now + BATCH_MS;
+	w->credit -= (int64_t)(OVERHEAD_BYTES + msg.opened_flows.len +
+			       msg.closed_flows.len) *
+		     1000;
 	for (size_t i = 0; i < w->npeers; i++) {
 		member_t *m = group_member(&a->group, w->peers[i]);
 
@@ -315,7 +377,7 @@
 			a->ops.send(a->ctx, &m->agent, MSG_WITNESS, &msg);
 	}
 	counter_add(&a->counters, COUNTER_WITNESS_FLOWS,
-		    nopened / OPENED_BYTES);
+		    msg.opened_flows.len / OPENED_BYTES);
 }
 
 /*
@@ -351,6 +413,24 @@
 	return m->state == MEMBER_DEAD && m->heard_ms + LOST_MS <= now;
 }
 
+/*
+ * The holder has started anew and did not tell this flow again: perhaps it
+ * does not know of it. The caller's answer makes it ask its backend server.
+ */
+static bool holder_restarted(agent_t *a, uint64_t now, known_flow_t *k)
+{
+	const member_t *m = group_member(&a->group, k->holder);
+
+	if (!m || !member_reachable(m) || m->incarnation <= k->incarnation ||
+	    k->heard_ms + RETOLD_MS > now)
+		return false;
+	if (k->probes < PROBES)
+		return true;
+	k->incarnation = m->incarnation;
+	k->probes = 0;
+	return false;
+}
+
 static void watch(agent_t *a, uint64_t now)
 {
 	witness_t *w = a->witness;
@@ -366,7 +446,8 @@
 		}
 		if (sent == PROBES_A_TICK)
 			return;
-		if (k->probe_ms + PROBE_MS > now || !holder_lost(a, now, k))
+		if (k->probe_ms + PROBE_MS > now ||
+		    (!holder_restarted(a, now, k) && !holder_lost(a, now, k)))
 			continue;
 		if (k->probes == PROBES) {
 			forget(w, k);
@@ -391,14 +472,24 @@
 
 	if (without(a->options.off, MECHANISM_WITNESS))
 		return;
-	if (w->nknown && (any_dead(a) || now >= w->batch_ms))
+	if (w->nknown && (any_dead(a) || now >= w->watch_ms)) {
+		w->watch_ms = now + WATCH_MS;
 		watch(a, now);
-	if (now < w->batch_ms)
+	}
+	note_peers(a, now);
+	if (now >= w->batch_ms)
+		send_batch(a, now);
+}
+
+void witness_news(agent_t *a, uint64_t now)
+{
+	witness_t *w = a->witness;
+
+	if (without(a->options.off, MECHANISM_WITNESS))
 		return;
-	w->batch_ms = now + BATCH_MS;
-	note_peers(a);
-	if (w->npeers)
-		send_batch(a);
+	note_peers(a, now);
+	if (credit(w, now) >= BYTES_AT_ONCE / 2)
+		send_batch(a, now);
 }
 
 size_t agent_witnessed(const agent_t *a)
--- a/src/caller.h
+++ b/src/caller.h
@@ -30,11 +30,7 @@
 } outcome_t;
 
 typedef struct caller_request {
-<<<<<<< HEAD
 	list_t all; /* requests of the caller */
-=======
-	list_t all;
->>>>>>> matrix
 	app_request_t app;
 	flow_key_t key;
 	void *data; /* the user's */
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -166,10 +166,18 @@
    * the wait for members that can't be asked is over
    */
   protobuf_c_boolean silence_over;
+  /*
+   * some hop did not ask its backend server
+   */
+  protobuf_c_boolean untried;
+  /*
+   * second time: each hop asks its backend server
+   */
+  protobuf_c_boolean ask_servers;
 };
 #define CT__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__packet__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
