Give operators check, diff, status, watch, explain, audit and metrics

Cause: the command line printed raw answers of the processes in its settings only; there was no diff, explain or watch. Ruled out: a JSON library (the answers are flat and our own; a reader of 40 lines finds a member), a directory of processes (they name each other). Change: one file a command; a shared part asks every process of the settings and those that these have heard lately; diff exits as diff(1) does; status waits for a version.

--- /dev/null
+++ b/src/cli_ask.c
@@ -0,0 +1,310 @@
+#include "cli_ask.h"
+#include "dgram.h"
+#include "stream.h"
+#include "version.h"
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ASK_TIMEOUT_MS 3000
+
+typedef struct asker {
+	uv_loop_t loop;
+	seal_t *seal;
+	counters_t counters;
+	GArray *answers;
+} asker_t;
+
+/* One question; the answers' array may move, so it is known by number. */
+typedef struct question {
+	asker_t *asker;
+	guint number;
+	bool status;
+} question_t;
+
+static cli_answer_t *answer_at(const asker_t *a, guint i);
+static void on_answer(void *ctx, msg_kind_t kind, const void *msg,
+		      const err_t *err);
+static void ask_one(asker_t *a, guint i, const char *command,
+		    const char *argument);
+static bool is_listed(const asker_t *a, const endpoint_t *at);
+static void add_known(asker_t *a, const char *status);
+static const char *value_of(const char *json, const char *key);
+
+int cli_options(const char *command, const char *arguments, const char *summary,
+		const GOptionEntry *entries, int *argc, char ***argv, int *code)
+{
+	gboolean version = FALSE;
+	GOptionEntry common[] = {
+		{ "version", 'V', 0, G_OPTION_ARG_NONE, &version,
+		  "Print the version and exit", NULL },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new(arguments);
+	char *program = g_strdup_printf("cherviltray %s", command);
+	GError *error = NULL;
+	int ret = -1;
+
+	g_set_prgname(program);
+	g_option_context_set_summary(context, summary);
+	if (entries)
+		g_option_context_add_main_entries(context, entries, NULL);
+	g_option_context_add_main_entries(context, common, NULL);
+	if (!g_option_context_parse(context, argc, argv, &error)) {
+		*code = cli_usage(command, error->message);
+		g_error_free(error);
+	} else if (version) {
+		printf("cherviltray %s\n", CHERVILTRAY_VERSION);
+		*code = CLI_OK;
+	} else {
+		ret = 0;
+	}
+	g_option_context_free(context);
+	g_free(program);
+	return ret;
+}
+
+int cli_options_settings(const char *command, const char *arguments,
+			 const char *summary, const GOptionEntry *entries,
+			 int *argc, char ***argv, settings_t *settings,
+			 int *code)
+{
+	char *file = NULL;
+	GArray *all = g_array_new(TRUE, FALSE, sizeof(GOptionEntry));
+	GOptionEntry entry = { "settings", 's',
+			       0,	   G_OPTION_ARG_FILENAME,
+			       &file,	   "Settings file of the operators",
+			       "FILE" };
+	err_t err;
+	int ret;
+
+	g_array_append_val(all, entry);
+	for (; entries && entries->long_name; entries++)
+		g_array_append_val(all, *entries);
+	ret = cli_options(command, arguments, summary,
+			  (GOptionEntry *)(void *)all->data, argc, argv, code);
+	g_array_free(all, TRUE);
+	if (ret == 0 && !file) {
+		*code = cli_usage(command, "--settings is needed");
+		ret = -1;
+	} else if (ret == 0 &&
+		   (sodium_init() < 0 ||
+		    settings_load(file, ROLE_OPERATOR, settings, &err) < 0)) {
+		*code = cli_fail(command, &err);
+		ret = -1;
+	}
+	g_free(file);
+	return ret;
+}
+
+static cli_answer_t *answer_at(const asker_t *a, guint i)
+{
+	return &g_array_index(a->answers, cli_answer_t, i);
+}
+
+static void on_answer(void *ctx, msg_kind_t kind, const void *msg,
+		      const err_t *err)
+{
+	question_t *q = ctx;
+	cli_answer_t *a = answer_at(q->asker, q->number);
+	const answer_msg_t *answer = msg;
+
+	a->ok = kind == MSG_ANSWER && answer->ok;
+	if (a->ok && q->status)
+		a->status = g_strdup(answer->text);
+	if (a->ok)
+		a->text = g_strdup(answer->text);
+	else if (kind == MSG_ANSWER)
+		err_set(&a->err, ERR_PROTOCOL, NULL, 0,
+			"check the arguments of the command", "%s",
+			answer->text);
+	else if (err)
+		a->err = *err;
+	free(q);
+}
+
+static void ask_one(asker_t *a, guint i, const char *command,
+		    const char *argument)
+{
+	query_msg_t query = CT__QUERY__INIT;
+	question_t *q = malloc(sizeof(*q));
+
+	if (!q)
+		return;
+	q->asker = a;
+	q->number = i;
+	q->status = !strcmp(command, "status");
+	query.command = (char *)command;
+	query.argument = (char *)argument;
+	stream_call(&a->loop, a->seal, &a->counters, &answer_at(a, i)->at,
+		    MSG_QUERY, &query, ASK_TIMEOUT_MS, on_answer, q);
+}
+
+/* Is the process that listens there asked already? */
+static bool is_listed(const asker_t *a, const endpoint_t *at)
+{
+	for (guint i = 0; i < a->answers->len; i++) {
+		const cli_answer_t *known = answer_at(a, i);
+		char *listen = known->status
+				       ? json_text_of(known->status, "listen")
+				       : NULL;
+		endpoint_t ep;
+		bool same = endpoint_equal(&known->at, at) ||
+			    (listen && endpoint_parse(listen, &ep) == 0 &&
+			     endpoint_equal(&ep, at));
+
+		g_free(listen);
+		if (same)
+			return true;
+	}
+	return false;
+}
+
+/* Adds the processes that a status names. */
+static void add_known(asker_t *a, const char *status)
+{
+	const char *list = value_of(status, "known");
+	char **parts;
+
+	if (!list || *list != '[')
+		return;
+	list = g_strndup(list + 1, strcspn(list, "]") - 1);
+	parts = g_strsplit(list, ",", -1);
+	for (char **part = parts; *part; part++) {
+		cli_answer_t found = { .known = true };
+
+		g_strdelimit(*part, "\"", ' ');
+		if (endpoint_parse(g_strstrip(*part), &found.at) == 0 &&
+		    !is_listed(a, &found.at))
+			g_array_append_val(a->answers, found);
+	}
+	g_strfreev(parts);
+	g_free((char *)list);
+}
+
+GArray *cli_ask_all(const settings_t *settings, const char *command,
+		    const char *argument)
+{
+	asker_t a = { .answers =
+			      g_array_new(FALSE, TRUE, sizeof(cli_answer_t)) };
+	uint64_t session;
+	guint first;
+
+	randombytes_buf(&session, sizeof(session));
+	a.seal = seal_new(settings->key, session);
+	uv_loop_init(&a.loop);
+	for (size_t i = 0; i < settings->npeers; i++) {
+		cli_answer_t peer = { .at = settings->peers[i] };
+
+		g_array_append_val(a.answers, peer);
+	}
+	first = a.answers->len;
+	for (guint i = 0; i < first; i++)
+		ask_one(&a, i, "status", "");
+	uv_run(&a.loop, UV_RUN_DEFAULT);
+	for (guint i = 0; i < first; i++)
+		if (answer_at(&a, i)->status)
+			add_known(&a, answer_at(&a, i)->status);
+	for (guint i = first; i < a.answers->len; i++)
+		ask_one(&a, i, "status", "");
+	uv_run(&a.loop, UV_RUN_DEFAULT);
+	if (strcmp(command, "status") != 0) {
+		for (guint i = 0; i < a.answers->len; i++) {
+			if (!answer_at(&a, i)->status)
+				continue;
+			g_free(answer_at(&a, i)->text);
+			answer_at(&a, i)->text = NULL;
+			ask_one(&a, i, command, argument);
+		}
+		uv_run(&a.loop, UV_RUN_DEFAULT);
+	}
+	uv_loop_close(&a.loop);
+	seal_free(a.seal);
+	return a.answers;
+}
+
+void cli_answers_free(GArray *answers)
+{
+	for (guint i = 0; i < answers->len; i++) {
+		cli_answer_t *a = &g_array_index(answers, cli_answer_t, i);
+
+		g_free(a->status);
+		g_free(a->text);
+	}
+	g_array_free(answers, TRUE);
+}
+
+char *cli_answer_name(const cli_answer_t *answer)
+{
+	char text[ENDPOINT_TEXT];
+	char *name =
+		answer->status ? json_text_of(answer->status, "name") : NULL;
+
+	return name ? name : g_strdup(endpoint_format(&answer->at, text));
+}
+
+unsigned cli_print_silent(const char *command, const GArray *answers)
+{
+	unsigned silent = 0;
+
+	for (guint i = 0; i < answers->len; i++) {
+		cli_answer_t *a = &g_array_index(answers, cli_answer_t, i);
+
+		if (a->ok)
+			continue;
+		endpoint_format(&a->at, a->err.file);
+		cli_fail(command, &a->err);
+		silent++;
+	}
+	return silent;
+}
+
+/* Where the value of a key begins; keys in texts have escaped quotes. */
+static const char *value_of(const char *json, const char *key)
+{
+	char want[72];
+	const char *at = json;
+
+	snprintf(want, sizeof(want), "\"%s\":", key);
+	while ((at = strstr(at, want)) != NULL) {
+		if (at > json && (at[-1] == ',' || at[-1] == '{'))
+			return at + strlen(want);
+		at += strlen(want);
+	}
+	return NULL;
+}
+
+char *json_text_of(const char *json, const char *key)
+{
+	const char *at = value_of(json, key);
+	GString *out;
+
+	if (!at || *at != '"')
+		return NULL;
+	out = g_string_new(NULL);
+	for (at++; *at && *at != '"'; at++) {
+		if (*at == '\\' && at[1])
+			at++;
+		g_string_append_c(out, *at);
+	}
+	return g_string_free(out, FALSE);
+}
+
+int64_t json_number_of(const char *json, const char *key, int64_t fallback)
+{
+	const char *at = value_of(json, key);
+
+	return at ? strtoll(at, NULL, 10) : fallback;
+}
+
+char *cli_time(int64_t wall_ms)
+{
+	GDateTime *time = g_date_time_new_from_unix_utc(wall_ms / 1000);
+	char *text = time ? g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ")
+			  : g_strdup("-");
+
+	if (time)
+		g_date_time_unref(time);
+	return text;
+}
--- /dev/null
+++ b/src/cli_audit.c
@@ -0,0 +1,110 @@
+#include "cli_ask.h"
+#include "log.h"
+#include <stdio.h>
+#include <string.h>
+
+/* An audit event with the process that it comes from. */
+typedef struct event {
+	int64_t time_ms;
+	const char *process;
+	const char *line; /* JSON */
+} event_t;
+
+static void collect(GArray *events, const char *process, char *text);
+static gint by_time(gconstpointer a, gconstpointer b);
+static void print_event(const event_t *event, bool json);
+
+/* Cuts the text into lines; the events point into it. */
+static void collect(GArray *events, const char *process, char *text)
+{
+	char *next;
+
+	for (char *line = text; line && *line; line = next) {
+		event_t event = { .process = process, .line = line };
+
+		next = strchr(line, '\n');
+		if (next)
+			*next++ = '\0';
+		event.time_ms = json_number_of(line, "time_ms", 0);
+		g_array_append_val(events, event);
+	}
+}
+
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	const event_t *x = a, *y = b;
+
+	if (x->time_ms != y->time_ms)
+		return x->time_ms < y->time_ms ? -1 : 1;
+	/* Events of one process stay in their order. */
+	return x->line < y->line ? -1 : 1;
+}
+
+static void print_event(const event_t *event, bool json)
+{
+	GString *name = g_string_new("{\"process\":");
+	char *time, *what, *subject, *detail;
+
+	if (json) {
+		json_append_string(name, event->process);
+		printf("%s,%s\n", name->str, event->line + 1);
+		g_string_free(name, TRUE);
+		return;
+	}
+	g_string_free(name, TRUE);
+	time = cli_time(event->time_ms);
+	what = json_text_of(event->line, "event");
+	subject = json_text_of(event->line, "subject");
+	detail = json_text_of(event->line, "detail");
+	printf("%s %-16s %-24s %s: %s\n", time, event->process, what, subject,
+	       detail);
+	g_free(time);
+	g_free(what);
+	g_free(subject);
+	g_free(detail);
+}
+
+int cli_audit(int argc, char **argv)
+{
+	gboolean json = FALSE;
+	GOptionEntry entries[] = {
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &json,
+		  "Print one JSON object an event", NULL },
+		{ 0 },
+	};
+	GPtrArray *names;
+	settings_t settings;
+	GArray *answers, *events;
+	unsigned silent;
+	int code;
+
+	if (cli_options_settings("audit", NULL,
+				 "Prints the changes that every process made, "
+				 "oldest first.",
+				 entries, &argc, &argv, &settings, &code) < 0)
+		return code;
+	if (argc > 1) {
+		settings_clear(&settings);
+		return cli_usage("audit", "it takes no argument");
+	}
+	names = g_ptr_array_new_with_free_func(g_free);
+	events = g_array_new(FALSE, FALSE, sizeof(event_t));
+	answers = cli_ask_all(&settings, "audit", "");
+	for (guint i = 0; i < answers->len; i++) {
+		cli_answer_t *a = &g_array_index(answers, cli_answer_t, i);
+		char *name = cli_answer_name(a);
+
+		g_ptr_array_add(names, name);
+		if (a->ok)
+			collect(events, name, a->text);
+	}
+	g_array_sort(events, by_time);
+	for (guint i = 0; i < events->len; i++)
+		print_event(&g_array_index(events, event_t, i), json);
+	silent = cli_print_silent("audit", answers);
+	cli_answers_free(answers);
+	g_array_free(events, TRUE);
+	g_ptr_array_free(names, TRUE);
+	settings_clear(&settings);
+	return silent ? CLI_FAILED : CLI_OK;
+}
--- a/src/cli_check.c
+++ b/src/cli_check.c
@@ -1,28 +1,45 @@
-#include "cli.h"
+#include "cli_ask.h"
 #include "config.h"
 #include <stdio.h>
-#include <string.h>
 
+/* Checks a document as a whole, and its version against another's. */
 int cli_check(int argc, char **argv)
 {
-	config_t *config;
+	char *after = NULL;
+	GOptionEntry entries[] = {
+		{ "after", 0, 0, G_OPTION_ARG_FILENAME, &after,
+		  "Its version must be higher than that of OLD", "OLD" },
+		{ 0 },
+	};
+	config_t *config = NULL, *old = NULL;
 	size_t targets = 0;
+	int code;
 	err_t err;
 
-	if (argc == 2 && !strcmp(argv[1], "--help")) {
-		printf("Usage: cherviltray check FILE\n\nChecks a "
-		       "configuration document as a whole.\n");
-		return CLI_OK;
-	}
-	if (argc != 2 || argv[1][0] == '-')
+	if (cli_options("check", "FILE",
+			"Checks a configuration document as a whole.", entries,
+			&argc, &argv, &code) < 0)
+		return code;
+	if (argc != 2) {
+		g_free(after);
 		return cli_usage("check", "one FILE is needed");
-	if (config_load(argv[1], &config, &err) < 0)
-		return cli_fail("check", &err);
+	}
+	code = CLI_FAILED;
+	if (config_load(argv[1], &config, &err) < 0 ||
+	    (after && config_load(after, &old, &err) < 0) ||
+	    config_check_after(old, config, argv[1], &err) < 0) {
+		cli_fail("check", &err);
+		goto out;
+	}
 	for (size_t i = 0; i < config->nservices; i++)
 		targets += config->services[i].ntargets;
 	printf("%s: version %llu, %zu services, %zu targets, digest %016llx\n",
 	       argv[1], (unsigned long long)config->version, config->nservices,
 	       targets, (unsigned long long)config->digest);
+	code = CLI_OK;
+out:
 	config_unref(config);
-	return CLI_OK;
+	config_unref(old);
+	g_free(after);
+	return code;
 }
--- a/src/cli_main.c
+++ b/src/cli_main.c
@@ -15,9 +15,12 @@
 
 static const command_t commands[] = {
 	{ "check", cli_check, "check a configuration document" },
-	{ "metrics", cli_metrics, "print the counters of processes" },
+	{ "diff", cli_diff, "print what a new document changes" },
 	{ "status", cli_status, "print what each process has in force" },
+	{ "watch", cli_watch, "follow the versions in force" },
+	{ "explain", cli_explain, "print which target a flow goes to" },
 	{ "audit", cli_audit, "print the changes that processes made" },
+	{ "metrics", cli_metrics, "print the counters of processes" },
 	{ "load", cli_load, "drive a running system and report" },
 };
 
--- /dev/null
+++ b/src/cli_metrics.c
@@ -0,0 +1,67 @@
+#include "cli_ask.h"
+#include "counters.h"
+#include "log.h"
+#include <stdio.h>
+
+static void print_counters(const char *name, const char *json);
+static void print_json(const char *name, const char *json);
+
+static void print_counters(const char *name, const char *json)
+{
+	for (int i = 0; i < COUNTERS; i++) {
+		const char *counter = counter_name((counter_t)i);
+		int64_t value = json_number_of(json, counter, 0);
+
+		if (value)
+			printf("%s %s %lld\n", name, counter, (long long)value);
+	}
+}
+
+static void print_json(const char *name, const char *json)
+{
+	GString *line = g_string_new("{\"process\":");
+
+	json_append_string(line, name);
+	printf("%s,\"counters\":%s}\n", line->str, json);
+	g_string_free(line, TRUE);
+}
+
+int cli_metrics(int argc, char **argv)
+{
+	gboolean json = FALSE;
+	GOptionEntry entries[] = {
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &json,
+		  "Print one JSON object a process", NULL },
+		{ 0 },
+	};
+	settings_t settings;
+	unsigned silent;
+	GArray *answers;
+	int code;
+
+	if (cli_options_settings("metrics", NULL,
+				 "Prints the counters of every process that "
+				 "are not zero:\nPROCESS COUNTER VALUE.",
+				 entries, &argc, &argv, &settings, &code) < 0)
+		return code;
+	if (argc > 1) {
+		settings_clear(&settings);
+		return cli_usage("metrics", "it takes no argument");
+	}
+	answers = cli_ask_all(&settings, "metrics", "");
+	for (guint i = 0; i < answers->len; i++) {
+		const cli_answer_t *a =
+			&g_array_index(answers, cli_answer_t, i);
+		char *name = cli_answer_name(a);
+
+		if (a->ok && json)
+			print_json(name, a->text);
+		else if (a->ok)
+			print_counters(name, a->text);
+		g_free(name);
+	}
+	silent = cli_print_silent("metrics", answers);
+	cli_answers_free(answers);
+	settings_clear(&settings);
+	return silent ? CLI_FAILED : CLI_OK;
+}
--- a/src/spread_int.h
+++ b/src/spread_int.h
@@ -24,7 +24,7 @@
 #define BANS		16
 #define CLAIMS		4
 #define LEARNED		128
-#define LEARNED_MS	120000 /* a peer is forgotten after silence */
+#define LEARNED_MS	30000 /* a peer is forgotten after silence */
 #define LIVE_MAX	65536
 #define LIVE_MS		60000 /* between two reads of the live list */
 #define SILENCE_MS	6000  /* without a reader heard of */
--- /dev/null
+++ b/test/test_cli.c
@@ -0,0 +1,250 @@
+/*
+ * test_cli - the operators' commands: their exit codes, what they print, and
+ * what they say of a running system
+ */
+
+#include "harness.h"
+#include "runner.h"
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define GOOD                                                                   \
+	"version = 3\n[[service]]\nname = \"s\"\naddress = \"192.0.2.1\"\n"    \
+	"class = [ { name = \"c\", port = 1, idempotent = true } ]\n"          \
+	"defaults = { zone = \"z\", slots = 2, connections = 9 }\n"            \
+	"target = [\n{ name = \"a\", agent = \"127.0.0.1:1\" },\n"
+#define MORE	"{ name = \"b\", agent = \"127.0.0.2:1\" },\n"
+#define CHANGED "{ name = \"b\", agent = \"127.0.0.2:1\", weight = 2 },\n"
+#define END	"]\n"
+
+static char dir[] = "/tmp/test_cli-XXXXXX";
+
+static const char *const files[][2] = {
+	{ "good", GOOD END },
+	{ "more", GOOD MORE END },
+	{ "bad", GOOD "{ name = \"a\", agent = \"127.0.0.2:1\" },\n" END },
+	{ "later", NULL },
+};
+
+static void write_text(const char *name, const char *text)
+{
+	char *path = g_build_filename(dir, name, NULL);
+
+	g_file_set_contents(path, text, -1, NULL);
+	g_free(path);
+}
+
+static void setup(void)
+{
+	char *later = g_strdup(GOOD CHANGED END);
+
+	ck_assert_ptr_nonnull(g_mkdtemp(dir));
+	for (size_t i = 0; i < G_N_ELEMENTS(files); i++)
+		if (files[i][1])
+			write_text(files[i][0], files[i][1]);
+	later[strlen("version = ")] = '4';
+	write_text("later", later);
+	g_free(later);
+}
+
+static void teardown(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(files); i++) {
+		char *path = g_build_filename(dir, files[i][0], NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	g_rmdir(dir);
+}
+
+/* Runs the program; returns its exit code, and what it printed. */
+static int run(const char *line, char **out, char **err)
+{
+	char *program = harness_program("cherviltray");
+	char *command = g_strdup_printf("%s %s", program, line);
+	char **argv = g_strsplit(command, " ", -1);
+	int status = -1;
+
+	ck_assert(g_spawn_sync(dir, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+			       out, err, &status, NULL));
+	g_strfreev(argv);
+	g_free(command);
+	g_free(program);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+typedef struct command_case {
+	const char *line;
+	int code;
+	const char *out; /* part of standard output */
+	const char *err; /* part of standard error */
+} command_case_t;
+
+static const command_case_t cases[] = {
+	{ "check good", 0, "good: version 3, 1 services, 1 targets", "" },
+	{ "check bad", 1, "",
+	  "bad:9: duplicate: target \"a\" is declared twice; remove one" },
+	{ "check none", 1, "", "none: io:" },
+	{ "check", 2, "", "usage" },
+	{ "check good more", 2, "", "usage" },
+	{ "check --wrong good", 2, "", "--wrong" },
+	{ "check --after good later", 0, "version 4", "" },
+	{ "check --after good more", 1, "", "more:1: version-not-higher" },
+	{ "diff good good", 0, "", "" },
+	{ "diff good more", 1, "+ target s/b", "version-not-higher" },
+	{ "diff more good", 1, "- target s/b", "version-not-higher" },
+	{ "diff more later", 1, "~ target s/b: weight 1 -> 2", "" },
+	{ "diff more later", 1, "~ version 3 -> 4", "" },
+	{ "diff good bad", 2, "", "bad:9: duplicate" },
+	{ "diff good", 2, "", "usage" },
+	{ "--help", 0, "status", "" },
+	{ "--version", 0, "cherviltray ", "" },
+	{ "nothing", 2, "", "unknown command" },
+	{ "", 2, "", "" },
+	{ "check --help", 0, "FILE", "" },
+	{ "diff --help", 0, "OLD NEW", "" },
+	{ "status --help", 0, "--wait", "" },
+	{ "explain --help", 0, "SRC:PORT", "" },
+	{ "watch --help", 0, "--seconds", "" },
+	{ "audit --help", 0, "--json", "" },
+	{ "metrics --help", 0, "--json", "" },
+	{ "load --help", 0, "", "" },
+	{ "status --version", 0, "cherviltray ", "" },
+	{ "check --version", 0, "cherviltray ", "" },
+	{ "status", 2, "", "--settings" },
+	{ "explain 1 2 tcp", 2, "", "--settings" },
+	{ "status --settings none", 1, "", "none: io:" },
+};
+
+START_TEST(codes_and_texts)
+{
+	const command_case_t *c = &cases[_i];
+	char *out, *err;
+	int code = run(c->line, &out, &err);
+
+	ck_assert_msg(code == c->code, "\"%s\" exits with %d: %s", c->line,
+		      code, err);
+	ck_assert_msg(strstr(out, c->out) != NULL, "%s", out);
+	ck_assert_msg(strstr(err, c->err) != NULL, "%s", err);
+	g_free(out);
+	g_free(err);
+}
+END_TEST
+
+/* Runs a command on a running system; checks its code, returns its output. */
+static char *ask(harness_t *h, const char *command, const char *rest, int want)
+{
+	char *line = g_strdup_printf("%s --settings %s%s", command,
+				     h->operators_path, rest);
+	char *out, *err;
+	int code = run(line, &out, &err);
+
+	ck_assert_msg(code == want, "%s exits with %d: %s%s", line, code, out,
+		      err);
+	g_free(err);
+	g_free(line);
+	return out;
+}
+
+static unsigned lines_with(const char *text, const char *part)
+{
+	unsigned n = 0;
+
+	for (const char *at = *part ? strstr(text, part) : NULL; at;
+	     at = strstr(at + 1, part))
+		n++;
+	return n;
+}
+
+static void expect(harness_t *h, const char *command, const char *rest,
+		   int code, const char *part, unsigned at_least)
+{
+	char *out = ask(h, command, rest, code);
+
+	ck_assert_msg(lines_with(out, part) >= at_least, "%s: %s", command,
+		      out);
+	g_free(out);
+}
+
+/* Operators' settings with one process only: it names the others. */
+static void write_one_peer(harness_t *h)
+{
+	char text[ENDPOINT_TEXT];
+	char *settings = g_strdup_printf(
+		"key_file = \"%s\"\npeers = [\"%s\"]\n", h->key_path,
+		endpoint_format(&h->balancers[0].operators, text));
+
+	g_file_set_contents(h->operators_path, settings, -1, NULL);
+	g_free(settings);
+}
+
+START_TEST(running_system)
+{
+	static const char text[] =
+		"version = 3\n[[service]]\nname = \"s\"\n"
+		"address = \"198.51.100.1\"\nclass = [ { name = \"c\", "
+		"port = 80, idempotent = true } ]\ndefaults = { zone = \"z\", "
+		"slots = 2, connections = 9 }\ntarget = [\n"
+		"{ name = \"t1\", agent = \"127.0.21.1:7400\" },\n"
+		"{ name = \"t2\", agent = \"127.0.21.2:7400\" },\n]\n";
+	harness_options_t options = {
+		.config_text = text, .balancers = 1, .platform = true, .seed = 4
+	};
+	harness_t *h = harness_start(&options);
+	char *later = g_strdup(text);
+	char *watched;
+
+	ck_assert_ptr_nonnull(h);
+	expect(h, "status", "", 0, " 3 20", 3);
+	expect(h, "status", " --json", 0, "\"version\":3", 3);
+	expect(h, "status", " --wait 3 --timeout 5", 0, "t1", 1);
+	expect(h, "status", " --wait 4 --timeout 1", 1, " 3 20", 3);
+	expect(h, "explain", " 203.0.113.1:9 198.51.100.1:80 tcp", 0,
+	       "\"candidates\":[{", 1);
+	expect(h, "explain", " 203.0.113.1:9 198.51.100.1:80 tcp", 0,
+	       "\"held\":false", 2);
+	expect(h, "explain", " 203.0.113.1:9 198.51.100.1:81 tcp", 0,
+	       "no service", 1);
+	expect(h, "explain", " 203.0.113.1:9 198.51.100.1 tcp", 2, "", 0);
+	expect(h, "audit", "", 0, "configuration-accepted", 3);
+	expect(h, "audit", " --json", 0, "{\"process\":\"t1\",", 1);
+	expect(h, "metrics", "", 0, "balancer-0 config_accepted 1\n", 1);
+	expect(h, "metrics", " --json", 0, "\"config_accepted\":1", 3);
+	later[strlen("version = ")] = '4';
+	harness_publish(h, later, 4);
+	expect(h, "status", " --wait 4 --timeout 30", 0, " 4 20", 3);
+	watched = ask(h, "watch", " --seconds 1", 0);
+	ck_assert_uint_eq(lines_with(watched, "version 4"), 3);
+	g_free(watched);
+	write_one_peer(h);
+	/* Found through the one in the settings, by its own hellos. */
+	expect(h, "status", " --wait 4 --timeout 10", 0, "agent ", 1);
+	/* One that is gone is told of, and fails the command. */
+	harness_signal(&h->balancers[0], SIGKILL);
+	expect(h, "status", "", 1, "balancer", 0);
+	expect(h, "status", " --ignore-silent", 0, "connect", 1);
+	g_free(later);
+	harness_stop(h);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("cli");
+	TCase *tc = tcase_create("commands");
+
+	tcase_set_timeout(tc, 120);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_loop_test(tc, codes_and_texts, 0, G_N_ELEMENTS(cases));
+	suite_add_tcase(s, tc);
+	tc = tcase_create("system");
+	tcase_set_timeout(tc, 120);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, running_system);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
