Accept a second key while keys are changed

Cause: a key could be changed only by stopping all processes at once. Ruled out: a key number in the header (foreign to processes that run now).

--- a/src/cli_ask.c
+++ b/src/cli_ask.c
@@ -192,7 +192,7 @@
 	guint first;
 
 	randombytes_buf(&session, sizeof(session));
-	a.seal = seal_new(settings->key, session);
+	a.seal = settings_seal(settings, session);
 	uv_loop_init(&a.loop);
 	for (size_t i = 0; i < settings->npeers; i++) {
 		cli_answer_t peer = { .at = settings->peers[i] };
--- a/src/seal.c
+++ b/src/seal.c
@@ -37,6 +37,8 @@
 
 struct seal {
 	uint8_t key[crypto_shorthash_siphashx24_KEYBYTES];
+	uint8_t other[crypto_shorthash_siphashx24_KEYBYTES];
+	int has_other; /* messages under the other key are taken */
 	uint64_t session;
 	uint64_t number;
 	session_set_t sets[SETS];
@@ -44,8 +46,10 @@
 
 static void put64(uint8_t *p, uint64_t v);
 static uint64_t get64(const uint8_t *p);
-static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
+static void derive(uint8_t *out, const uint8_t key[SEAL_KEY_BYTES]);
+static void tag_of(const uint8_t *key, const uint8_t *buf, size_t len,
 		   uint8_t tag[16]);
+static int has_tag(const uint8_t *key, const uint8_t *buf, size_t len);
 static void session_forget(session_set_t *set, session_t *s, uint64_t wall_ms);
 static session_t *session_find(seal_t *seal, uint64_t id, uint64_t clock_ms,
 			       uint64_t wall_ms);
@@ -67,14 +71,26 @@
 	return v;
 }
 
+/* Key of the tags, from the one in the file. */
+static void derive(uint8_t *out, const uint8_t key[SEAL_KEY_BYTES])
+{
+	crypto_generichash(out, crypto_shorthash_siphashx24_KEYBYTES,
+			   (const uint8_t *)"seal", 4, key, SEAL_KEY_BYTES);
+}
+
+void seal_accept(seal_t *seal, const uint8_t key[SEAL_KEY_BYTES])
+{
+	derive(seal->other, key);
+	seal->has_other = 1;
+}
+
 seal_t *seal_new(const uint8_t key[SEAL_KEY_BYTES], uint64_t session)
 {
 	seal_t *seal = calloc(1, sizeof(*seal));
 
 	if (!seal)
 		return NULL;
-	crypto_generichash(seal->key, sizeof(seal->key),
-			   (const uint8_t *)"seal", 4, key, SEAL_KEY_BYTES);
+	derive(seal->key, key);
 	seal->session = session ? session : 1;
 	return seal;
 }
@@ -162,19 +178,27 @@
 	return get64(out);
 }
 
-static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
+static void tag_of(const uint8_t *key, const uint8_t *buf, size_t len,
 		   uint8_t tag[16])
 {
 	uint8_t part[16];
 
 	/* The tag stands inside: hash what is behind it, then the rest. */
 	crypto_shorthash_siphashx24(part, buf + SEAL_HEADER, len - SEAL_HEADER,
-				    seal->key);
+				    key);
 	uint8_t head[AT_TAG + 16];
 
 	memcpy(head, buf, AT_TAG);
 	memcpy(head + AT_TAG, part, 16);
-	crypto_shorthash_siphashx24(tag, head, sizeof(head), seal->key);
+	crypto_shorthash_siphashx24(tag, head, sizeof(head), key);
+}
+
+static int has_tag(const uint8_t *key, const uint8_t *buf, size_t len)
+{
+	uint8_t tag[16];
+
+	tag_of(key, buf, len, tag);
+	return sodium_memcmp(tag, buf + AT_TAG, sizeof(tag)) == 0;
 }
 
 size_t seal_close(seal_t *seal, uint8_t kind, uint64_t wall_ms, uint8_t *buf,
@@ -189,7 +213,7 @@
 	put64(buf + AT_SESSION, seal->session);
 	put64(buf + AT_NUMBER, ++seal->number);
 	put64(buf + AT_CLOCK, wall_ms);
-	tag_of(seal, buf, len, buf + AT_TAG);
+	tag_of(seal->key, buf, len, buf + AT_TAG);
 	return len;
 }
 
@@ -265,7 +289,6 @@
 			size_t len, uint8_t *kind, const uint8_t **body,
 			size_t *body_len)
 {
-	uint8_t tag[16];
 	uint64_t clock_ms;
 	session_t *s;
 
@@ -273,8 +296,8 @@
 		return SEAL_SHORT;
 	if (buf[0] != SEAL_MAGIC || buf[1] != SEAL_VERSION)
 		return SEAL_FOREIGN;
-	tag_of(seal, buf, len, tag);
-	if (sodium_memcmp(tag, buf + AT_TAG, sizeof(tag)))
+	if (!has_tag(seal->key, buf, len) &&
+	    !(seal->has_other && has_tag(seal->other, buf, len)))
 		return SEAL_FORGED;
 	clock_ms = get64(buf + AT_CLOCK);
 	if (clock_ms + SEAL_SKEW_MS < wall_ms ||
--- a/src/seal.h
+++ b/src/seal.h
@@ -55,6 +55,9 @@
 seal_t *seal_new(const uint8_t key[SEAL_KEY_BYTES], uint64_t session);
 void seal_free(seal_t *seal);
 
+/* Takes what is sealed with another key, too, while keys are changed. */
+void seal_accept(seal_t *seal, const uint8_t key[SEAL_KEY_BYTES]);
+
 /* The receiver starts now: refuses what was sent before. */
 void seal_started(seal_t *seal, uint64_t wall_ms);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -35,11 +35,22 @@
 	g_free(text);
 	if (ret == 0)
 		ret = seal_read_key(out->key_file, out->key, err);
+	if (ret == 0 && out->key_file_old[0])
+		ret = seal_read_key(out->key_file_old, out->key_old, err);
 	if (ret < 0)
 		settings_clear(out);
 	return ret;
 }
 
+seal_t *settings_seal(const settings_t *settings, uint64_t session)
+{
+	seal_t *seal = seal_new(settings->key, session);
+
+	if (seal && settings->key_file_old[0])
+		seal_accept(seal, settings->key_old);
+	return seal;
+}
+
 void settings_clear(settings_t *settings)
 {
 	free(settings->peers);
--- a/src/settings.h
+++ b/src/settings.h
@@ -32,6 +32,8 @@
 	char target[SETTINGS_NAME]; /* agent: target it serves */
 	char key_file[256];
 	uint8_t key[SEAL_KEY_BYTES];
+	char key_file_old[256]; /* of another key that is accepted, or empty */
+	uint8_t key_old[SEAL_KEY_BYTES];
 	char config_file[256]; /* read at the start, may be empty */
 	char platform[256];    /* base URL of the platform, may be empty */
 	endpoint_t *peers;     /* asked before the platform is believed */
@@ -48,6 +50,9 @@
 int settings_load(const char *file, process_role_t role, settings_t *out,
 		  err_t *err);
 
+/* Seals for this process; NULL without memory. */
+seal_t *settings_seal(const settings_t *settings, uint64_t session);
+
 void settings_clear(settings_t *settings);
 
 #endif
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -444,18 +444,20 @@
 	bool agent = out->role == ROLE_AGENT;
 
 	if (balancer)
-		r.only(root,
-		       { "name", "zone", "packets", "fabric", "listen",
-			 "operators", "key_file", "config_file", "platform",
-			 "peers", "stop_ms", "cache_flows", "retry_percent" });
+		r.only(root, { "name", "zone", "packets", "fabric", "listen",
+			       "operators", "key_file", "key_file_old",
+			       "config_file", "platform", "peers", "stop_ms",
+			       "cache_flows", "retry_percent" });
 	else if (agent)
 		r.only(root, { "name", "zone", "target", "listen", "operators",
 			       "fabric", "server", "delivery", "key_file",
-			       "config_file", "platform", "peers", "stop_ms",
-			       "flows", "queue" });
+			       "key_file_old", "config_file", "platform",
+			       "peers", "stop_ms", "flows", "queue" });
 	else
-		r.only(root, { "key_file", "peers" });
+		r.only(root, { "key_file", "key_file_old", "peers" });
 	r.string(root, "key_file", true, out->key_file, sizeof(out->key_file));
+	r.string(root, "key_file_old", false, out->key_file_old,
+		 sizeof(out->key_file_old));
 	read_peers(r, root, out);
 	if (!balancer && !agent)
 		return;
--- a/test/test_config_process.c
+++ b/test/test_config_process.c
@@ -6,9 +6,11 @@
 #include "harness.h"
 #include "runner.h"
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define BOUND_MS  30000
 #define BALANCERS 2
@@ -176,6 +178,82 @@
 }
 END_TEST
 
+#define KEY_A "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define KEY_B "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100"
+
+static void write_key(const char *path, const char *key)
+{
+	ck_assert(g_file_set_contents(path, key, -1, NULL));
+	ck_assert_int_eq(g_chmod(path, 0600), 0);
+}
+
+/* Runs a command whose settings have both keys; returns its exit code. */
+static int command(harness_t *h, const char *line, const char *out)
+{
+	char *program = harness_program("cherviltray");
+	char *text = g_strdup_printf("%s %s --settings %s", program, line,
+				     h->operators_path);
+	char **argv = g_strsplit(text, " ", -1);
+	int code = harness_wait_pid(harness_spawn(h, out, argv), BOUND_MS);
+
+	g_strfreev(argv);
+	g_free(text);
+	g_free(program);
+	return code;
+}
+
+static void add_old_key(harness_t *h, const char *line)
+{
+	char *text, *with;
+
+	ck_assert(g_file_get_contents(h->operators_path, &text, NULL, NULL));
+	with = g_strconcat(line, text, NULL);
+	g_file_set_contents(h->operators_path, with, -1, NULL);
+	g_free(text);
+	g_free(with);
+}
+
+/* Some of the processes have changed their key already. */
+START_TEST(key_changes_in_steps)
+{
+	char old_path[] = "/tmp/test_key-XXXXXX";
+	int fd = g_mkstemp(old_path);
+	char *line = g_strdup_printf("key_file_old = \"%s\"\n", old_path);
+	char *text = document(5, 1.0);
+	harness_options_t options = { .config_text = text,
+				      .balancers = BALANCERS,
+				      .platform = true,
+				      .balancer_settings = line,
+				      .agent_settings = line,
+				      .seed = 3 };
+	char *path, *metrics;
+	harness_t *h;
+
+	close(fd);
+	write_key(old_path, KEY_B);
+	h = harness_start(&options);
+	ck_assert_ptr_nonnull(h);
+	write_key(h->key_path, KEY_B);
+	write_key(old_path, KEY_A);
+	restart(h);
+	publish(h, 6, 2.0);
+	add_old_key(h, line);
+	ck_assert_int_eq(command(h, "status --wait 6 --timeout 25", "status"),
+			 0);
+	ck_assert_int_eq(command(h, "metrics", "metrics"), 0);
+	path = g_build_filename(h->dir, "metrics", NULL);
+	ck_assert(g_file_get_contents(path, &metrics, NULL, NULL));
+	ck_assert_ptr_nonnull(strstr(metrics, "config_accepted"));
+	ck_assert_ptr_null(strstr(metrics, "message_forged"));
+	g_free(metrics);
+	g_free(path);
+	harness_stop(h);
+	unlink(old_path);
+	g_free(line);
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("config_process");
@@ -187,6 +265,7 @@
 	tcase_add_loop_test(tc, restart_takes_what_peers_have, 0,
 			    G_N_ELEMENTS(faults));
 	tcase_add_test(tc, late_wake_up_catches_up);
+	tcase_add_test(tc, key_changes_in_steps);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_seal.c
+++ b/test/test_seal.c
@@ -114,6 +114,26 @@
 }
 END_TEST
 
+/* While keys are changed both are taken, and no third one. */
+START_TEST(accepted_key_is_taken)
+{
+	static const uint8_t third_key[SEAL_KEY_BYTES] = { 7 };
+	seal_t *sender = seal_new(other_key, 3);
+	seal_t *third = seal_new(third_key, 4);
+	letter_t l = write_letter(sender, NOW);
+
+	ck_assert_int_eq(take(NOW, &l), SEAL_FORGED);
+	seal_accept(receiver, other_key);
+	ck_assert_int_eq(take(NOW, &l), SEAL_OK);
+	ck_assert_int_eq(take(NOW, &l), SEAL_REPLAYED);
+	l = write_letter(third, NOW);
+	ck_assert_int_eq(take(NOW, &l), SEAL_FORGED);
+	ck_assert_int_eq(take_new(5, NOW, NOW), SEAL_OK);
+	seal_free(sender);
+	seal_free(third);
+}
+END_TEST
+
 START_TEST(clock_far_away_is_stale)
 {
 	static const struct {
@@ -315,6 +335,7 @@
 	tcase_add_test(tc, good_message_is_taken_once);
 	tcase_add_test(tc, every_changed_bit_is_noticed);
 	tcase_add_test(tc, another_key_is_forged);
+	tcase_add_test(tc, accepted_key_is_taken);
 	tcase_add_test(tc, clock_far_away_is_stale);
 	tcase_add_test(tc, reordering_within_the_window);
 	tcase_add_test(tc, too_far_behind_is_refused);
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -163,6 +163,30 @@
 }
 END_TEST
 
+/* The key that is accepted besides is guarded like the other. */
+START_TEST(second_key_is_read)
+{
+	char *old_path = g_build_filename(dir, "old", NULL);
+	char *text = g_strdup_printf(BASE "key_file_old = \"%s\"\n", old_path);
+	settings_t settings;
+	err_t err;
+
+	ck_assert_int_eq(load(text, ROLE_BALANCER, &settings, &err), -1);
+	ck_assert_int_eq(err.kind, ERR_IO);
+	g_file_set_contents(old_path, KEY, -1, NULL);
+	g_chmod(old_path, 0644);
+	ck_assert_int_eq(load(text, ROLE_BALANCER, &settings, &err), -1);
+	ck_assert_str_eq(err.file, old_path);
+	g_chmod(old_path, 0600);
+	ck_assert_int_eq(load(text, ROLE_BALANCER, &settings, &err), 0);
+	ck_assert_uint_eq(settings.key_old[1], 0x11);
+	settings_clear(&settings);
+	g_unlink(old_path);
+	g_free(old_path);
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("settings");
@@ -173,6 +197,7 @@
 			    G_N_ELEMENTS(bads));
 	tcase_add_test(tc, good_settings_have_defaults);
 	tcase_add_loop_test(tc, key_file_is_guarded, 0, G_N_ELEMENTS(keys));
+	tcase_add_test(tc, second_key_is_read);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
