--- a/src/seal.c
+++ b/src/seal.c
@@ -41,6 +41,8 @@
 
 struct seal {
 	uint8_t key[crypto_shorthash_siphashx24_KEYBYTES];
+	uint8_t other[crypto_shorthash_siphashx24_KEYBYTES];
+	int has_other; /* messages under the other key are taken */
 	uint64_t session;
 	uint64_t number;
 	session_set_t sets[SETS];
@@ -48,8 +50,10 @@
 
 static void put64(uint8_t *p, uint64_t v);
 static uint64_t get64(const uint8_t *p);
-static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
+static void derive(uint8_t *out, const uint8_t key[SEAL_KEY_BYTES]);
+static void tag_of(const uint8_t *key, const uint8_t *buf, size_t len,
 		   uint8_t tag[TAG_BYTES]);
+static int has_tag(const uint8_t *key, const uint8_t *buf, size_t len);
 static void session_forget(session_set_t *set, session_t *s, uint64_t wall_ms);
 static session_t *session_find(seal_t *seal, uint64_t id, uint64_t clock_ms,
 			       uint64_t wall_ms);
@@ -71,14 +75,26 @@
 	return v;
 }
 
+/* Key of the tags, from the one in the file. */
+static void derive(uint8_t *out, const uint8_t key[SEAL_KEY_BYTES])
+{
+	crypto_generichash(out, crypto_shorthash_siphashx24_KEYBYTES,
+			   (const uint8_t *)"seal", 4, key, SEAL_KEY_BYTES);
+}
+
+void seal_accept(seal_t *seal, const uint8_t key[SEAL_KEY_BYTES])
+{
+	derive(seal->other, key);
+	seal->has_other = 1;
+}
+
 seal_t *seal_new(const uint8_t key[SEAL_KEY_BYTES], uint64_t session)
 {
 	seal_t *seal = calloc(1, sizeof(*seal));
 
 	if (!seal)
 		return NULL;
-	crypto_generichash(seal->key, sizeof(seal->key),
-			   (const uint8_t *)"seal", 4, key, SEAL_KEY_BYTES);
+	derive(seal->key, key);
 	seal->session = session ? session : 1;
 	return seal;
 }
@@ -166,11 +182,18 @@
 	return get64(out);
 }
 
-static void tag_of(const seal_t *seal, const uint8_t *buf, size_t len,
+static void tag_of(const uint8_t *key, const uint8_t *buf, size_t len,
 		   uint8_t tag[TAG_BYTES])
 {
-	crypto_shorthash_siphashx24(tag, buf + TAG_BYTES, len - TAG_BYTES,
-				    seal->key);
+	crypto_shorthash_siphashx24(tag, buf + TAG_BYTES, len - TAG_BYTES, key);
+}
+
+static int has_tag(const uint8_t *key, const uint8_t *buf, size_t len)
+{
+	uint8_t tag[TAG_BYTES];
+
+	tag_of(key, buf, len, tag);
+	return sodium_memcmp(tag, buf, sizeof(tag)) == 0;
 }
 
 size_t seal_close(seal_t *seal, uint8_t kind, uint64_t wall_ms, uint8_t *buf,
@@ -185,7 +208,7 @@
 	put64(buf + AT_SESSION, seal->session);
 	put64(buf + AT_NUMBER, ++seal->number);
 	put64(buf + AT_CLOCK, wall_ms);
-	tag_of(seal, buf, len, buf);
+	tag_of(seal->key, buf, len, buf);
 	return len;
 }
 
@@ -261,7 +284,6 @@
 			size_t len, uint8_t *kind, const uint8_t **body,
 			size_t *body_len)
 {
-	uint8_t tag[TAG_BYTES];
 	uint64_t clock_ms;
 	session_t *s;
 
@@ -269,8 +291,8 @@
 		return SEAL_SHORT;
 	if (buf[AT_MAGIC] != SEAL_MAGIC || buf[AT_VERSION] != SEAL_VERSION)
 		return SEAL_FOREIGN;
-	tag_of(seal, buf, len, tag);
-	if (sodium_memcmp(tag, buf, sizeof(tag)))
+	if (!has_tag(seal->key, buf, len) &&
+	    !(seal->has_other && has_tag(seal->other, buf, len)))
 		return SEAL_FORGED;
 	clock_ms = get64(buf + AT_CLOCK);
 	if (clock_ms + SEAL_SKEW_MS < wall_ms ||
