--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -22,8 +22,7 @@
 {
 	uint64_t queue = (uint64_t)a->target->slots * a->options.queue;
 
-	return flow_table_count(a->flows) >= a->target->connections ||
-	       a->in_flight >= queue;
+	return a->held >= a->target->connections || a->in_flight >= queue;
 }
 
 /* True when the policy takes the open rather than pass it on. */
@@ -128,6 +127,7 @@
 	if (f->state == FLOW_OPENING)
 		trial_keep(f, in);
 	agent_tell(a, in, false, false);
+	witness_news(a, now);
 	flow_deliver(a, now, f, p);
 }
 
--- a/src/agent_handover.c
+++ b/src/agent_handover.c
@@ -115,6 +115,7 @@
 	for (size_t i = 0; i < in->n_flows; i++)
 		import_flow(a, now, in->flows[i]);
 	a->complete = in->complete;
+	a->asks_server = false;
 	a->capacity.speed = in->speed / 1000.0;
 	return 0;
 }
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -819,7 +819,7 @@
   (ProtobufCMessageInit) ct__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__packet__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ct__packet__field_descriptors[17] =
 {
   {
     "service",
@@ -1001,8 +1001,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "untried",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, untried),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_servers",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Packet, ask_servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__packet__field_indices_by_name[] = {
+  16,   /* field[16] = ask_servers */
   6,   /* field[6] = asked */
   8,   /* field[8] = candidates */
   2,   /* field[2] = digest */
@@ -1017,6 +1042,7 @@
   14,   /* field[14] = silence_over */
   3,   /* field[3] = step */
   7,   /* field[7] = unasked */
+  15,   /* field[15] = untried */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange ct__packet__number_ranges[3 + 1] =
@@ -1024,7 +1050,7 @@
   { 1, 0 },
   { 15, 10 },
   { 30, 11 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor ct__packet__descriptor =
 {
@@ -1034,7 +1060,7 @@
   "Ct__Packet",
   "ct",
   sizeof(Ct__Packet),
-  15,
+  17,
   ct__packet__field_descriptors,
   ct__packet__field_indices_by_name,
   3,  ct__packet__number_ranges,
