--- a/test/fake_platform.c
+++ b/test/fake_platform.c
@@ -5,7 +5,7 @@
  * Takes commands as datagrams on the same address and port: "#file PATH
  * VERSION" publishes (a lower version: rolled back, or stale), "#live PATH",
  * "#up", "#down", "#garbage", "#silent" (answers nothing, keeps
- * connections), "#calls".
+ * connections), "#calls", "#wait MS" (bound of a watch).
  */
 
 #include "../src/endpoint.h"
@@ -18,7 +18,7 @@
 #include <string.h>
 
 #define REQUEST_BYTES 4096
-#define WATCH_MS      30000
+#define WATCH_MS      30000 /* at first, see #wait */
 #define TICK_MS	      50
 #define GARBAGE	      "version = [[[\x01\n"
 
@@ -36,6 +36,7 @@
 	uint64_t version;
 	uint64_t calls;
 	uint64_t live_calls;
+	uint64_t watch_ms;
 } service_t;
 
 typedef struct conn {
@@ -104,7 +105,7 @@
 		answer(c, 200, s->version, s->document);
 	else if (c->after && begun) {
 		c->waiting = true;
-		c->until = uv_now(&s->loop) + WATCH_MS;
+		c->until = uv_now(&s->loop) + s->watch_ms;
 	} else if (!c->after)
 		answer(c, 404, 0, "");
 }
@@ -234,6 +235,10 @@
 		return publish(s, argument, version);
 	if (!strcmp(verb, "#calls"))
 		return 0;
+	if (!strcmp(verb, "#wait")) {
+		s->watch_ms = strtoull(argument, NULL, 10);
+		return 0;
+	}
 	if (strcmp(verb, "#live") != 0)
 		return -1;
 	g_free(s->live);
@@ -270,6 +275,7 @@
 		fprintf(stderr, "usage: fake_platform LISTEN\n");
 		return 2;
 	}
+	s.watch_ms = WATCH_MS;
 	list_init(&s.conns);
 	uv_loop_init(&s.loop);
 	uv_timer_init(&s.loop, &s.timer);
