--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -22,6 +22,11 @@
 /* A finished flow is kept for late packets. */
 #define CLOSING_MS  5000
 #define UDP_IDLE_MS 120000
+/* A caller is told so often, first after this long, then twice as long. */
+#define TELLINGS      5
+#define TELL_AGAIN_MS 1000
+/* A flow whose caller was told for the last time is kept for late packets. */
+#define TOLD_MS 20000
 /*
  * A caller whose flow is idle for IDLE_MS is asked whether it still is there.
  * After KEEPALIVES without an answer, or when its backend server has sent
@@ -40,6 +45,10 @@
 #define NAMED_MAX 1024
 /* Nothing is said for this long while a member could not be asked. */
 #define SILENCE_MS 5000
+/* The same when several members are silent at once. */
+#define PARTITION_MS 30000
+/* After a start the backend server is asked for each unknown flow so long. */
+#define START_MS 60000
 /* A trial is repeated after this long, and given up after TRIAL_TRIES. */
 #define TRIAL_MS    200
 #define TRIAL_TRIES 3
@@ -62,9 +71,12 @@
 	config_t *home;		  /* last one with our target in it */
 	const service_t *service; /* in home */
 	const target_t *target;	  /* in home */
+	target_t orphan;	  /* our target when no document has it */
 	bool configured;	  /* our target is in the one in force */
 	bool leaving;		  /* the process is stopping */
 	bool complete;		  /* the table knows all flows */
+	bool asks_server;	  /* for each unknown flow, after a start */
+	uint64_t asks_until_ms;	  /* when that ends */
 	bool server_down;	  /* the backend server's host said so */
 	uint64_t server_heard_ms; /* last packet of the backend server */
 	uint64_t server_asked_ms; /* first one unanswered since, 0 for none */
@@ -76,13 +88,20 @@
 	uint64_t incarnation;
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
+	uint64_t learn_ms;  /* when to compare service times again */
+	uint64_t told_ms;   /* when the last one was sent */
+	double told_work;   /* what it said */
+	bool told_full;
 	uint64_t last_tick_ms;
 	uint64_t random; /* state of the random numbers */
 	flow_table_t *flows;
 	group_t group;
 	capacity_t capacity;
-	uint32_t work;	    /* weighted, of the flows held */
+	uint32_t held;	    /* flows held, without those that are over */
+	uint32_t work;	    /* weighted, of these */
 	uint32_t in_flight; /* requests without an answer */
+	uint32_t in_slots;  /* of them believed to be served */
+	list_t slot_waits;  /* flows whose request waits for a slot */
 	counters_t counters;
 	silences_t *silences; /* lookups that could not be finished */
 	witness_t *witness;   /* what is told to peers and known of theirs */
@@ -110,6 +129,8 @@
 	bool last_resort;
 	bool mixed;	   /* hops had different versions */
 	bool silence_over; /* members that can't be asked count as asked */
+	bool untried;	   /* a hop did not ask its backend server */
+	bool ask_servers;  /* each hop has to */
 } arrival_t;
 
 /* agent.c */
@@ -123,6 +144,11 @@
 void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in);
 /* Hints for packets that were looked up are bounded in bytes a second. */
 bool hint_allowed(agent_t *a, uint64_t now);
+/*
+ * An agent whose target was deleted before it started finds its service by
+ * the packets that still come. Returns false when it has none.
+ */
+bool agent_find_home(agent_t *a, uint64_t now, uint64_t id, uint32_t address);
 /* Tells the balancer where the flow is; flow NULL: nobody holds it. */
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
@@ -167,13 +193,15 @@
 void witness_free(witness_t *w);
 void witness_opened(agent_t *a, flow_t *f);
 void witness_closed(agent_t *a, flow_t *f);
+/* Tells news at once if the bound leaves room. */
+void witness_news(agent_t *a, uint64_t now);
 void witness_tick(agent_t *a, uint64_t now);
 void witness_take(agent_t *a, uint64_t now, const witness_msg_t *msg);
 
 /* agent_rumour.c: balancers that send to us hear of dead members */
 rumours_t *rumours_new(void);
 void rumours_tick(agent_t *a, uint64_t now);
-void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer);
+void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
--- a/src/agent_lookup.c
+++ b/src/agent_lookup.c
@@ -17,6 +17,7 @@
 	uint64_t agents[KNOWN_MAX];
 	size_t nknown;
 	bool mixed;
+	bool untried;
 } lookup_t;
 
 static bool named(const uint32_t *list, size_t n, uint32_t id);
@@ -32,6 +33,8 @@
 static void try_silent_one(agent_t *a, const arrival_t *in, lookup_t *l,
 			   int tries);
 static void open_udp(agent_t *a, uint64_t now, const arrival_t *in);
+static bool asks_server(const agent_t *a, const arrival_t *in);
+static void ask_servers(agent_t *a, uint64_t now, const arrival_t *in);
 static void give_up_half_open(agent_t *a, uint64_t now, flow_t *f);
 static bool took_another(const flow_t *f, const packet_t *p);
 static void name_rest(agent_t *a, lookup_t *l);
@@ -71,6 +74,7 @@
 	l->nunasked = in->nunasked;
 	l->nknown = 0;
 	l->mixed = in->mixed || in->version != a->config->version;
+	l->untried = in->untried || (!a->complete && !asks_server(a, in));
 	if (in->nasked)
 		memcpy(l->asked, in->asked, in->nasked * sizeof(*l->asked));
 	if (in->nunasked)
@@ -163,7 +167,9 @@
 			  .known_agents = l->agents,
 			  .nknown = l->nknown,
 			  .mixed = l->mixed,
-			  .silence_over = in->silence_over };
+			  .silence_over = in->silence_over,
+			  .untried = l->untried,
+			  .ask_servers = in->ask_servers };
 	packet_msg_t msg;
 
 	arrival_message(&out, &msg);
@@ -235,6 +241,30 @@
 	a->ops.send(a->ctx, &best->agent, MSG_PACKET, &msg);
 }
 
+/*
+ * An agent that started anew asks its backend server for each flow that it
+ * does not know. Later on it does so only for flows that no member holds.
+ */
+static bool asks_server(const agent_t *a, const arrival_t *in)
+{
+	if (a->complete || without(a->options.off, MECHANISM_TRIAL))
+		return false;
+	return in->ask_servers || a->asks_server;
+}
+
+/* Nobody knows the flow: the lookup begins again, now with the servers. */
+static void ask_servers(agent_t *a, uint64_t now, const arrival_t *in)
+{
+	arrival_t again = *in;
+
+	again.version = a->config->version;
+	again.nasked = 0;
+	again.nunasked = 0;
+	again.untried = false;
+	again.ask_servers = true;
+	lookup_packet(a, now, &again);
+}
+
 void lookup_pass_on(agent_t *a, uint64_t now, const arrival_t *in, bool silent)
 {
 	lookup_t l;
@@ -255,6 +285,10 @@
 		send_on(a, in, &l, &to);
 		return;
 	}
+	if (l.untried && !in->ask_servers) {
+		ask_servers(a, now, in);
+		return;
+	}
 	/* A suspect may be silent: the lookup may end there. */
 	if (next_in_group(a, now, in->hash, &l, MEMBER_SUSPECT, &to)) {
 		if (!in->silence_over)
--- a/src/seal.c
+++ b/src/seal.c
@@ -8,11 +8,15 @@
 
 #define SEAL_MAGIC   0xc7
 #define SEAL_VERSION 1
-#define AT_KIND	     2
-#define AT_SESSION   4
-#define AT_NUMBER    12
-#define AT_CLOCK     20
-#define AT_TAG	     28
+#define TAG_BYTES    16
+/* The tag comes first, so that all it covers lies in one piece. */
+#define AT_MAGIC   16
+#define AT_VERSION 17
+#define AT_KIND	   18
+#define AT_ZERO	   19
+#define AT_SESSION 20
+#define AT_NUMBER  28
+#define AT_CLOCK   36
 
 /* Numbers behind the newest one that can still be told apart. */
 #define WINDOW_BITS 4096
@@ -48,7 +52,7 @@
 static uint64_t get64(const uint8_t *p);
 static void derive(uint8_t *out, const uint8_t key[SEAL_KEY_BYTES]);
 static void tag_of(const uint8_t *key, const uint8_t *buf, size_t len,
-		   uint8_t tag[16]);
+		   uint8_t tag[TAG_BYTES]);
 static int has_tag(const uint8_t *key, const uint8_t *buf, size_t len);
 static void session_forget(session_set_t *set, session_t *s, uint64_t wall_ms);
 static session_t *session_find(seal_t *seal, uint64_t id, uint64_t clock_ms,
@@ -179,26 +183,17 @@
 }
 
 static void tag_of(const uint8_t *key, const uint8_t *buf, size_t len,
-		   uint8_t tag[16])
+		   uint8_t tag[TAG_BYTES])
 {
-	uint8_t part[16];
-
-	/* The tag stands inside: hash what is behind it, then the rest. */
-	crypto_shorthash_siphashx24(part, buf + SEAL_HEADER, len - SEAL_HEADER,
-				    key);
-	uint8_t head[AT_TAG + 16];
-
-	memcpy(head, buf, AT_TAG);
-	memcpy(head + AT_TAG, part, 16);
-	crypto_shorthash_siphashx24(tag, head, sizeof(head), key);
+	crypto_shorthash_siphashx24(tag, buf + TAG_BYTES, len - TAG_BYTES, key);
 }
 
 static int has_tag(const uint8_t *key, const uint8_t *buf, size_t len)
 {
-	uint8_t tag[16];
+	uint8_t tag[TAG_BYTES];
 
 	tag_of(key, buf, len, tag);
-	return sodium_memcmp(tag, buf + AT_TAG, sizeof(tag)) == 0;
+	return sodium_memcmp(tag, buf, sizeof(tag)) == 0;
 }
 
 size_t seal_close(seal_t *seal, uint8_t kind, uint64_t wall_ms, uint8_t *buf,
@@ -206,14 +201,14 @@
 {
 	size_t len = SEAL_HEADER + body_len;
 
-	buf[0] = SEAL_MAGIC;
-	buf[1] = SEAL_VERSION;
+	buf[AT_MAGIC] = SEAL_MAGIC;
+	buf[AT_VERSION] = SEAL_VERSION;
 	buf[AT_KIND] = kind;
-	buf[3] = 0;
+	buf[AT_ZERO] = 0;
 	put64(buf + AT_SESSION, seal->session);
 	put64(buf + AT_NUMBER, ++seal->number);
 	put64(buf + AT_CLOCK, wall_ms);
-	tag_of(seal->key, buf, len, buf + AT_TAG);
+	tag_of(seal->key, buf, len, buf);
 	return len;
 }
 
@@ -294,7 +289,7 @@
 
 	if (len < SEAL_HEADER)
 		return SEAL_SHORT;
-	if (buf[0] != SEAL_MAGIC || buf[1] != SEAL_VERSION)
+	if (buf[AT_MAGIC] != SEAL_MAGIC || buf[AT_VERSION] != SEAL_VERSION)
 		return SEAL_FOREIGN;
 	if (!has_tag(seal->key, buf, len) &&
 	    !(seal->has_other && has_tag(seal->other, buf, len)))
--- a/test/agent_rig.h
+++ b/test/agent_rig.h
@@ -47,10 +47,12 @@
 	unsigned messages; /* packets between agents */
 	uint64_t witness_bytes;
 	unsigned replies; /* packets to the caller */
-	unsigned resets;  /* of them resets */
-	packet_t reply;	  /* the last one, without its payload */
-	char word[64];	  /* payload of the last reset */
-	held_msg_t held;  /* the last MSG_HELD to a balancer, flat */
+	unsigned refused; /* callers' ports that were reset */
+	bool was_reset[UINT16_MAX + 1];
+	unsigned resets; /* of them resets */
+	packet_t reply;	 /* the last one, without its payload */
+	char word[64];	 /* payload of the last reset */
+	held_msg_t held; /* the last MSG_HELD to a balancer, flat */
 	unsigned held_count;
 	mechanisms_t off;
 	bool lossy; /* queue is dropped instead of handled */
--- a/test/matrix_faults.c
+++ b/test/matrix_faults.c
@@ -10,7 +10,7 @@
 #define REORDER_MS	25
 #define ONE_WAY_MS	3
 #define UPLOAD_PART	30000
-#define UPLOAD_WHOLE	100000
+#define UPLOAD_WHOLE	75000
 
 static void kill_balancer(cell_t *c)
 {
@@ -190,6 +190,7 @@
 
 static void duplicate_packets(cell_t *c)
 {
+	c->doubling = true;
 	world_network(c->w, 0, DUPLICATION, ONE_WAY_MS, 0);
 }
 
