Probe members, spread suspicion, and let the doubted refute it

Members were believed dead when 2.5 s and 4.5 s passed without their digest, which goes to 12 peers only: in a group of 200 everyone would suspect everyone. Each agent now probes one member every 400 ms, after 150 ms without an answer through three others too, and suspects it at the end; rumours travel on digests and probes; a doubted member raises its incarnation; a suspicion that stands for 3.5 s makes a member dead. A process that was paused forgives first. Balancers hear of doubted members with each answer to an open. Groups of more than 13 tell six members a second, with four loads of others each.

--- a/src/agent.c
+++ b/src/agent.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define THOUSAND 1000.0
+/* Doubted members told to a balancer. */
+#define DOUBTED_MAX 8
 
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
@@ -99,7 +101,6 @@
 
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load)
 {
-	(void)now;
 	ct__load__init(load);
 	load->target = a->target->id;
 	load->incarnation = a->incarnation;
@@ -112,17 +113,21 @@
 	load->held = (uint32_t)flow_table_count(a->flows);
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
 	load->full = admit_full(a);
+	load->sequence = now;
 }
 
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone)
 {
+	uint32_t doubted[DOUBTED_MAX];
 	held_msg_t msg;
 	load_msg_t load;
 
 	if (!in->reply.port)
 		return;
 	ct__held__init(&msg);
-	agent_fill_load(a, 0, &load);
+	msg.n_unreachable = group_doubted(&a->group, doubted, DOUBTED_MAX);
+	msg.unreachable = doubted;
+	agent_fill_load(a, a->last_tick_ms, &load);
 	msg.service = a->service->id;
 	msg.version = a->config->version;
 	msg.digest = a->config->digest;
--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -10,18 +10,21 @@
 #define US_A_MS	      1000
 /* Our samples are old when most members' are newer by this factor. */
 #define STALE_RATIO 4
-/* Silent for longer: suspected, then dead. */
-#define SUSPECT_MS 2500
-#define DEAD_MS	   4500
-/* Peers told each time. */
-#define DIGEST_PEERS 12
+/* Members up to which all are told each time; */
+#define WHOLE_GROUP 13
+/* members told in a bigger group, */
+#define DIGEST_PEERS 6
+/* and loads of others passed on to each of them. */
+#define LOADS_PASSED 4
+/* Rumours and loads in one digest. */
+#define TOLD_MAX 16
 
 static void send_digest(agent_t *a, uint64_t now, const endpoint_t *to);
 static size_t classes_told(const agent_t *a);
 static void learn(agent_t *a, uint64_t now);
 static void send_digests(agent_t *a, uint64_t now);
+static size_t loads_fill(agent_t *a, load_msg_t *loads, load_msg_t **list);
 static bool worth_telling(const agent_t *a, uint64_t now);
-static void watch_members(agent_t *a, uint64_t now);
 
 member_t *membership_self(agent_t *a)
 {
@@ -44,6 +47,8 @@
 	const member_t *self = group_member(&a->group, a->target->id);
 	uint32_t times[CAPACITY_CLASSES];
 	uint32_t samples[CAPACITY_CLASSES];
+	load_msg_t others[TOLD_MAX];
+	load_msg_t *list[TOLD_MAX];
 	digest_msg_t msg;
 	load_msg_t load;
 
@@ -66,6 +71,10 @@
 	msg.load = &load;
 	msg.agent_ip = a->options.self.ip;
 	msg.agent_port = a->options.self.port;
+	msg.n_rumours = rumours_fill(a, others, list);
+	msg.n_rumours +=
+		loads_fill(a, others + msg.n_rumours, list + msg.n_rumours);
+	msg.rumours = list;
 	a->ops.send(a->ctx, to, MSG_DIGEST, &msg);
 }
 
@@ -93,22 +102,59 @@
 	self->capacity = agent_capacity(a);
 }
 
+void membership_tell(agent_t *a, uint64_t now)
+{
+	a->digest_ms = now + DIGEST_MS;
+	a->told_ms = now;
+	a->told_work = a->work;
+	a->told_full = admit_full(a);
+	send_digests(a, now);
+}
+
+/*
+ * A small group is told whole. In a big one each tells a few members, chosen
+ * at random, and passes on some of the loads heard last, so that bytes do not
+ * grow with the members.
+ */
 static void send_digests(agent_t *a, uint64_t now)
 {
+	bool whole = a->group.n <= WHOLE_GROUP;
+	size_t want = whole ? WHOLE_GROUP : DIGEST_PEERS;
 	size_t n = a->group.n;
 	size_t first = n ? agent_random(a) % n : 0;
+	size_t step = whole ? 1 : 1 + agent_random(a) % n;
 	size_t sent = 0;
 
-	for (size_t i = 0; i < n && sent < DIGEST_PEERS; i++) {
-		const member_t *m = &a->group.members[(first + i) % n];
+	for (size_t i = 0; i < n && sent < want; i++) {
+		const member_t *m = &a->group.members[(first + i * step) % n];
 
-		if (m->id == a->target->id)
+		if (m->id == a->target->id || m->state == MEMBER_LEFT)
 			continue;
 		send_digest(a, now, &m->agent);
 		sent++;
 	}
 }
 
+/* Loads of others, those passed on least lately first. */
+static size_t loads_fill(agent_t *a, load_msg_t *loads, load_msg_t **list)
+{
+	size_t n = 0;
+
+	if (a->group.n <= WHOLE_GROUP)
+		return 0;
+	for (size_t i = 0; i < a->group.n && n < LOADS_PASSED; i++) {
+		member_t *m = &a->group.members[a->pass_next++ % a->group.n];
+
+		if (m->id == a->target->id || !m->sequence ||
+		    !member_reachable(m))
+			continue;
+		member_load(m, &loads[n]);
+		list[n] = &loads[n];
+		n++;
+	}
+	return n;
+}
+
 /* A change that others should know of before the second is over. */
 static bool worth_telling(const agent_t *a, uint64_t now)
 {
@@ -120,32 +166,11 @@
 	       moved > a->told_work * DIGEST_CHANGE + 1;
 }
 
-static void watch_members(agent_t *a, uint64_t now)
-{
-	for (size_t i = 0; i < a->group.n; i++) {
-		member_t *m = &a->group.members[i];
-
-		if (m->id == a->target->id)
-			continue;
-		if (!m->heard_ms)
-			m->heard_ms = now;
-		if (m->state == MEMBER_ALIVE &&
-		    m->heard_ms + SUSPECT_MS < now) {
-			m->state = MEMBER_SUSPECT;
-			counter_add(&a->counters, COUNTER_SUSPICIONS, 1);
-		}
-		if (m->state != MEMBER_DEAD && m->heard_ms + DEAD_MS < now) {
-			m->state = MEMBER_DEAD;
-			counter_add(&a->counters, COUNTER_MEMBERS_DEAD, 1);
-		}
-	}
-	group_expire(&a->group, now);
-}
-
 void membership_tick(agent_t *a, uint64_t now)
 {
 	membership_self(a);
-	watch_members(a, now);
+	probes_tick(a, now);
+	group_expire(&a->group, now);
 	if (now < a->digest_ms && now < a->learn_ms && !worth_telling(a, now))
 		return;
 	if (now >= a->learn_ms) {
@@ -154,11 +179,7 @@
 	}
 	if (!a->configured && without(a->options.off, MECHANISM_LINGER))
 		return;
-	a->digest_ms = now + DIGEST_MS;
-	a->told_ms = now;
-	a->told_work = a->work;
-	a->told_full = admit_full(a);
-	send_digests(a, now);
+	membership_tell(a, now);
 }
 
 void membership_digest(agent_t *a, uint64_t now, const endpoint_t *from,
@@ -172,19 +193,11 @@
 		a->ops.behind(a->ctx, from, digest->version);
 	if (digest->load->target == a->target->id)
 		return;
+	rumours_take(a, now, digest->rumours, digest->n_rumours);
 	group_load(&a->group, now, digest->load, &agent);
 }
 
-void membership_probe(agent_t *a, uint64_t now, const endpoint_t *from,
-		      const probe_msg_t *probe)
-{
-	(void)now;
-	(void)from;
-	(void)probe;
-	counter_add(&a->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
-}
-
 void membership_leave(agent_t *a, uint64_t now)
 {
-	send_digests(a, now);
+	membership_tell(a, now);
 }
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -28,6 +28,8 @@
 /* Time to come back that a refusal carries, in seconds. */
 #define RETRY_AFTER_S 2
 
+typedef struct membership membership_t;
+
 struct agent {
 	agent_options_t options;
 	agent_ops_t ops;
@@ -45,6 +47,7 @@
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
 	uint64_t learn_ms;  /* when to compare service times again */
+	size_t pass_next;   /* member whose load is passed on next */
 	uint64_t told_ms;   /* when the last one was sent */
 	double told_work;   /* what it said */
 	bool told_full;
@@ -59,7 +62,7 @@
 	list_t slot_waits;  /* flows whose request waits for a slot */
 	counters_t counters;
 	struct silence *silences; /* lookups that could not be finished */
-	struct membership *membership;
+	membership_t *membership; /* of agent_probe.c */
 };
 
 /* A caller's packet with what its message said. */
@@ -111,13 +114,21 @@
 void lookup_free(agent_t *a);
 
 /* agent_group.c */
+/* Tells some members our load and the rumours, now. */
+void membership_tell(agent_t *a, uint64_t now);
 /* Brings our own entry of the group up to date; NULL when there is none. */
 member_t *membership_self(agent_t *a);
 void membership_tick(agent_t *a, uint64_t now);
 void membership_digest(agent_t *a, uint64_t now, const endpoint_t *from,
 		       const digest_msg_t *digest);
+void membership_leave(agent_t *a, uint64_t now);
+
+/* agent_probe.c */
+void probes_tick(agent_t *a, uint64_t now);
+size_t rumours_fill(agent_t *a, load_msg_t *loads, load_msg_t **list);
+void rumours_take(agent_t *a, uint64_t now, load_msg_t *const *rumours,
+		  size_t n);
 void membership_probe(agent_t *a, uint64_t now, const endpoint_t *from,
 		      const probe_msg_t *probe);
-void membership_leave(agent_t *a, uint64_t now);
 
 #endif
--- /dev/null
+++ b/src/agent_probe.c
@@ -0,0 +1,311 @@
+#include "agent_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Probes, suspicion and refutation. Source: Das, Gupta and Motivala, "SWIM"
+ * (2002).
+ */
+
+/* One member is probed in this time. */
+#define PROBE_MS 400
+/* Without an answer for so long others are asked to probe it too. */
+#define PROBE_DIRECT_MS 150
+/* How many others. */
+#define PROBE_HELPERS 3
+/* A suspicion that is not refuted for so long makes a member dead. */
+#define SUSPICION_MS 3500
+/* Heard from directly this lately: a rumour of suspicion is not believed. */
+#define HEARD_LATELY_MS 300
+/* A longer time between two ticks means that this process was paused. */
+#define PAUSED_MS 400
+/* Rumours in one message. */
+#define RUMOURS_MAX 6
+
+struct membership {
+	size_t next; /* position in the group to probe */
+	uint32_t target;
+	uint64_t number;
+	uint64_t begun_ms;
+	bool pending;
+	bool helped;
+};
+
+static membership_t *state(agent_t *a);
+static void member_rumour(const member_t *m, load_msg_t *load);
+static void refute(agent_t *a, uint64_t now, const load_msg_t *rumour);
+static void send_probe(agent_t *a, const endpoint_t *to, const member_t *m,
+		       bool relay);
+static void ask_helpers(agent_t *a, const member_t *m);
+static member_t *next_member(agent_t *a, membership_t *p);
+static void begin(agent_t *a, uint64_t now, membership_t *p);
+static void suspect(agent_t *a, uint64_t now, member_t *m);
+static void watch_suspects(agent_t *a, uint64_t now);
+static void answer(agent_t *a, const endpoint_t *to, const probe_msg_t *probe);
+static void take_answer(agent_t *a, uint64_t now, const probe_msg_t *probe);
+
+static membership_t *state(agent_t *a)
+{
+	if (!a->membership)
+		a->membership = calloc(1, sizeof(*a->membership));
+	return a->membership;
+}
+
+/* A doubt is told without the numbers of a load. */
+static void member_rumour(const member_t *m, load_msg_t *load)
+{
+	member_load(m, load);
+	if (m->state != MEMBER_SUSPECT && m->state != MEMBER_DEAD)
+		return;
+	ct__load__init(load);
+	load->target = m->id;
+	load->incarnation = m->incarnation;
+	load->state = m->state;
+}
+
+/* Rumours that are still to be spread, into at most RUMOURS_MAX loads. */
+size_t rumours_fill(agent_t *a, load_msg_t *loads, load_msg_t **list)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < a->group.n && n < RUMOURS_MAX; i++) {
+		member_t *m = &a->group.members[i];
+
+		if (!m->rumour_sends || m->id == a->target->id)
+			continue;
+		m->rumour_sends--;
+		member_rumour(m, &loads[n]);
+		list[n] = &loads[n];
+		n++;
+	}
+	return n;
+}
+
+/* Says that we live, with a higher incarnation, when others doubt it. */
+static void refute(agent_t *a, uint64_t now, const load_msg_t *rumour)
+{
+	if (rumour->state != MEMBER_SUSPECT && rumour->state != MEMBER_DEAD)
+		return;
+	if (rumour->incarnation < a->incarnation)
+		return;
+	a->incarnation = rumour->incarnation + 1;
+	counter_add(&a->counters, COUNTER_REFUTATIONS, 1);
+	agent_audit(a, "suspicion-refuted", member_state_name(rumour->state));
+	membership_tell(a, now);
+}
+
+void rumours_take(agent_t *a, uint64_t now, load_msg_t *const *rumours,
+		  size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (rumours[i]->target == a->target->id) {
+			refute(a, now, rumours[i]);
+			continue;
+		}
+		group_rumour(&a->group, now, rumours[i], HEARD_LATELY_MS);
+	}
+}
+
+static void send_probe(agent_t *a, const endpoint_t *to, const member_t *m,
+		       bool relay)
+{
+	load_msg_t loads[RUMOURS_MAX + 1];
+	load_msg_t *list[RUMOURS_MAX + 1];
+	probe_msg_t msg;
+	size_t n = rumours_fill(a, loads, list);
+
+	ct__probe__init(&msg);
+	/* A doubted member is told so, that it can refute. */
+	if (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD) {
+		member_rumour(m, &loads[n]);
+		list[n] = &loads[n];
+		n++;
+	}
+	msg.service = a->service->id;
+	msg.target = m->id;
+	msg.origin_ip = a->options.self.ip;
+	msg.origin_port = a->options.self.port;
+	msg.number = a->membership->number;
+	msg.relay = relay;
+	msg.rumours = list;
+	msg.n_rumours = n;
+	a->ops.send(a->ctx, to, MSG_PROBE, &msg);
+}
+
+static void ask_helpers(agent_t *a, const member_t *m)
+{
+	size_t n = a->group.n;
+	size_t first = agent_random(a) % n;
+	int asked = 0;
+
+	for (size_t i = 0; i < n && asked < PROBE_HELPERS; i++) {
+		const member_t *helper = &a->group.members[(first + i) % n];
+
+		if (helper == m || helper->id == a->target->id ||
+		    (helper->state != MEMBER_ALIVE &&
+		     helper->state != MEMBER_LEAVING))
+			continue;
+		send_probe(a, &helper->agent, m, true);
+		asked++;
+	}
+}
+
+static member_t *next_member(agent_t *a, membership_t *p)
+{
+	for (size_t i = 0; i < a->group.n; i++) {
+		member_t *m;
+
+		/* Each turn begins elsewhere. */
+		if (p->next >= a->group.n)
+			p->next = agent_random(a) % a->group.n;
+		m = &a->group.members[p->next];
+		p->next = (p->next + 1) % a->group.n;
+		if (m->id != a->target->id && m->state != MEMBER_LEFT)
+			return m;
+	}
+	return NULL;
+}
+
+static void begin(agent_t *a, uint64_t now, membership_t *p)
+{
+	member_t *m = next_member(a, p);
+
+	p->pending = false;
+	p->begun_ms = now;
+	if (!m)
+		return;
+	p->pending = true;
+	p->helped = false;
+	p->target = m->id;
+	p->number++;
+	send_probe(a, &m->agent, m, false);
+}
+
+static void suspect(agent_t *a, uint64_t now, member_t *m)
+{
+	if (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD)
+		return;
+	counter_add(&a->counters, COUNTER_SUSPICIONS, 1);
+	group_suspect(&a->group, now, m);
+	agent_audit(a, "member-suspected", "probes unanswered");
+	membership_tell(a, now);
+}
+
+static void watch_suspects(agent_t *a, uint64_t now)
+{
+	for (size_t i = 0; i < a->group.n; i++) {
+		member_t *m = &a->group.members[i];
+
+		if (m->state != MEMBER_SUSPECT ||
+		    m->suspect_ms + SUSPICION_MS > now)
+			continue;
+		m->state = MEMBER_DEAD;
+		m->rumour_sends = RUMOUR_SENDS;
+		counter_add(&a->counters, COUNTER_MEMBERS_DEAD, 1);
+		agent_audit(a, "member-dead", "suspicion was not refuted");
+	}
+}
+
+void probes_tick(agent_t *a, uint64_t now)
+{
+	membership_t *p = state(a);
+	member_t *m;
+
+	if (!p)
+		return;
+	/* After a pause it is we who were silent. */
+	if (a->last_tick_ms && now > a->last_tick_ms + PAUSED_MS) {
+		group_forgive(&a->group, now);
+		p->pending = false;
+	}
+	watch_suspects(a, now);
+	m = p->pending ? group_member(&a->group, p->target) : NULL;
+	if (m && !p->helped && now >= p->begun_ms + PROBE_DIRECT_MS) {
+		p->helped = true;
+		send_probe(a, &m->agent, m, false);
+		ask_helpers(a, m);
+	}
+	if (now < p->begun_ms + PROBE_MS)
+		return;
+	if (m)
+		suspect(a, now, m);
+	begin(a, now, p);
+}
+
+static void answer(agent_t *a, const endpoint_t *to, const probe_msg_t *probe)
+{
+	load_msg_t loads[RUMOURS_MAX];
+	load_msg_t *list[RUMOURS_MAX];
+	probe_msg_t msg;
+
+	ct__probe__init(&msg);
+	msg.service = probe->service;
+	msg.target = probe->target;
+	msg.origin_ip = probe->origin_ip;
+	msg.origin_port = probe->origin_port;
+	msg.number = probe->number;
+	msg.answer = true;
+	msg.incarnation = a->incarnation;
+	msg.n_rumours = rumours_fill(a, loads, list);
+	msg.rumours = list;
+	a->ops.send(a->ctx, to, MSG_PROBE, &msg);
+}
+
+static void take_answer(agent_t *a, uint64_t now, const probe_msg_t *probe)
+{
+	endpoint_t origin = { probe->origin_ip, (uint16_t)probe->origin_port };
+	member_t *m = group_member(&a->group, probe->target);
+	probe_msg_t msg;
+
+	if (!m)
+		return;
+	group_heard(&a->group, now, m, probe->incarnation);
+	if (endpoint_equal(&origin, &a->options.self)) {
+		if (a->membership && a->membership->target == m->id &&
+		    a->membership->number == probe->number)
+			a->membership->pending = false;
+		return;
+	}
+	/* We probed for another member. */
+	ct__probe__init(&msg);
+	msg.service = probe->service;
+	msg.target = probe->target;
+	msg.origin_ip = probe->origin_ip;
+	msg.origin_port = probe->origin_port;
+	msg.number = probe->number;
+	msg.answer = true;
+	msg.incarnation = probe->incarnation;
+	if (group_has_agent(&a->group, &origin))
+		a->ops.send(a->ctx, &origin, MSG_PROBE, &msg);
+}
+
+void membership_probe(agent_t *a, uint64_t now, const endpoint_t *from,
+		      const probe_msg_t *probe)
+{
+	member_t *m;
+
+	if (!a->service || probe->service != a->service->id) {
+		counter_add(&a->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
+		return;
+	}
+	if (!a->configured && without(a->options.off, MECHANISM_LINGER))
+		return;
+	rumours_take(a, now, probe->rumours, probe->n_rumours);
+	if (probe->answer) {
+		take_answer(a, now, probe);
+		return;
+	}
+	if (probe->target == a->target->id) {
+		answer(a, from, probe);
+		return;
+	}
+	m = group_member(&a->group, probe->target);
+	if (probe->relay && m && state(a)) {
+		probe_msg_t msg = *probe;
+
+		msg.relay = false;
+		msg.n_rumours = 0;
+		msg.rumours = NULL;
+		a->ops.send(a->ctx, &m->agent, MSG_PROBE, &msg);
+	}
+}
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define PENDING_LIMIT 8192
+/* A member heard this lately is not avoided for others' doubts. */
+#define HEARD_LATELY_MS 500
 /* Retries that may be saved up, in hundredths. */
 #define RETRY_SAVED_MAX 5000
 /* Hundredths that one retried open costs. */
@@ -33,6 +35,7 @@
 		      const packet_t *p, uint64_t hash);
 static void look_up(balancer_t *b, uint64_t now, const service_t *service,
 		    const packet_t *p, uint64_t hash);
+static void avoid_doubted(group_t *g, uint64_t now, const held_msg_t *held);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      const held_msg_t *held);
 static void blame(balancer_t *b, uint64_t now, group_t *g,
@@ -349,6 +352,17 @@
 		look_up(b, now, service, &p, hash);
 }
 
+/* Members that an agent doubts and that we have not heard lately. */
+static void avoid_doubted(group_t *g, uint64_t now, const held_msg_t *held)
+{
+	for (size_t i = 0; i < held->n_unreachable; i++) {
+		member_t *m = group_member(g, held->unreachable[i]);
+
+		if (m && m->heard_ms + HEARD_LATELY_MS <= now)
+			m->avoid_until = now + AVOID_MS;
+	}
+}
+
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      const held_msg_t *held)
 {
@@ -365,6 +379,7 @@
 		return;
 	if (held->load)
 		group_load(g, now, held->load, NULL);
+	avoid_doubted(g, now, held);
 	if (held->gone)
 		hint_cache_drop(b->hints, hash);
 	else if (!held->refused)
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -637,7 +637,7 @@
   assert(message->base.descriptor == &ct__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__load__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ct__load__field_descriptors[13] =
 {
   {
     "target",
@@ -783,6 +783,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Load, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__load__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -793,6 +805,7 @@
   5,   /* field[5] = in_flight */
   1,   /* field[1] = incarnation */
   11,   /* field[11] = sample_age_ms */
+  12,   /* field[12] = sequence */
   7,   /* field[7] = speed */
   2,   /* field[2] = state */
   0,   /* field[0] = target */
@@ -802,7 +815,7 @@
 {
   { 1, 0 },
   { 50, 9 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ct__load__descriptor =
 {
@@ -812,7 +825,7 @@
   "Ct__Load",
   "ct",
   sizeof(Ct__Load),
-  12,
+  13,
   ct__load__field_descriptors,
   ct__load__field_indices_by_name,
   2,  ct__load__number_ranges,
@@ -1041,7 +1054,7 @@
   (ProtobufCMessageInit) ct__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__held__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ct__held__field_descriptors[15] =
 {
   {
     "service",
@@ -1211,6 +1224,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreachable",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Held, n_unreachable),
+    offsetof(Ct__Held, unreachable),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__held__field_indices_by_name[] = {
   12,   /* field[12] = agent_ip */
@@ -1226,12 +1251,14 @@
   4,   /* field[4] = src_ip */
   6,   /* field[6] = src_port */
   3,   /* field[3] = target */
+  14,   /* field[14] = unreachable */
   1,   /* field[1] = version */
 };
-static const ProtobufCIntRange ct__held__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__held__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 50, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ct__held__descriptor =
 {
@@ -1241,10 +1268,10 @@
   "Ct__Held",
   "ct",
   sizeof(Ct__Held),
-  14,
+  15,
   ct__held__field_descriptors,
   ct__held__field_indices_by_name,
-  1,  ct__held__number_ranges,
+  2,  ct__held__number_ranges,
   (ProtobufCMessageInit) ct__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1364,7 +1391,7 @@
   (ProtobufCMessageInit) ct__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__probe__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ct__probe__field_descriptors[9] =
 {
   {
     "service",
@@ -1462,6 +1489,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rumours",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ct__Probe, n_rumours),
+    offsetof(Ct__Probe, rumours),
+    &ct__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__probe__field_indices_by_name[] = {
   5,   /* field[5] = answer */
@@ -1470,13 +1509,15 @@
   2,   /* field[2] = origin_ip */
   3,   /* field[3] = origin_port */
   7,   /* field[7] = relay */
+  8,   /* field[8] = rumours */
   0,   /* field[0] = service */
   1,   /* field[1] = target */
 };
-static const ProtobufCIntRange ct__probe__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__probe__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 50, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ct__probe__descriptor =
 {
@@ -1486,10 +1527,10 @@
   "Ct__Probe",
   "ct",
   sizeof(Ct__Probe),
-  8,
+  9,
   ct__probe__field_descriptors,
   ct__probe__field_indices_by_name,
-  1,  ct__probe__number_ranges,
+  2,  ct__probe__number_ranges,
   (ProtobufCMessageInit) ct__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -88,6 +88,10 @@
    */
   size_t n_class_samples;
   uint32_t *class_samples;
+  /*
+   * rises with each load of a member
+   */
+  uint64_t sequence;
   /*
    * since the last one
    */
@@ -95,7 +99,7 @@
 };
 #define CT__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -204,10 +208,15 @@
    */
   uint32_t agent_ip;
   uint32_t agent_port;
+  /*
+   * members that the holder doubts
+   */
+  size_t n_unreachable;
+  uint32_t *unreachable;
 };
 #define CT__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__held__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL }
 
 
 /*
@@ -256,10 +265,15 @@
    * please probe the target for the origin
    */
   protobuf_c_boolean relay;
+  /*
+   * target, incarnation and state only
+   */
+  size_t n_rumours;
+  Ct__Load **rumours;
 };
 #define CT__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__probe__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/src/group.c
+++ b/src/group.c
@@ -7,6 +7,13 @@
 
 static member_t *member_add(group_t *group, uint32_t id);
 static void take_times(member_t *m, const load_msg_t *load);
+static void take_values(member_t *m, const load_msg_t *load);
+static member_state_t state_told(const load_msg_t *load);
+static void raise_incarnation(member_t *m, uint64_t incarnation);
+static bool doubtful(member_state_t state);
+static bool same_life_changes(const member_t *m, uint64_t now,
+			      member_state_t state, uint64_t sequence,
+			      uint64_t lately);
 static bool has_times(const member_t *m);
 static double mean_learned_per_weight(const group_t *group);
 static double weight_at(const member_t *m, double per_weight);
@@ -91,10 +98,56 @@
 	m->sample_age_ms = load->sample_age_ms;
 }
 
+/* The numbers of a load; older ones than those known are left. */
+static void take_values(member_t *m, const load_msg_t *load)
+{
+	if (load->sequence < m->sequence)
+		return;
+	m->sequence = load->sequence;
+	m->full = load->full;
+	m->capacity = load->capacity / THOUSAND;
+	m->speed = load->speed / THOUSAND;
+	m->work = load->work;
+	m->unseen = 0;
+	m->in_flight = load->in_flight;
+	m->held = load->held;
+	take_times(m, load);
+}
+
+void member_load(const member_t *m, load_msg_t *load)
+{
+	ct__load__init(load);
+	load->target = m->id;
+	load->incarnation = m->incarnation;
+	load->state = m->state;
+	load->sequence = m->sequence;
+	load->full = m->full;
+	load->capacity = (uint32_t)(m->capacity * THOUSAND);
+	load->speed = (uint32_t)(m->speed * THOUSAND);
+	load->work = (uint32_t)m->work;
+	load->in_flight = m->in_flight;
+	load->held = m->held;
+}
+
+static member_state_t state_told(const load_msg_t *load)
+{
+	return load->state < MEMBER_STATES ? (member_state_t)load->state
+					   : MEMBER_ALIVE;
+}
+
+/* A new life of a member begins with unknown numbers. */
+static void raise_incarnation(member_t *m, uint64_t incarnation)
+{
+	if (incarnation > m->incarnation)
+		m->sequence = 0;
+	m->incarnation = incarnation;
+}
+
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent)
 {
 	member_t *m = group_member(group, load->target);
+	member_state_t state = state_told(load);
 
 	if (!m && agent) {
 		m = member_add(group, load->target);
@@ -103,23 +156,106 @@
 	}
 	if (!m || load->incarnation < m->incarnation)
 		return NULL;
-	m->incarnation = load->incarnation;
-	m->state = load->state < MEMBER_STATES ? (member_state_t)load->state
-					       : MEMBER_ALIVE;
+	if (m->incarnation != load->incarnation ||
+	    (m->state != state && state != MEMBER_ALIVE))
+		m->rumour_sends = RUMOUR_SENDS;
+	raise_incarnation(m, load->incarnation);
+	m->state = state;
 	m->heard_ms = now;
 	m->avoid_until = 0;
 	m->unanswered = 0;
-	m->full = load->full;
-	m->capacity = load->capacity / THOUSAND;
-	m->speed = load->speed / THOUSAND;
-	m->work = load->work;
-	take_times(m, load);
-	m->unseen = 0;
-	m->in_flight = load->in_flight;
-	m->held = load->held;
+	take_values(m, load);
 	return m;
 }
 
+static bool doubtful(member_state_t state)
+{
+	return state == MEMBER_SUSPECT || state == MEMBER_DEAD;
+}
+
+/* What a rumour of the same incarnation changes. */
+static bool same_life_changes(const member_t *m, uint64_t now,
+			      member_state_t state, uint64_t sequence,
+			      uint64_t lately)
+{
+	if (!doubtful(state))
+		return !doubtful(m->state) && m->state != state &&
+		       sequence > m->sequence;
+	if (m->heard_ms && m->heard_ms + lately > now)
+		return false;
+	if (m->state == MEMBER_SUSPECT)
+		return state == MEMBER_DEAD;
+	return m->state != MEMBER_DEAD && m->state != MEMBER_LEFT;
+}
+
+bool group_rumour(group_t *group, uint64_t now, const load_msg_t *load,
+		  uint64_t lately)
+{
+	member_t *m = group_member(group, load->target);
+	member_state_t state = state_told(load);
+	bool changes;
+
+	if (!m || load->incarnation < m->incarnation)
+		return false;
+	changes = load->incarnation > m->incarnation ||
+		  same_life_changes(m, now, state, load->sequence, lately);
+	raise_incarnation(m, load->incarnation);
+	if (load->sequence)
+		take_values(m, load);
+	if (!changes)
+		return false;
+	if (doubtful(state) && !doubtful(m->state))
+		m->suspect_ms = now;
+	m->state = state;
+	m->rumour_sends = RUMOUR_SENDS;
+	return true;
+}
+
+void group_heard(group_t *group, uint64_t now, member_t *m,
+		 uint64_t incarnation)
+{
+	(void)group;
+	if (incarnation < m->incarnation)
+		return;
+	raise_incarnation(m, incarnation);
+	m->heard_ms = now;
+	if (doubtful(m->state))
+		m->state = MEMBER_ALIVE;
+}
+
+void group_suspect(group_t *group, uint64_t now, member_t *m)
+{
+	(void)group;
+	m->state = MEMBER_SUSPECT;
+	m->suspect_ms = now;
+	m->rumour_sends = RUMOUR_SENDS;
+}
+
+void group_forgive(group_t *group, uint64_t now)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (group->members[i].state == MEMBER_SUSPECT)
+			group->members[i].suspect_ms = now;
+}
+
+size_t group_doubted(const group_t *group, uint32_t *ids, size_t max)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < group->n && n < max; i++)
+		if (doubtful(group->members[i].state))
+			ids[n++] = group->members[i].id;
+	return n;
+}
+
+bool group_has_agent(const group_t *group, const endpoint_t *agent)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (endpoint_equal(&group->members[i].agent, agent))
+			return true;
+	return false;
+}
+
 void group_expire(group_t *group, uint64_t now)
 {
 	for (size_t i = 0; i < group->n;) {
--- a/src/group.h
+++ b/src/group.h
@@ -23,6 +23,8 @@
 
 /* Flows are ranked on this clock: a load older than this says nothing. */
 #define LOAD_FRESH_MS 5000
+/* Messages that carry a change of a member's state on. */
+#define RUMOUR_SENDS 24
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
 
@@ -58,6 +60,9 @@
 	double unseen; /* those placed since the load was heard */
 	uint32_t in_flight;
 	uint32_t held;
+	uint64_t sequence;     /* of the load known, 0 for none */
+	uint64_t suspect_ms;   /* since when suspected */
+	unsigned rumour_sends; /* messages that still carry its state */
 } member_t;
 
 typedef struct group {
@@ -85,6 +90,34 @@
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent);
 
+/*
+ * Takes what another member told of a third one. A state counts when its
+ * incarnation is higher, or when it is worse at the same one and the member
+ * was not heard in the last `lately` milliseconds. Returns true when the
+ * state changed; the change is passed on.
+ */
+bool group_rumour(group_t *group, uint64_t now, const load_msg_t *load,
+		  uint64_t lately);
+
+/* A member answered a probe. */
+void group_heard(group_t *group, uint64_t now, member_t *m,
+		 uint64_t incarnation);
+
+/* A member did not answer. */
+void group_suspect(group_t *group, uint64_t now, member_t *m);
+
+/* We were paused: suspicions begin anew. */
+void group_forgive(group_t *group, uint64_t now);
+
+/* Ids of members suspected or dead, at most `max`. Returns how many. */
+size_t group_doubted(const group_t *group, uint32_t *ids, size_t max);
+
+/* True when a member's agent listens there. */
+bool group_has_agent(const group_t *group, const endpoint_t *agent);
+
+/* Writes what is known of a member's load. */
+void member_load(const member_t *m, load_msg_t *load);
+
 /* Forgets members that left the configuration and fell silent. */
 void group_expire(group_t *group, uint64_t now);
 
