--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -92,6 +92,8 @@
 	msg.reply_ip = in->reply.ip;
 	msg.reply_port = in->reply.port;
 	msg.candidates = left;
+	msg.asked = (uint32_t *)in->asked;
+	msg.n_asked = in->nasked;
 	msg.inner.data = (uint8_t *)in->packet.data;
 	msg.inner.len = in->packet.len;
 	member_placed(m, open_weight(a, &in->packet));
@@ -113,14 +115,7 @@
 		refuse_open(a, in);
 		return;
 	}
-	for (uint32_t i = 0; i < a->service->nclasses; i++) {
-		const class_t *c = &a->service->classes[i];
-
-		if (c->port != p->key.dport || c->proto != p->key.proto)
-			continue;
-		f->class_index = i;
-		f->weight = c->weight;
-	}
+	flow_classify(a, f);
 	f->caller_isn = p->seq;
 	f->caller_next = p->seq + 1;
 	flow_enter(a, f, now,
@@ -130,8 +125,10 @@
 		self->work = a->work;
 	counter_add(&a->counters, COUNTER_FLOWS_OPENED, 1);
 	counter_add(&a->counters, COUNTER_OPENS_ACCEPTED, 1);
-	flow_deliver(a, now, f, p);
+	if (f->state == FLOW_OPENING)
+		trial_keep(f, in);
 	agent_tell(a, in, false, false);
+	flow_deliver(a, now, f, p);
 }
 
 static void refuse_open(agent_t *a, const arrival_t *in)
@@ -154,6 +151,8 @@
 	if (in->packet.payload_len == 0 || in->packet.key.proto == PROTO_UDP) {
 		if (pass_open(a, now, in))
 			return;
+		if (!may && offer_elsewhere(a, now, in))
+			return;
 	}
 	if (may)
 		take_open(a, now, in);
--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -104,6 +104,8 @@
 
 void membership_tell(agent_t *a, uint64_t now)
 {
+	if (!a->configured && without(a->options.off, MECHANISM_LINGER))
+		return;
 	a->digest_ms = now + DIGEST_MS;
 	a->told_ms = now;
 	a->told_work = a->work;
@@ -177,8 +179,6 @@
 		a->learn_ms = now + DIGEST_MS;
 		learn(a, now);
 	}
-	if (!a->configured && without(a->options.off, MECHANISM_LINGER))
-		return;
 	membership_tell(a, now);
 }
 
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -5,8 +5,12 @@
  * agent_int - what the files of the agent share
  *
  * agent.c dispatches, agent_admit.c decides on opens, agent_lookup.c finds
- * flows, agent_answer.c handles the backend server's packets, agent_group.c
- * talks to the other members, agent_handover.c hands the flows over.
+ * flows, agent_silence.c bounds lookups that can't be finished, agent_trial.c
+ * asks the backend server for a flow, agent_offer.c offers opens elsewhere,
+ * agent_witness.c tells the callers of a lost host,
+ * agent_server.c watches the backend server, agent_answer.c handles the backend
+ * server's packets, agent_group.c talks to the other members, agent_handover.c
+ * hands the flows over.
  */
 
 #include "agent.h"
@@ -16,19 +20,40 @@
 /* An open flow that stays half open for longer is given up. */
 #define HALF_OPEN_MS 20000
 /* A finished flow is kept for late packets. */
-#define CLOSING_MS 5000
-/* A flow without a packet for longer is forgotten. */
-#define IDLE_MS	    (24ULL * 3600 * 1000)
+#define CLOSING_MS  5000
 #define UDP_IDLE_MS 120000
+/*
+ * A caller whose flow is idle for IDLE_MS is asked whether it still is there.
+ * After KEEPALIVES without an answer, or when its backend server has sent
+ * into the void for VANISHED_MS, the server is told that it is gone.
+ */
+#define IDLE_MS	    (30 * 60 * 1000)
+#define KEEPALIVES  3
+#define VANISHED_MS (15 * 60 * 1000)
+/* Sequence numbers of one flow stay this close to each other, in bytes. */
+#define SEQ_NEAR (16 * 1024 * 1024)
+/* A segment so far before the window is answered by an acknowledgement. */
+#define SEQ_BEFORE (64 * 1024 * 1024)
+/* Members to which an open that a backend server refused is offered. */
+#define OFFERS_MAX 3
+/* Members that one lookup may name. */
+#define NAMED_MAX 1024
+/* Nothing is said for this long while a member could not be asked. */
+#define SILENCE_MS 5000
 /* A trial is repeated after this long, and given up after TRIAL_TRIES. */
 #define TRIAL_MS    200
 #define TRIAL_TRIES 3
+/* A backend server that stayed silent is asked again after this long. */
+#define TRIAL_AGAIN_MS 1000
 /* Packets kept during a trial. */
 #define TRIAL_KEPT 8
 /* Time to come back that a refusal carries, in seconds. */
 #define RETRY_AFTER_S 2
 
 typedef struct membership membership_t;
+typedef struct silences silences_t;
+typedef struct witness witness_t;
+typedef struct rumours rumours_t;
 
 struct agent {
 	agent_options_t options;
@@ -42,7 +67,13 @@
 	bool leaving;		  /* the process is stopping */
 	bool complete;		  /* the table knows all flows */
 	bool server_down;	  /* the backend server's host said so */
-	uint64_t server_down_ms;
+	uint64_t server_heard_ms; /* last packet of the backend server */
+	uint64_t server_asked_ms; /* first one unanswered since, 0 for none */
+	uint64_t server_probe_ms; /* when the next probe is due */
+	bool server_lost;	  /* the callers of all flows were told */
+	bool server_doubted;	  /* all flows are to be probed */
+	int32_t hint_credit;	  /* bytes of hints that may be sent */
+	uint64_t hint_ms;	  /* when the credit was last raised */
 	uint64_t incarnation;
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
@@ -61,7 +92,10 @@
 	uint32_t in_slots;  /* of them believed to be served */
 	list_t slot_waits;  /* flows whose request waits for a slot */
 	counters_t counters;
-	struct silence *silences; /* lookups that could not be finished */
+	silences_t *silences; /* lookups that could not be finished */
+	witness_t *witness;   /* what is told to peers and known of theirs */
+	rumours_t *rumours;   /* of dead members, for balancers; owned */
+	wire_arena_t arena;   /* for packets that were kept */
 	membership_t *membership; /* of agent_probe.c */
 };
 
@@ -69,20 +103,34 @@
 typedef struct arrival {
 	packet_t packet;
 	uint64_t hash;
+	uint64_t version; /* of the last hop */
 	packet_step_t step;
 	endpoint_t reply; /* balancer to tell, port 0 for none */
 	const uint32_t *asked;
 	size_t nasked;
 	const uint32_t *unasked;
 	size_t nunasked;
+	const uint32_t *known; /* members that earlier hops know of */
+	const uint64_t *known_agents;
+	size_t nknown;
 	const uint32_t *candidates;
 	size_t ncandidates;
 	bool last_resort;
+	bool mixed;	   /* hops had different versions */
+	bool silence_over; /* members that can't be asked count as asked */
 } arrival_t;
 
 /* agent.c */
 void agent_audit(agent_t *a, const char *event, const char *detail);
 uint64_t agent_random(agent_t *a);
+/* What a message with a packet says. Returns 0, or -1 and counts why not. */
+int arrival_parse(agent_t *a, const packet_msg_t *msg, arrival_t *in);
+/* A message that points into the arrival. */
+void arrival_message(const arrival_t *in, packet_msg_t *msg);
+/* Handles a caller's packet. */
+void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in);
+/* Hints for packets that were looked up are bounded in bytes a second. */
+bool hint_allowed(agent_t *a, uint64_t now);
 /* Tells the balancer where the flow is; flow NULL: nobody holds it. */
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
@@ -93,6 +141,8 @@
 
 /* agent_flow.c: the life of one flow */
 void flow_enter(agent_t *a, flow_t *f, uint64_t now, flow_state_t state);
+/* Sets class and weight from the port. */
+void flow_classify(const agent_t *a, flow_t *f);
 void flow_count(agent_t *a, flow_t *f);
 void flow_forget(agent_t *a, flow_t *f);
 bool flow_matches(const agent_t *a, const flow_t *f, const packet_t *p);
@@ -100,18 +150,66 @@
 void flow_request_end(agent_t *a, uint64_t now, flow_t *f, bool answered);
 void flows_tick(agent_t *a, uint64_t now);
 
+/* Resets the caller's flow with the true word. */
+void flow_tell(agent_t *a, uint64_t now, flow_t *f);
+/* The word that is true for a flow. */
+refusal_t flow_word(const flow_t *f);
+/* Resets the backend server's side of the flow. */
+void flow_reset_server(agent_t *a, flow_t *f);
+/* Asks the backend server whether it still has the flow. */
+void flow_probe(agent_t *a, flow_t *f);
+
+/* agent_server.c: whether the backend server is there */
+void server_heard(agent_t *a, uint64_t now);
+void server_asked(agent_t *a, uint64_t now);
+void server_tick(agent_t *a, uint64_t now);
+
+/* agent_offer.c: opens that this backend server does not take */
+/* Offers an open to a member that was not asked. False: none is left. */
+bool offer_elsewhere(agent_t *a, uint64_t now, const arrival_t *in);
+/* Offers a flow's kept SYN elsewhere or refuses it. Forgets the flow. */
+void offer_refused(agent_t *a, uint64_t now, flow_t *f);
+
+/* agent_witness.c: peers know of our flows, so that callers can be told */
+witness_t *witness_new(void);
+void witness_free(witness_t *w);
+void witness_opened(agent_t *a, flow_t *f);
+void witness_closed(agent_t *a, flow_t *f);
+void witness_tick(agent_t *a, uint64_t now);
+void witness_take(agent_t *a, uint64_t now, const witness_msg_t *msg);
+
+/* agent_rumour.c: balancers that send to us hear of dead members */
+rumours_t *rumours_new(void);
+void rumours_tick(agent_t *a, uint64_t now);
+void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer);
+
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
 bool admit_full(const agent_t *a);
 
 /* agent_lookup.c */
 void lookup_packet(agent_t *a, uint64_t now, const arrival_t *in);
-void lookup_pass_on(agent_t *a, uint64_t now, const arrival_t *in);
-void lookup_trial_denied(agent_t *a, uint64_t now, flow_t *f);
-void lookup_trial_held(agent_t *a, uint64_t now, flow_t *f,
-		       const packet_t *answer);
-void lookup_trial_tick(agent_t *a, uint64_t now, flow_t *f);
-void lookup_free(agent_t *a);
+/* Goes on to the next member; with `silent` our own server did not answer. */
+void lookup_pass_on(agent_t *a, uint64_t now, const arrival_t *in, bool silent);
+
+/* agent_silence.c: flows whose lookup could not be finished */
+silences_t *silences_new(void);
+void silences_free(silences_t *s);
+/*
+ * Notes such a lookup. Returns how many were noted for this flow before, or
+ * -1 when its silence has lasted for SILENCE_MS.
+ */
+int silence_note(agent_t *a, uint64_t now, const arrival_t *in);
+void silence_forget(agent_t *a, const flow_key_t *key, uint64_t hash);
+/* Asks once more for the flows whose silence is over. */
+void silences_tick(agent_t *a, uint64_t now);
+
+/* agent_trial.c: the backend server is asked for a flow */
+void trial_begin(agent_t *a, uint64_t now, const arrival_t *in);
+void trial_keep(flow_t *f, const arrival_t *in);
+void trial_denied(agent_t *a, uint64_t now, flow_t *f);
+void trial_held(agent_t *a, uint64_t now, flow_t *f, const packet_t *answer);
+void trial_tick(agent_t *a, uint64_t now, flow_t *f);
 
 /* agent_group.c */
 /* Tells some members our load and the rumours, now. */
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -4,8 +4,6 @@
 #include <string.h>
 
 #define PENDING_LIMIT 8192
-/* A member heard this lately is not avoided for others' doubts. */
-#define HEARD_LATELY_MS 500
 /* Retries that may be saved up, in hundredths. */
 #define RETRY_SAVED_MAX 5000
 /* Hundredths that one retried open costs. */
@@ -14,6 +12,8 @@
 #define RETRY_AFTER_S 2
 /* A time at which no member is avoided any more. */
 #define AVOIDED_TOO UINT64_MAX
+/* Best members looked at to begin a look-up. */
+#define LOOKUP_RANKS 4
 
 static group_t *group_at(balancer_t *b, uint32_t address, uint16_t port,
 			 uint8_t proto, uint64_t service);
@@ -35,7 +35,13 @@
 		      const packet_t *p, uint64_t hash);
 static void look_up(balancer_t *b, uint64_t now, const service_t *service,
 		    const packet_t *p, uint64_t hash);
-static void avoid_doubted(group_t *g, uint64_t now, const held_msg_t *held);
+static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
+static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
+			endpoint_t *agent);
+static group_t *group_of(balancer_t *b, uint64_t service);
+static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load);
+static void take_digest(balancer_t *b, uint64_t now,
+			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      const held_msg_t *held);
 static void blame(balancer_t *b, uint64_t now, group_t *g,
@@ -286,6 +292,32 @@
 	}
 }
 
+/* No hint and no rank leads to a member that is believed dead. */
+static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent)
+{
+	const member_t *m = group_member_at(g, agent);
+
+	return !m || (member_reachable(m) && m->avoid_until <= now);
+}
+
+/* The member where a look-up begins. Returns -1 when there is none. */
+static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
+			endpoint_t *agent)
+{
+	uint32_t order[LOOKUP_RANKS];
+	size_t n = group_rank(g, now, hash, false, order, LOOKUP_RANKS);
+
+	if (n == 0)
+		return -1;
+	for (size_t i = 0; i < n; i++) {
+		*agent = g->members[order[i]].agent;
+		if (believed_there(g, now, agent))
+			return 0;
+	}
+	*agent = g->members[order[0]].agent;
+	return 0;
+}
+
 /*
  * Sends a packet to where its flow was last seen, or to where the look-up
  * begins. The first packet of a UDP flow looks like any other: it names the
@@ -298,16 +330,15 @@
 	uint32_t ids[BALANCER_CANDIDATES];
 	endpoint_t agent;
 	packet_msg_t msg;
-	uint32_t first;
 
 	packet_message(b, &msg, service->id, STEP_LOOKUP, p);
-	if (hint_cache_get(b->hints, hash, &agent)) {
+	if (hint_cache_get(b->hints, hash, &agent) &&
+	    believed_there(g, now, &agent)) {
 		counter_add(&b->counters, COUNTER_CACHE_HITS, 1);
 	} else {
 		counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
-		if (group_rank(g, now, hash, false, &first, 1) == 0)
+		if (first_to_ask(g, now, hash, &agent) < 0)
 			return;
-		agent = g->members[first].agent;
 		if (p->key.proto == PROTO_UDP) {
 			pending_open_t any = { .hash = hash };
 
@@ -352,17 +383,6 @@
 		look_up(b, now, service, &p, hash);
 }
 
-/* Members that an agent doubts and that we have not heard lately. */
-static void avoid_doubted(group_t *g, uint64_t now, const held_msg_t *held)
-{
-	for (size_t i = 0; i < held->n_unreachable; i++) {
-		member_t *m = group_member(g, held->unreachable[i]);
-
-		if (m && m->heard_ms + HEARD_LATELY_MS <= now)
-			m->avoid_until = now + AVOID_MS;
-	}
-}
-
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      const held_msg_t *held)
 {
@@ -379,7 +399,6 @@
 		return;
 	if (held->load)
 		group_load(g, now, held->load, NULL);
-	avoid_doubted(g, now, held);
 	if (held->gone)
 		hint_cache_drop(b->hints, hash);
 	else if (!held->refused)
@@ -389,11 +408,51 @@
 		pending_opens_remove(b->pending, open);
 }
 
+/* A search: digests come seldom. */
+static group_t *group_of(balancer_t *b, uint64_t service)
+{
+	for (size_t i = 0; i < b->ngroups; i++)
+		if (b->groups[i].service == service)
+			return &b->groups[i];
+	return NULL;
+}
+
+/* An agent's word on members of its group that are dead. */
+/* A suspect gets no opens but keeps its flows; a dead member gets neither. */
+static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load)
+{
+	if (load->incarnation < m->incarnation)
+		return;
+	if (load->state == MEMBER_SUSPECT)
+		m->no_opens_until = now + AVOID_MS;
+	else if (load->state == MEMBER_DEAD)
+		m->avoid_until = now + RUMOUR_MS;
+}
+
+static void take_digest(balancer_t *b, uint64_t now, const digest_msg_t *digest)
+{
+	group_t *g = group_of(b, digest->service);
+
+	if (!g)
+		return;
+	if (digest->load)
+		group_load(g, now, digest->load, NULL);
+	for (size_t i = 0; i < digest->n_rumours; i++) {
+		const load_msg_t *load = digest->rumours[i];
+		member_t *m = group_member(g, load->target);
+
+		if (m)
+			take_doubt(m, now, load);
+	}
+}
+
 void balancer_message(balancer_t *b, uint64_t now, const endpoint_t *from,
 		      msg_kind_t kind, const void *msg)
 {
 	if (kind == MSG_HELD)
 		take_held(b, now, from, msg);
+	else if (kind == MSG_DIGEST)
+		take_digest(b, now, msg);
 	else
 		counter_add(&b->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
 }
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -1054,7 +1054,7 @@
   (ProtobufCMessageInit) ct__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__held__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ct__held__field_descriptors[14] =
 {
   {
     "service",
@@ -1224,18 +1224,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "unreachable",
-    50,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Ct__Held, n_unreachable),
-    offsetof(Ct__Held, unreachable),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ct__held__field_indices_by_name[] = {
   12,   /* field[12] = agent_ip */
@@ -1251,14 +1239,12 @@
   4,   /* field[4] = src_ip */
   6,   /* field[6] = src_port */
   3,   /* field[3] = target */
-  14,   /* field[14] = unreachable */
   1,   /* field[1] = version */
 };
-static const ProtobufCIntRange ct__held__number_ranges[2 + 1] =
+static const ProtobufCIntRange ct__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 50, 14 },
-  { 0, 15 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ct__held__descriptor =
 {
@@ -1268,10 +1254,10 @@
   "Ct__Held",
   "ct",
   sizeof(Ct__Held),
-  15,
+  14,
   ct__held__field_descriptors,
   ct__held__field_indices_by_name,
-  2,  ct__held__number_ranges,
+  1,  ct__held__number_ranges,
   (ProtobufCMessageInit) ct__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1534,7 +1520,7 @@
   (ProtobufCMessageInit) ct__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ct__hello__field_descriptors[6] =
 {
   {
     "version",
@@ -1584,17 +1570,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_age_ms",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, platform_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reader_age_ms",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Hello, reader_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__hello__field_indices_by_name[] = {
   1,   /* field[1] = digest */
+  4,   /* field[4] = platform_age_ms */
+  5,   /* field[5] = reader_age_ms */
   3,   /* field[3] = role */
   0,   /* field[0] = version */
   2,   /* field[2] = want_answer */
 };
-static const ProtobufCIntRange ct__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 41, 4 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ct__hello__descriptor =
 {
@@ -1604,10 +1617,10 @@
   "Ct__Hello",
   "ct",
   sizeof(Ct__Hello),
-  4,
+  6,
   ct__hello__field_descriptors,
   ct__hello__field_indices_by_name,
-  1,  ct__hello__number_ranges,
+  2,  ct__hello__number_ranges,
   (ProtobufCMessageInit) ct__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2126,7 +2139,7 @@
   (ProtobufCMessageInit) ct__handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__witness__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ct__witness__field_descriptors[8] =
 {
   {
     "service",
@@ -2200,19 +2213,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "opened_flows",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, opened_flows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed_flows",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Witness, closed_flows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__witness__field_indices_by_name[] = {
   4,   /* field[4] = closed */
+  7,   /* field[7] = closed_flows */
   2,   /* field[2] = incarnation */
   3,   /* field[3] = opened */
+  6,   /* field[6] = opened_flows */
   0,   /* field[0] = service */
   1,   /* field[1] = target */
   5,   /* field[5] = whole */
 };
-static const ProtobufCIntRange ct__witness__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__witness__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 30, 6 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ct__witness__descriptor =
 {
@@ -2222,10 +2262,10 @@
   "Ct__Witness",
   "ct",
   sizeof(Ct__Witness),
-  6,
+  8,
   ct__witness__field_descriptors,
   ct__witness__field_indices_by_name,
-  1,  ct__witness__number_ranges,
+  2,  ct__witness__number_ranges,
   (ProtobufCMessageInit) ct__witness__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -208,15 +208,10 @@
    */
   uint32_t agent_ip;
   uint32_t agent_port;
-  /*
-   * members that the holder doubts
-   */
-  size_t n_unreachable;
-  uint32_t *unreachable;
 };
 #define CT__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__held__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
 
 
 /*
@@ -289,10 +284,18 @@
    * process_role_t
    */
   uint32_t role;
+  /*
+   * since anyone watched the platform
+   */
+  uint32_t platform_age_ms;
+  /*
+   * since one of the chosen readers did; 0 in
+   */
+  uint32_t reader_age_ms;
 };
 #define CT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__hello__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -409,10 +412,18 @@
    * the list replaces what was known
    */
   protobuf_c_boolean whole;
+  /*
+   * 7 bytes a flow, most significant first: caller's address and port, class.
+   */
+  ProtobufCBinaryData opened_flows;
+  /*
+   * 4 bytes a flow: low half of its hash
+   */
+  ProtobufCBinaryData closed_flows;
 };
 #define CT__WITNESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__witness__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, {0,NULL}, {0,NULL} }
 
 
 /*
--- a/src/group.c
+++ b/src/group.c
@@ -163,11 +163,17 @@
 	m->state = state;
 	m->heard_ms = now;
 	m->avoid_until = 0;
+	m->no_opens_until = 0;
 	m->unanswered = 0;
 	take_values(m, load);
 	return m;
 }
 
+bool member_doubted(const member_t *m)
+{
+	return doubtful(m->state);
+}
+
 static bool doubtful(member_state_t state)
 {
 	return state == MEMBER_SUSPECT || state == MEMBER_DEAD;
@@ -238,16 +244,6 @@
 			group->members[i].suspect_ms = now;
 }
 
-size_t group_doubted(const group_t *group, uint32_t *ids, size_t max)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < group->n && n < max; i++)
-		if (doubtful(group->members[i].state))
-			ids[n++] = group->members[i].id;
-	return n;
-}
-
 bool group_has_agent(const group_t *group, const endpoint_t *agent)
 {
 	for (size_t i = 0; i < group->n; i++)
@@ -281,7 +277,7 @@
 		return false;
 	if (m->state != MEMBER_ALIVE)
 		return false;
-	return m->avoid_until <= now;
+	return m->avoid_until <= now && m->no_opens_until <= now;
 }
 
 /* Learned capacity a declared weight, over the members that have learned. */
--- a/src/group.h
+++ b/src/group.h
@@ -46,13 +46,14 @@
 	bool configured;      /* in the configuration in force */
 	bool draining;	      /* by configuration */
 	member_state_t state;
-	uint64_t incarnation; /* greatest seen */
-	uint64_t heard_ms;    /* last load or answer, 0 for never */
-	uint64_t avoid_until; /* no opens before, after unanswered ones */
-	uint32_t unanswered;  /* opens in a row without an answer */
-	bool full;	      /* said that it takes no opens */
-	double capacity;      /* learned, in class weights; 0 unknown */
-	double speed;	      /* learned, weight a slot and second; 0 unknown */
+	uint64_t incarnation;	 /* greatest seen */
+	uint64_t heard_ms;	 /* last load or answer, 0 for never */
+	uint64_t avoid_until;	 /* nothing before, after unanswered opens */
+	uint64_t no_opens_until; /* suspected by other members */
+	uint32_t unanswered;	 /* opens in a row without an answer */
+	bool full;		 /* said that it takes no opens */
+	double capacity;	 /* learned, in class weights; 0 unknown */
+	double speed; /* learned, weight a slot and second; 0 unknown */
 	capacity_time_t times[CAPACITY_CLASSES]; /* told in digests */
 	uint32_t sample_age_ms;			 /* when they were told */
 	double work;				 /* weighted work held */
@@ -109,9 +110,6 @@
 /* We were paused: suspicions begin anew. */
 void group_forgive(group_t *group, uint64_t now);
 
-/* Ids of members suspected or dead, at most `max`. Returns how many. */
-size_t group_doubted(const group_t *group, uint32_t *ids, size_t max);
-
 /* True when a member's agent listens there. */
 bool group_has_agent(const group_t *group, const endpoint_t *agent);
 
@@ -124,6 +122,9 @@
 /* True when opens may be offered to the member. */
 bool member_takes_opens(const member_t *m, uint64_t now);
 
+/* True when the member is suspected or dead. */
+bool member_doubted(const member_t *m);
+
 /* True when the member is believed to answer. */
 bool member_reachable(const member_t *m);
 
--- a/test/test_matrix.c
+++ b/test/test_matrix.c
@@ -11,9 +11,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#define SEEDS 2
-#define CASES	    (2 * MATRIX_FAULTS_MAX)
-#define NAME_MAX_   48
+#define SEEDS	  2
+#define CASES	  (2 * MATRIX_FAULTS_MAX)
+#define NAME_MAX_ 48
 
 /* One line of the table; written by a case, read by the parent. */
 typedef struct row {
