--- a/src/capacity.c
+++ b/src/capacity.c
@@ -5,6 +5,8 @@
 
 /* Newest samples that are compared with the older ones. */
 #define RECENT 32
+/* Newest samples that stay after a change: the others may be mixed. */
+#define AFTER_CHANGE 16
 /* Samples between two comparisons. */
 #define CHECK_EVERY 4
 /* A change is believed beyond this many standard errors... */
@@ -110,7 +112,7 @@
 	c->sampled_ms = now;
 	c->untaught_ms = 0;
 	if (k->n % CHECK_EVERY == 0 && changed(k))
-		k->kept = RECENT;
+		k->kept = AFTER_CHANGE;
 }
 
 capacity_time_t capacity_time(const capacity_t *c, uint32_t class_index)
