Keep the dead from opens, and offer them again once they are back

test_membership: seven members, 50 opens a second, three balancers. A restarted member got no opens again (the test failed): the opens that a balancer had placed with the dead one counted as load for ever. They now count for 2 s.

--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -61,7 +61,7 @@
 
 		if (!m || m->id == a->target->id || !member_takes_opens(m, now))
 			continue;
-		load = member_utilisation(&a->group, m);
+		load = member_utilisation(&a->group, m, now);
 		if (best < in->ncandidates && load >= least)
 			continue;
 		best = i;
@@ -96,7 +96,7 @@
 	msg.n_asked = in->nasked;
 	msg.inner.data = (uint8_t *)in->packet.data;
 	msg.inner.len = in->packet.len;
-	member_placed(m, open_weight(a, &in->packet));
+	member_placed(m, now, open_weight(a, &in->packet));
 	counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
 	a->ops.send(a->ctx, &m->agent, MSG_PACKET, &msg);
 	return true;
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -238,7 +238,7 @@
 	config_classify(b->config, p->key.dst, p->key.dport, p->key.proto,
 			&cls);
 	m = group_member(g, ids[0]);
-	member_placed(m, cls ? cls->weight : 1);
+	member_placed(m, now, cls ? cls->weight : 1);
 	pending_opens_defer(b->pending, open, now + OPEN_TIMEOUT_MS);
 	b->ops.send(b->ctx, &m->agent, MSG_PACKET, &msg);
 	return 0;
--- a/src/balancer_explain.c
+++ b/src/balancer_explain.c
@@ -39,7 +39,7 @@
 				       i ? "," : "", t ? t->name : "?",
 				       endpoint_format(&m->agent, text),
 				       member_rank_weight(g, m),
-				       member_utilisation(g, m));
+				       member_utilisation(g, m, now));
 	}
 	g_string_append(s, "]}");
 	return g_string_free(s, FALSE);
--- a/src/group.c
+++ b/src/group.c
@@ -16,6 +16,7 @@
 			      uint64_t lately);
 static bool has_times(const member_t *m);
 static double mean_learned_per_weight(const group_t *group);
+static double work_of(const member_t *m, uint64_t now);
 static double weight_at(const member_t *m, double per_weight);
 
 void group_clear(group_t *group)
@@ -360,15 +361,23 @@
 	return weight_at(m, mean_learned_per_weight(group));
 }
 
-double member_utilisation(const group_t *group, const member_t *m)
+static double work_of(const member_t *m, uint64_t now)
+{
+	return m->placed_ms + UNSEEN_MS > now ? m->work + m->unseen : m->work;
+}
+
+double member_utilisation(const group_t *group, const member_t *m, uint64_t now)
 {
 	double capacity = member_rank_weight(group, m);
 
-	return capacity > 0 ? (m->work + m->unseen) / capacity : 0;
+	return capacity > 0 ? work_of(m, now) / capacity : 0;
 }
 
-void member_placed(member_t *m, double weight)
+void member_placed(member_t *m, uint64_t now, double weight)
 {
+	if (m->placed_ms + UNSEEN_MS <= now)
+		m->unseen = 0;
+	m->placed_ms = now;
 	m->placed += weight;
 	m->unseen += weight;
 }
@@ -383,7 +392,7 @@
 
 		if (!member_takes_opens(m, now))
 			continue;
-		work += m->work + m->unseen;
+		work += work_of(m, now);
 		capacity += weight_at(m, per_weight);
 	}
 	return capacity > 0 ? work / capacity : 0;
--- a/src/group.h
+++ b/src/group.h
@@ -23,6 +23,8 @@
 
 /* Flows are ranked on this clock: a load older than this says nothing. */
 #define LOAD_FRESH_MS 5000
+/* Opens placed longer ago than this are no longer counted as unseen. */
+#define UNSEEN_MS 2000
 /* Messages that carry a change of a member's state on. */
 #define RUMOUR_SENDS 24
 /* A member that left the configuration is forgotten after this silence. */
@@ -57,8 +59,9 @@
 	capacity_time_t times[CAPACITY_CLASSES]; /* told in digests */
 	uint32_t sample_age_ms;			 /* when they were told */
 	double work;				 /* weighted work held */
-	double placed; /* weighted opens that we placed, ever */
-	double unseen; /* those placed since the load was heard */
+	double placed;	    /* weighted opens that we placed, ever */
+	double unseen;	    /* those placed since the load was heard */
+	uint64_t placed_ms; /* when the last of them was */
 	uint32_t in_flight;
 	uint32_t held;
 	uint64_t sequence;     /* of the load known, 0 for none */
@@ -132,7 +135,7 @@
 double member_rank_weight(const group_t *group, const member_t *m);
 
 /* Notes that an open of this weight was placed with the member. */
-void member_placed(member_t *m, double weight);
+void member_placed(member_t *m, uint64_t now, double weight);
 
 /*
  * Compares the members' service times. Returns the speed of a member that
@@ -144,7 +147,8 @@
 bool group_samples_newer(const group_t *group, uint32_t age_ms);
 
 /* Work held, and placed since it was told, over capacity. */
-double member_utilisation(const group_t *group, const member_t *m);
+double member_utilisation(const group_t *group, const member_t *m,
+			  uint64_t now);
 
 /* Mean utilisation of the members that take opens, weighted by capacity. */
 double group_utilisation(const group_t *group, uint64_t now);
--- a/src/policy.c
+++ b/src/policy.c
@@ -80,13 +80,14 @@
 
 	for (size_t i = 1; i < n; i++) {
 		uint32_t position = order[i];
-		double load =
-			member_utilisation(group, &group->members[position]);
+		double load = member_utilisation(
+			group, &group->members[position], now);
 		size_t at = i;
 
 		while (at > 0 &&
-		       load < member_utilisation(
-				      group, &group->members[order[at - 1]])) {
+		       load < member_utilisation(group,
+						 &group->members[order[at - 1]],
+						 now)) {
 			order[at] = order[at - 1];
 			at--;
 		}
@@ -111,7 +112,7 @@
 	if (waiting > QUEUE_SLACK &&
 	    waiting > group_waiting(group, now) * QUEUE_FACTOR)
 		return false;
-	return member_utilisation(group, self) <=
+	return member_utilisation(group, self, now) <=
 	       group_utilisation(group, now) * HUNT_SLACK;
 }
 
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -126,10 +126,10 @@
 	m = &g.members[FIRST];
 	load.work = 4;
 	group_load(&g, AT, &load, NULL);
-	member_placed(m, 2);
-	ck_assert_double_eq(member_utilisation(&g, m), 3);
+	member_placed(m, AT, 2);
+	ck_assert_double_eq(member_utilisation(&g, m, AT), 3);
 	group_load(&g, AT, &load, NULL);
-	ck_assert_double_eq(member_utilisation(&g, m), 2);
+	ck_assert_double_eq(member_utilisation(&g, m, AT), 2);
 	group_clear(&g);
 }
 END_TEST
--- a/test/world.c
+++ b/test/world.c
@@ -118,6 +118,11 @@
 	return w->results->len;
 }
 
+uint64_t world_last_open(const world_t *w, unsigned agent)
+{
+	return w->last_open[agent];
+}
+
 uint64_t world_control_bytes(const world_t *w)
 {
 	return w->control_bytes;
--- a/test/world.h
+++ b/test/world.h
@@ -125,6 +125,9 @@
  * else yet. */
 void world_declare(world_t *w, const char *text);
 
+/* When an open was offered to an agent last, 0 for never. */
+uint64_t world_last_open(const world_t *w, unsigned agent);
+
 /* Bytes of messages sent that carry no packet, and their number. */
 uint64_t world_control_bytes(const world_t *w);
 uint64_t world_control_messages(const world_t *w);
--- a/test/world_int.h
+++ b/test/world_int.h
@@ -77,6 +77,7 @@
 	size_t ncuts;
 	GHashTable *records; /* of servers that are gone: id to count */
 	wire_arena_t arena;
+	uint64_t last_open[WORLD_AGENTS]; /* ms, offered to an agent */
 	uint64_t control_bytes;
 	uint64_t control_messages;
 	config_t *first;
--- a/test/world_process.c
+++ b/test/world_process.c
@@ -24,6 +24,9 @@
 	}
 	for (unsigned i = 0; i < w->nagents; i++)
 		if (endpoint_equal(&w->agents[i].listen, to)) {
+			if (kind == MSG_PACKET &&
+			    ((const packet_msg_t *)msg)->step == STEP_OPEN)
+				w->last_open[i] = w->now;
 			world_transmit(w, EVENT_MESSAGE, p->place,
 				       w->agents[i].place, kind, buf, len);
 			return;
