--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 all: $(PROGRAMS)
 
-everything: $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
+everything: $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo
 
 $(BUILD)/src/%.pb-c.o: C_WARNINGS = -Wno-error
 
@@ -58,12 +58,20 @@
 $(BUILD)/fake_server: $(BUILD)/test/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
 $(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(TEST_OBJ)
+$(BUILD)/demo: $(BUILD)/test/demo.o $(TEST_OBJ)
 
-$(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES): $(BUILD)/libcherviltray.a
+$(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo: \
+	$(BUILD)/libcherviltray.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libcherviltray.a \
 		$(LDLIBS)
 
+# The whole system on loopback, with failures.
+demo:
+	$(MAKE) packages
+	$(MAKE) $(PROGRAMS) $(FAKES) $(BUILD)/demo
+	$(BUILD)/demo
+
 # Formatter, linter, manual pages, then each test program in turn.
 packages:
 	test/install_packages
@@ -73,6 +81,7 @@
 	$(MAKE) check-format
 	$(MAKE) check-lint
 	$(MAKE) check-man
+	$(MAKE) check-proof
 	$(MAKE) check-tests
 
 C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/*.cc \
@@ -96,6 +105,10 @@
 	@for page in $(wildcard man/*.[1-8]); do \
 		mandoc -Tlint -W warning $$page || exit 1; done
 
+# docs/PROOF.md names tests that exist and leaves no promise out.
+check-proof:
+	test/check_proof
+
 # SANITIZED tests run from a second build with both sanitizers.
 SANITIZED = $(patsubst test/%.c,build/sanitized/%,$(wildcard test/test_*.c))
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-sanitize-recover=all
@@ -114,8 +127,8 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all everything packages check check-format check-lint check-man \
-	check-tests format proto clean
+.PHONY: demo all everything packages check check-format check-lint check-man \
+	check-proof check-tests format proto clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/src/agent.c
+++ b/src/agent.c
@@ -56,14 +56,43 @@
 	free(a);
 }
 
+bool agent_find_home(agent_t *a, uint64_t now, uint64_t id, uint32_t address)
+{
+	const service_t *found = NULL;
+
+	if (a->service)
+		return true;
+	for (size_t i = 0; a->config && i < a->config->nservices; i++) {
+		const service_t *s = &a->config->services[i];
+
+		if (s->id == id || s->address == address)
+			found = s;
+	}
+	if (!found || group_configure(&a->group, found, now) < 0)
+		return false;
+	config_unref(a->home);
+	a->home = config_ref(a->config);
+	a->service = found;
+	a->target = &a->orphan;
+	memcpy(a->orphan.name, a->options.target, sizeof(a->orphan.name));
+	a->orphan.id = (uint32_t)config_name_hash(a->options.target);
+	a->orphan.agent = a->options.self;
+	a->orphan.state = TARGET_DRAINING;
+	agent_audit(a, "home-found", found->name);
+	return true;
+}
+
 int agent_configure(agent_t *a, uint64_t now, config_t *config)
 {
 	const target_t *target = NULL;
 	const service_t *service =
 		config_target_by_name(config, a->options.target, &target);
 
-	if (!a->started_ms)
+	if (!a->started_ms) {
 		a->started_ms = now;
+		a->asks_server = true;
+		a->asks_until_ms = now + START_MS;
+	}
 	config_ref(config);
 	config_unref(a->config);
 	a->config = config;
@@ -119,7 +148,7 @@
 	load->work = a->work;
 	load->capacity = (uint32_t)(agent_capacity(a) * THOUSAND);
 	load->in_flight = a->in_flight;
-	load->held = (uint32_t)flow_table_count(a->flows);
+	load->held = a->held;
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
 	load->full = admit_full(a) || a->server_down;
 	load->sequence = now;
@@ -266,6 +295,8 @@
 		.last_resort = msg->last_resort,
 		.mixed = msg->mixed,
 		.silence_over = msg->silence_over,
+		.untried = msg->untried,
+		.ask_servers = msg->ask_servers,
 	};
 	if (in->nknown > msg->n_known_agents)
 		in->nknown = msg->n_known_agents;
@@ -300,6 +331,8 @@
 	msg->last_resort = in->last_resort;
 	msg->mixed = in->mixed;
 	msg->silence_over = in->silence_over;
+	msg->untried = in->untried;
+	msg->ask_servers = in->ask_servers;
 	msg->inner.data = (uint8_t *)in->packet.data;
 	msg->inner.len = in->packet.len;
 }
@@ -313,7 +346,7 @@
 	counter_add(&a->counters, COUNTER_PACKETS_IN, 1);
 	if (arrival_parse(a, msg, &in) < 0)
 		return;
-	if (!a->service) {
+	if (!agent_find_home(a, now, msg->service, in.packet.key.dst)) {
 		counter_add(&a->counters, COUNTER_DROP_NO_CONFIG, 1);
 		return;
 	}
@@ -330,7 +363,7 @@
 		return;
 	}
 	if (in.nasked == 0)
-		rumours_tell(a, now, &in.reply);
+		rumours_heard(a, now, &in.reply);
 	agent_arrival(a, now, &in);
 }
 
@@ -359,6 +392,8 @@
 {
 	if (!a->service)
 		return;
+	if (a->asks_until_ms <= now)
+		a->asks_server = false;
 	flows_tick(a, now);
 	server_tick(a, now);
 	witness_tick(a, now);
@@ -380,7 +415,7 @@
 
 size_t agent_held(const agent_t *a)
 {
-	return flow_table_count(a->flows);
+	return a->held;
 }
 
 uint32_t agent_in_flight(const agent_t *a)
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -22,6 +22,11 @@
 /* A finished flow is kept for late packets. */
 #define CLOSING_MS  5000
 #define UDP_IDLE_MS 120000
+/* A caller is told so often, first after this long, then twice as long. */
+#define TELLINGS      5
+#define TELL_AGAIN_MS 1000
+/* A flow whose caller was told for the last time is kept for late packets. */
+#define TOLD_MS 20000
 /*
  * A caller whose flow is idle for IDLE_MS is asked whether it still is there.
  * After KEEPALIVES without an answer, or when its backend server has sent
@@ -40,6 +45,10 @@
 #define NAMED_MAX 1024
 /* Nothing is said for this long while a member could not be asked. */
 #define SILENCE_MS 5000
+/* The same when several members are silent at once. */
+#define PARTITION_MS 30000
+/* After a start the backend server is asked for each unknown flow so long. */
+#define START_MS 60000
 /* A trial is repeated after this long, and given up after TRIAL_TRIES. */
 #define TRIAL_MS    200
 #define TRIAL_TRIES 3
@@ -63,9 +72,12 @@
 	config_t *home;		  /* last one with our target in it */
 	const service_t *service; /* in home */
 	const target_t *target;	  /* in home */
+	target_t orphan;	  /* our target when no document has it */
 	bool configured;	  /* our target is in the one in force */
 	bool leaving;		  /* the process is stopping */
 	bool complete;		  /* the table knows all flows */
+	bool asks_server;	  /* for each unknown flow, after a start */
+	uint64_t asks_until_ms;	  /* when that ends */
 	bool server_down;	  /* the backend server's host said so */
 	uint64_t server_heard_ms; /* last packet of the backend server */
 	uint64_t server_asked_ms; /* first one unanswered since, 0 for none */
@@ -87,7 +99,8 @@
 	flow_table_t *flows;
 	group_t group;
 	capacity_t capacity;
-	uint32_t work;	    /* weighted, of the flows held */
+	uint32_t held;	    /* flows held, without those that are over */
+	uint32_t work;	    /* weighted, of these */
 	uint32_t in_flight; /* requests without an answer */
 	uint32_t in_slots;  /* of them believed to be served */
 	list_t slot_waits;  /* flows whose request waits for a slot */
@@ -118,6 +131,8 @@
 	bool last_resort;
 	bool mixed;	   /* hops had different versions */
 	bool silence_over; /* members that can't be asked count as asked */
+	bool untried;	   /* a hop did not ask its backend server */
+	bool ask_servers;  /* each hop has to */
 } arrival_t;
 
 /* agent.c */
@@ -131,6 +146,11 @@
 void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in);
 /* Hints for packets that were looked up are bounded in bytes a second. */
 bool hint_allowed(agent_t *a, uint64_t now);
+/*
+ * An agent whose target was deleted before it started finds its service by
+ * the packets that still come. Returns false when it has none.
+ */
+bool agent_find_home(agent_t *a, uint64_t now, uint64_t id, uint32_t address);
 /* Tells the balancer where the flow is; flow NULL: nobody holds it. */
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
@@ -175,13 +195,15 @@
 void witness_free(witness_t *w);
 void witness_opened(agent_t *a, flow_t *f);
 void witness_closed(agent_t *a, flow_t *f);
+/* Tells news at once if the bound leaves room. */
+void witness_news(agent_t *a, uint64_t now);
 void witness_tick(agent_t *a, uint64_t now);
 void witness_take(agent_t *a, uint64_t now, const witness_msg_t *msg);
 
 /* agent_rumour.c: balancers that send to us hear of dead members */
 rumours_t *rumours_new(void);
 void rumours_tick(agent_t *a, uint64_t now);
-void rumours_tell(agent_t *a, uint64_t now, const endpoint_t *balancer);
+void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
--- a/src/agent_silence.c
+++ b/src/agent_silence.c
@@ -14,6 +14,7 @@
 	list_t chain; /* same bucket */
 	flow_key_t key;
 	uint64_t hash;
+	uint64_t since_ms;
 	uint64_t due_ms;
 	uint32_t seq; /* of the caller's last packet */
 	uint32_t ack;
@@ -32,6 +33,8 @@
 static silence_t *add(silences_t *s, uint64_t now, const arrival_t *in);
 static void drop(silences_t *s, silence_t *x);
 static void ask_again(agent_t *a, uint64_t now, const silence_t *x);
+static uint64_t bound(const agent_t *a);
+static void defer(silences_t *s, silence_t *x, uint64_t now);
 static bool due(list_t *order, uint64_t now, silence_t **x);
 
 silences_t *silences_new(void)
@@ -83,6 +86,7 @@
 		return NULL;
 	x->key = in->packet.key;
 	x->hash = in->hash;
+	x->since_ms = now;
 	x->due_ms = now + SILENCE_MS;
 	list_append(&s->waiting, &x->order);
 	list_append(&s->buckets[in->hash & (BUCKETS - 1)], &x->chain);
@@ -98,6 +102,23 @@
 	free(x);
 }
 
+/*
+ * One silent member is a lost host. With more of them we may be cut off
+ * ourselves, and their flows go on without us.
+ */
+static uint64_t bound(const agent_t *a)
+{
+	unsigned silent = 0;
+
+	for (size_t i = 0; i < a->group.n; i++) {
+		const member_t *m = &a->group.members[i];
+
+		silent += m->configured && (m->state == MEMBER_SUSPECT ||
+					    m->state == MEMBER_DEAD);
+	}
+	return silent > 1 ? PARTITION_MS : SILENCE_MS;
+}
+
 int silence_note(agent_t *a, uint64_t now, const arrival_t *in)
 {
 	silence_t *x = find(a->silences, &in->packet.key, in->hash);
@@ -106,7 +127,7 @@
 		x = add(a->silences, now, in);
 	if (!x)
 		return 0;
-	if (x->again || x->due_ms <= now)
+	if (x->since_ms + bound(a) <= now)
 		return -1;
 	x->seq = in->packet.seq;
 	x->ack = in->packet.ack;
@@ -154,6 +175,13 @@
 	return (*x)->due_ms <= now;
 }
 
+static void defer(silences_t *s, silence_t *x, uint64_t now)
+{
+	x->due_ms = now + AGAIN_MS;
+	list_remove(&x->order);
+	list_append(&s->over, &x->order);
+}
+
 void silences_tick(agent_t *a, uint64_t now)
 {
 	silences_t *s = a->silences;
@@ -162,14 +190,16 @@
 	while (due(&s->over, now, &x) || due(&s->waiting, now, &x)) {
 		silence_t copy;
 
+		if (x->since_ms + bound(a) > now) {
+			defer(s, x, now);
+			continue;
+		}
 		if (x->again == AGAIN_MAX) {
 			drop(s, x);
 			continue;
 		}
 		x->again++;
-		x->due_ms = now + AGAIN_MS;
-		list_remove(&x->order);
-		list_append(&s->over, &x->order);
+		defer(s, x, now);
 		/* The answer may drop the entry. */
 		copy = *x;
 		ask_again(a, now, &copy);
--- a/src/group.h
+++ b/src/group.h
@@ -27,6 +27,8 @@
 #define UNSEEN_MS 2000
 /* Messages that carry a change of a member's state on. */
 #define RUMOUR_SENDS 24
+/* A member that said it is full is offered an open again after this. */
+#define FULL_MS 500
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -4,6 +4,8 @@
 
 /* Bytes a fresh arena starts with: one packet and its lists. */
 #define ARENA_BYTES 8192
+/* Greatest tag with the greatest number, or with the length of bytes. */
+#define FIELD_BYTES 16
 
 typedef struct kind_info {
 	const char *name;
@@ -28,6 +30,7 @@
 static void arena_free(void *data, void *ptr);
 static int arena_spill(wire_arena_t *arena, void *ptr);
 static void arena_reset(wire_arena_t *arena);
+static size_t bound_of(const ProtobufCMessage *msg);
 
 static int arena_spill(wire_arena_t *arena, void *ptr)
 {
@@ -108,6 +111,43 @@
 	return protobuf_c_message_pack(msg, buf);
 }
 
+/* No less than the packed size, without looking at each value. */
+static size_t bound_of(const ProtobufCMessage *msg)
+{
+	const ProtobufCMessageDescriptor *d = msg->descriptor;
+	const char *base = (const char *)msg;
+	size_t bound = 0;
+
+	if (msg->n_unknown_fields)
+		return SIZE_MAX;
+	for (unsigned i = 0; i < d->n_fields; i++) {
+		const ProtobufCFieldDescriptor *f = &d->fields[i];
+		const void *at = base + f->offset;
+
+		bound += FIELD_BYTES;
+		if (f->type == PROTOBUF_C_TYPE_MESSAGE ||
+		    f->type == PROTOBUF_C_TYPE_STRING)
+			return SIZE_MAX;
+		if (f->label == PROTOBUF_C_LABEL_REPEATED) {
+			const void *n = base + f->quantifier_offset;
+
+			if (f->type == PROTOBUF_C_TYPE_BYTES)
+				return SIZE_MAX;
+			bound += *(const size_t *)n * FIELD_BYTES;
+		} else if (f->type == PROTOBUF_C_TYPE_BYTES) {
+			bound += ((const ProtobufCBinaryData *)at)->len;
+		}
+	}
+	return bound;
+}
+
+size_t wire_pack_within(const void *msg, uint8_t *buf, size_t room)
+{
+	if (bound_of(msg) > room && wire_size(msg) > room)
+		return 0;
+	return wire_pack(msg, buf);
+}
+
 const char *wire_kind_name(msg_kind_t kind)
 {
 	if (kind <= MSG_NONE || kind >= MSG_KINDS)
--- a/test/agent_rig.c
+++ b/test/agent_rig.c
@@ -129,6 +129,8 @@
 	if (!(r->reply.flags & TCP_RST))
 		return;
 	r->resets++;
+	r->refused += !r->was_reset[r->reply.key.dport];
+	r->was_reset[r->reply.key.dport] = true;
 	snprintf(r->word, sizeof(r->word), "%.*s", (int)r->reply.payload_len,
 		 (const char *)r->reply.payload);
 }
--- a/test/test_agent_flow.c
+++ b/test/test_agent_flow.c
@@ -136,13 +136,29 @@
 		rig->agents[0].server = RIG_DENIES;
 		rig_pass(rig, 1000);
 		rig_send(rig, 0, STEP_OPEN, PORT + 2, TCP_SYN, 1, 0, NULL);
-		ck_assert_uint_eq(rig->resets, 3);
+		ck_assert_uint_eq(rig->refused, 2);
 		ck_assert_str_eq(rig_state(rig, 0, PORT + 2), "opening");
 		rig_free(rig);
 	}
 }
 END_TEST
 
+/* The caller is told again, a few times, and then the flow is forgotten. */
+START_TEST(a_reset_is_repeated)
+{
+	rig = rig_new(1, 0);
+	rig_open(rig, 0, PORT, ISN);
+	agent_server_gone(rig->agents[0].agent, rig->now);
+	rig->agents[0].server = RIG_REFUSES;
+	rig_pass(rig, 8000);
+	ck_assert_uint_ge(rig->resets, 4);
+	rig_pass(rig, 60000);
+	ck_assert_uint_le(rig->resets, 5);
+	ck_assert_str_eq(rig_state(rig, 0, PORT), "none");
+	rig_free(rig);
+}
+END_TEST
+
 /* Feeds only receive: a server that vanished is noticed by a probe. */
 START_TEST(a_quiet_flow_of_a_lost_server_is_told)
 {
@@ -161,7 +177,7 @@
 		ck_assert_uint_eq(rig->resets, 0);
 		rig->agents[0].server = lost[i];
 		rig_pass(rig, bound[i]);
-		ck_assert_uint_eq(rig->resets, 50);
+		ck_assert_uint_eq(rig->refused, 50);
 		ck_assert_str_eq(rig->word, UNKNOWN);
 		ck_assert_uint_eq(rig->reply.seq, 5001);
 		rig_free(rig);
@@ -316,6 +332,7 @@
 	tcase_add_test(tc, one_flow_of_two_half_open_ones);
 	tcase_add_test(tc, a_port_used_again_finds_its_own_flow);
 	tcase_add_test(tc, a_lost_server_is_told_at_each_step);
+	tcase_add_test(tc, a_reset_is_repeated);
 	tcase_add_test(tc, a_quiet_flow_of_a_lost_server_is_told);
 	tcase_add_test(tc, a_server_that_stops_for_a_while_keeps_its_flows);
 	tcase_add_test(tc, probes_are_not_seen_by_the_caller);
