--- a/src/balancer.c
+++ b/src/balancer.c
@@ -39,6 +39,7 @@
 static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
 static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
 			endpoint_t *agent);
+static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load);
 static void take_digest(balancer_t *b, uint64_t now,
 			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
@@ -245,7 +246,7 @@
 	config_classify(b->config, p->key.dst, p->key.dport, p->key.proto,
 			&cls);
 	m = group_member(g, ids[0]);
-	member_placed(m, cls ? cls->weight : 1);
+	member_placed(m, now, cls ? cls->weight : 1);
 	pending_opens_defer(b->pending, open, now + OPEN_TIMEOUT_MS);
 	b->ops.send(b->ctx, &m->agent, MSG_PACKET, &msg);
 	return 0;
@@ -424,7 +425,18 @@
 		pending_opens_remove(b->pending, open);
 }
 
-/* An agent's word on members of its group that are dead. */
+/* A suspect gets no opens but keeps its flows; a dead member gets neither. */
+static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load)
+{
+	if (load->incarnation < m->incarnation)
+		return;
+	if (load->state == MEMBER_SUSPECT)
+		m->no_opens_until = now + AVOID_MS;
+	else if (load->state == MEMBER_DEAD)
+		m->avoid_until = now + RUMOUR_MS;
+}
+
+/* An agent's word on members of its group that it doubts. */
 static void take_digest(balancer_t *b, uint64_t now, const digest_msg_t *digest)
 {
 	group_t *g = (group_t *)balancer_group(b, digest->service);
@@ -437,9 +449,8 @@
 		const load_msg_t *load = digest->rumours[i];
 		member_t *m = group_member(g, load->target);
 
-		if (m && load->state == MEMBER_DEAD &&
-		    load->incarnation >= m->incarnation)
-			m->avoid_until = now + RUMOUR_MS;
+		if (m)
+			take_doubt(m, now, load);
 	}
 }
 
--- a/src/group.h
+++ b/src/group.h
@@ -24,7 +24,11 @@
 
 /* Flows are ranked on this clock: a load older than this says nothing. */
 #define LOAD_FRESH_MS 5000
-/* A full member that gets no opens says nothing: it is asked again then. */
+/* Opens placed longer ago than this are no longer counted as unseen. */
+#define UNSEEN_MS 2000
+/* Messages that carry a change of a member's state on. */
+#define RUMOUR_SENDS 24
+/* A member that said it is full is offered an open again after this. */
 #define FULL_MS 500
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
@@ -47,20 +51,26 @@
 	bool configured;      /* in the configuration in force */
 	bool draining;	      /* by configuration */
 	member_state_t state;
-	uint64_t incarnation; /* greatest seen */
-	uint64_t heard_ms;    /* last load or answer, 0 for never */
-	uint64_t avoid_until; /* no opens before, after unanswered ones */
-	uint32_t unanswered;  /* opens in a row without an answer */
-	bool full;	      /* said that it takes no opens */
-	double capacity;      /* learned, in class weights; 0 unknown */
-	double speed;	      /* learned, weight a slot and second; 0 unknown */
+	uint64_t incarnation;	 /* greatest seen */
+	uint64_t heard_ms;	 /* last load or answer, 0 for never */
+	uint64_t avoid_until;	 /* nothing before, after unanswered opens */
+	uint64_t no_opens_until; /* suspected by other members */
+	uint32_t unanswered;	 /* opens in a row without an answer */
+	bool full;		 /* said that it takes no opens */
+	double capacity;	 /* learned, in class weights; 0 unknown */
+	double speed; /* learned, weight a slot and second; 0 unknown */
 	capacity_time_t times[CAPACITY_CLASSES]; /* told in digests */
 	uint32_t sample_age_ms;			 /* when they were told */
 	double work;				 /* weighted work held */
-	double placed; /* weighted opens that we placed, ever */
-	double unseen; /* those placed since the load was heard */
+	double placed;	    /* weighted opens that we placed, ever */
+	double unseen;	    /* those placed since the load was heard */
+	uint64_t placed_ms; /* when the last of them was */
 	uint32_t in_flight;
 	uint32_t held;
+	uint64_t load_ms;      /* when a load was told last */
+	uint64_t sequence;     /* of the load known, 0 for none */
+	uint64_t suspect_ms;   /* since when suspected */
+	unsigned rumour_sends; /* messages that still carry its state */
 } member_t;
 
 typedef struct group {
@@ -94,6 +104,31 @@
 /* Sets the capacity that a member has learned, 0 when it has none. */
 void group_learned(group_t *group, member_t *m, double capacity);
 
+/*
+ * Takes what another member told of a third one. A state counts when its
+ * incarnation is higher, or when it is worse at the same one and the member
+ * was not heard in the last `lately` milliseconds. Returns true when the
+ * state changed; the change is passed on.
+ */
+bool group_rumour(group_t *group, uint64_t now, const load_msg_t *load,
+		  uint64_t lately);
+
+/* A member answered a probe. */
+void group_heard(group_t *group, uint64_t now, member_t *m,
+		 uint64_t incarnation);
+
+/* A member did not answer. */
+void group_suspect(group_t *group, uint64_t now, member_t *m);
+
+/* We were paused: suspicions begin anew. */
+void group_forgive(group_t *group, uint64_t now);
+
+/* True when a member's agent listens there. */
+bool group_has_agent(const group_t *group, const endpoint_t *agent);
+
+/* Writes what is known of a member's load. */
+void member_load(const member_t *m, load_msg_t *load);
+
 /* Forgets members that left the configuration and fell silent. */
 void group_expire(group_t *group, uint64_t now);
 
@@ -103,6 +138,9 @@
 /* True when opens may be offered to the member. */
 bool member_takes_opens(const member_t *m, uint64_t now);
 
+/* True when the member is suspected or dead. */
+bool member_doubted(const member_t *m);
+
 /* True when the member is believed to answer. */
 bool member_reachable(const member_t *m);
 
@@ -110,7 +148,7 @@
 double member_rank_weight(const group_t *group, const member_t *m);
 
 /* Notes that an open of this weight was placed with the member. */
-void member_placed(member_t *m, double weight);
+void member_placed(member_t *m, uint64_t now, double weight);
 
 /*
  * Compares the members' service times. Returns the speed of a member that
@@ -122,7 +160,8 @@
 bool group_samples_newer(const group_t *group, uint32_t age_ms);
 
 /* Work held, and placed since it was told, over capacity. */
-double member_utilisation(const group_t *group, const member_t *m);
+double member_utilisation(const group_t *group, const member_t *m,
+			  uint64_t now);
 
 /* Mean utilisation of the members that take opens, weighted by capacity. */
 double group_utilisation(const group_t *group, uint64_t now);
