--- a/bench/bench_decision.c
+++ b/bench/bench_decision.c
@@ -29,7 +29,6 @@
 static uint8_t packets[FLOWS][2048];
 static size_t lens[FLOWS];
 static held_msg_t answers[FLOWS];
-static load_msg_t loads[FLOWS];
 static unsigned sent;
 static balancer_t *balancer;
 static uint64_t now = 1000;
@@ -99,10 +98,6 @@
 		const target_t *t = &s->targets[i % s->ntargets];
 
 		lens[i] = packet_build(&p, packets[i]);
-		ct__load__init(&loads[i]);
-		loads[i].target = t->id;
-		loads[i].incarnation = 1;
-		loads[i].capacity = 5000;
 		ct__held__init(&answers[i]);
 		answers[i].service = s->id;
 		answers[i].src_ip = p.key.src;
@@ -110,7 +105,7 @@
 		answers[i].src_port = p.key.sport;
 		answers[i].dst_port = p.key.dport;
 		answers[i].protocol = PROTO_TCP;
-		answers[i].load = &loads[i];
+		answers[i].target = t->id;
 		answers[i].agent_ip = t->agent.ip;
 		answers[i].agent_port = t->agent.port;
 	}
@@ -119,13 +114,18 @@
 static void hand_in(bool answer)
 {
 	endpoint_t from = { 0x7f000001, 7400 };
+	load_msg_t load = CT__LOAD__INIT;
 
+	load.incarnation = 1;
+	load.capacity = 5000;
 	now++;
 	for (unsigned i = 0; i < FLOWS; i++) {
 		balancer_packet(balancer, now, packets[i], lens[i]);
-		if (answer)
-			balancer_message(balancer, now, &from, MSG_HELD,
-					 &answers[i]);
+		if (!answer)
+			continue;
+		load.target = answers[i].target;
+		answers[i].load = &load;
+		balancer_message(balancer, now, &from, MSG_HELD, &answers[i]);
 	}
 }
 
