--- a/src/agent_rumour.c
+++ b/src/agent_rumour.c
@@ -6,7 +6,7 @@
 #define TELL_MS	   3000
 /* One that was silent for longer is not told. */
 #define REMEMBERED_MS 600000
-/* Dead members named in one message. */
+/* Suspected and dead members named in one message. */
 #define RUMOURS 8
 
 typedef struct told {
@@ -37,12 +37,12 @@
 		const member_t *m = &a->group.members[i];
 		load_msg_t *load = &r->dead[r->ndead];
 
-		if (m->state != MEMBER_DEAD)
+		if (!member_doubted(m))
 			continue;
 		ct__load__init(load);
 		load->target = m->id;
 		load->incarnation = m->incarnation;
-		load->state = MEMBER_DEAD;
+		load->state = m->state;
 		r->ndead++;
 	}
 	if (r->ndead == 0)
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -21,6 +21,7 @@
 static const service_t *service_of(const balancer_t *b, const group_t *g);
 static void packet_message(balancer_t *b, packet_msg_t *msg, uint64_t service,
 			   packet_step_t step, const packet_t *p);
+static bool any_full(const group_t *g, uint64_t now);
 static size_t candidates(const balancer_t *b, group_t *g, uint64_t now,
 			 const pending_open_t *open, const member_t *first,
 			 uint32_t *ids);
@@ -38,6 +39,7 @@
 static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
 static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
 			endpoint_t *agent);
+static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load);
 static void take_digest(balancer_t *b, uint64_t now,
 			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
@@ -157,6 +159,14 @@
 	msg->inner.len = p->len;
 }
 
+static bool any_full(const group_t *g, uint64_t now)
+{
+	for (size_t i = 0; i < g->n; i++)
+		if (member_full(&g->members[i], now))
+			return true;
+	return false;
+}
+
 /*
  * Members to offer an open to: the one given, then those that the open was not
  * offered to yet, best first. When all seem silent, the fault is likely ours,
@@ -171,7 +181,7 @@
 	size_t n = b->policy->candidates(g, now, open->hash, order, want);
 	size_t kept = 0;
 
-	if (n == 0)
+	if (n == 0 && !any_full(g, now))
 		n = b->policy->candidates(g, AVOIDED_TOO, open->hash, order,
 					  want);
 	if (first)
@@ -236,7 +246,7 @@
 	config_classify(b->config, p->key.dst, p->key.dport, p->key.proto,
 			&cls);
 	m = group_member(g, ids[0]);
-	member_placed(m, cls ? cls->weight : 1);
+	member_placed(m, now, cls ? cls->weight : 1);
 	pending_opens_defer(b->pending, open, now + OPEN_TIMEOUT_MS);
 	b->ops.send(b->ctx, &m->agent, MSG_PACKET, &msg);
 	return 0;
@@ -415,7 +425,18 @@
 		pending_opens_remove(b->pending, open);
 }
 
-/* An agent's word on members of its group that are dead. */
+/* A suspect gets no opens but keeps its flows; a dead member gets neither. */
+static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load)
+{
+	if (load->incarnation < m->incarnation)
+		return;
+	if (load->state == MEMBER_SUSPECT)
+		m->no_opens_until = now + AVOID_MS;
+	else if (load->state == MEMBER_DEAD)
+		m->avoid_until = now + RUMOUR_MS;
+}
+
+/* An agent's word on members of its group that it doubts. */
 static void take_digest(balancer_t *b, uint64_t now, const digest_msg_t *digest)
 {
 	group_t *g = (group_t *)balancer_group(b, digest->service);
@@ -428,9 +449,8 @@
 		const load_msg_t *load = digest->rumours[i];
 		member_t *m = group_member(g, load->target);
 
-		if (m && load->state == MEMBER_DEAD &&
-		    load->incarnation >= m->incarnation)
-			m->avoid_until = now + RUMOUR_MS;
+		if (m)
+			take_doubt(m, now, load);
 	}
 }
 
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -88,6 +88,10 @@
    */
   size_t n_class_samples;
   uint32_t *class_samples;
+  /*
+   * rises with each load of a member
+   */
+  uint64_t sequence;
   /*
    * since the last one
    */
@@ -95,7 +99,7 @@
 };
 #define CT__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -264,10 +268,15 @@
    * please probe the target for the origin
    */
   protobuf_c_boolean relay;
+  /*
+   * target, incarnation and state only
+   */
+  size_t n_rumours;
+  Ct__Load **rumours;
 };
 #define CT__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__probe__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/src/group.c
+++ b/src/group.c
@@ -1,19 +1,39 @@
 #include "group.h"
-#include "rank.h"
 #include <stdlib.h>
 #include <string.h>
 
 #define THOUSAND 1000.0
 
+/* What decides whether a member is ranked. */
+typedef struct rank_for {
+	const group_t *group;
+	uint64_t now;
+} rank_for_t;
+
 static member_t *member_add(group_t *group, uint32_t id);
+static void group_changed(group_t *group);
+static int refresh(group_t *group);
+static int takes_opens(const void *ctx, uint32_t position);
+static int any_member(const void *ctx, uint32_t position);
 static void take_times(member_t *m, const load_msg_t *load);
+static void take_values(group_t *group, member_t *m, uint64_t now,
+			const load_msg_t *load);
+static member_state_t state_told(const load_msg_t *load);
+static void raise_incarnation(member_t *m, uint64_t incarnation);
+static bool doubtful(member_state_t state);
+static bool same_life_changes(const member_t *m, uint64_t now,
+			      member_state_t state, uint64_t sequence,
+			      uint64_t lately);
 static bool has_times(const member_t *m);
 static double mean_learned_per_weight(const group_t *group);
+static double work_of(const member_t *m, uint64_t now);
+static bool load_known(const member_t *m, uint64_t now);
 static double weight_at(const member_t *m, double per_weight);
 
 void group_clear(group_t *group)
 {
 	free(group->members);
+	free(group->ranked);
 	memset(group, 0, sizeof(*group));
 }
 
@@ -26,6 +46,7 @@
 	if (!grown)
 		return NULL;
 	group->members = grown;
+	group_changed(group);
 	m = &grown[group->n++];
 	memset(m, 0, sizeof(*m));
 	m->id = id;
@@ -51,6 +72,7 @@
 int group_configure(group_t *group, const service_t *service, uint64_t now)
 {
 	group->service = service->id;
+	group_changed(group);
 	for (size_t i = 0; i < group->n; i++) {
 		if (group->members[i].configured)
 			group->members[i].heard_ms = now;
@@ -91,10 +113,75 @@
 	m->sample_age_ms = load->sample_age_ms;
 }
 
+static void group_changed(group_t *group)
+{
+	group->ranked_valid = false;
+}
+
+/* A learned weight that changes concerns its member alone. */
+void group_learned(group_t *group, member_t *m, double capacity)
+{
+	bool alone = m->capacity > 0 && capacity > 0 && !group->unlearned;
+
+	m->capacity = capacity;
+	if (group->ranked_valid && alone)
+		group->ranked[m - group->members].weight = capacity;
+	else
+		group_changed(group);
+}
+
+/* The numbers of a load; older ones than those known are left. */
+static void take_values(group_t *group, member_t *m, uint64_t now,
+			const load_msg_t *load)
+{
+	if (load->sequence < m->sequence)
+		return;
+	m->sequence = load->sequence;
+	m->load_ms = now;
+	m->full = load->full;
+	group_learned(group, m, load->capacity / THOUSAND);
+	m->speed = load->speed / THOUSAND;
+	m->work = load->work;
+	m->unseen = 0;
+	m->in_flight = load->in_flight;
+	m->held = load->held;
+	take_times(m, load);
+}
+
+void member_load(const member_t *m, load_msg_t *load)
+{
+	ct__load__init(load);
+	load->target = m->id;
+	load->incarnation = m->incarnation;
+	load->state = m->state;
+	load->sequence = m->sequence;
+	load->full = m->full;
+	load->capacity = (uint32_t)(m->capacity * THOUSAND);
+	load->speed = (uint32_t)(m->speed * THOUSAND);
+	load->work = (uint32_t)m->work;
+	load->in_flight = m->in_flight;
+	load->held = m->held;
+}
+
+static member_state_t state_told(const load_msg_t *load)
+{
+	return load->state < MEMBER_STATES ? (member_state_t)load->state
+					   : MEMBER_ALIVE;
+}
+
+/* A new life of a member begins with unknown numbers. */
+static void raise_incarnation(member_t *m, uint64_t incarnation)
+{
+	if (incarnation > m->incarnation)
+		m->sequence = 0;
+	m->incarnation = incarnation;
+}
+
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent)
 {
 	member_t *m = group_member(group, load->target);
+	member_state_t state = state_told(load);
 
 	if (!m && agent) {
 		m = member_add(group, load->target);
@@ -103,23 +190,105 @@
 	}
 	if (!m || load->incarnation < m->incarnation)
 		return NULL;
-	m->incarnation = load->incarnation;
-	m->state = load->state < MEMBER_STATES ? (member_state_t)load->state
-					       : MEMBER_ALIVE;
+	if ((m->incarnation && m->incarnation != load->incarnation) ||
+	    (m->state != state && state != MEMBER_ALIVE))
+		m->rumour_sends = RUMOUR_SENDS;
+	raise_incarnation(m, load->incarnation);
+	m->state = state;
 	m->heard_ms = now;
 	m->avoid_until = 0;
+	m->no_opens_until = 0;
 	m->unanswered = 0;
-	m->full = load->full;
-	m->capacity = load->capacity / THOUSAND;
-	m->speed = load->speed / THOUSAND;
-	m->work = load->work;
-	take_times(m, load);
-	m->unseen = 0;
-	m->in_flight = load->in_flight;
-	m->held = load->held;
+	take_values(group, m, now, load);
 	return m;
 }
 
+bool member_doubted(const member_t *m)
+{
+	return doubtful(m->state);
+}
+
+static bool doubtful(member_state_t state)
+{
+	return state == MEMBER_SUSPECT || state == MEMBER_DEAD;
+}
+
+/* What a rumour of the same incarnation changes. */
+static bool same_life_changes(const member_t *m, uint64_t now,
+			      member_state_t state, uint64_t sequence,
+			      uint64_t lately)
+{
+	if (!doubtful(state))
+		return !doubtful(m->state) && m->state != state &&
+		       sequence > m->sequence;
+	if (m->heard_ms && m->heard_ms + lately > now)
+		return false;
+	if (m->state == MEMBER_SUSPECT)
+		return state == MEMBER_DEAD;
+	return m->state != MEMBER_DEAD && m->state != MEMBER_LEFT;
+}
+
+bool group_rumour(group_t *group, uint64_t now, const load_msg_t *load,
+		  uint64_t lately)
+{
+	member_t *m = group_member(group, load->target);
+	member_state_t state = state_told(load);
+	bool changes, known;
+
+	if (!m || load->incarnation < m->incarnation)
+		return false;
+	known = m->incarnation || doubtful(state);
+	changes = load->incarnation > m->incarnation ||
+		  same_life_changes(m, now, state, load->sequence, lately);
+	raise_incarnation(m, load->incarnation);
+	if (load->sequence)
+		take_values(group, m, now, load);
+	if (!changes)
+		return false;
+	if (doubtful(state) && !doubtful(m->state))
+		m->suspect_ms = now;
+	m->state = state;
+	/* The first word of a member is no news. */
+	if (known)
+		m->rumour_sends = RUMOUR_SENDS;
+	return true;
+}
+
+void group_heard(group_t *group, uint64_t now, member_t *m,
+		 uint64_t incarnation)
+{
+	(void)group;
+	if (incarnation < m->incarnation)
+		return;
+	raise_incarnation(m, incarnation);
+	m->heard_ms = now;
+	if (doubtful(m->state))
+		m->state = MEMBER_ALIVE;
+}
+
+void group_suspect(group_t *group, uint64_t now, member_t *m)
+{
+	(void)group;
+	m->state = MEMBER_SUSPECT;
+	m->suspect_ms = now;
+	m->rumour_sends = RUMOUR_SENDS;
+}
+
+void group_forgive(group_t *group, uint64_t now)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (group->members[i].state == MEMBER_SUSPECT)
+			group->members[i].suspect_ms = now;
+}
+
+bool group_has_agent(const group_t *group, const endpoint_t *agent)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (endpoint_equal(&group->members[i].agent, agent))
+			return true;
+	return false;
+}
+
 void group_expire(group_t *group, uint64_t now)
 {
 	for (size_t i = 0; i < group->n;) {
@@ -131,6 +300,7 @@
 			continue;
 		}
 		*m = group->members[--group->n];
+		group_changed(group);
 	}
 }
 
@@ -141,13 +311,16 @@
 
 bool member_takes_opens(const member_t *m, uint64_t now)
 {
-	if (!m->configured || m->draining)
-		return false;
-	if (m->full && m->heard_ms + FULL_MS > now)
+	if (!m->configured || m->draining || member_full(m, now))
 		return false;
 	if (m->state != MEMBER_ALIVE)
 		return false;
-	return m->avoid_until <= now;
+	return m->avoid_until <= now && m->no_opens_until <= now;
+}
+
+bool member_full(const member_t *m, uint64_t now)
+{
+	return m->full && m->heard_ms + FULL_MS > now;
 }
 
 /* Learned capacity a declared weight, over the members that have learned. */
@@ -227,18 +400,38 @@
 
 double member_rank_weight(const group_t *group, const member_t *m)
 {
+	if (m->capacity > 0)
+		return m->capacity;
 	return weight_at(m, mean_learned_per_weight(group));
 }
 
-double member_utilisation(const group_t *group, const member_t *m)
+/* Work held and not yet told; of an old load only what was placed since. */
+static double work_of(const member_t *m, uint64_t now)
+{
+	double unseen = m->placed_ms + UNSEEN_MS > now ? m->unseen : 0;
+
+	return load_known(m, now) ? m->work + unseen : unseen;
+}
+
+static bool load_known(const member_t *m, uint64_t now)
+{
+	return m->load_ms && m->load_ms + LOAD_FRESH_MS > now;
+}
+
+double member_utilisation(const group_t *group, const member_t *m, uint64_t now)
 {
 	double capacity = member_rank_weight(group, m);
+	double own = capacity > 0 ? work_of(m, now) / capacity : 0;
 
-	return capacity > 0 ? (m->work + m->unseen) / capacity : 0;
+	/* Without a load of its own it is taken to be like the others. */
+	return load_known(m, now) ? own : own + group_utilisation(group, now);
 }
 
-void member_placed(member_t *m, double weight)
+void member_placed(member_t *m, uint64_t now, double weight)
 {
+	if (m->placed_ms + UNSEEN_MS <= now)
+		m->unseen = 0;
+	m->placed_ms = now;
 	m->placed += weight;
 	m->unseen += weight;
 }
@@ -251,9 +444,9 @@
 	for (size_t i = 0; i < group->n; i++) {
 		const member_t *m = &group->members[i];
 
-		if (!member_takes_opens(m, now))
+		if (!member_takes_opens(m, now) || !load_known(m, now))
 			continue;
-		work += m->work + m->unseen;
+		work += work_of(m, now);
 		capacity += weight_at(m, per_weight);
 	}
 	return capacity > 0 ? work / capacity : 0;
@@ -274,40 +467,54 @@
 	return slots > 0 ? waiting / slots : 0;
 }
 
-size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
-		  uint32_t *order, size_t want)
+/* Makes the list to rank anew when something in it has changed. */
+static int refresh(group_t *group)
 {
-	rank_member_t stack[64];
-	rank_member_t *list = stack;
-	uint32_t positions_stack[64];
-	uint32_t *positions = positions_stack;
-	double per_weight = mean_learned_per_weight(group);
-	size_t n = 0;
+	rank_member_t *grown;
+	double per_weight;
 
-	if (group->n > 64) {
-		list = malloc(group->n * sizeof(*list));
-		positions = malloc(group->n * sizeof(*positions));
-		if (!list || !positions)
-			goto out;
-	}
+	if (group->ranked_valid)
+		return 0;
+	grown = realloc(group->ranked, group->n * sizeof(*grown));
+	if (!grown)
+		return -1;
+	group->ranked = grown;
+	per_weight = mean_learned_per_weight(group);
+	group->unlearned = false;
 	for (size_t i = 0; i < group->n; i++) {
 		const member_t *m = &group->members[i];
 
-		if (opens && !member_takes_opens(m, now))
-			continue;
-		list[n].id = m->id;
-		list[n].weight = weight_at(m, per_weight);
-		positions[n++] = (uint32_t)i;
+		grown[i].id = m->id;
+		grown[i].weight = weight_at(m, per_weight);
+		group->unlearned |= m->capacity <= 0;
 	}
-	n = rank_best(hash, list, n, order, want);
-	for (size_t i = 0; i < n; i++)
-		order[i] = positions[order[i]];
-out:
-	if (list != stack)
-		free(list);
-	if (positions != positions_stack)
-		free(positions);
-	return n;
+	group->ranked_valid = true;
+	return 0;
+}
+
+static int takes_opens(const void *ctx, uint32_t position)
+{
+	const rank_for_t *r = ctx;
+
+	return member_takes_opens(&r->group->members[position], r->now);
+}
+
+static int any_member(const void *ctx, uint32_t position)
+{
+	(void)ctx;
+	(void)position;
+	return 1;
+}
+
+size_t group_rank(group_t *group, uint64_t now, uint64_t hash, bool opens,
+		  uint32_t *order, size_t want)
+{
+	rank_for_t r = { group, now };
+
+	if (!group->n || refresh(group) < 0)
+		return 0;
+	return rank_best_of(hash, group->ranked, group->n, order, want,
+			    opens ? takes_opens : any_member, &r);
 }
 
 const char *member_state_name(member_state_t state)
