Choose another victim when the first one is gone

A pair of the same loss did nothing the second time, since the holder was gone already. The second fault now hits another process.

--- a/test/matrix.c
+++ b/test/matrix.c
@@ -182,20 +182,24 @@
 	cell_request(c, APP_LOG);
 }
 
+/* The process itself when it runs, else another one of the first n. */
+static unsigned running(cell_t *c, place_kind_t kind, unsigned index,
+			unsigned n)
+{
+	for (int i = 0; i < 100 && !world_alive(c->w, kind, index); i++)
+		index = (unsigned)(cell_random(c) % n);
+	return index;
+}
+
 static unsigned choose_victim(cell_t *c, const fault_t *fault)
 {
 	const flow_seen_t *f = cell_subject(c);
-	unsigned balancer;
-
-	if (fault->agent)
-		return f->servers ? f->holder
-				  : (unsigned)(cell_random(c) % FIRST_MAPS);
-	for (int i = 0; i < 100; i++) {
-		balancer = (unsigned)(cell_random(c) % BALANCERS);
-		if (world_alive(c->w, PLACE_BALANCER, balancer))
-			return balancer;
-	}
-	return 0;
+	unsigned any = (unsigned)(cell_random(c) % FIRST_MAPS);
+
+	if (!fault->agent)
+		return running(c, PLACE_BALANCER, any % BALANCERS, BALANCERS);
+	return running(c, PLACE_AGENT, f->servers ? f->holder : any,
+		       FIRST_MAPS);
 }
 
 void cell_cause(cell_t *c, const fault_t *fault)
