Split the load tool, check its arguments, count what broke and doubled

cherviltray load ended with one usage line for any wrong argument and knew neither doubled logs nor gaps nor balance.

--- a/src/agent.h
+++ b/src/agent.h
@@ -86,6 +86,9 @@
 /* Flows of other members that it would tell the callers of. */
 size_t agent_witnessed(const agent_t *a);
 
+/* Learned capacity, in declared weight times slots; 0 unknown. */
+double agent_capacity(const agent_t *a);
+
 /* The table knows all flows of the backend server. */
 bool agent_complete(const agent_t *a);
 
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -155,8 +155,6 @@
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
 void agent_refuse(agent_t *a, const packet_t *p, refusal_t word);
-/* Learned capacity, 0 when unknown. */
-double agent_capacity(const agent_t *a);
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load);
 
 /* agent_flow.c: the life of one flow */
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -21,6 +21,9 @@
 	udp_socket_t *fabric; /* answers to the caller's side */
 } daemon_t;
 
+/* Learned capacity is told in thousandths. */
+#define CAPACITY_UNIT 1000.0
+
 static void on_answer(void *ctx, const endpoint_t *from, uint8_t *buf,
 		      size_t len);
 static void on_refused(void *ctx);
@@ -199,9 +202,11 @@
 
 	g_string_append_printf(out,
 			       ",\"target\":\"%s\",\"held\":%zu,"
-			       "\"in_flight\":%u,\"work\":%u,\"complete\":%s",
+			       "\"in_flight\":%u,\"work\":%u,"
+			       "\"capacity\":%.0f,\"complete\":%s",
 			       p->settings.target, agent_held(d->agent),
 			       agent_in_flight(d->agent), agent_work(d->agent),
+			       agent_capacity(d->agent) * CAPACITY_UNIT,
 			       agent_complete(d->agent) ? "true" : "false");
 }
 
--- a/src/app_model.h
+++ b/src/app_model.h
@@ -11,8 +11,9 @@
  *	GET id bytes weight
  *
  * The answer to FEED and GET is a pattern of bytes that depends on the id
- * only. The answer to LOG is "OK id\n", after the log was recorded, or
- * "BUSY id\n" when it was not.
+ * only. The answer to LOG is "OK id\n", after the log was recorded, "AGAIN
+ * id\n" when this server had recorded that id before, or "BUSY id\n" when it
+ * was not recorded.
  */
 
 #include <stddef.h>
--- a/src/caller.c
+++ b/src/caller.c
@@ -136,6 +136,13 @@
 		end_with(r, OUTCOME_DONE);
 		return;
 	}
+	snprintf(want, sizeof(want), "AGAIN %llu\n",
+		 (unsigned long long)r->app.id);
+	if (!strcmp(r->line, want)) {
+		r->again = true;
+		end_with(r, OUTCOME_DONE);
+		return;
+	}
 	snprintf(want, sizeof(want), "BUSY %llu\n",
 		 (unsigned long long)r->app.id);
 	end_with(r, strcmp(r->line, want) ? OUTCOME_CORRUPT : OUTCOME_SHED);
--- a/src/caller.h
+++ b/src/caller.h
@@ -40,7 +40,8 @@
 	uint64_t got;	       /* bytes of the answer */
 	uint64_t greatest_gap; /* ms between two parts of the answer */
 	uint64_t last_part_ms;
-	bool done; /* outcome is final */
+	bool done;  /* outcome is final */
+	bool again; /* the server had recorded this log before */
 	outcome_t outcome;
 	unsigned retry_after_s; /* with a refusal */
 	mini_conn_t *conn;
--- /dev/null
+++ b/src/cli_load_job.c
@@ -0,0 +1,175 @@
+#include "cli_load.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define FEED_CHUNK   200 /* bytes */
+#define LOG_BYTES    3000
+#define GET_BYTES    100000
+#define BYTES_MAX    (64 * 1024 * 1024)
+#define RATE_MAX     10000.0
+#define OPENS_A_TICK 64
+#define FIELDS_MIN   4
+#define FIELDS_MAX   5
+
+/* A kind of job by its name on the command line. */
+typedef struct kind_name {
+	const char *name;
+	app_kind_t kind;
+	uint64_t bytes; /* unless given */
+} kind_name_t;
+
+static const kind_name_t kind_names[] = {
+	{ "feed", APP_FEED, FEED_CHUNK },   { "log", APP_LOG, LOG_BYTES },
+	{ "check-in", APP_LOG, LOG_BYTES }, { "get", APP_GET, GET_BYTES },
+	{ "download", APP_GET, GET_BYTES },
+};
+
+static int bad(err_t *err, const char *remedy, const char *what,
+	       const char *text);
+static int parse_kind(load_job_t *j, const char *text, err_t *err);
+static int parse_class(const load_t *l, load_job_t *j, const char *service,
+		       const char *cls, err_t *err);
+static int parse_numbers(load_job_t *j, const char *rate, const char *bytes,
+			 err_t *err);
+static void open_one(load_t *l, load_job_t *j, uint64_t now);
+
+static int bad(err_t *err, const char *remedy, const char *what,
+	       const char *text)
+{
+	return err_set(err, ERR_USAGE, NULL, 0, remedy, "%s \"%s\"", what,
+		       text);
+}
+
+static int parse_kind(load_job_t *j, const char *text, err_t *err)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(kind_names); i++) {
+		if (strcmp(kind_names[i].name, text) != 0)
+			continue;
+		j->kind = kind_names[i].kind;
+		j->bytes = kind_names[i].bytes;
+		g_strlcpy(j->name, text, sizeof(j->name));
+		return 0;
+	}
+	return bad(err, "use feed, log, check-in, get or download",
+		   "unknown kind of job", text);
+}
+
+static int parse_class(const load_t *l, load_job_t *j, const char *service,
+		       const char *cls, err_t *err)
+{
+	const service_t *s = config_service_by_name(l->config, service);
+
+	if (!s)
+		return bad(err, "name a service of the --config document",
+			   "unknown service", service);
+	for (size_t i = 0; i < s->nclasses; i++) {
+		if (strcmp(s->classes[i].name, cls) != 0)
+			continue;
+		if (s->classes[i].proto != PROTO_TCP)
+			return bad(err, "choose a class over TCP",
+				   "load speaks no UDP: class", cls);
+		g_strlcpy(j->service, service, sizeof(j->service));
+		j->address = s->address;
+		j->port = s->classes[i].port;
+		j->weight = s->classes[i].weight;
+		return 0;
+	}
+	return bad(err, "name a class of the service", "unknown class", cls);
+}
+
+static int parse_numbers(load_job_t *j, const char *rate, const char *bytes,
+			 err_t *err)
+{
+	char *end;
+
+	j->rate = g_ascii_strtod(rate, &end);
+	if (end == rate || *end || !(j->rate > 0 && j->rate <= RATE_MAX))
+		return bad(err, "give opens a second, above 0 and up to 10000",
+			   "bad rate", rate);
+	if (!bytes)
+		return 0;
+	j->bytes = g_ascii_strtoull(bytes, &end, 10);
+	if (end == bytes || *end || *bytes == '-' || !j->bytes ||
+	    j->bytes > BYTES_MAX)
+		return bad(err, "give bytes from 1 to 67108864", "bad size",
+			   bytes);
+	return 0;
+}
+
+int load_job_parse(load_t *l, const char *text, err_t *err)
+{
+	char **f = g_strsplit(text, ",", -1);
+	guint n = g_strv_length(f);
+	load_job_t *j = &l->jobs[l->njobs];
+	int ret = -1;
+
+	if (l->njobs == LOAD_JOBS_MAX) {
+		bad(err, "give at most 16 jobs", "too many jobs at", text);
+		goto out;
+	}
+	if (n < FIELDS_MIN || n > FIELDS_MAX) {
+		bad(err, "write it as KIND,SERVICE,CLASS,RATE[,BYTES]",
+		    "bad job", text);
+		goto out;
+	}
+	if (parse_kind(j, f[0], err) < 0 ||
+	    parse_class(l, j, f[1], f[2], err) < 0 ||
+	    parse_numbers(j, f[3], f[4], err) < 0)
+		goto out;
+	j->latency = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	l->njobs++;
+	ret = 0;
+out:
+	g_strfreev(f);
+	return ret;
+}
+
+static void open_one(load_t *l, load_job_t *j, uint64_t now)
+{
+	app_request_t app = { .kind = j->kind,
+			      .id = l->next_id++,
+			      .bytes = j->bytes,
+			      .weight = j->weight,
+			      .interval_ms = l->interval_ms,
+			      .chunks = l->feed_s * LOAD_SECOND /
+					l->interval_ms };
+
+	if (app.chunks == 0)
+		app.chunks = 1;
+	if (caller_begin(l->caller, now, j->address, j->port, &app, j))
+		j->opened++;
+	else
+		j->unopened++;
+}
+
+void load_jobs_open(load_t *l, uint64_t now)
+{
+	for (size_t i = 0; i < l->njobs; i++) {
+		load_job_t *j = &l->jobs[i];
+
+		j->due += j->rate * LOAD_TICK_MS / LOAD_SECOND;
+		for (int n = 0; j->due >= 1 && n < OPENS_A_TICK; n++) {
+			open_one(l, j, now);
+			j->due -= 1;
+		}
+	}
+}
+
+void load_job_ended(load_job_t *j, const caller_request_t *r)
+{
+	j->outcomes[r->outcome]++;
+	j->doubled += r->again;
+	if (r->app.kind == APP_FEED && r->greatest_gap > j->greatest_gap_ms)
+		j->greatest_gap_ms = r->greatest_gap;
+	if (r->answered_ms) {
+		uint32_t took = (uint32_t)(r->answered_ms - r->begun_ms);
+
+		g_array_append_val(j->latency, took);
+	}
+}
+
+void load_jobs_clear(load_t *l)
+{
+	for (size_t i = 0; i < l->njobs; i++)
+		g_array_free(l->jobs[i].latency, TRUE);
+}
--- a/test/app_server.c
+++ b/test/app_server.c
@@ -74,12 +74,14 @@
 	(void)conn;
 }
 
-static void record(app_server_t *s, uint64_t id)
+/* Returns true when the log was recorded before. */
+static bool record(app_server_t *s, uint64_t id)
 {
 	gpointer count = g_hash_table_lookup(s->records, GSIZE_TO_POINTER(id));
 
 	g_hash_table_insert(s->records, GSIZE_TO_POINTER(id),
 			    GSIZE_TO_POINTER(GPOINTER_TO_SIZE(count) + 1));
+	return count != NULL;
 }
 
 static void answer_log(session_t *x, const char *word)
@@ -182,8 +184,7 @@
 	s->served++;
 	switch (x->request.kind) {
 	case APP_LOG:
-		record(s, x->request.id);
-		answer_log(x, "OK");
+		answer_log(x, record(s, x->request.id) ? "AGAIN" : "OK");
 		break;
 	case APP_GET:
 		answer_bytes(x, x->request.bytes);
