--- a/src/agent_group.c
+++ b/src/agent_group.c
@@ -61,10 +61,11 @@
 		load.class_time_us = times;
 		load.class_samples = samples;
 		load.sample_age_ms = self->sample_age_ms;
-	}
-	for (size_t c = 0; c < load.n_class_time_us; c++) {
-		times[c] = (uint32_t)(self->times[c].ms * US_A_MS + 0.5);
-		samples[c] = self->times[c].samples;
+		for (size_t c = 0; c < load.n_class_time_us; c++) {
+			times[c] =
+				(uint32_t)(self->times[c].ms * US_A_MS + 0.5);
+			samples[c] = self->times[c].samples;
+		}
 	}
 	msg.service = a->service->id;
 	msg.version = a->config->version;
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -46,10 +46,18 @@
    * target id
    */
   uint32_t target;
+  /*
+   * since the last one
+   */
+  uint32_t sample_age_ms;
   /*
    * raised at each start and at each refutation
    */
   uint64_t incarnation;
+  /*
+   * rises with each load of a member
+   */
+  uint64_t sequence;
   /*
    * member_state_t
    */
@@ -88,18 +96,10 @@
    */
   size_t n_class_samples;
   uint32_t *class_samples;
-  /*
-   * rises with each load of a member
-   */
-  uint64_t sequence;
-  /*
-   * since the last one
-   */
-  uint32_t sample_age_ms;
 };
 #define CT__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
