--- a/src/group.h
+++ b/src/group.h
@@ -16,6 +16,7 @@
 #include "capacity.h"
 #include "config.h"
 #include "endpoint.h"
+#include "rank.h"
 #include "wire.h"
 #include <stdbool.h>
 #include <stddef.h>
@@ -27,7 +28,7 @@
 #define UNSEEN_MS 2000
 /* Messages that carry a change of a member's state on. */
 #define RUMOUR_SENDS 24
-/* A member that said it is full is offered an open again after this. */
+/* A full member that gets no opens says nothing: it is asked again then. */
 #define FULL_MS 500
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
@@ -76,7 +77,10 @@
 	uint64_t service; /* service id */
 	member_t *members;
 	size_t n;
-	size_t turn; /* of round robin */
+	size_t turn;	       /* of round robin */
+	rank_member_t *ranked; /* id and weight of each member, owned */
+	bool ranked_valid;
+	bool unlearned; /* a member's capacity is not known */
 } group_t;
 
 void group_clear(group_t *group);
@@ -122,9 +126,15 @@
 /* Writes what is known of a member's load. */
 void member_load(const member_t *m, load_msg_t *load);
 
+/* Sets the capacity that a member has learned, 0 when it has none. */
+void group_learned(group_t *group, member_t *m, double capacity);
+
 /* Forgets members that left the configuration and fell silent. */
 void group_expire(group_t *group, uint64_t now);
 
+/* True when the member said lately that it takes no opens. */
+bool member_full(const member_t *m, uint64_t now);
+
 /* True when opens may be offered to the member. */
 bool member_takes_opens(const member_t *m, uint64_t now);
 
@@ -163,7 +173,7 @@
  * Positions of the best members for a flow, best first. With opens, only
  * members that take opens; otherwise all, in the order to look them up.
  */
-size_t group_rank(const group_t *group, uint64_t now, uint64_t hash, bool opens,
+size_t group_rank(group_t *group, uint64_t now, uint64_t hash, bool opens,
 		  uint32_t *order, size_t want);
 
 const char *member_state_name(member_state_t state);
