--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -20,6 +20,7 @@
 #define FLOWS	     1400 /* held in the mean */
 #define LIFE_S	     60	  /* mean of a feed */
 #define FILL_S	     30	  /* the first FLOWS open in this time */
+#define FILL_SAMPLES 15	  /* seconds at the end of it */
 #define STEADY_S     150  /* the window begins */
 #define END_S	     240
 #define EVENT_S	     120 /* a host slows or is added */
