--- a/src/group.c
+++ b/src/group.c
@@ -113,23 +113,6 @@
 	m->sample_age_ms = load->sample_age_ms;
 }
 
-static void group_changed(group_t *group)
-{
-	group->ranked_valid = false;
-}
-
-/* A learned weight that changes concerns its member alone. */
-void group_learned(group_t *group, member_t *m, double capacity)
-{
-	bool alone = m->capacity > 0 && capacity > 0 && !group->unlearned;
-
-	m->capacity = capacity;
-	if (group->ranked_valid && alone)
-		group->ranked[m - group->members].weight = capacity;
-	else
-		group_changed(group);
-}
-
 /* The numbers of a load; older ones than those known are left. */
 static void take_values(group_t *group, member_t *m, uint64_t now,
 			const load_msg_t *load)
@@ -177,6 +160,23 @@
 	m->incarnation = incarnation;
 }
 
+static void group_changed(group_t *group)
+{
+	group->ranked_valid = false;
+}
+
+/* A learned weight that changes concerns its member alone. */
+void group_learned(group_t *group, member_t *m, double capacity)
+{
+	bool alone = m->capacity > 0 && capacity > 0 && !group->unlearned;
+
+	m->capacity = capacity;
+	if (group->ranked_valid && alone)
+		group->ranked[m - group->members].weight = capacity;
+	else
+		group_changed(group);
+}
+
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent)
 {
