--- a/src/agent.c
+++ b/src/agent.c
@@ -27,6 +27,7 @@
 	a->ctx = ctx;
 	a->incarnation = options->incarnation;
 	a->random = options->random_seed;
+	list_init(&a->slot_waits);
 	a->flows = flow_table_new(options->flows);
 	a->hint_credit = HINT_BURST;
 	a->silences = silences_new();
@@ -263,7 +264,7 @@
 	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
 		if (in->step == STEP_OPEN)
 			agent_tell(a, in, false, false);
-		else if (in->nasked && hint_allowed(a, now))
+		else if (in->only_you || (in->nasked && hint_allowed(a, now)))
 			agent_tell(a, in, false, false);
 		flow_deliver(a, now, f, &in->packet);
 		return;
@@ -296,6 +297,7 @@
 		.silence_over = msg->silence_over,
 		.untried = msg->untried,
 		.ask_servers = msg->ask_servers,
+		.only_you = msg->only_you,
 	};
 	if (in->nknown > msg->n_known_agents)
 		in->nknown = msg->n_known_agents;
@@ -332,6 +334,7 @@
 	msg->silence_over = in->silence_over;
 	msg->untried = in->untried;
 	msg->ask_servers = in->ask_servers;
+	msg->only_you = in->only_you;
 	msg->inner.data = (uint8_t *)in->packet.data;
 	msg->inner.len = in->packet.len;
 }
@@ -374,8 +377,15 @@
 		take_packet(a, now, from, msg);
 		return;
 	case MSG_DIGEST:
+		if (!((const digest_msg_t *)msg)->load) {
+			rumours_asked(a, now, msg);
+			return;
+		}
 		membership_digest(a, now, from, msg);
 		return;
+	case MSG_HELD:
+		silence_ended(a, now, msg);
+		return;
 	case MSG_WITNESS:
 		witness_take(a, now, msg);
 		return;
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -43,8 +43,9 @@
 #define OFFERS_MAX 3
 /* Members that one lookup may name. */
 #define NAMED_MAX 1024
-/* Nothing is said for this long while a member could not be asked. */
-#define SILENCE_MS 5000
+/* Nothing is said for this long, and half a second, while a member could not
+ * be asked. */
+#define SILENCE_MS 4500
 /* The same when several members are silent at once. */
 #define PARTITION_MS 30000
 /* After a start the backend server is asked for each unknown flow so long. */
@@ -88,6 +89,10 @@
 	uint64_t incarnation;
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
+	uint64_t learn_ms;  /* when to compare service times again */
+	uint64_t told_ms;   /* when the last one was sent */
+	double told_work;   /* what it said */
+	bool told_full;
 	uint64_t last_tick_ms;
 	uint64_t random; /* state of the random numbers */
 	flow_table_t *flows;
@@ -96,6 +101,8 @@
 	uint32_t held;	    /* flows held, without those that are over */
 	uint32_t work;	    /* weighted, of these */
 	uint32_t in_flight; /* requests without an answer */
+	uint32_t in_slots;  /* of them believed to be served */
+	list_t slot_waits;  /* flows whose request waits for a slot */
 	counters_t counters;
 	silences_t *silences; /* lookups that could not be finished */
 	witness_t *witness;   /* what is told to peers and known of theirs */
@@ -125,6 +132,7 @@
 	bool silence_over; /* members that can't be asked count as asked */
 	bool untried;	   /* a hop did not ask its backend server */
 	bool ask_servers;  /* each hop has to */
+	bool only_you;	   /* not to be passed on */
 } arrival_t;
 
 /* agent.c */
@@ -195,6 +203,8 @@
 /* agent_rumour.c: balancers that send to us hear of dead members */
 rumours_t *rumours_new(void);
 void rumours_tick(agent_t *a, uint64_t now);
+/* A balancer asks how the service is. */
+void rumours_asked(agent_t *a, uint64_t now, const digest_msg_t *msg);
 void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
 /* agent_admit.c */
@@ -215,12 +225,16 @@
  */
 int silence_note(agent_t *a, uint64_t now, const arrival_t *in);
 void silence_forget(agent_t *a, const flow_key_t *key, uint64_t hash);
+/* A member that was asked once more holds the flow. */
+void silence_ended(agent_t *a, uint64_t now, const held_msg_t *held);
 /* Asks once more for the flows whose silence is over. */
 void silences_tick(agent_t *a, uint64_t now);
 
 /* agent_trial.c: the backend server is asked for a flow */
 void trial_begin(agent_t *a, uint64_t now, const arrival_t *in);
 void trial_keep(flow_t *f, const arrival_t *in);
+/* The server speaks of the connection that the caller speaks of. */
+bool trial_matches(const flow_t *f, const packet_t *answer);
 void trial_denied(agent_t *a, uint64_t now, flow_t *f);
 void trial_held(agent_t *a, uint64_t now, flow_t *f, const packet_t *answer);
 void trial_tick(agent_t *a, uint64_t now, flow_t *f);
--- a/src/agent_lookup.c
+++ b/src/agent_lookup.c
@@ -271,6 +271,8 @@
 	endpoint_t to;
 	int tries;
 
+	if (in->only_you)
+		return;
 	if (begin(a, in, silent, &l) < 0) {
 		counter_add(&a->counters, COUNTER_DROP_HOP_LIMIT, 1);
 		return;
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -12,6 +12,8 @@
 #define RETRY_AFTER_S 2
 /* A time at which no member is avoided any more. */
 #define AVOIDED_TOO UINT64_MAX
+/* A member heard of since is not dead. */
+#define HEARD_MS 2000
 /* Best members looked at to begin a look-up. */
 #define LOOKUP_RANKS 4
 
@@ -59,6 +61,8 @@
 	b->ops = *ops;
 	b->ctx = ctx;
 	b->policy = options->policy ? options->policy : policy_default;
+	if (without(options->off, MECHANISM_HUNT))
+		b->policy = &policy_rendezvous;
 	b->retry_saved = RETRIES_AT_START * RETRY_COST;
 	b->hints = hint_cache_new(options->cache_flows);
 	b->pending = pending_opens_new(PENDING_LIMIT);
@@ -328,6 +332,7 @@
 	endpoint_t agent;
 	packet_msg_t msg;
 
+	g->sent_ms = now;
 	packet_message(b, &msg, service->id, STEP_LOOKUP, p);
 	if (hint_cache_get(b->hints, hash, &agent) &&
 	    believed_there(g, now, &agent)) {
@@ -427,9 +432,13 @@
 		const load_msg_t *load = digest->rumours[i];
 		member_t *m = group_member(g, load->target);
 
-		if (m && load->state == MEMBER_DEAD &&
-		    load->incarnation >= m->incarnation)
-			m->avoid_until = now + RUMOUR_MS;
+		if (!m || load->state != MEMBER_DEAD ||
+		    load->incarnation < m->incarnation ||
+		    (m->heard_ms && m->heard_ms + HEARD_MS > now))
+			continue;
+		/* It may be cut off from its peers only. */
+		m->avoid_until = now + RUMOUR_MS;
+		balancer_ask(b, g, m);
 	}
 }
 
@@ -504,6 +513,8 @@
 {
 	pending_open_t *open;
 
+	balancer_poll(b, now);
+
 	while ((open = pending_opens_due(b->pending, now))) {
 		const flow_key_t *k = &open->key;
 		group_t *g =
--- a/src/balancer_int.h
+++ b/src/balancer_int.h
@@ -4,7 +4,8 @@
 /*
  * balancer_int - what the files of the balancer share
  *
- * balancer.c decides, balancer_explain.c tells operators why.
+ * balancer.c decides, balancer_poll.c asks services that are silent,
+ * balancer_explain.c tells operators why.
  */
 
 #include "balancer.h"
@@ -22,7 +23,14 @@
 	hint_cache_t *hints;
 	pending_opens_t *pending;
 	uint32_t retry_saved; /* hundredths of a retry */
+	uint64_t poll_ms;     /* when silent services are looked for */
+	size_t poll_at;	      /* service looked at first */
 	counters_t counters;
 };
 
+/* balancer_poll.c: asks a member of each service that is in use and silent */
+void balancer_poll(balancer_t *b, uint64_t now);
+/* Asks one member how it is. */
+void balancer_ask(balancer_t *b, const group_t *g, const member_t *m);
+
 #endif
--- a/src/counters.h
+++ b/src/counters.h
@@ -70,6 +70,7 @@
 	X(SERVER_LOST, "server_lost")                                          \
 	X(WITNESS_FLOWS, "witness_flows")                                      \
 	X(WITNESS_PROBES, "witness_probes")                                    \
+	X(SERVICE_POLLS, "service_polls")                                      \
 	X(REQUESTS, "requests")                                                \
 	X(REQUESTS_ANSWERED, "requests_answered")                              \
 	X(SUSPICIONS, "suspicions")                                            \
