--- a/src/balancer.c
+++ b/src/balancer.c
@@ -40,7 +40,6 @@
 static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
 static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
 			endpoint_t *agent);
-static group_t *group_of(balancer_t *b, uint64_t service);
 static void take_digest(balancer_t *b, uint64_t now,
 			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
@@ -352,6 +351,15 @@
 	b->ops.send(b->ctx, &agent, MSG_PACKET, &msg);
 }
 
+void balancer_ahead(balancer_t *b, const uint8_t *buf, size_t len)
+{
+	flow_key_t key;
+
+	if (packet_peek(buf, len, &key) == 0)
+		hint_cache_ahead(b->hints,
+				 flow_key_hash(&key, b->options.rank_seed));
+}
+
 void balancer_packet(balancer_t *b, uint64_t now, const uint8_t *buf,
 		     size_t len)
 {
@@ -410,19 +418,10 @@
 		pending_opens_remove(b->pending, open);
 }
 
-/* A search: digests come seldom. */
-static group_t *group_of(balancer_t *b, uint64_t service)
-{
-	for (size_t i = 0; i < b->ngroups; i++)
-		if (b->groups[i].service == service)
-			return &b->groups[i];
-	return NULL;
-}
-
 /* An agent's word on members of its group that are dead. */
 static void take_digest(balancer_t *b, uint64_t now, const digest_msg_t *digest)
 {
-	group_t *g = group_of(b, digest->service);
+	group_t *g = (group_t *)balancer_group(b, digest->service);
 
 	if (!g)
 		return;
--- a/src/wire.h
+++ b/src/wire.h
@@ -80,9 +80,12 @@
 /* Packed size of a message in bytes. */
 size_t wire_size(const void *msg);
 
-/* Packs a message; buf has at least wire_size(msg) bytes. */
+/* Packs a message into its wire_size() bytes, which it returns. */
 size_t wire_pack(const void *msg, uint8_t *buf);
 
+/* Packs a message into at most `room` bytes; 0 when it needs more. */
+size_t wire_pack_within(const void *msg, uint8_t *buf, size_t room);
+
 const char *wire_kind_name(msg_kind_t kind);
 
 #endif
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -192,13 +192,20 @@
 static void on_send(void *ctx, const endpoint_t *to, msg_kind_t kind,
 		    const void *msg)
 {
-	static uint8_t buf[65536];
+	static uint8_t buf[65536], bounded[65536];
+	size_t len = wire_size(msg), less = len ? pick((uint32_t)len) : 0;
 
 	(void)ctx;
 	(void)to;
 	ck_assert(kind > MSG_NONE && kind < MSG_KINDS);
-	if (wire_size(msg) <= sizeof(buf))
-		wire_pack(msg, buf);
+	ck_assert_uint_le(len, sizeof(buf));
+	ck_assert_uint_eq(wire_pack(msg, buf), len);
+	ck_assert_uint_eq(wire_pack_within(msg, bounded, len), len);
+	ck_assert_int_eq(memcmp(buf, bounded, len), 0);
+	/* Too little room: nothing is written behind it. */
+	memset(bounded, 0xa5, sizeof(bounded));
+	ck_assert_uint_eq(wire_pack_within(msg, bounded, less), 0);
+	ck_assert_uint_eq(bounded[less], 0xa5);
 	sends++;
 }
 
