Ask a peer after a long pause before taking new work

Cause: a process that slept believed what it knew before: all its peers and its server seemed silent, and opens went to a target that had been drained meanwhile. The pause is now noticed before the first message is handled, forgiven to the others, and opens are passed on until a peer has told its version and ours is as new. A removed target says that it has left when it holds nothing any more. A handover names the service and carries the caller's acknowledgement.

--- a/src/agent.c
+++ b/src/agent.c
@@ -12,6 +12,8 @@
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
 static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f);
+static void take_digest(agent_t *a, uint64_t now, const endpoint_t *from,
+			const digest_msg_t *msg);
 static const class_t *class_of(const agent_t *a, const packet_t *p,
 			       uint32_t *index);
 
@@ -146,6 +148,8 @@
 	load->state = MEMBER_ALIVE;
 	if (a->leaving || !a->configured || a->target->state != TARGET_ACTIVE)
 		load->state = MEMBER_LEAVING;
+	if (!a->configured && a->held == 0 && !a->asks_server)
+		load->state = MEMBER_LEFT;
 	load->work = a->work;
 	load->capacity = (uint32_t)(agent_capacity(a) * THOUSAND);
 	load->in_flight = a->in_flight;
@@ -369,19 +373,28 @@
 	agent_arrival(a, now, &in);
 }
 
+/* Of a balancer that asks, or of another member. */
+static void take_digest(agent_t *a, uint64_t now, const endpoint_t *from,
+			const digest_msg_t *msg)
+{
+	if (!msg->load) {
+		rumours_asked(a, now, msg);
+		return;
+	}
+	membership_digest(a, now, from, msg);
+	wake_digest(a, now, msg);
+}
+
 void agent_message(agent_t *a, uint64_t now, const endpoint_t *from,
 		   msg_kind_t kind, const void *msg)
 {
+	wake_check(a, now);
 	switch (kind) {
 	case MSG_PACKET:
 		take_packet(a, now, from, msg);
 		return;
 	case MSG_DIGEST:
-		if (!((const digest_msg_t *)msg)->load) {
-			rumours_asked(a, now, msg);
-			return;
-		}
-		membership_digest(a, now, from, msg);
+		take_digest(a, now, from, msg);
 		return;
 	case MSG_HELD:
 		silence_ended(a, now, msg);
@@ -401,6 +414,7 @@
 {
 	if (!a->service)
 		return;
+	wake_tick(a, now);
 	if (a->asks_until_ms <= now)
 		a->asks_server = false;
 	flows_tick(a, now);
--- a/src/agent_admit.c
+++ b/src/agent_admit.c
@@ -13,7 +13,7 @@
 
 static bool opens_allowed(const agent_t *a)
 {
-	if (!a->configured || a->leaving || a->server_down)
+	if (!a->configured || a->leaving || a->server_down || wake_unsure(a))
 		return false;
 	return a->target->state == TARGET_ACTIVE;
 }
--- a/src/agent_handover.c
+++ b/src/agent_handover.c
@@ -26,6 +26,8 @@
 	r->class_index = f->class_index;
 	r->request_open = f->request_open;
 	r->bytes_delivered = f->delivered;
+	r->caller_ack = f->caller_ack;
+	r->told = f->told;
 	return r;
 }
 
@@ -55,6 +57,7 @@
 		a->complete && !without(a->options.off, MECHANISM_HANDOVER);
 	out->incarnation = a->incarnation;
 	out->target = a->target ? a->target->id : 0;
+	out->service = a->service ? a->service->id : 0;
 	out->speed = (uint32_t)(a->capacity.speed * 1000);
 	out->flows = calloc(n + 1, sizeof(flow_record_msg_t *));
 	if (!out->flows)
@@ -98,6 +101,8 @@
 	if (r->class_index < a->service->nclasses)
 		f->weight = a->service->classes[r->class_index].weight;
 	f->delivered = r->bytes_delivered;
+	f->caller_ack = r->caller_ack;
+	f->told = r->told;
 	flow_enter(a, f, now, (flow_state_t)r->state);
 	if (f->state != FLOW_CLOSING)
 		flow_count(a, f);
@@ -110,7 +115,8 @@
 
 int agent_import(agent_t *a, uint64_t now, const handover_msg_t *in)
 {
-	if (!a->service || in->target != a->target->id)
+	if (!agent_find_home(a, now, in->service, 0) ||
+	    in->target != a->target->id)
 		return -1;
 	for (size_t i = 0; i < in->n_flows; i++)
 		import_flow(a, now, in->flows[i]);
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -7,10 +7,10 @@
  * agent.c dispatches, agent_admit.c decides on opens, agent_lookup.c finds
  * flows, agent_silence.c bounds lookups that can't be finished, agent_trial.c
  * asks the backend server for a flow, agent_offer.c offers opens elsewhere,
- * agent_witness.c tells the callers of a lost host,
- * agent_server.c watches the backend server, agent_answer.c handles the backend
- * server's packets, agent_group.c talks to the other members, agent_handover.c
- * hands the flows over.
+ * agent_wake.c asks peers after a long pause, agent_witness.c tells the callers
+ * of a lost host, agent_server.c watches the backend server, agent_answer.c
+ * handles the backend server's packets, agent_group.c talks to the other
+ * members, agent_handover.c hands the flows over.
  */
 
 #include "agent.h"
@@ -94,7 +94,10 @@
 	double told_work;   /* what it said */
 	bool told_full;
 	uint64_t last_tick_ms;
-	uint64_t random; /* state of the random numbers */
+	uint64_t woke_ms;	  /* after the last pause */
+	uint64_t unsure_until_ms; /* 0 when a peer has answered */
+	uint64_t peers_version;	  /* greatest that a peer told since */
+	uint64_t random;	  /* state of the random numbers */
 	flow_table_t *flows;
 	group_t group;
 	capacity_t capacity;
@@ -207,6 +210,14 @@
 void rumours_asked(agent_t *a, uint64_t now, const digest_msg_t *msg);
 void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
+/* agent_wake.c: what was believed before a long pause may be wrong */
+/* Notices the pause; before anything else is done. */
+void wake_check(agent_t *a, uint64_t now);
+void wake_tick(agent_t *a, uint64_t now);
+void wake_digest(agent_t *a, uint64_t now, const digest_msg_t *digest);
+/* True until a peer has said which configuration is in force. */
+bool wake_unsure(const agent_t *a);
+
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
 bool admit_full(const agent_t *a);
--- /dev/null
+++ b/src/agent_wake.c
@@ -0,0 +1,104 @@
+#include "agent_int.h"
+
+/* A pause between two ticks after which nothing is taken for granted. */
+#define PAUSE_MS 2000
+/* Opens are passed on for this long at most if no peer answers. */
+#define UNSURE_MS 3000
+/* For so long when a peer has a newer configuration that is on its way. */
+#define BEHIND_MS 30000
+/* Peers asked at once. */
+#define ASKED 3
+
+static void tell(agent_t *a, uint64_t now, const endpoint_t *to, bool ask);
+static void ask_peers(agent_t *a, uint64_t now);
+static void forgive(agent_t *a, uint64_t now);
+
+bool wake_unsure(const agent_t *a)
+{
+	return a->unsure_until_ms != 0;
+}
+
+static void tell(agent_t *a, uint64_t now, const endpoint_t *to, bool ask)
+{
+	digest_msg_t msg;
+	load_msg_t load;
+
+	ct__digest__init(&msg);
+	agent_fill_load(a, now, &load);
+	msg.service = a->service->id;
+	msg.version = a->config->version;
+	msg.digest = a->config->digest;
+	msg.load = &load;
+	msg.agent_ip = a->options.self.ip;
+	msg.agent_port = a->options.self.port;
+	msg.want_answer = ask;
+	a->ops.send(a->ctx, to, MSG_DIGEST, &msg);
+}
+
+static void ask_peers(agent_t *a, uint64_t now)
+{
+	size_t n = a->group.n;
+	size_t first = n ? agent_random(a) % n : 0;
+	unsigned asked = 0;
+
+	for (size_t i = 0; i < n && asked < ASKED; i++) {
+		const member_t *m = &a->group.members[(first + i) % n];
+
+		if (m->id == a->target->id)
+			continue;
+		tell(a, now, &m->agent, true);
+		asked++;
+	}
+}
+
+/* Neither the members nor the backend server were silent: we were. */
+static void forgive(agent_t *a, uint64_t now)
+{
+	uint64_t pause = now - a->last_tick_ms;
+
+	for (size_t i = 0; i < a->group.n; i++)
+		if (a->group.members[i].heard_ms)
+			a->group.members[i].heard_ms += pause;
+	if (a->server_asked_ms)
+		a->server_asked_ms = now;
+}
+
+void wake_check(agent_t *a, uint64_t now)
+{
+	if (!a->service || !a->last_tick_ms ||
+	    now - a->last_tick_ms <= PAUSE_MS)
+		return;
+	forgive(a, now);
+	a->last_tick_ms = now;
+	if (a->group.n < 2 || without(a->options.off, MECHANISM_ASK_PEERS))
+		return;
+	a->woke_ms = now;
+	a->unsure_until_ms = now + UNSURE_MS;
+	a->peers_version = 0;
+	ask_peers(a, now);
+	agent_audit(a, "woke", "asks its peers");
+}
+
+void wake_tick(agent_t *a, uint64_t now)
+{
+	wake_check(a, now);
+	if (!a->unsure_until_ms)
+		return;
+	if (now >= a->unsure_until_ms ||
+	    (a->peers_version && a->config->version >= a->peers_version))
+		a->unsure_until_ms = 0;
+}
+
+void wake_digest(agent_t *a, uint64_t now, const digest_msg_t *digest)
+{
+	endpoint_t from = { digest->agent_ip, (uint16_t)digest->agent_port };
+
+	if (!a->service || digest->service != a->service->id)
+		return;
+	if (digest->want_answer)
+		tell(a, now, &from, false);
+	else if (digest->version > a->peers_version)
+		a->peers_version = digest->version;
+	if (a->unsure_until_ms && a->peers_version > a->config->version)
+		a->unsure_until_ms = a->woke_ms + BEHIND_MS;
+}
--- a/src/agent_witness.c
+++ b/src/agent_witness.c
@@ -31,8 +31,8 @@
 #define RETOLD_MS 5000
 /* Callers asked at a tick, times each is asked, and the time between. */
 #define PROBES_A_TICK 100
-#define PROBES	      3
-#define PROBE_MS      2000
+#define PROBES	      6
+#define PROBE_MS      500
 
 /* A flow of another member. */
 typedef struct known_flow {
--- a/src/cherviltray.pb-c.c
+++ b/src/cherviltray.pb-c.c
@@ -1287,7 +1287,7 @@
   (ProtobufCMessageInit) ct__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__digest__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ct__digest__field_descriptors[8] =
 {
   {
     "service",
@@ -1373,6 +1373,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want_answer",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Digest, want_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__digest__field_indices_by_name[] = {
   5,   /* field[5] = agent_ip */
@@ -1382,11 +1394,13 @@
   4,   /* field[4] = rumours */
   0,   /* field[0] = service */
   1,   /* field[1] = version */
+  7,   /* field[7] = want_answer */
 };
-static const ProtobufCIntRange ct__digest__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__digest__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 30, 7 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ct__digest__descriptor =
 {
@@ -1396,10 +1410,10 @@
   "Ct__Digest",
   "ct",
   sizeof(Ct__Digest),
-  7,
+  8,
   ct__digest__field_descriptors,
   ct__digest__field_indices_by_name,
-  1,  ct__digest__number_ranges,
+  2,  ct__digest__number_ranges,
   (ProtobufCMessageInit) ct__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1841,7 +1855,7 @@
   (ProtobufCMessageInit) ct__config_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__flow_record__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ct__flow_record__field_descriptors[15] =
 {
   {
     "src_ip",
@@ -1999,9 +2013,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "caller_ack",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, caller_ack),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__FlowRecord, told),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__flow_record__field_indices_by_name[] = {
   12,   /* field[12] = bytes_delivered */
+  13,   /* field[13] = caller_ack */
   9,   /* field[9] = caller_isn */
   6,   /* field[6] = caller_next */
   10,   /* field[10] = class_index */
@@ -2014,11 +2053,13 @@
   0,   /* field[0] = src_ip */
   2,   /* field[2] = src_port */
   5,   /* field[5] = state */
+  14,   /* field[14] = told */
 };
-static const ProtobufCIntRange ct__flow_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__flow_record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 30, 13 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ct__flow_record__descriptor =
 {
@@ -2028,14 +2069,14 @@
   "Ct__FlowRecord",
   "ct",
   sizeof(Ct__FlowRecord),
-  13,
+  15,
   ct__flow_record__field_descriptors,
   ct__flow_record__field_indices_by_name,
-  1,  ct__flow_record__number_ranges,
+  2,  ct__flow_record__number_ranges,
   (ProtobufCMessageInit) ct__flow_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__handover__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ct__handover__field_descriptors[9] =
 {
   {
     "request",
@@ -2121,20 +2162,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Handover, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__handover__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
   1,   /* field[1] = complete */
+  8,   /* field[8] = done */
   6,   /* field[6] = flows */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = request */
+  7,   /* field[7] = service */
   5,   /* field[5] = speed */
   2,   /* field[2] = target */
 };
-static const ProtobufCIntRange ct__handover__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__handover__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 30, 7 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ct__handover__descriptor =
 {
@@ -2144,10 +2212,10 @@
   "Ct__Handover",
   "ct",
   sizeof(Ct__Handover),
-  7,
+  9,
   ct__handover__field_descriptors,
   ct__handover__field_indices_by_name,
-  1,  ct__handover__number_ranges,
+  2,  ct__handover__number_ranges,
   (ProtobufCMessageInit) ct__handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/cherviltray.pb-c.h
+++ b/src/cherviltray.pb-c.h
@@ -239,10 +239,14 @@
   Ct__Load **rumours;
   uint32_t agent_ip;
   uint32_t agent_port;
+  /*
+   * the sender does not know whether it is up to date
+   */
+  protobuf_c_boolean want_answer;
 };
 #define CT__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__digest__descriptor) \
-    , 0, 0, 0, NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -374,10 +378,12 @@
   uint32_t class_index;
   protobuf_c_boolean request_open;
   protobuf_c_boolean bytes_delivered;
+  uint32_t caller_ack;
+  protobuf_c_boolean told;
 };
 #define CT__FLOW_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__flow_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Handover
@@ -391,10 +397,15 @@
   uint32_t speed;
   size_t n_flows;
   Ct__FlowRecord **flows;
+  uint64_t service;
+  /*
+   * with request: the successor has it all
+   */
+  protobuf_c_boolean done;
 };
 #define CT__HANDOVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__handover__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/test/test_agent_wake.c
@@ -0,0 +1,145 @@
+/*
+ * test_agent_wake - late wake-ups, draining and removed targets
+ */
+
+#include "agent_rig.h"
+#include "runner.h"
+
+#define PORT 4000
+#define ISN  70000
+
+static rig_t *rig;
+
+static unsigned opened_at(uint16_t port)
+{
+	for (unsigned i = 0; i < rig->n; i++)
+		if (!strcmp(rig_state(rig, i, port), "opening"))
+			return i;
+	return UINT32_MAX;
+}
+
+static unsigned open_at(unsigned agent, uint16_t port)
+{
+	rig->agents[agent].server = RIG_SILENT;
+	rig_send(rig, agent, STEP_OPEN, port, TCP_SYN, ISN, 0, NULL);
+	return opened_at(port);
+}
+
+/* An agent that wakes late passes opens on until a peer has answered. */
+START_TEST(a_late_wake_up_asks_first)
+{
+	static const mechanisms_t off[] = { 0, 1U << MECHANISM_ASK_PEERS };
+
+	for (unsigned i = 0; i < 2; i++) {
+		rig = rig_new(3, off[i]);
+		rig_pass(rig, 2000);
+		rig->agents[0].cut = true;
+		rig_pass(rig, 60000);
+		/* Its peers can't answer yet. */
+		rig->agents[1].cut = rig->agents[2].cut = true;
+		rig->agents[0].cut = false;
+		if (i == 0)
+			ck_assert_uint_ne(open_at(0, PORT), 0);
+		else
+			ck_assert_uint_eq(open_at(0, PORT), 0);
+		rig->agents[1].cut = rig->agents[2].cut = false;
+		rig_pass(rig, 4000);
+		if (i == 0)
+			ck_assert_uint_eq(open_at(0, PORT + 1), 0);
+		rig_free(rig);
+	}
+}
+END_TEST
+
+/* Its target was drained meanwhile: it takes no open before it knows. */
+START_TEST(a_late_wake_up_behind_takes_nothing)
+{
+	config_t *newer = rig_config(3, 2, -1);
+
+	rig = rig_new(3, 0);
+	newer->services[0].targets[0].state = TARGET_DRAINING;
+	rig_pass(rig, 2000);
+	rig->agents[0].cut = true;
+	for (unsigned i = 1; i < 3; i++)
+		agent_configure(rig->agents[i].agent, rig->now, newer);
+	rig_pass(rig, 60000);
+	rig->agents[0].cut = false;
+	for (uint16_t port = 1; port <= 100; port++) {
+		ck_assert_uint_ne(open_at(0, port), 0);
+		rig_pass(rig, 100);
+	}
+	agent_configure(rig->agents[0].agent, rig->now, newer);
+	rig_pass(rig, 30000);
+	ck_assert_uint_ne(open_at(0, PORT), 0);
+	rig_free(rig);
+	config_unref(newer);
+}
+END_TEST
+
+/* A long pause is ours: nobody is given up for it. */
+START_TEST(a_late_wake_up_keeps_its_flows)
+{
+	rig = rig_new(3, 0);
+	rig_open(rig, 0, PORT, ISN);
+	rig_pass(rig, 2000);
+	for (unsigned i = 0; i < 3; i++)
+		rig->agents[i].cut = true;
+	rig_pass(rig, 60000);
+	for (unsigned i = 0; i < 3; i++)
+		rig->agents[i].cut = false;
+	rig_pass(rig, 10000);
+	ck_assert_uint_eq(rig->resets, 0);
+	ck_assert_str_eq(rig_state(rig, 0, PORT), "established");
+	ck_assert_uint_eq(rig_counter(rig, 0, COUNTER_MEMBERS_DEAD), 0);
+	rig_free(rig);
+}
+END_TEST
+
+/* A removed target's flows are found by members that never knew it. */
+START_TEST(a_removed_target_is_still_found)
+{
+	static const mechanisms_t off[] = { 0, 1U << MECHANISM_LINGER };
+
+	for (unsigned i = 0; i < 2; i++) {
+		config_t *all, *without = rig_config(3, 2, 2);
+
+		rig = rig_new(3, off[i]);
+		rig_pass(rig, 2000);
+		rig_open(rig, 2, PORT, ISN);
+		for (unsigned j = 0; j < 3; j++)
+			agent_configure(rig->agents[j].agent, rig->now,
+					without);
+		all = rig->config;
+		rig->config = without;
+		rig_restart(rig, 0);
+		rig_restart(rig, 1);
+		rig_pass(rig, 40000);
+		rig_send(rig, 0, STEP_LOOKUP, PORT, TCP_ACK, ISN + 1, 5001,
+			 "abc");
+		ck_assert_uint_eq(rig->agents[2].payloads, i == 0);
+		ck_assert_uint_eq(rig->resets, i);
+		/* It takes nothing new, and is forgotten when it is done. */
+		ck_assert_uint_ne(open_at(2, PORT + 1), 2);
+		rig_send(rig, 2, STEP_LOOKUP, PORT, TCP_RST, ISN + 4, 0, NULL);
+		rig_pass(rig, 61000);
+		ck_assert_uint_eq(agent_group(rig->agents[0].agent)->n, 2);
+		rig->config = all;
+		rig_free(rig);
+		config_unref(without);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("agent_wake");
+	TCase *tc = tcase_create("wake");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, a_late_wake_up_asks_first);
+	tcase_add_test(tc, a_late_wake_up_behind_takes_nothing);
+	tcase_add_test(tc, a_late_wake_up_keeps_its_flows);
+	tcase_add_test(tc, a_removed_target_is_still_found);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
