Hand the flows of a stopping agent to its successor

The predecessor handles no packet after its answer, ends when told, and goes on by itself if the successor falls silent for 3 s. Without a predecessor the start is that after a crash.

--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -11,14 +11,20 @@
 #include "agent.h"
 #include "log.h"
 #include "process.h"
+#include "takeover.h"
 #include "udp_socket.h"
 #include <sodium.h>
 #include <stdlib.h>
 
+/* A successor that does not go on within this time is given up. */
+#define SUCCESSOR_MS 3000
+
 typedef struct daemon {
 	agent_t *agent;
 	udp_socket_t *server; /* tunnel of the backend server */
 	udp_socket_t *fabric; /* answers to the caller's side */
+	takeover_t taken;     /* flows of the predecessor, until imported */
+	uint64_t handed_ms;   /* flows were handed over; 0: not */
 } daemon_t;
 
 static void on_answer(void *ctx, const endpoint_t *from, uint8_t *buf,
@@ -35,6 +41,9 @@
 		  const char *detail);
 static int start(process_t *p, err_t *err);
 static void end(process_t *p);
+static void import(process_t *p, uint64_t now);
+static void frame(process_t *p, stream_t *stream, msg_kind_t kind,
+		  const void *msg);
 static int configure(process_t *p, uint64_t now, config_t *config);
 static void message(process_t *p, uint64_t now, const endpoint_t *from,
 		    msg_kind_t kind, const void *msg);
@@ -51,7 +60,8 @@
 	daemon_t *d = p->ctx;
 
 	(void)from;
-	agent_answer(d->agent, uv_now(&p->loop), buf, len);
+	if (!d->handed_ms)
+		agent_answer(d->agent, uv_now(&p->loop), buf, len);
 }
 
 static void on_refused(void *ctx)
@@ -135,6 +145,8 @@
 		return err_set(err, ERR_MEMORY, NULL, 0, "lower flows",
 			       "no memory for the agent");
 	p->counters = agent_counters(d->agent);
+	if (p->settings.takeover && takeover_run(p, &d->taken, err) < 0)
+		return -1;
 	d->server = udp_socket_open(&p->loop, &p->settings.delivery,
 				    &p->settings.server, &server_ops, p, err);
 	if (!d->server)
@@ -154,6 +166,7 @@
 	udp_socket_close(d->server);
 	udp_socket_close(d->fabric);
 	agent_free(d->agent);
+	free(d->taken.body);
 	free(d);
 }
 
@@ -161,7 +174,29 @@
 {
 	daemon_t *d = p->ctx;
 
-	return agent_configure(d->agent, now, config);
+	if (agent_configure(d->agent, now, config) < 0)
+		return -1;
+	if (d->taken.body)
+		import(p, now);
+	return 0;
+}
+
+/* The flows of the predecessor, once the service is known. */
+static void import(process_t *p, uint64_t now)
+{
+	daemon_t *d = p->ctx;
+	wire_arena_t arena = { 0 };
+	handover_msg_t *msg =
+		wire_unpack(&arena, MSG_HANDOVER, d->taken.body, d->taken.len);
+	char text[64];
+
+	if (msg && agent_import(d->agent, now, msg) == 0) {
+		snprintf(text, sizeof(text), "%zu flows", msg->n_flows);
+		process_audit(p, "takeover", p->settings.target, text);
+	}
+	wire_arena_clear(&arena);
+	free(d->taken.body);
+	d->taken.body = NULL;
 }
 
 static void message(process_t *p, uint64_t now, const endpoint_t *from,
@@ -169,14 +204,47 @@
 {
 	daemon_t *d = p->ctx;
 
-	agent_message(d->agent, now, from, kind, msg);
+	if (!d->handed_ms)
+		agent_message(d->agent, now, from, kind, msg);
 }
 
 static void tick(process_t *p, uint64_t now)
 {
 	daemon_t *d = p->ctx;
 
-	agent_tick(d->agent, now);
+	if (d->handed_ms && now > d->handed_ms + SUCCESSOR_MS) {
+		d->handed_ms = 0;
+		process_audit(p, "handover-given-up", p->settings.target,
+			      "the successor did not go on");
+	}
+	if (!d->handed_ms)
+		agent_tick(d->agent, now);
+}
+
+/* The successor asks for the flows, and says when it has them. */
+static void frame(process_t *p, stream_t *stream, msg_kind_t kind,
+		  const void *msg)
+{
+	daemon_t *d = p->ctx;
+	const handover_msg_t *ask = msg;
+	handover_msg_t flows;
+
+	if (kind != MSG_HANDOVER || !ask->request) {
+		counter_add(p->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
+		return;
+	}
+	if (ask->done) {
+		if (d->handed_ms)
+			process_end(p);
+		return;
+	}
+	if (agent_export(d->agent, &flows) == 0 &&
+	    stream_send(stream, MSG_HANDOVER, &flows) == 0) {
+		d->handed_ms = uv_now(&p->loop);
+		process_audit(p, "handover", p->settings.target,
+			      "flows go to the successor");
+	}
+	agent_export_free(&flows);
 }
 
 static void stop(process_t *p, uint64_t now)
@@ -221,6 +289,7 @@
 		.end = end,
 		.configure = configure,
 		.message = message,
+		.frame = frame,
 		.tick = tick,
 		.stop = stop,
 		.idle = idle,
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -436,6 +436,7 @@
 		out->flows = (uint32_t)n;
 	if (r.integer(root, "queue", false, 1, 100000, &n))
 		out->queue = (uint32_t)n;
+	r.boolean(root, "takeover", false, &out->takeover);
 }
 
 void read_settings(reader &r, const toml::table &root, settings_t *out)
@@ -449,10 +450,11 @@
 			       "config_file", "platform", "peers", "stop_ms",
 			       "cache_flows", "retry_percent" });
 	else if (agent)
-		r.only(root, { "name", "zone", "target", "listen", "operators",
-			       "fabric", "server", "delivery", "key_file",
-			       "key_file_old", "config_file", "platform",
-			       "peers", "stop_ms", "flows", "queue" });
+		r.only(root,
+		       { "name", "zone", "target", "listen", "operators",
+			 "fabric", "server", "delivery", "key_file",
+			 "key_file_old", "config_file", "platform", "peers",
+			 "stop_ms", "flows", "queue", "takeover" });
 	else
 		r.only(root, { "key_file", "key_file_old", "peers" });
 	r.string(root, "key_file", true, out->key_file, sizeof(out->key_file));
--- /dev/null
+++ b/test/test_agent_process.c
@@ -0,0 +1,165 @@
+/*
+ * test_agent_process - the agent as a process: successor, crash, stop
+ */
+
+#include "harness.h"
+#include "runner.h"
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define AGENTS	 4 /* of 10 are replaced under load */
+#define BOUND_MS 20000
+#define LOAD_MS	 60000
+
+static harness_t *h;
+
+static void begin(const char *settings)
+{
+	harness_options_t options = { .config_file = "examples/agency.toml",
+				      .balancers = 2,
+				      .agent_settings = settings,
+				      .seed = 3 };
+
+	h = harness_start(&options);
+	ck_assert_ptr_nonnull(h);
+}
+
+static pid_t load(const char *seconds, const char *feed_seconds)
+{
+	const char *args[] = { "--job",
+			       "feed,spot,feed,20",
+			       "--job",
+			       "log,spot,check-in,10",
+			       "--seconds",
+			       seconds,
+			       "--feed-seconds",
+			       feed_seconds,
+			       NULL };
+
+	return harness_load(h, "load.out", args);
+}
+
+/* Waits until an agent holds a flow. */
+static void wait_held(unsigned agent)
+{
+	uint64_t until = harness_now_ms() + BOUND_MS;
+
+	while (harness_status(h, &h->agents[agent], "held") < 1) {
+		ck_assert_uint_lt(harness_now_ms(), until);
+		harness_sleep_ms(20);
+	}
+}
+
+static void end(pid_t pid)
+{
+	uint64_t records, doubled;
+
+	ck_assert_int_eq(harness_wait_pid(pid, LOAD_MS), 0);
+	harness_records(h, &records, &doubled);
+	ck_assert_uint_gt(records, 0);
+	ck_assert_uint_eq(doubled, 0);
+	harness_stop(h);
+}
+
+static bool audited(unsigned agent, const char *event)
+{
+	char *text = harness_query(h, &h->agents[agent], "audit", "");
+	bool found = text && strstr(text, event);
+
+	g_free(text);
+	return found;
+}
+
+/* Agents hand their flows to successors; nothing breaks. */
+START_TEST(a_successor_goes_on)
+{
+	pid_t pid;
+
+	begin("takeover = true\n");
+	pid = load("4", "4");
+	for (unsigned i = 0; i < AGENTS; i++) {
+		harness_proc_t old = h->agents[i];
+		uint64_t until = harness_now_ms() + BOUND_MS;
+
+		wait_held(i);
+		ck_assert_int_eq(harness_start_agent(h, i), 0);
+		ck_assert_int_eq(harness_wait_pid(old.pid, BOUND_MS), 0);
+		while (!audited(i, "\"takeover\"")) {
+			ck_assert_uint_lt(harness_now_ms(), until);
+			harness_sleep_ms(20);
+		}
+		ck_assert_int_ge(harness_status(h, &h->agents[i], "held"), 1);
+	}
+	end(pid);
+}
+END_TEST
+
+/* Agents are killed and started again; their servers' flows go on. */
+START_TEST(a_crash_cuts_nothing)
+{
+	pid_t pid;
+
+	begin(NULL);
+	pid = load("4", "4");
+	for (unsigned i = 0; i < AGENTS; i++) {
+		wait_held(i);
+		harness_signal(&h->agents[i], SIGKILL);
+		ck_assert_int_eq(harness_start_agent(h, i), 0);
+		wait_held(i);
+	}
+	end(pid);
+}
+END_TEST
+
+/* A stop without a successor waits for the flows to end. */
+START_TEST(a_stop_waits_for_flows)
+{
+	pid_t pid;
+
+	begin("stop_ms = 30000\n");
+	pid = load("2", "3");
+	wait_held(0);
+	harness_signal(&h->agents[0], SIGTERM);
+	ck_assert_int_eq(harness_wait_exit(&h->agents[0], BOUND_MS), 0);
+	end(pid);
+}
+END_TEST
+
+/* At its bound a stop says what is left, which the next agent adopts. */
+START_TEST(a_stop_at_its_bound_says_what_was_left)
+{
+	char *path, *text = NULL;
+	pid_t pid;
+
+	begin("stop_ms = 300\n");
+	pid = load("3", "6");
+	wait_held(0);
+	harness_signal(&h->agents[0], SIGTERM);
+	ck_assert_int_eq(harness_wait_exit(&h->agents[0], BOUND_MS), 0);
+	path = g_strdup_printf("%s/%s.log", h->dir, h->agents[0].name);
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	ck_assert_ptr_nonnull(strstr(text, "stopped at the time bound"));
+	ck_assert_ptr_nonnull(strstr(text, "held"));
+	ck_assert_int_eq(harness_start_agent(h, 0), 0);
+	wait_held(0);
+	g_free(path);
+	g_free(text);
+	end(pid);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("agent_process");
+	TCase *tc = tcase_create("process");
+
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, a_successor_goes_on);
+	tcase_add_test(tc, a_crash_cuts_nothing);
+	tcase_add_test(tc, a_stop_waits_for_flows);
+	tcase_add_test(tc, a_stop_at_its_bound_says_what_was_left);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
