Ask backend servers only when no member knows a flow

Cause: the condition for a trial had stayed as it was, so that an agent went on asking its server for each unknown flow after its first minute. A lookup goes round without trials first, then once more with them.

--- a/src/agent_lookup.c
+++ b/src/agent_lookup.c
@@ -351,9 +351,8 @@
 	/* A server whose flow we may have forgotten is told as well. */
 	if (!f && !a->complete && p->flags & TCP_RST)
 		a->ops.deliver(a->ctx, p->data, p->len);
-	if (!f && !a->complete && !without(a->options.off, MECHANISM_TRIAL) &&
-	    p->key.proto == PROTO_TCP && p->flags & TCP_ACK &&
-	    !(p->flags & TCP_RST)) {
+	if (!f && asks_server(a, in) && p->key.proto == PROTO_TCP &&
+	    p->flags & TCP_ACK && !(p->flags & TCP_RST)) {
 		trial_begin(a, now, in);
 		return;
 	}
--- a/src/agent_wake.c
+++ b/src/agent_wake.c
@@ -12,6 +12,7 @@
 static void tell(agent_t *a, uint64_t now, const endpoint_t *to, bool ask);
 static void ask_peers(agent_t *a, uint64_t now);
 static void forgive(agent_t *a, uint64_t now);
+static void believe_peers(agent_t *a, uint64_t now);
 
 bool wake_unsure(const agent_t *a)
 {
@@ -79,9 +80,23 @@
 	agent_audit(a, "woke", "asks its peers");
 }
 
+/* Who has left hears of nobody; what still comes here is passed on. */
+static void believe_peers(agent_t *a, uint64_t now)
+{
+	for (size_t i = 0; i < a->group.n; i++) {
+		member_t *m = &a->group.members[i];
+
+		m->heard_ms = now;
+		if (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD)
+			m->state = MEMBER_ALIVE;
+	}
+}
+
 void wake_tick(agent_t *a, uint64_t now)
 {
 	wake_check(a, now);
+	if (!a->configured && a->held == 0)
+		believe_peers(a, now);
 	if (!a->unsure_until_ms)
 		return;
 	if (now >= a->unsure_until_ms ||
--- a/test/test_agent_lookup.c
+++ b/test/test_agent_lookup.c
@@ -184,6 +184,31 @@
 }
 END_TEST
 
+/* Later than a minute after its start an agent asks its server only for
+ * flows that no member knows; it finds them nevertheless. */
+START_TEST(servers_are_asked_last)
+{
+	rig = rig_new(5, 0);
+	rig_pass(rig, 61000);
+	rig_open(rig, 3, PORT, ISN);
+	data(0);
+	ck_assert_uint_eq(rig->agents[3].payloads, 1);
+	for (unsigned i = 0; i < 5; i++)
+		ck_assert_uint_eq(rig_counter(rig, i, COUNTER_TRIALS), 0);
+	/* The server of another one has a flow that its agent forgot. */
+	rig->agents[4].server = RIG_HOLDS;
+	rig_send(rig, 0, STEP_LOOKUP, PORT + 1, TCP_ACK, ISN + 1, 5001, "abc");
+	ck_assert_uint_eq(rig->agents[4].payloads, 1);
+	ck_assert_uint_eq(rig->resets, 0);
+	/* And one that nobody has is reset. */
+	rig->agents[4].server = RIG_DENIES;
+	rig->agents[3].server = RIG_DENIES;
+	rig_send(rig, 0, STEP_LOOKUP, PORT + 2, TCP_ACK, ISN + 1, 5001, "abc");
+	ck_assert_uint_eq(rig->resets, 1);
+	rig_free(rig);
+}
+END_TEST
+
 /* Without the chain a flow held elsewhere is reset. */
 START_TEST(breaks_without_the_chain)
 {
@@ -243,6 +268,7 @@
 	tcase_add_test(tc, a_holder_that_is_back_is_found);
 	tcase_add_test(tc, a_suspect_that_stays_silent_is_bounded);
 	tcase_add_test(tc, views_of_two_versions_still_find_the_holder);
+	tcase_add_test(tc, servers_are_asked_last);
 	tcase_add_test(tc, breaks_without_the_chain);
 	tcase_add_test(tc, breaks_without_the_trial);
 	tcase_add_test(tc, udp_opens_at_one_member);
--- a/test/test_agent_wake.c
+++ b/test/test_agent_wake.c
@@ -123,6 +123,12 @@
 		rig_send(rig, 2, STEP_LOOKUP, PORT, TCP_RST, ISN + 4, 0, NULL);
 		rig_pass(rig, 61000);
 		ck_assert_uint_eq(agent_group(rig->agents[0].agent)->n, 2);
+		/* What a stale balancer sends there is passed on. */
+		rig_open(rig, 1, PORT + 2, ISN);
+		rig_send(rig, 2, STEP_LOOKUP, PORT + 2, TCP_ACK, ISN + 1, 5001,
+			 "abc");
+		ck_assert_uint_eq(rig->agents[1].payloads, 1);
+		ck_assert_uint_lt(open_at(2, PORT + 3), 2);
 		rig->config = all;
 		rig_free(rig);
 		config_unref(without);
