--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -7,10 +7,10 @@
  * agent.c dispatches, agent_admit.c decides on opens, agent_lookup.c finds
  * flows, agent_silence.c bounds lookups that can't be finished, agent_trial.c
  * asks the backend server for a flow, agent_offer.c offers opens elsewhere,
- * agent_witness.c tells the callers of a lost host,
- * agent_server.c watches the backend server, agent_answer.c handles the backend
- * server's packets, agent_group.c talks to the other members, agent_handover.c
- * hands the flows over.
+ * agent_wake.c asks peers after a long pause, agent_witness.c tells the callers
+ * of a lost host, agent_server.c watches the backend server, agent_answer.c
+ * handles the backend server's packets, agent_group.c talks to the other
+ * members, agent_handover.c hands the flows over.
  */
 
 #include "agent.h"
@@ -43,8 +43,9 @@
 #define OFFERS_MAX 3
 /* Members that one lookup may name. */
 #define NAMED_MAX 1024
-/* Nothing is said for this long while a member could not be asked. */
-#define SILENCE_MS 5000
+/* Nothing is said for this long, and half a second, while a member could not
+ * be asked. */
+#define SILENCE_MS 4500
 /* The same when several members are silent at once. */
 #define PARTITION_MS 30000
 /* After a start the backend server is asked for each unknown flow so long. */
@@ -95,7 +96,10 @@
 	double told_work;   /* what it said */
 	bool told_full;
 	uint64_t last_tick_ms;
-	uint64_t random; /* state of the random numbers */
+	uint64_t woke_ms;	  /* after the last pause */
+	uint64_t unsure_until_ms; /* 0 when a peer has answered */
+	uint64_t peers_version;	  /* greatest that a peer told since */
+	uint64_t random;	  /* state of the random numbers */
 	flow_table_t *flows;
 	group_t group;
 	capacity_t capacity;
@@ -133,6 +137,7 @@
 	bool silence_over; /* members that can't be asked count as asked */
 	bool untried;	   /* a hop did not ask its backend server */
 	bool ask_servers;  /* each hop has to */
+	bool only_you;	   /* not to be passed on */
 } arrival_t;
 
 /* agent.c */
@@ -201,8 +206,18 @@
 /* agent_rumour.c: balancers that send to us hear of dead members */
 rumours_t *rumours_new(void);
 void rumours_tick(agent_t *a, uint64_t now);
+/* A balancer asks how the service is. */
+void rumours_asked(agent_t *a, uint64_t now, const digest_msg_t *msg);
 void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
+/* agent_wake.c: what was believed before a long pause may be wrong */
+/* Notices the pause; before anything else is done. */
+void wake_check(agent_t *a, uint64_t now);
+void wake_tick(agent_t *a, uint64_t now);
+void wake_digest(agent_t *a, uint64_t now, const digest_msg_t *digest);
+/* True until a peer has said which configuration is in force. */
+bool wake_unsure(const agent_t *a);
+
 /* agent_admit.c */
 void admit_open(agent_t *a, uint64_t now, const arrival_t *in);
 bool admit_full(const agent_t *a);
@@ -221,12 +236,16 @@
  */
 int silence_note(agent_t *a, uint64_t now, const arrival_t *in);
 void silence_forget(agent_t *a, const flow_key_t *key, uint64_t hash);
+/* A member that was asked once more holds the flow. */
+void silence_ended(agent_t *a, uint64_t now, const held_msg_t *held);
 /* Asks once more for the flows whose silence is over. */
 void silences_tick(agent_t *a, uint64_t now);
 
 /* agent_trial.c: the backend server is asked for a flow */
 void trial_begin(agent_t *a, uint64_t now, const arrival_t *in);
 void trial_keep(flow_t *f, const arrival_t *in);
+/* The server speaks of the connection that the caller speaks of. */
+bool trial_matches(const flow_t *f, const packet_t *answer);
 void trial_denied(agent_t *a, uint64_t now, flow_t *f);
 void trial_held(agent_t *a, uint64_t now, flow_t *f, const packet_t *answer);
 void trial_tick(agent_t *a, uint64_t now, flow_t *f);
--- a/src/agent_rumour.c
+++ b/src/agent_rumour.c
@@ -16,6 +16,7 @@
 } told_t;
 
 static void tell(agent_t *a, uint64_t now, told_t *t);
+static told_t *remember(agent_t *a, uint64_t now, const endpoint_t *balancer);
 
 struct rumours {
 	told_t told[REMEMBERED];
@@ -79,6 +80,19 @@
 	a->ops.send(a->ctx, &t->balancer, MSG_DIGEST, &msg);
 }
 
+static told_t *remember(agent_t *a, uint64_t now, const endpoint_t *balancer)
+{
+	told_t *t = &a->rumours->told[(balancer->ip * 31 + balancer->port) %
+				      REMEMBERED];
+
+	if (!endpoint_equal(&t->balancer, balancer)) {
+		t->balancer = *balancer;
+		t->told_ms = 0;
+	}
+	t->heard_ms = now;
+	return t;
+}
+
 void rumours_heard(agent_t *a, uint64_t now, const endpoint_t *balancer)
 {
 	told_t *t;
@@ -95,3 +109,15 @@
 	if (a->rumours->ndead)
 		tell(a, now, t);
 }
+
+void rumours_asked(agent_t *a, uint64_t now, const digest_msg_t *msg)
+{
+	endpoint_t from = { msg->agent_ip, (uint16_t)msg->agent_port };
+	told_t *t;
+
+	if (!a->service || msg->service != a->service->id || !from.port)
+		return;
+	t = remember(a, now, &from);
+	t->told_ms = 0;
+	tell(a, now, t);
+}
--- a/src/agent_silence.c
+++ b/src/agent_silence.c
@@ -6,7 +6,9 @@
 #define SILENCES_MAX 8192
 /* Time between two attempts when the silence is over, and their number. */
 #define AGAIN_MS  500
-#define AGAIN_MAX 3
+#define AGAIN_MAX 4
+/* Silent members asked for one flow. */
+#define SILENT_ASKED 16
 
 /* A flow that some member may hold which could not be asked. */
 typedef struct silence {
@@ -32,6 +34,7 @@
 static silence_t *find(silences_t *s, const flow_key_t *key, uint64_t hash);
 static silence_t *add(silences_t *s, uint64_t now, const arrival_t *in);
 static void drop(silences_t *s, silence_t *x);
+static void ask_silent(agent_t *a, const arrival_t *in);
 static void ask_again(agent_t *a, uint64_t now, const silence_t *x);
 static uint64_t bound(const agent_t *a);
 static void defer(silences_t *s, silence_t *x, uint64_t now);
@@ -127,7 +130,7 @@
 		x = add(a->silences, now, in);
 	if (!x)
 		return 0;
-	if (x->since_ms + bound(a) <= now)
+	if (x->again > 1)
 		return -1;
 	x->seq = in->packet.seq;
 	x->ack = in->packet.ack;
@@ -142,10 +145,46 @@
 		drop(a->silences, x);
 }
 
+void silence_ended(agent_t *a, uint64_t now, const held_msg_t *held)
+{
+	flow_key_t key = { held->src_ip, held->dst_ip, (uint16_t)held->src_port,
+			   (uint16_t)held->dst_port, (uint8_t)held->protocol };
+
+	if (!a->service || held->service != a->service->id || held->gone ||
+	    held->refused)
+		return;
+	if (held->load)
+		group_load(&a->group, now, held->load, NULL);
+	silence_forget(a, &key, flow_key_hash(&key, a->options.rank_seed));
+}
+
+/* The silent members get an empty segment each: one may be back. */
+static void ask_silent(agent_t *a, const arrival_t *in)
+{
+	arrival_t out = *in;
+	unsigned sent = 0;
+	packet_msg_t msg;
+
+	out.only_you = true;
+	out.reply = a->options.self;
+	arrival_message(&out, &msg);
+	msg.service = a->service->id;
+	msg.digest = a->config->digest;
+	for (size_t i = 0; i < a->group.n && sent < SILENT_ASKED; i++) {
+		const member_t *m = &a->group.members[i];
+
+		if (m->id == a->target->id ||
+		    (m->state != MEMBER_SUSPECT && m->state != MEMBER_DEAD))
+			continue;
+		a->ops.send(a->ctx, &m->agent, MSG_PACKET, &msg);
+		sent++;
+	}
+}
+
 /*
- * Looks the flow up from the start with a segment that carries nothing. A
- * holder that is back hands it to its server, which ignores it; when still
- * nobody holds the flow, the last one asked resets it.
+ * Once the silent members are asked with a segment that carries nothing; a
+ * holder hands it to its server, which ignores it, and answers us. Then the
+ * flow is looked up from the start, and the last one asked resets it.
  */
 static void ask_again(agent_t *a, uint64_t now, const silence_t *x)
 {
@@ -157,12 +196,17 @@
 		       .window = UINT16_MAX };
 	arrival_t in = { .hash = x->hash,
 			 .step = STEP_LOOKUP,
-			 .version = a->config->version,
-			 .silence_over = true };
+			 .version = a->config->version };
 	size_t len = packet_build(&p, buf);
 
-	if (packet_parse(buf, len, &in.packet) == PACKET_OK)
-		agent_arrival(a, now, &in);
+	if (packet_parse(buf, len, &in.packet) != PACKET_OK)
+		return;
+	if (x->again == 1) {
+		ask_silent(a, &in);
+		return;
+	}
+	in.silence_over = true;
+	agent_arrival(a, now, &in);
 }
 
 static bool due(list_t *order, uint64_t now, silence_t **x)
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -12,6 +12,8 @@
 #define RETRY_AFTER_S 2
 /* A time at which no member is avoided any more. */
 #define AVOIDED_TOO UINT64_MAX
+/* A member heard of since is not dead. */
+#define HEARD_MS 2000
 /* Best members looked at to begin a look-up. */
 #define LOOKUP_RANKS 4
 
@@ -39,7 +41,8 @@
 static bool believed_there(group_t *g, uint64_t now, const endpoint_t *agent);
 static int first_to_ask(group_t *g, uint64_t now, uint64_t hash,
 			endpoint_t *agent);
-static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load);
+static void take_doubt(balancer_t *b, uint64_t now, const group_t *g,
+		       member_t *m, const load_msg_t *load);
 static void take_digest(balancer_t *b, uint64_t now,
 			const digest_msg_t *digest);
 static void take_held(balancer_t *b, uint64_t now, const endpoint_t *from,
@@ -339,6 +342,7 @@
 	endpoint_t agent;
 	packet_msg_t msg;
 
+	g->sent_ms = now;
 	packet_message(b, &msg, service->id, STEP_LOOKUP, p);
 	if (hint_cache_get(b->hints, hash, &agent) &&
 	    believed_there(g, now, &agent)) {
@@ -426,14 +430,21 @@
 }
 
 /* A suspect gets no opens but keeps its flows; a dead member gets neither. */
-static void take_doubt(member_t *m, uint64_t now, const load_msg_t *load)
+static void take_doubt(balancer_t *b, uint64_t now, const group_t *g,
+		       member_t *m, const load_msg_t *load)
 {
 	if (load->incarnation < m->incarnation)
 		return;
-	if (load->state == MEMBER_SUSPECT)
+	if (load->state == MEMBER_SUSPECT) {
 		m->no_opens_until = now + AVOID_MS;
-	else if (load->state == MEMBER_DEAD)
-		m->avoid_until = now + RUMOUR_MS;
+		return;
+	}
+	if (load->state != MEMBER_DEAD ||
+	    (m->heard_ms && m->heard_ms + HEARD_MS > now))
+		return;
+	/* It may be cut off from its peers only. */
+	m->avoid_until = now + RUMOUR_MS;
+	balancer_ask(b, g, m);
 }
 
 /* An agent's word on members of its group that it doubts. */
@@ -450,7 +461,7 @@
 		member_t *m = group_member(g, load->target);
 
 		if (m)
-			take_doubt(m, now, load);
+			take_doubt(b, now, g, m, load);
 	}
 }
 
@@ -525,6 +536,8 @@
 {
 	pending_open_t *open;
 
+	balancer_poll(b, now);
+
 	while ((open = pending_opens_due(b->pending, now))) {
 		const flow_key_t *k = &open->key;
 		group_t *g =
