Test the merge of changed services over the wire

Cause: the merge was covered by whole fleets only. Change: seven kinds of change, each packed, unpacked and merged, then with a wrong digest and an unknown service; the bound of the history. No fault found.

--- a/test/test_config.c
+++ b/test/test_config.c
@@ -2,7 +2,7 @@
  * test_config - each fault of a document is a typed error with its line
  */
 
-#include "../src/config.h"
+#include "../src/config_delta.h"
 #include "runner.h"
 #include <glib.h>
 #include <string.h>
@@ -188,6 +188,99 @@
 }
 END_TEST
 
+#define SERVICE_A SERVICE("a", "192.0.2.1") CLASS TARGET("a1", "127.0.0.1:1")
+#define SERVICE_B SERVICE("b", "192.0.2.2") CLASS TARGET("b1", "127.0.0.2:1")
+#define SERVICE_C SERVICE("c", "192.0.2.3") CLASS TARGET("c1", "127.0.0.3:1")
+
+typedef struct change {
+	const char *from; /* NULL: the asking side has nothing */
+	const char *to;
+	size_t parts; /* services sent */
+	bool order;   /* their order is sent, too */
+} change_t;
+
+static const change_t changes[] = {
+	{ NULL, V SERVICE_A SERVICE_B, 2, true },
+	{ V SERVICE_A, "version = 2\n" SERVICE_A, 0, false },
+	{ V SERVICE_A SERVICE_B,
+	  "version = 2\n" SERVICE_A SERVICE_B "weight = 2\n", 1, false },
+	{ V SERVICE_A, "version = 2\n" SERVICE_A SERVICE_C, 1, true },
+	{ V SERVICE_A SERVICE_B, "version = 2\n" SERVICE_B, 0, true },
+	{ V SERVICE_A SERVICE_B, "version = 2\n" SERVICE_B SERVICE_A, 0, true },
+	{ V SERVICE_A, "version = 2\n" SERVICE_C, 1, true },
+};
+
+/* What a peer takes, over the wire, is what the other has. */
+START_TEST(changed_services_are_merged)
+{
+	const change_t *c = &changes[_i];
+	config_t *from = c->from ? parse(c->from) : NULL;
+	config_t *to = parse(c->to);
+	config_history_t *history = config_history_new();
+	config_reply_msg_t *made, *taken;
+	wire_arena_t arena = { 0 };
+	config_t *merged = NULL;
+	uint8_t buf[4096];
+	err_t err;
+
+	if (from)
+		config_history_add(history, from);
+	made = config_reply_new(
+		to,
+		from ? config_history_find(history, from->version, from->digest)
+		     : NULL);
+	ck_assert_uint_eq(made->n_parts, c->parts);
+	ck_assert_int_eq(made->n_order > 0, c->order);
+	ck_assert_uint_le(wire_size(made), sizeof(buf));
+	taken = wire_unpack(&arena, MSG_CONFIG_REPLY, buf,
+			    wire_pack(made, buf));
+	ck_assert_ptr_nonnull(taken);
+	ck_assert_int_eq(config_merge("peer", from, taken, &merged, &err), 0);
+	ck_assert_uint_eq(merged->digest, to->digest);
+	config_unref(merged);
+	/* Another digest than told, or a service that neither has. */
+	taken->digest ^= 1;
+	ck_assert_int_eq(config_merge("peer", from, taken, &merged, &err), -1);
+	ck_assert_int_eq(err.kind, ERR_PROTOCOL);
+	if (taken->n_order) {
+		taken->digest ^= 1;
+		taken->order[0] ^= 1;
+		ck_assert_int_eq(
+			config_merge("peer", from, taken, &merged, &err), -1);
+		ck_assert_int_eq(err.kind, ERR_PROTOCOL);
+	}
+	config_reply_free(made);
+	wire_arena_clear(&arena);
+	config_history_free(history);
+	config_unref(from);
+	config_unref(to);
+}
+END_TEST
+
+/* A history forgets the oldest configuration only. */
+START_TEST(history_is_bounded)
+{
+	config_history_t *history = config_history_new();
+	uint64_t digest[CONFIG_HISTORY + 1];
+
+	for (unsigned i = 0; i <= CONFIG_HISTORY; i++) {
+		char *text = config_example(1, 1, i + 1);
+		config_t *config = parse(text);
+
+		config_history_add(history, config);
+		digest[i] = config->digest;
+		config_unref(config);
+		g_free(text);
+	}
+	ck_assert_ptr_null(config_history_find(history, 1, digest[0]));
+	for (unsigned i = 1; i <= CONFIG_HISTORY; i++)
+		ck_assert_ptr_nonnull(
+			config_history_find(history, i + 1, digest[i]));
+	ck_assert_ptr_null(config_history_find(history, 2, digest[2]));
+	config_history_free(history);
+}
+END_TEST
+
 /* 1,000 services with 11 targets each, in the compact form. */
 START_TEST(target_size_fits_the_platform)
 {
@@ -215,6 +308,9 @@
 	tcase_add_test(tc, version_must_be_higher);
 	tcase_add_test(tc, defaults_and_compact_form);
 	tcase_add_test(tc, changed_bytes_do_not_crash);
+	tcase_add_loop_test(tc, changed_services_are_merged, 0,
+			    G_N_ELEMENTS(changes));
+	tcase_add_test(tc, history_is_bounded);
 	tcase_add_test(tc, target_size_fits_the_platform);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
