--- a/src/agent_trial.c
+++ b/src/agent_trial.c
@@ -81,6 +81,15 @@
 	}
 }
 
+bool trial_matches(const flow_t *f, const packet_t *answer)
+{
+	uint32_t next = answer->seq + (answer->flags & TCP_SYN ? 1 : 0);
+	int32_t sent = seq_diff(next, f->caller_ack);
+	int32_t taken = seq_diff(f->caller_next, answer->ack);
+
+	return sent >= 0 && sent < SEQ_NEAR && abs(taken) < SEQ_NEAR;
+}
+
 void trial_denied(agent_t *a, uint64_t now, flow_t *f)
 {
 	counter_add(&a->counters, COUNTER_TRIALS_DENIED, 1);
--- a/src/group.h
+++ b/src/group.h
@@ -28,7 +28,7 @@
 #define UNSEEN_MS 2000
 /* Messages that carry a change of a member's state on. */
 #define RUMOUR_SENDS 24
-/* A member that said it is full is offered an open again after this. */
+/* A full member that gets no opens says nothing: it is asked again then. */
 #define FULL_MS 500
 /* A member that left the configuration is forgotten after this silence. */
 #define LINGER_MS 15000
@@ -77,6 +77,8 @@
 	uint64_t service; /* service id */
 	member_t *members;
 	size_t n;
+	uint64_t sent_ms;      /* a balancer sent to it last */
+	uint64_t polled_ms;    /* a balancer asked how it is */
 	size_t turn;	       /* of round robin */
 	rank_member_t *ranked; /* id and weight of each member, owned */
 	bool ranked_valid;
@@ -101,9 +103,6 @@
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent);
 
-/* Sets the capacity that a member has learned, 0 when it has none. */
-void group_learned(group_t *group, member_t *m, double capacity);
-
 /*
  * Takes what another member told of a third one. A state counts when its
  * incarnation is higher, or when it is worse at the same one and the member
@@ -129,6 +128,9 @@
 /* Writes what is known of a member's load. */
 void member_load(const member_t *m, load_msg_t *load);
 
+/* Sets the capacity that a member has learned, 0 when it has none. */
+void group_learned(group_t *group, member_t *m, double capacity);
+
 /* Forgets members that left the configuration and fell silent. */
 void group_expire(group_t *group, uint64_t now);
 
