Make a report of tables and plots from one run's figures

make bench-policy, bench-membership and bench-matrix write a JSON object a line below report/bench; make report turns what is there into report/report.md and SVG plots, and names what was not run.

--- a/Makefile
+++ b/Makefile
@@ -118,6 +118,27 @@
 	$(MAKE) BUILD=build/sanitized SANITIZE="$(SANITIZE_FLAGS)" everything
 	test/run_tests
 
+# Figures of one run, a JSON object a line, and the report made from them.
+SEED = 1
+GROUP_SIZES = 4 11 50 200
+
+bench-policy: $(BUILD)/bench_policy
+	@mkdir -p report/bench
+	bench/run_policy report/bench/policy.json $(SEED)
+
+bench-membership: $(BUILD)/bench_membership
+	@mkdir -p report/bench
+	for n in $(GROUP_SIZES); do $(BUILD)/bench_membership $$n $(SEED); \
+		done >report/bench/membership.json
+
+bench-matrix: $(BUILD)/test_matrix
+	@mkdir -p report/bench
+	-$(BUILD)/test_matrix >report/bench/matrix.txt
+	bench/matrix_json <report/bench/matrix.txt >report/bench/matrix.json
+
+report:
+	bench/report.py report
+
 format:
 	clang-format -i $(C_FILES)
 
@@ -127,6 +148,7 @@
 clean:
 	rm -rf $(BUILD)
 
+.PHONY: bench-policy bench-membership bench-matrix report
 .PHONY: demo all everything packages check check-format check-lint check-man \
 	check-proof check-tests format proto clean
 .SECONDARY:
