Keep a flow silent while a partition heals; believe death half a second sooner

After a partition of 20 s one feed was told "outcome unknown" 88 ms after it healed, though its holder lived (test_cases, partition_on_all_sides): members come back one after another, and as soon as one only was still doubted, the silence of a single lost host (5 s) held and was over.

--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -14,7 +14,7 @@
 /* How many others. */
 #define PROBE_HELPERS 3
 /* A suspicion that is not refuted for so long makes a member dead. */
-#define SUSPICION_MS 3500
+#define SUSPICION_MS 3000
 /* Heard from directly this lately: a rumour of suspicion is not believed. */
 #define HEARD_LATELY_MS 300
 /* A longer time between two ticks means that this process was paused. */
--- a/src/agent_silence.c
+++ b/src/agent_silence.c
@@ -33,7 +33,7 @@
 static silence_t *add(silences_t *s, uint64_t now, const arrival_t *in);
 static void drop(silences_t *s, silence_t *x);
 static void ask_again(agent_t *a, uint64_t now, const silence_t *x);
-static uint64_t bound(const agent_t *a);
+static uint64_t bound(const agent_t *a, uint64_t now);
 static void defer(silences_t *s, silence_t *x, uint64_t now);
 static bool due(list_t *order, uint64_t now, silence_t **x);
 
@@ -106,15 +106,17 @@
  * One silent member is a lost host. With more of them we may be cut off
  * ourselves, and their flows go on without us.
  */
-static uint64_t bound(const agent_t *a)
+static uint64_t bound(const agent_t *a, uint64_t now)
 {
 	unsigned silent = 0;
 
 	for (size_t i = 0; i < a->group.n; i++) {
 		const member_t *m = &a->group.members[i];
 
-		silent += m->configured && (m->state == MEMBER_SUSPECT ||
-					    m->state == MEMBER_DEAD);
+		/* The end of a partition is seen of one after another. */
+		silent += m->configured &&
+			  (member_doubted(m) ||
+			   (m->back_ms && m->back_ms + SILENCE_MS > now));
 	}
 	return silent > 1 ? PARTITION_MS : SILENCE_MS;
 }
@@ -127,7 +129,7 @@
 		x = add(a->silences, now, in);
 	if (!x)
 		return 0;
-	if (x->since_ms + bound(a) <= now)
+	if (x->since_ms + bound(a, now) <= now)
 		return -1;
 	x->seq = in->packet.seq;
 	x->ack = in->packet.ack;
@@ -190,7 +192,7 @@
 	while (due(&s->over, now, &x) || due(&s->waiting, now, &x)) {
 		silence_t copy;
 
-		if (x->since_ms + bound(a) > now) {
+		if (x->since_ms + bound(a, now) > now) {
 			defer(s, x, now);
 			continue;
 		}
--- a/src/group.c
+++ b/src/group.c
@@ -21,6 +21,7 @@
 static member_state_t state_told(const load_msg_t *load);
 static void raise_incarnation(member_t *m, uint64_t incarnation);
 static bool doubtful(member_state_t state);
+static void enter_state(member_t *m, uint64_t now, member_state_t state);
 static bool same_life_changes(const member_t *m, uint64_t now,
 			      member_state_t state, uint64_t sequence,
 			      uint64_t lately);
@@ -177,6 +178,15 @@
 		group_changed(group);
 }
 
+static void enter_state(member_t *m, uint64_t now, member_state_t state)
+{
+	if (doubtful(state) && !doubtful(m->state))
+		m->suspect_ms = now;
+	if (!doubtful(state) && doubtful(m->state))
+		m->back_ms = now;
+	m->state = state;
+}
+
 member_t *group_load(group_t *group, uint64_t now, const load_msg_t *load,
 		     const endpoint_t *agent)
 {
@@ -194,7 +204,7 @@
 	    (m->state != state && state != MEMBER_ALIVE))
 		m->rumour_sends = RUMOUR_SENDS;
 	raise_incarnation(m, load->incarnation);
-	m->state = state;
+	enter_state(m, now, state);
 	m->heard_ms = now;
 	m->avoid_until = 0;
 	m->no_opens_until = 0;
@@ -245,9 +255,7 @@
 		take_values(group, m, now, load);
 	if (!changes)
 		return false;
-	if (doubtful(state) && !doubtful(m->state))
-		m->suspect_ms = now;
-	m->state = state;
+	enter_state(m, now, state);
 	/* The first word of a member is no news. */
 	if (known)
 		m->rumour_sends = RUMOUR_SENDS;
@@ -263,7 +271,7 @@
 	raise_incarnation(m, incarnation);
 	m->heard_ms = now;
 	if (doubtful(m->state))
-		m->state = MEMBER_ALIVE;
+		enter_state(m, now, MEMBER_ALIVE);
 }
 
 void group_suspect(group_t *group, uint64_t now, member_t *m)
--- a/src/group.h
+++ b/src/group.h
@@ -69,6 +69,7 @@
 	uint32_t held;
 	uint64_t load_ms;      /* when a load was told last */
 	uint64_t sequence;     /* of the load known, 0 for none */
+	uint64_t back_ms;      /* when a doubt was last dispelled */
 	uint64_t suspect_ms;   /* since when suspected */
 	unsigned rumour_sends; /* messages that still carry its state */
 } member_t;
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -42,33 +42,33 @@
 
 typedef struct rumour_row {
 	const char *why;
-	member_state_t known;
 	uint64_t heard_ago;
-	member_state_t told;
 	uint64_t incarnation;
+	member_state_t known;
+	member_state_t told;
 	member_state_t result;
 } rumour_row_t;
 
 static const rumour_row_t rumour_rows[] = {
-	{ "a suspicion is believed", MEMBER_ALIVE, 1000, MEMBER_SUSPECT, ONE,
+	{ "a suspicion is believed", 1000, ONE, MEMBER_ALIVE, MEMBER_SUSPECT,
 	  MEMBER_SUSPECT },
-	{ "not of one just heard", MEMBER_ALIVE, 100, MEMBER_SUSPECT, ONE,
+	{ "not of one just heard", 100, ONE, MEMBER_ALIVE, MEMBER_SUSPECT,
 	  MEMBER_ALIVE },
-	{ "not of an earlier life", MEMBER_ALIVE, 1000, MEMBER_DEAD, ONE - 1,
+	{ "not of an earlier life", 1000, ONE - 1, MEMBER_ALIVE, MEMBER_DEAD,
 	  MEMBER_ALIVE },
-	{ "the same life refutes nothing", MEMBER_SUSPECT, 1000, MEMBER_ALIVE,
-	  ONE, MEMBER_SUSPECT },
-	{ "a higher incarnation refutes", MEMBER_SUSPECT, 1000, MEMBER_ALIVE,
-	  REFUTED, MEMBER_ALIVE },
-	{ "also when dead", MEMBER_DEAD, 1000, MEMBER_ALIVE, REFUTED,
+	{ "the same life refutes nothing", 1000, ONE, MEMBER_SUSPECT,
+	  MEMBER_ALIVE, MEMBER_SUSPECT },
+	{ "a higher incarnation refutes", 1000, REFUTED, MEMBER_SUSPECT,
+	  MEMBER_ALIVE, MEMBER_ALIVE },
+	{ "also when dead", 1000, REFUTED, MEMBER_DEAD, MEMBER_ALIVE,
 	  MEMBER_ALIVE },
-	{ "dead is worse than suspected", MEMBER_SUSPECT, 1000, MEMBER_DEAD,
-	  ONE, MEMBER_DEAD },
-	{ "suspected is not worse than dead", MEMBER_DEAD, 1000, MEMBER_SUSPECT,
-	  ONE, MEMBER_DEAD },
-	{ "a leaving member can be suspected", MEMBER_LEAVING, 1000,
-	  MEMBER_SUSPECT, ONE, MEMBER_SUSPECT },
-	{ "one that left stays so", MEMBER_LEFT, 1000, MEMBER_DEAD, ONE,
+	{ "dead is worse than suspected", 1000, ONE, MEMBER_SUSPECT,
+	  MEMBER_DEAD, MEMBER_DEAD },
+	{ "suspected is not worse than dead", 1000, ONE, MEMBER_DEAD,
+	  MEMBER_SUSPECT, MEMBER_DEAD },
+	{ "a leaving member can be suspected", 1000, ONE, MEMBER_LEAVING,
+	  MEMBER_SUSPECT, MEMBER_SUSPECT },
+	{ "one that left stays so", 1000, ONE, MEMBER_LEFT, MEMBER_DEAD,
 	  MEMBER_LEFT },
 };
 
