--- a/src/agent.c
+++ b/src/agent.c
@@ -12,6 +12,8 @@
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
 static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f);
+static void take_digest(agent_t *a, uint64_t now, const endpoint_t *from,
+			const digest_msg_t *msg);
 static const class_t *class_of(const agent_t *a, const packet_t *p,
 			       uint32_t *index);
 
@@ -145,6 +147,8 @@
 	load->state = MEMBER_ALIVE;
 	if (a->leaving || !a->configured || a->target->state != TARGET_ACTIVE)
 		load->state = MEMBER_LEAVING;
+	if (!a->configured && a->held == 0 && !a->asks_server)
+		load->state = MEMBER_LEFT;
 	load->work = a->work;
 	load->capacity = (uint32_t)(agent_capacity(a) * THOUSAND);
 	load->in_flight = a->in_flight;
@@ -264,7 +268,7 @@
 	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
 		if (in->step == STEP_OPEN)
 			agent_tell(a, in, false, false);
-		else if (in->nasked && hint_allowed(a, now))
+		else if (in->only_you || (in->nasked && hint_allowed(a, now)))
 			agent_tell(a, in, false, false);
 		flow_deliver(a, now, f, &in->packet);
 		return;
@@ -297,6 +301,7 @@
 		.silence_over = msg->silence_over,
 		.untried = msg->untried,
 		.ask_servers = msg->ask_servers,
+		.only_you = msg->only_you,
 	};
 	if (in->nknown > msg->n_known_agents)
 		in->nknown = msg->n_known_agents;
@@ -333,6 +338,7 @@
 	msg->silence_over = in->silence_over;
 	msg->untried = in->untried;
 	msg->ask_servers = in->ask_servers;
+	msg->only_you = in->only_you;
 	msg->inner.data = (uint8_t *)in->packet.data;
 	msg->inner.len = in->packet.len;
 }
@@ -367,15 +373,31 @@
 	agent_arrival(a, now, &in);
 }
 
+/* Of a balancer that asks, or of another member. */
+static void take_digest(agent_t *a, uint64_t now, const endpoint_t *from,
+			const digest_msg_t *msg)
+{
+	if (!msg->load) {
+		rumours_asked(a, now, msg);
+		return;
+	}
+	membership_digest(a, now, from, msg);
+	wake_digest(a, now, msg);
+}
+
 void agent_message(agent_t *a, uint64_t now, const endpoint_t *from,
 		   msg_kind_t kind, const void *msg)
 {
+	wake_check(a, now);
 	switch (kind) {
 	case MSG_PACKET:
 		take_packet(a, now, from, msg);
 		return;
 	case MSG_DIGEST:
-		membership_digest(a, now, from, msg);
+		take_digest(a, now, from, msg);
+		return;
+	case MSG_HELD:
+		silence_ended(a, now, msg);
 		return;
 	case MSG_WITNESS:
 		witness_take(a, now, msg);
@@ -392,6 +414,7 @@
 {
 	if (!a->service)
 		return;
+	wake_tick(a, now);
 	if (a->asks_until_ms <= now)
 		a->asks_server = false;
 	flows_tick(a, now);
--- a/src/agent_answer.c
+++ b/src/agent_answer.c
@@ -119,7 +119,7 @@
 	hash = flow_key_hash(&key, a->options.rank_seed);
 	f = flow_table_find(a->flows, &key, hash);
 	if (f && f->state == FLOW_TRIAL) {
-		if (p.flags & TCP_RST) {
+		if (p.flags & TCP_RST || !trial_matches(f, &p)) {
 			trial_denied(a, now, f);
 			return;
 		}
--- a/src/agent_witness.c
+++ b/src/agent_witness.c
@@ -27,14 +27,12 @@
 #define PEERS_MS 1000
 #define WATCH_MS 1000
 #define BUCKETS	 4096 /* a power of two */
-/* A dead holder's callers are asked when it was silent for this long. */
-#define LOST_MS 5500
 /* A holder that started anew has this long to tell its flows again. */
 #define RETOLD_MS 5000
 /* Callers asked at a tick, times each is asked, and the time between. */
 #define PROBES_A_TICK 100
-#define PROBES	      3
-#define PROBE_MS      2000
+#define PROBES	      6
+#define PROBE_MS      500
 
 /* A flow of another member. */
 typedef struct known_flow {
@@ -81,7 +79,7 @@
 static size_t put_closed(witness_t *w, size_t bytes, uint8_t *out);
 static void send_batch(agent_t *a, uint64_t now);
 static void probe(agent_t *a, uint64_t now, known_flow_t *k);
-static bool holder_lost(agent_t *a, uint64_t now, const known_flow_t *k);
+static bool holder_lost(agent_t *a, const known_flow_t *k);
 static bool holder_restarted(agent_t *a, uint64_t now, known_flow_t *k);
 static void watch(agent_t *a, uint64_t now);
 static bool any_dead(const agent_t *a);
@@ -403,14 +401,14 @@
 	a->ops.reply(a->ctx, buf, packet_build(&p, buf));
 }
 
-/* The holder has been silent for so long that it is no short pause. */
-static bool holder_lost(agent_t *a, uint64_t now, const known_flow_t *k)
+/* The group agrees that the holder is dead, or has forgotten it. */
+static bool holder_lost(agent_t *a, const known_flow_t *k)
 {
 	const member_t *m = group_member(&a->group, k->holder);
 
 	if (!m)
 		return true;
-	return m->state == MEMBER_DEAD && m->heard_ms + LOST_MS <= now;
+	return m->state == MEMBER_DEAD;
 }
 
 /*
@@ -447,7 +445,7 @@
 		if (sent == PROBES_A_TICK)
 			return;
 		if (k->probe_ms + PROBE_MS > now ||
-		    (!holder_restarted(a, now, k) && !holder_lost(a, now, k)))
+		    (!holder_restarted(a, now, k) && !holder_lost(a, k)))
 			continue;
 		if (k->probes == PROBES) {
 			forget(w, k);
--- a/src/group.h
+++ b/src/group.h
@@ -78,6 +78,8 @@
 	uint64_t service; /* service id */
 	member_t *members;
 	size_t n;
+	uint64_t sent_ms;      /* a balancer sent to it last */
+	uint64_t polled_ms;    /* a balancer asked how it is */
 	size_t turn;	       /* of round robin */
 	rank_member_t *ranked; /* id and weight of each member, owned */
 	bool ranked_valid;
