--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,203 @@
+#!/usr/bin/env python3
+"""Works the target size out from measured slopes.
+
+usage: bench/capacity.py MEASURED_DIR PAGE
+
+Reads MEASURED_DIR/{control,membership,decision,forward,config}.json, a JSON
+object a line, and rewrites the part of PAGE between the two marker lines.
+"""
+
+import json
+import os
+import sys
+
+BEGIN = "<!-- made by bench/capacity.py: begin -->"
+END = "<!-- made by bench/capacity.py: end -->"
+
+# The target size.
+NODES = 1700
+TARGETS = 11000
+SERVICES = 1000
+FLOWS = 43e6
+OPENS_S = 74000
+CHANGES_DAY = 6300
+DAY_S = 86400
+GROUP = TARGETS / SERVICES
+
+# Budget of control for a node.
+CPU_PERCENT = 3.5
+MEMORY_MB = 128
+BYTES_S = 3000
+
+# From the code: hints a balancer keeps, bytes of one; witness bytes of a flow.
+HINT_BYTES = 16
+HINTS = 524288
+WITNESS_OPEN_BYTES = 7
+WITNESS_CLOSE_BYTES = 4
+WITNESSES = 2
+CHANGE_BYTES = 1700  # one service's canonical text with its frame
+
+
+def read(directory, name):
+    path = os.path.join(directory, name + ".json")
+    if not os.path.exists(path):
+        return []
+    with open(path, encoding="utf-8") as lines:
+        return [json.loads(line) for line in lines if line.strip()]
+
+
+def table(head, rows):
+    out = ["| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
+    out += ["| " + " | ".join(str(c) for c in row) + " |" for row in rows]
+    return "\n".join(out) + "\n"
+
+
+def control_table(control):
+    rows = []
+    for case in control:
+        for role in ("balancer", "agent"):
+            r = case[role]
+            rows.append([case["case"], role, r["processes"],
+                         "%.0f" % r["bytes_s"], "%.1f" % r["messages_s"],
+                         "%.2f" % r["cpu_percent"],
+                         "%.1f" % (r["rss_kb"] / 1024)])
+    return table(["case", "role", "processes", "control bytes/s",
+                  "control messages/s", "% of a core", "resident MB"], rows)
+
+
+def slopes(control):
+    """The slopes that the target is worked out from."""
+    c = {case["case"]: case for case in control}
+    s = {}
+    idle = c["group-11"]
+    s["agent_idle_bytes"] = idle["agent"]["bytes_s"]
+    s["agent_idle_cpu"] = idle["agent"]["cpu_percent"]
+    s["balancer_idle_bytes"] = idle["balancer"]["bytes_s"]
+    s["balancer_idle_cpu"] = idle["balancer"]["cpu_percent"]
+    low, high = c["opens-100"], c["opens-400"]
+    per_agent = (high["opens_s"] - low["opens_s"]) / high["targets"]
+    per_balancer = (high["opens_s"] - low["opens_s"]) / high["balancers"]
+    s["agent_open_bytes"] = (high["agent"]["bytes_s"] -
+                             low["agent"]["bytes_s"]) / per_agent
+    s["agent_open_cpu"] = (high["agent"]["cpu_percent"] -
+                           low["agent"]["cpu_percent"]) / per_agent
+    s["balancer_open_bytes"] = (high["balancer"]["bytes_s"] -
+                                low["balancer"]["bytes_s"]) / per_balancer
+    s["balancer_open_cpu"] = (high["balancer"]["cpu_percent"] -
+                              low["balancer"]["cpu_percent"]) / per_balancer
+    few, many = c["services-100"], c["services-1000"]
+    declared = (many["services"] - few["services"]) * 4
+    for role in ("balancer", "agent"):
+        s[role + "_target_kb"] = (many[role]["rss_kb"] -
+                                  few[role]["rss_kb"]) / declared
+        s[role + "_base_mb"] = few[role]["rss_kb"] / 1024
+    feeds = c["feeds-100"]
+    held = feeds["agent"]["held"] - idle["agent"]["held"]
+    s["flow_kb"] = (feeds["agent"]["rss_kb"] - idle["agent"]["rss_kb"]) / held
+    return s
+
+
+def slope_table(s):
+    rows = [
+        ["agent, quiet group of 11", "%.0f bytes/s, %.2f %% of a core"
+         % (s["agent_idle_bytes"], s["agent_idle_cpu"])],
+        ["agent, one open a second", "%.0f bytes/s, %.3f %% of a core "
+         "(the flow's packets included)"
+         % (s["agent_open_bytes"], s["agent_open_cpu"])],
+        ["balancer, quiet", "%.0f bytes/s, %.2f %% of a core"
+         % (s["balancer_idle_bytes"], s["balancer_idle_cpu"])],
+        ["balancer, one open a second", "%.1f bytes/s, %.4f %% of a core "
+         "(the flow's packets included)"
+         % (s["balancer_open_bytes"], s["balancer_open_cpu"])],
+        ["balancer, one declared target", "%.2f KB" % s["balancer_target_kb"]],
+        ["agent, one declared target", "%.2f KB" % s["agent_target_kb"]],
+        ["agent, one held flow", "%.2f KB" % s["flow_kb"]],
+    ]
+    return table(["what", "slope"], rows)
+
+
+def roles(s):
+    """State, messages, processor and memory of each role at the target."""
+    opens_agent = OPENS_S / TARGETS
+    opens_node = OPENS_S / NODES
+    flows_agent = FLOWS / TARGETS
+    change = CHANGES_DAY / DAY_S * CHANGE_BYTES
+    witness = opens_agent * WITNESSES * (WITNESS_OPEN_BYTES +
+                                         WITNESS_CLOSE_BYTES)
+    agent_bytes = (s["agent_idle_bytes"] + opens_agent * s["agent_open_bytes"]
+                   + change)
+    agent_cpu = s["agent_idle_cpu"] + opens_agent * s["agent_open_cpu"]
+    agent_mb = (s["agent_base_mb"] + TARGETS * s["agent_target_kb"] / 1024 +
+                flows_agent * s["flow_kb"] / 1024)
+    balancer_bytes = (s["balancer_idle_bytes"] + change +
+                      opens_node * max(s["balancer_open_bytes"], 0))
+    balancer_cpu = s["balancer_idle_cpu"] + opens_node * s["balancer_open_cpu"]
+    balancer_mb = (s["balancer_base_mb"] +
+                   TARGETS * s["balancer_target_kb"] / 1024 +
+                   HINTS * HINT_BYTES / 1024 / 1024)
+    rows = []
+    for role, state, load, bytes_s, cpu, mb in (
+            ("balancer (%d)" % NODES,
+             "%d groups, %d members, %d hints" % (SERVICES, TARGETS, HINTS),
+             "%.1f opens/s" % opens_node, balancer_bytes, balancer_cpu,
+             balancer_mb),
+            ("agent (%d)" % TARGETS,
+             "%.0f flows, %d members" % (flows_agent, round(GROUP)),
+             "%.1f opens/s" % opens_agent, agent_bytes, agent_cpu, agent_mb)):
+        rows.append([role, state, load,
+                     "%.0f of %d (%s)" % (bytes_s, BYTES_S,
+                                          margin(bytes_s, BYTES_S)),
+                     "%.2f of %.1f (%s)" % (cpu, CPU_PERCENT,
+                                            margin(cpu, CPU_PERCENT)),
+                     "%.0f of %d (%s)" % (mb, MEMORY_MB,
+                                          margin(mb, MEMORY_MB))])
+    text = table(["role", "state", "load", "control bytes/s", "% of a core",
+                  "MB"], rows)
+    text += ("\nOf an agent's bytes, %.0f a second are its own changes of "
+             "configuration and %.0f its witnesses.\n" % (change, witness))
+    return text
+
+
+def margin(value, budget):
+    left = (budget - value) / budget * 100
+    return "%.0f %% left" % left if left >= 0 else "%.0f %% over" % -left
+
+
+def plain(rows, title):
+    """Any list of flat objects as a table."""
+    if not rows:
+        return "%s: not run.\n" % title
+    head = [k for k, v in rows[0].items() if not isinstance(v, (list, dict))]
+    return table(head, [[row.get(k, "") for k in head] for row in rows])
+
+
+def main():
+    if len(sys.argv) != 3:
+        print("usage: bench/capacity.py MEASURED_DIR PAGE", file=sys.stderr)
+        return 2
+    directory, page = sys.argv[1:]
+    control = read(directory, "control")
+    parts = []
+    if control:
+        s = slopes(control)
+        parts += ["### Each role at the target size\n", roles(s),
+                  "### Slopes\n", slope_table(s),
+                  "### Measured cases\n", control_table(control)]
+    else:
+        parts.append("Control: not run.\n")
+    for name, title in (("membership", "Membership by size of the group"),
+                        ("decision", "Cost of one decision of a balancer"),
+                        ("forward", "Forwarding against a plain relay"),
+                        ("config", "Documents by size")):
+        parts += ["### " + title + "\n", plain(read(directory, name), title)]
+    with open(page, encoding="utf-8") as f:
+        text = f.read()
+    head, rest = text.split(BEGIN)
+    tail = rest.split(END)[1]
+    with open(page, "w", encoding="utf-8") as f:
+        f.write(head + BEGIN + "\n\n" + "\n".join(parts) + "\n" + END + tail)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
