--- a/Makefile
+++ b/Makefile
@@ -121,6 +121,11 @@
 format:
 	clang-format -i $(C_FILES)
 
+# Each program of bench/ writes its figures to report/bench/.
+bench: everything
+	@for bench in $(filter $(BUILD)/bench_%,$(BENCHES)); do \
+		echo "== $$bench"; $$bench || exit 1; done
+
 proto:
 	protoc-c --proto_path=proto --c_out=src proto/cherviltray.proto
 
