Offer an open elsewhere when its answers do not arrive

Cause: a caller repeated its SYN for 21 s to a host whose answers were cut on their way, until it timed out (log_retried_after_each_loss, answers_cut at before_syn). After 4 copies of an answered SYN the half-open flow is reset at its server and the SYN offered to another member. Ruled out: earlier copies, which a late SYN-ACK explains.

--- a/src/agent.c
+++ b/src/agent.c
@@ -12,6 +12,7 @@
 static void take_packet(agent_t *a, uint64_t now, const endpoint_t *from,
 			const packet_msg_t *msg);
 static bool finished_open(agent_t *a, const arrival_t *in, const flow_t *f);
+static bool unheard(agent_t *a, uint64_t now, const arrival_t *in, flow_t *f);
 static void take_digest(agent_t *a, uint64_t now, const endpoint_t *from,
 			const digest_msg_t *msg);
 static const class_t *class_of(const agent_t *a, const packet_t *p,
@@ -250,6 +251,22 @@
 	return true;
 }
 
+/*
+ * The caller repeats its SYN though our server answered it: the answers do not
+ * reach it, those of another host may. Returns true when it was offered on.
+ */
+static bool unheard(agent_t *a, uint64_t now, const arrival_t *in, flow_t *f)
+{
+	if (f->state != FLOW_HALF || f->caller_isn != in->packet.seq ||
+	    in->packet.payload_len || ++f->tries < SYN_REPEATS)
+		return false;
+	if (!offer_elsewhere(a, now, in))
+		return false;
+	flow_reset_server(a, f);
+	flow_enter(a, f, now, FLOW_LOST);
+	return true;
+}
+
 void agent_arrival(agent_t *a, uint64_t now, const arrival_t *in)
 {
 	flow_t *f = flow_table_find(a->flows, &in->packet.key, in->hash);
@@ -265,6 +282,8 @@
 			return;
 		}
 	}
+	if (f && packet_is_open(&in->packet) && unheard(a, now, in, f))
+		return;
 	if (f && f->state > FLOW_DENIED && flow_matches(a, f, &in->packet)) {
 		if (in->step == STEP_OPEN)
 			agent_tell(a, in, false, false);
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -41,6 +41,8 @@
 #define SEQ_BEFORE (64 * 1024 * 1024)
 /* Members to which an open that a backend server refused is offered. */
 #define OFFERS_MAX 3
+/* Copies of a SYN that was answered after which it is offered elsewhere. */
+#define SYN_REPEATS 4
 /* Members that one lookup may name. */
 #define NAMED_MAX 1024
 /* Nothing is said for this long, and half a second, while a member could not
--- a/test/test_agent_flow.c
+++ b/test/test_agent_flow.c
@@ -5,6 +5,7 @@
 
 #include "agent_rig.h"
 #include "runner.h"
+#include <stdio.h>
 
 #define PORT	4000
 #define ISN	70000
@@ -262,6 +263,39 @@
 }
 END_TEST
 
+/* The server's answers don't reach the caller: another host may answer. */
+START_TEST(an_open_whose_answers_are_lost_goes_elsewhere)
+{
+	unsigned taken = 0;
+
+	rig = rig_new(3, 0);
+	rig_pass(rig, 1500);
+	for (unsigned i = 0; i < 3; i++)
+		rig->agents[i].server = RIG_SILENT;
+	syn(0, ISN);
+	rig_answer(rig, 0, PORT, TCP_SYN | TCP_ACK, 5000, ISN + 1, NULL);
+	for (int i = 0; i < 3; i++)
+		syn(0, ISN);
+	ck_assert_str_eq(rig_state(rig, 0, PORT), "half");
+	syn(0, ISN);
+	ck_assert_str_eq(rig_state(rig, 0, PORT), "lost");
+	ck_assert_uint_eq(rig->agents[0].flags, TCP_RST);
+	for (unsigned i = 1; i < 3; i++)
+		taken += !strcmp(rig_state(rig, i, PORT), "opening");
+	ck_assert_uint_eq(taken, 1);
+	ck_assert_uint_eq(rig->resets, 0);
+	rig_free(rig);
+}
+END_TEST
+
+/* What a held flow costs: 4,000 on an agent. */
+START_TEST(a_held_flow_is_small)
+{
+	ck_assert_uint_le(sizeof(flow_t) + 2 * sizeof(list_t), 300);
+	printf("a held flow: %zu bytes\n", sizeof(flow_t));
+}
+END_TEST
+
 /* The caller's reset reaches the server, also one that a new agent forgot. */
 START_TEST(a_callers_reset_reaches_the_server)
 {
@@ -338,6 +372,8 @@
 	tcase_add_test(tc, probes_are_not_seen_by_the_caller);
 	tcase_add_test(tc, a_shed_open_is_offered_elsewhere);
 	tcase_add_test(tc, a_shed_open_with_data_is_refused);
+	tcase_add_test(tc, an_open_whose_answers_are_lost_goes_elsewhere);
+	tcase_add_test(tc, a_held_flow_is_small);
 	tcase_add_test(tc, a_callers_reset_reaches_the_server);
 	tcase_add_test(tc, a_vanished_caller_is_bounded);
 	tcase_add_test(tc, hints_are_bounded);
