--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -20,6 +20,7 @@
 #define FLOWS	     1400 /* held in the mean */
 #define LIFE_S	     60	  /* mean of a feed */
 #define FILL_S	     30	  /* the first FLOWS open in this time */
+#define FILL_SAMPLES 15	  /* seconds at the end of it */
 #define STEADY_S     150  /* the window begins */
 #define END_S	     240
 #define EVENT_S	     120 /* a host slows or is added */
@@ -261,7 +262,7 @@
 		least = u[i] < least ? u[i] : least;
 	}
 	mean = work > 0 ? work / capacity : 1;
-	if (second > FILL_S / 2 && second <= FILL_S)
+	if (second > FILL_S - FILL_SAMPLES && second <= FILL_S)
 		r->fill_sum += most / mean;
 	g_string_append_printf(r->series, "%s[%u,%.4f,%.4f]",
 			       r->series->len ? "," : "", second, most / mean,
@@ -345,8 +346,8 @@
 	       "\"learned\":[",
 	       r->scenario->name, r->step->name, r->greatest_sum / r->samples,
 	       r->greatest_worst, r->smallest_sum / r->samples,
-	       r->fill_sum / (FILL_S - FILL_S / 2), r->new_share[1],
-	       r->new_share[2], r->new_share[3], r->new_share[4], r->fair_s,
+	       r->fill_sum / FILL_SAMPLES, r->new_share[1], r->new_share[2],
+	       r->new_share[3], r->new_share[4], r->fair_s,
 	       (unsigned long long)world_control_bytes(r->world), n,
 	       (unsigned long long)passed(r),
 	       (unsigned long long)first_byte_ms(r, 50),
--- a/src/agent.c
+++ b/src/agent.c
@@ -142,7 +142,6 @@
 
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load)
 {
-	(void)now;
 	ct__load__init(load);
 	load->target = a->target->id;
 	load->incarnation = a->incarnation;
@@ -157,6 +156,7 @@
 	load->held = a->held;
 	load->speed = (uint32_t)(a->capacity.speed * THOUSAND);
 	load->full = admit_full(a) || a->server_down;
+	load->sequence = now;
 }
 
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone)
@@ -167,7 +167,7 @@
 	if (!in->reply.port)
 		return;
 	ct__held__init(&msg);
-	agent_fill_load(a, 0, &load);
+	agent_fill_load(a, a->last_tick_ms, &load);
 	msg.service = a->service->id;
 	msg.version = a->config->version;
 	msg.digest = a->config->digest;
--- a/src/agent_int.h
+++ b/src/agent_int.h
@@ -62,6 +62,7 @@
 /* Time to come back that a refusal carries, in seconds. */
 #define RETRY_AFTER_S 2
 
+typedef struct membership membership_t;
 typedef struct silences silences_t;
 typedef struct witness witness_t;
 typedef struct rumours rumours_t;
@@ -92,6 +93,7 @@
 	uint64_t started_ms;
 	uint64_t digest_ms; /* when the next digest is due */
 	uint64_t learn_ms;  /* when to compare service times again */
+	size_t pass_next;   /* member whose load is passed on next */
 	uint64_t told_ms;   /* when the last one was sent */
 	double told_work;   /* what it said */
 	bool told_full;
@@ -113,7 +115,7 @@
 	witness_t *witness;   /* what is told to peers and known of theirs */
 	rumours_t *rumours;   /* of dead members, for balancers; owned */
 	wire_arena_t arena;   /* for packets that were kept */
-	struct membership *membership;
+	membership_t *membership; /* of agent_probe.c */
 };
 
 /* A caller's packet with what its message said. */
@@ -160,8 +162,6 @@
 void agent_tell(agent_t *a, const arrival_t *in, bool refused, bool gone);
 /* Resets the caller's flow with a word. */
 void agent_refuse(agent_t *a, const packet_t *p, refusal_t word);
-/* Learned capacity, 0 when unknown. */
-double agent_capacity(const agent_t *a);
 void agent_fill_load(agent_t *a, uint64_t now, load_msg_t *load);
 
 /* agent_flow.c: the life of one flow */
@@ -253,13 +253,21 @@
 void trial_tick(agent_t *a, uint64_t now, flow_t *f);
 
 /* agent_group.c */
+/* Tells some members our load and the rumours, now. */
+void membership_tell(agent_t *a, uint64_t now);
 /* Brings our own entry of the group up to date; NULL when there is none. */
-member_t *membership_self(agent_t *a);
+member_t *membership_self(agent_t *a, uint64_t now);
 void membership_tick(agent_t *a, uint64_t now);
 void membership_digest(agent_t *a, uint64_t now, const endpoint_t *from,
 		       const digest_msg_t *digest);
+void membership_leave(agent_t *a, uint64_t now);
+
+/* agent_probe.c */
+void probes_tick(agent_t *a, uint64_t now);
+size_t rumours_fill(agent_t *a, load_msg_t *loads, load_msg_t **list);
+void rumours_take(agent_t *a, uint64_t now, load_msg_t *const *rumours,
+		  size_t n);
 void membership_probe(agent_t *a, uint64_t now, const endpoint_t *from,
 		      const probe_msg_t *probe);
-void membership_leave(agent_t *a, uint64_t now);
 
 #endif
--- a/src/group.c
+++ b/src/group.c
@@ -16,8 +16,18 @@
 static int takes_opens(const void *ctx, uint32_t position);
 static int any_member(const void *ctx, uint32_t position);
 static void take_times(member_t *m, const load_msg_t *load);
+static void take_values(group_t *group, member_t *m, uint64_t now,
+			const load_msg_t *load);
+static member_state_t state_told(const load_msg_t *load);
+static void raise_incarnation(member_t *m, uint64_t incarnation);
+static bool doubtful(member_state_t state);
+static bool same_life_changes(const member_t *m, uint64_t now,
+			      member_state_t state, uint64_t sequence,
+			      uint64_t lately);
 static bool has_times(const member_t *m);
 static double mean_learned_per_weight(const group_t *group);
+static double work_of(const member_t *m, uint64_t now);
+static bool load_known(const member_t *m, uint64_t now);
 static double weight_at(const member_t *m, double per_weight);
 
 void group_clear(group_t *group)
@@ -103,6 +113,53 @@
 	m->sample_age_ms = load->sample_age_ms;
 }
 
+/* The numbers of a load; older ones than those known are left. */
+static void take_values(group_t *group, member_t *m, uint64_t now,
+			const load_msg_t *load)
+{
+	if (load->sequence < m->sequence)
+		return;
+	m->sequence = load->sequence;
+	m->load_ms = now;
+	m->full = load->full;
+	group_learned(group, m, load->capacity / THOUSAND);
+	m->speed = load->speed / THOUSAND;
+	m->work = load->work;
+	m->unseen = 0;
+	m->in_flight = load->in_flight;
+	m->held = load->held;
+	take_times(m, load);
+}
+
+void member_load(const member_t *m, load_msg_t *load)
+{
+	ct__load__init(load);
+	load->target = m->id;
+	load->incarnation = m->incarnation;
+	load->state = m->state;
+	load->sequence = m->sequence;
+	load->full = m->full;
+	load->capacity = (uint32_t)(m->capacity * THOUSAND);
+	load->speed = (uint32_t)(m->speed * THOUSAND);
+	load->work = (uint32_t)m->work;
+	load->in_flight = m->in_flight;
+	load->held = m->held;
+}
+
+static member_state_t state_told(const load_msg_t *load)
+{
+	return load->state < MEMBER_STATES ? (member_state_t)load->state
+					   : MEMBER_ALIVE;
+}
+
+/* A new life of a member begins with unknown numbers. */
+static void raise_incarnation(member_t *m, uint64_t incarnation)
+{
+	if (incarnation > m->incarnation)
+		m->sequence = 0;
+	m->incarnation = incarnation;
+}
+
 static void group_changed(group_t *group)
 {
 	group->ranked_valid = false;
@@ -124,6 +181,7 @@
 		     const endpoint_t *agent)
 {
 	member_t *m = group_member(group, load->target);
+	member_state_t state = state_told(load);
 
 	if (!m && agent) {
 		m = member_add(group, load->target);
@@ -132,23 +190,105 @@
 	}
 	if (!m || load->incarnation < m->incarnation)
 		return NULL;
-	m->incarnation = load->incarnation;
-	m->state = load->state < MEMBER_STATES ? (member_state_t)load->state
-					       : MEMBER_ALIVE;
+	if ((m->incarnation && m->incarnation != load->incarnation) ||
+	    (m->state != state && state != MEMBER_ALIVE))
+		m->rumour_sends = RUMOUR_SENDS;
+	raise_incarnation(m, load->incarnation);
+	m->state = state;
 	m->heard_ms = now;
 	m->avoid_until = 0;
+	m->no_opens_until = 0;
 	m->unanswered = 0;
-	m->full = load->full;
-	group_learned(group, m, load->capacity / THOUSAND);
-	m->speed = load->speed / THOUSAND;
-	m->work = load->work;
-	take_times(m, load);
-	m->unseen = 0;
-	m->in_flight = load->in_flight;
-	m->held = load->held;
+	take_values(group, m, now, load);
 	return m;
 }
 
+bool member_doubted(const member_t *m)
+{
+	return doubtful(m->state);
+}
+
+static bool doubtful(member_state_t state)
+{
+	return state == MEMBER_SUSPECT || state == MEMBER_DEAD;
+}
+
+/* What a rumour of the same incarnation changes. */
+static bool same_life_changes(const member_t *m, uint64_t now,
+			      member_state_t state, uint64_t sequence,
+			      uint64_t lately)
+{
+	if (!doubtful(state))
+		return !doubtful(m->state) && m->state != state &&
+		       sequence > m->sequence;
+	if (m->heard_ms && m->heard_ms + lately > now)
+		return false;
+	if (m->state == MEMBER_SUSPECT)
+		return state == MEMBER_DEAD;
+	return m->state != MEMBER_DEAD && m->state != MEMBER_LEFT;
+}
+
+bool group_rumour(group_t *group, uint64_t now, const load_msg_t *load,
+		  uint64_t lately)
+{
+	member_t *m = group_member(group, load->target);
+	member_state_t state = state_told(load);
+	bool changes, known;
+
+	if (!m || load->incarnation < m->incarnation)
+		return false;
+	known = m->incarnation || doubtful(state);
+	changes = load->incarnation > m->incarnation ||
+		  same_life_changes(m, now, state, load->sequence, lately);
+	raise_incarnation(m, load->incarnation);
+	if (load->sequence)
+		take_values(group, m, now, load);
+	if (!changes)
+		return false;
+	if (doubtful(state) && !doubtful(m->state))
+		m->suspect_ms = now;
+	m->state = state;
+	/* The first word of a member is no news. */
+	if (known)
+		m->rumour_sends = RUMOUR_SENDS;
+	return true;
+}
+
+void group_heard(group_t *group, uint64_t now, member_t *m,
+		 uint64_t incarnation)
+{
+	(void)group;
+	if (incarnation < m->incarnation)
+		return;
+	raise_incarnation(m, incarnation);
+	m->heard_ms = now;
+	if (doubtful(m->state))
+		m->state = MEMBER_ALIVE;
+}
+
+void group_suspect(group_t *group, uint64_t now, member_t *m)
+{
+	(void)group;
+	m->state = MEMBER_SUSPECT;
+	m->suspect_ms = now;
+	m->rumour_sends = RUMOUR_SENDS;
+}
+
+void group_forgive(group_t *group, uint64_t now)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (group->members[i].state == MEMBER_SUSPECT)
+			group->members[i].suspect_ms = now;
+}
+
+bool group_has_agent(const group_t *group, const endpoint_t *agent)
+{
+	for (size_t i = 0; i < group->n; i++)
+		if (endpoint_equal(&group->members[i].agent, agent))
+			return true;
+	return false;
+}
+
 void group_expire(group_t *group, uint64_t now)
 {
 	for (size_t i = 0; i < group->n;) {
@@ -175,7 +315,7 @@
 		return false;
 	if (m->state != MEMBER_ALIVE)
 		return false;
-	return m->avoid_until <= now;
+	return m->avoid_until <= now && m->no_opens_until <= now;
 }
 
 bool member_full(const member_t *m, uint64_t now)
@@ -265,15 +405,33 @@
 	return weight_at(m, mean_learned_per_weight(group));
 }
 
-double member_utilisation(const group_t *group, const member_t *m)
+/* Work held and not yet told; of an old load only what was placed since. */
+static double work_of(const member_t *m, uint64_t now)
+{
+	double unseen = m->placed_ms + UNSEEN_MS > now ? m->unseen : 0;
+
+	return load_known(m, now) ? m->work + unseen : unseen;
+}
+
+static bool load_known(const member_t *m, uint64_t now)
+{
+	return m->load_ms && m->load_ms + LOAD_FRESH_MS > now;
+}
+
+double member_utilisation(const group_t *group, const member_t *m, uint64_t now)
 {
 	double capacity = member_rank_weight(group, m);
+	double own = capacity > 0 ? work_of(m, now) / capacity : 0;
 
-	return capacity > 0 ? (m->work + m->unseen) / capacity : 0;
+	/* Without a load of its own it is taken to be like the others. */
+	return load_known(m, now) ? own : own + group_utilisation(group, now);
 }
 
-void member_placed(member_t *m, double weight)
+void member_placed(member_t *m, uint64_t now, double weight)
 {
+	if (m->placed_ms + UNSEEN_MS <= now)
+		m->unseen = 0;
+	m->placed_ms = now;
 	m->placed += weight;
 	m->unseen += weight;
 }
@@ -286,9 +444,9 @@
 	for (size_t i = 0; i < group->n; i++) {
 		const member_t *m = &group->members[i];
 
-		if (!member_takes_opens(m, now))
+		if (!member_takes_opens(m, now) || !load_known(m, now))
 			continue;
-		work += m->work + m->unseen;
+		work += work_of(m, now);
 		capacity += weight_at(m, per_weight);
 	}
 	return capacity > 0 ? work / capacity : 0;
