--- a/src/agent_rumour.c
+++ b/src/agent_rumour.c
@@ -22,6 +22,7 @@
 	told_t told[REMEMBERED];
 	load_msg_t dead[RUMOURS];
 	size_t ndead;
+	uint32_t deaths; /* of the members dead now, their ids combined */
 };
 
 rumours_t *rumours_new(void)
@@ -32,6 +33,7 @@
 void rumours_tick(agent_t *a, uint64_t now)
 {
 	rumours_t *r = a->rumours;
+	uint32_t deaths = 0;
 
 	r->ndead = 0;
 	for (size_t i = 0; i < a->group.n && r->ndead < RUMOURS; i++) {
@@ -44,8 +46,14 @@
 		load->target = m->id;
 		load->incarnation = m->incarnation;
 		load->state = m->state;
+		if (m->state == MEMBER_DEAD)
+			deaths ^= m->id;
 		r->ndead++;
 	}
+	/* A death is told at once. */
+	for (size_t i = 0; i < REMEMBERED && deaths != r->deaths; i++)
+		r->told[i].told_ms = 0;
+	r->deaths = deaths;
 	if (r->ndead == 0)
 		return;
 	for (size_t i = 0; i < REMEMBERED; i++)
