Let a fault end while its log is retried

The case waited for the caller without ending the faults that were due, so a path cut for 2 s stayed cut for ever: seen once the losses before it held. It now runs the agenda while it waits.

--- a/test/cases_loss.c
+++ b/test/cases_loss.c
@@ -132,6 +132,16 @@
 	case_end(run);
 }
 
+/* Runs until the subject is over, and lets faults end meanwhile. */
+static void settle(cell_t *c)
+{
+	for (unsigned t = 0; t < SILENCE_MS; t += 50) {
+		if (world_result(c->w, c->subject)->ended)
+			return;
+		cell_run(c, 50);
+	}
+}
+
 /* Repeats a log under its id while it is told "not run". */
 static void retry_log(case_run_t *run, const app_request_t *app)
 {
@@ -143,7 +153,7 @@
 			return;
 		cell_run(c, r->retry_after_s * 1000ULL);
 		c->subject = world_request(c->w, "spot", "check-in", app);
-		world_settle(c->w, SILENCE_MS);
+		settle(c);
 		r = world_result(c->w, c->subject);
 	}
 }
@@ -164,8 +174,7 @@
 		world_run(c->w, 1);
 	if (step->reached)
 		cell_cause(c, fault);
-	cell_run(c, 1000);
-	world_settle(c->w, SILENCE_MS);
+	settle(c);
 	retry_log(run, &app);
 	expect(run, world_recorded(c->w, app.id) <= 1, "recorded",
 	       world_recorded(c->w, app.id));
