--- a/src/agent_silence.c
+++ b/src/agent_silence.c
@@ -36,7 +36,7 @@
 static void drop(silences_t *s, silence_t *x);
 static void ask_silent(agent_t *a, const arrival_t *in);
 static void ask_again(agent_t *a, uint64_t now, const silence_t *x);
-static uint64_t bound(const agent_t *a);
+static uint64_t bound(const agent_t *a, uint64_t now);
 static void defer(silences_t *s, silence_t *x, uint64_t now);
 static bool due(list_t *order, uint64_t now, silence_t **x);
 
@@ -109,15 +109,17 @@
  * One silent member is a lost host. With more of them we may be cut off
  * ourselves, and their flows go on without us.
  */
-static uint64_t bound(const agent_t *a)
+static uint64_t bound(const agent_t *a, uint64_t now)
 {
 	unsigned silent = 0;
 
 	for (size_t i = 0; i < a->group.n; i++) {
 		const member_t *m = &a->group.members[i];
 
-		silent += m->configured && (m->state == MEMBER_SUSPECT ||
-					    m->state == MEMBER_DEAD);
+		/* The end of a partition is seen of one after another. */
+		silent += m->configured &&
+			  (member_doubted(m) ||
+			   (m->back_ms && m->back_ms + SILENCE_MS > now));
 	}
 	return silent > 1 ? PARTITION_MS : SILENCE_MS;
 }
@@ -234,7 +236,7 @@
 	while (due(&s->over, now, &x) || due(&s->waiting, now, &x)) {
 		silence_t copy;
 
-		if (x->since_ms + bound(a) > now) {
+		if (x->since_ms + bound(a, now) > now) {
 			defer(s, x, now);
 			continue;
 		}
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -435,8 +435,10 @@
 {
 	if (load->incarnation < m->incarnation)
 		return;
-	if (load->state == MEMBER_SUSPECT)
+	if (load->state == MEMBER_SUSPECT) {
 		m->no_opens_until = now + AVOID_MS;
+		return;
+	}
 	if (load->state != MEMBER_DEAD ||
 	    (m->heard_ms && m->heard_ms + HEARD_MS > now))
 		return;
