Keep the dead dead at a removed target while others answer

A trace of the look-ups showed that the removed target, which was the last to be asked and so had the silence to end, took the lost host for alive again each tick (believe_peers) and began each of its three last look-ups at it. Ruled out: the witness, whose six probes were all answered; a lost hop further on, since no other member saw those look-ups. Change: a member that did not answer stays dead while another one answers; only who hears of nobody takes all for alive.

--- a/src/agent_wake.c
+++ b/src/agent_wake.c
@@ -80,12 +80,23 @@
 	agent_audit(a, "woke", "asks its peers");
 }
 
-/* Who has left hears of nobody; what still comes here is passed on. */
+/*
+ * Who has left hears of nobody in the end; what still comes here is passed on.
+ * While one member answers, those that do not stay dead: the last look-up of a
+ * flow would end at one of them.
+ */
 static void believe_peers(agent_t *a, uint64_t now)
 {
+	bool heard = false;
+
+	for (size_t i = 0; i < a->group.n; i++)
+		heard |= a->group.members[i].id != a->target->id &&
+			 a->group.members[i].state == MEMBER_ALIVE;
 	for (size_t i = 0; i < a->group.n; i++) {
 		member_t *m = &a->group.members[i];
 
+		if (m->state == MEMBER_DEAD && heard)
+			continue;
 		m->heard_ms = now;
 		if (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD)
 			m->state = MEMBER_ALIVE;
