Ask a member that a look-up goes to and that was not heard of

Ruled out: the chain and the silence, which never saw those packets; asking every silent member, which at 11,000 members is far over 3 KB a second. Change: a look-up that goes to a member not heard of for 3 s asks it, at most 5 members a second; without an answer after 1 s it is avoided for 10 s.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -359,6 +359,7 @@
 				candidates(b, g, now, &any, NULL, ids);
 		}
 	}
+	balancer_watch(b, now, g, &agent);
 	b->ops.send(b->ctx, &agent, MSG_PACKET, &msg);
 }
 
--- a/src/balancer_int.h
+++ b/src/balancer_int.h
@@ -23,6 +23,7 @@
 	hint_cache_t *hints;
 	pending_opens_t *pending;
 	uint32_t retry_saved; /* hundredths of a retry */
+	uint32_t asks_left;   /* members that may be asked till the next poll */
 	uint64_t poll_ms;     /* when silent services are looked for */
 	size_t poll_at;	      /* service looked at first */
 	counters_t counters;
@@ -31,6 +32,13 @@
 /* balancer_poll.c: asks a member of each service that is in use and silent */
 void balancer_poll(balancer_t *b, uint64_t now);
 /* Asks one member how it is. */
+/*
+ * A look-up goes to a member: when nothing was heard of it lately it is asked,
+ * and avoided when it does not answer.
+ */
+void balancer_watch(balancer_t *b, uint64_t now, group_t *g,
+		    const endpoint_t *agent);
+
 void balancer_ask(balancer_t *b, const group_t *g, const member_t *m);
 
 #endif
--- a/src/balancer_poll.c
+++ b/src/balancer_poll.c
@@ -8,6 +8,11 @@
 #define SILENT_MS 3000
 /* Services asked at a time. */
 #define POLLS_AT_ONCE 10
+/* Members asked between two polls because a look-up goes to them. */
+#define ASKS_A_POLL 5
+/* One that was asked and says nothing for so long is avoided. */
+#define ANSWER_MS	1000
+#define AVOID_SILENT_MS 10000
 
 static bool silent(const group_t *g, uint64_t now);
 
@@ -37,6 +42,27 @@
 	b->ops.send(b->ctx, &m->agent, MSG_DIGEST, &msg);
 }
 
+void balancer_watch(balancer_t *b, uint64_t now, group_t *g,
+		    const endpoint_t *agent)
+{
+	member_t *m = group_member_at(g, agent);
+
+	if (!m || m->heard_ms + SILENT_MS > now)
+		return;
+	if (m->asked_ms > m->heard_ms) {
+		if (m->asked_ms + ANSWER_MS > now)
+			return;
+		m->asked_ms = 0;
+		m->avoid_until = now + AVOID_SILENT_MS;
+		return;
+	}
+	if (b->asks_left == 0)
+		return;
+	b->asks_left--;
+	m->asked_ms = now;
+	balancer_ask(b, g, m);
+}
+
 /*
  * Hints and ranks lead to members that may be dead: when no answer to an open
  * tells how a service in use is, a member is asked, whose answer names the
@@ -49,6 +75,7 @@
 	if (now < b->poll_ms || b->ngroups == 0)
 		return;
 	b->poll_ms = now + POLL_MS;
+	b->asks_left = ASKS_A_POLL;
 	for (size_t i = 0; i < b->ngroups && sent < POLLS_AT_ONCE; i++) {
 		group_t *g = &b->groups[(b->poll_at + i) % b->ngroups];
 
--- a/src/group.h
+++ b/src/group.h
@@ -53,6 +53,7 @@
 	member_state_t state;
 	uint64_t incarnation;	 /* greatest seen */
 	uint64_t heard_ms;	 /* last load or answer, 0 for never */
+	uint64_t asked_ms;	 /* by a balancer, without an answer yet */
 	uint64_t avoid_until;	 /* nothing before, after unanswered opens */
 	uint64_t no_opens_until; /* suspected by other members */
 	uint32_t unanswered;	 /* opens in a row without an answer */
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -28,7 +28,7 @@
 static balancer_t *b;
 static config_t *config;
 static sent_t sent[SENT_MAX];
-static unsigned nsent, nreplies, naudits;
+static unsigned nsent, nreplies, naudits, nasks;
 static uint64_t behind_version;
 static uint8_t reply[PACKET_MAX];
 static size_t reply_len;
@@ -40,6 +40,11 @@
 	sent_t *s = &sent[nsent];
 
 	(void)ctx;
+	/* A member that was not heard of is asked. */
+	if (kind == MSG_DIGEST) {
+		nasks++;
+		return;
+	}
 	ck_assert_int_eq(kind, MSG_PACKET);
 	ck_assert_uint_lt(nsent, SENT_MAX);
 	ck_assert_uint_le(msg->n_candidates, 8);
@@ -126,7 +131,7 @@
 				       .retry_percent = retry_percent,
 				       .off = off };
 
-	nsent = nreplies = naudits = 0;
+	nsent = nreplies = naudits = nasks = 0;
 	behind_version = 0;
 	b = balancer_new(&options, &ops, NULL);
 	configure(1, "active");
@@ -240,6 +245,25 @@
 }
 END_TEST
 
+/* Nobody tells of a dead member of a quiet service: it is asked. */
+START_TEST(silent_member_gets_no_look_up)
+{
+	unsigned first;
+
+	balancer_tick(b, NOW);
+	hand_in(NOW, 7, PROTO_TCP, TCP_ACK, 1, "");
+	first = sent[0].member;
+	ck_assert_uint_eq(nasks, 1);
+	hand_in(NOW + 500, 7, PROTO_TCP, TCP_ACK, 1, "");
+	ck_assert_uint_eq(sent[1].member, first);
+	hand_in(NOW + 1500, 7, PROTO_TCP, TCP_ACK, 1, "");
+	hand_in(NOW + 1600, 7, PROTO_TCP, TCP_ACK, 1, "");
+	ck_assert_uint_ne(sent[3].member, first);
+	/* The other one is asked as well. */
+	ck_assert_uint_eq(nasks, 2);
+}
+END_TEST
+
 START_TEST(unanswered_open_is_offered_to_others)
 {
 	bool seen[TARGETS + 1] = { false };
@@ -568,6 +592,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, open_names_distinct_candidates);
 	tcase_add_test(tc, packet_goes_to_its_hint_or_to_the_best);
+	tcase_add_test(tc, silent_member_gets_no_look_up);
 	tcase_add_test(tc, unanswered_open_is_offered_to_others);
 	tcase_add_test(tc, answered_open_is_not_offered_again);
 	tcase_add_test(tc, syn_with_data_is_never_offered_twice);
