--- a/Makefile
+++ b/Makefile
@@ -144,8 +144,20 @@
 
 # Each program of bench/ writes its figures to report/bench/.
 bench: everything
-	@for bench in $(filter $(BUILD)/bench_%,$(BENCHES)); do \
-		echo "== $$bench"; $$bench || exit 1; done
+	@mkdir -p report/bench
+	$(BUILD)/bench_decision
+	$(BUILD)/bench_config >report/bench/config.json
+	$(BUILD)/bench_forward
+	$(BUILD)/bench_control report/bench/control.json
+	$(MAKE) bench-membership bench-policy bench-matrix
+
+# The tables of docs/CAPACITY.md from the files of one run of the benches.
+MEASURED = control membership decision forward config
+
+capacity:
+	for name in $(MEASURED); do \
+		cp report/bench/$$name.json docs/measured/; done
+	bench/capacity.py docs/measured docs/CAPACITY.md
 
 proto:
 	protoc-c --proto_path=proto --c_out=src proto/cherviltray.proto
@@ -153,7 +165,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: bench-policy bench-membership bench-matrix report
+.PHONY: bench capacity bench-policy bench-membership bench-matrix report
 .PHONY: demo all everything packages check check-format check-lint check-man \
 	check-proof check-tests format proto clean
 .SECONDARY:
