Keep what benches and tests share in bench/

Cause: bench programs and the demo took the world, the model of a backend server, the naive version and the harness of processes out of test/, which is to hold one program a module and the stand-ins. Ruled out: copies for each.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,8 @@
 	$(BUILD)/cherviltray
 FAKES = $(patsubst test/%.c,$(BUILD)/%,$(wildcard test/fake_*.c))
 TESTS = $(patsubst test/%.c,$(BUILD)/%,$(wildcard test/test_*.c))
-BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/*.c))
+BENCHES = $(BUILD)/relay $(patsubst bench/%.c,$(BUILD)/%,\
+	$(wildcard bench/bench_*.c))
 
 all: $(PROGRAMS)
 
@@ -50,15 +51,19 @@
 $(BUILD)/cherviltray-agent: $(BUILD)/src/agent_main.o
 $(BUILD)/cherviltray: $(CLI_OBJ)
 $(FAKES): $(BUILD)/%: $(BUILD)/test/%.o
-# What the tests and benches share: all that is no program of its own.
-TEST_SHARED = $(filter-out test_% fake_% demo,$(patsubst test/%.c,%,\
-	$(wildcard test/*.c)))
-TEST_OBJ = $(TEST_SHARED:%=$(BUILD)/test/%.o)
+# What benches and tests share: the library wired together, the model of a
+# backend server, the naive version, and the harness of real processes.
+BENCH_SHARED = $(filter-out bench/bench_% bench/relay.c,$(wildcard bench/*.c))
+BENCH_OBJ = $(BENCH_SHARED:%.c=$(BUILD)/%.o)
+# What only the tests share.
+TEST_SHARED = $(filter-out test/test_% test/fake_% test/demo.c,\
+	$(wildcard test/*.c))
+TEST_OBJ = $(TEST_SHARED:%.c=$(BUILD)/%.o) $(BENCH_OBJ)
 $(TESTS): $(BUILD)/%: $(BUILD)/test/%.o $(TEST_OBJ)
-$(BUILD)/fake_server: $(BUILD)/test/app_server.o
+$(BUILD)/fake_server: $(BUILD)/bench/app_server.o
 $(TESTS): LDLIBS += $(shell pkg-config --libs check)
-$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(TEST_OBJ)
-$(BUILD)/demo: $(BUILD)/test/demo.o $(TEST_OBJ)
+$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(BENCH_OBJ)
+$(BUILD)/demo: $(BUILD)/test/demo.o $(BENCH_OBJ)
 
 $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo: \
 	$(BUILD)/libcherviltray.a
--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -1,7 +1,7 @@
 /*
  * bench_config - size and parse time of documents up to the target size
  *
- * Prints a line for each size: services, targets a service, bytes of the
+ * Prints a JSON object for each size: services, targets a service, bytes of the
  * compact form and of the canonical text, milliseconds to parse, to write the
  * canonical text, and to merge a change of one service.
  */
@@ -82,8 +82,11 @@
 		g_free(all);
 		g_free(other);
 	}
-	printf("%8u %8u %9zu %9zu %9.2f %9.2f %9.2f\n", services, targets,
-	       strlen(text), canonical, best, text_best, merge_best);
+	printf("{\"services\":%u,\"targets\":%u,\"bytes\":%zu,"
+	       "\"canonical_bytes\":%zu,\"parse_ms\":%.2f,\"text_ms\":%.2f,"
+	       "\"merge_ms\":%.2f}\n",
+	       services, targets, strlen(text), canonical, best, text_best,
+	       merge_best);
 	g_free(text);
 }
 
@@ -91,8 +94,6 @@
 {
 	static const unsigned sizes[] = { 10, 100, 1000 };
 
-	printf("%8s %8s %9s %9s %9s %9s %9s\n", "services", "targets", "bytes",
-	       "canonical", "parse ms", "text ms", "merge ms");
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		measure(sizes[i], 11);
 	return 0;
--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -7,7 +7,7 @@
  * from it.
  */
 
-#include "../test/harness.h"
+#include "harness.h"
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -8,7 +8,7 @@
  * processes paused for 2 s; the time until a dead host gets no opens.
  */
 
-#include "../test/world.h"
+#include "world.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -9,7 +9,7 @@
  * slots times true speed.
  */
 
-#include "../test/world.h"
+#include "world.h"
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/demo.c
+++ b/test/demo.c
@@ -8,7 +8,7 @@
  * force on every process.
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
--- a/test/fake_server.c
+++ b/test/fake_server.c
@@ -10,7 +10,7 @@
 
 #include "../src/endpoint.h"
 #include "../src/udp_socket.h"
-#include "app_server.h"
+#include "../bench/app_server.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/test/matrix.h
+++ b/test/matrix.h
@@ -10,7 +10,7 @@
  * cell runs against the naive version.
  */
 
-#include "world.h"
+#include "../bench/world.h"
 
 #define MATRIX_FAULTS_MAX 32
 #define MATRIX_STEPS_MAX  16
--- a/test/test_agent_process.c
+++ b/test/test_agent_process.c
@@ -2,7 +2,7 @@
  * test_agent_process - the agent as a process: successor, crash, stop
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 #include <glib.h>
 #include <signal.h>
--- a/test/test_agent_witness.c
+++ b/test/test_agent_witness.c
@@ -4,7 +4,7 @@
 
 #include "agent_rig.h"
 #include "runner.h"
-#include "world.h"
+#include "../bench/world.h"
 #include <stdio.h>
 
 #define ISN   70000
--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -3,7 +3,7 @@
  * what they say of a running system
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 #include <glib.h>
 #include <glib/gstdio.h>
--- a/test/test_config_process.c
+++ b/test/test_config_process.c
@@ -3,7 +3,7 @@
  * new, bad, rolled back, and while processes start again
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 #include <glib.h>
 #include <glib/gstdio.h>
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -2,7 +2,7 @@
  * test_load - `cherviltray load`: its arguments, its table, what it counts
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 #include <glib.h>
 #include <signal.h>
--- a/test/test_matrix_process.c
+++ b/test/test_matrix_process.c
@@ -6,7 +6,7 @@
  * that is cut at the fabric.
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 #include <glib.h>
 #include <signal.h>
--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -4,7 +4,7 @@
  */
 
 #include "runner.h"
-#include "world.h"
+#include "../bench/world.h"
 #include <stdio.h>
 
 #define MEMBERS	   7
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -3,7 +3,7 @@
  * fabric, any balancer, the right agent, the backend server, and back
  */
 
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 
 START_TEST(serves_feeds_and_check_ins)
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -4,7 +4,7 @@
  */
 
 #include "../src/platform.h"
-#include "harness.h"
+#include "../bench/harness.h"
 #include "runner.h"
 #include <glib.h>
 #include <glib/gstdio.h>
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -3,7 +3,7 @@
  */
 
 #include "runner.h"
-#include "world.h"
+#include "../bench/world.h"
 
 #define FEEDS 20
 #define LOGS  20
