--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -18,6 +18,7 @@
 #define WINDOW_MS   10000
 #define WARM_UP_MS  3000
 #define LOAD_TAIL_S 30
+#define READINGS    (HARNESS_BALANCERS + HARNESS_AGENTS)
 
 typedef struct bench_case {
 	const char *name;
@@ -58,6 +59,7 @@
 static void append_target(GString *s, unsigned service, unsigned target,
 			  unsigned c, unsigned d);
 static reading_t take(const harness_t *h, const harness_proc_t *p);
+static void take_all(const harness_t *h, const bench_case_t *c, reading_t *r);
 static void add(mean_t *m, const reading_t *from, const reading_t *to);
 static void print_mean(FILE *out, const char *role, const mean_t *m);
 static int run_case(const bench_case_t *c, FILE *out);
@@ -148,6 +150,15 @@
 		m->sum.cpu_s / n / s * 100, m->sum.rss_kb / n, m->sum.held / n);
 }
 
+/* Reads the balancers, then the agents. */
+static void take_all(const harness_t *h, const bench_case_t *c, reading_t *r)
+{
+	for (unsigned i = 0; i < c->balancers; i++)
+		r[i] = take(h, &h->balancers[i]);
+	for (unsigned i = 0; i < c->targets; i++)
+		r[c->balancers + i] = take(h, &h->agents[i]);
+}
+
 static int run_case(const bench_case_t *c, FILE *out)
 {
 	char *text = document(c);
@@ -167,8 +178,7 @@
 			       "2000",
 			       NULL };
 	harness_t *h = harness_start(&options);
-	reading_t before[HARNESS_BALANCERS + HARNESS_AGENTS] = { 0 };
-	reading_t after;
+	reading_t before[READINGS] = { 0 }, after[READINGS] = { 0 };
 	mean_t balancers = { 0 }, agents = { 0 };
 	pid_t load = 0;
 
@@ -183,19 +193,13 @@
 	if (c->opens || c->feeds)
 		load = harness_load(h, "load.out", args);
 	harness_sleep_ms(WARM_UP_MS);
-	for (unsigned i = 0; i < c->balancers; i++)
-		before[i] = take(h, &h->balancers[i]);
-	for (unsigned i = 0; i < c->targets; i++)
-		before[c->balancers + i] = take(h, &h->agents[i]);
+	take_all(h, c, before);
 	harness_sleep_ms(WINDOW_MS);
-	for (unsigned i = 0; i < c->balancers; i++) {
-		after = take(h, &h->balancers[i]);
-		add(&balancers, &before[i], &after);
-	}
-	for (unsigned i = 0; i < c->targets; i++) {
-		after = take(h, &h->agents[i]);
-		add(&agents, &before[c->balancers + i], &after);
-	}
+	take_all(h, c, after);
+	for (unsigned i = 0; i < c->balancers; i++)
+		add(&balancers, &before[i], &after[i]);
+	for (unsigned i = c->balancers; i < c->balancers + c->targets; i++)
+		add(&agents, &before[i], &after[i]);
 	fprintf(out,
 		"{\"case\":\"%s\",\"targets\":%u,\"services\":%u,"
 		"\"balancers\":%u,\"opens_s\":%u,\"feeds_s\":%u",
