--- a/src/udp_socket.c
+++ b/src/udp_socket.c
@@ -14,8 +14,6 @@
 #define BATCHES_A_TURN 4
 /* Datagrams that the receiver is told of before they are its turn. */
 #define AHEAD 4
-/* Datagrams to send begin at a multiple of this, a divisor of the maximum. */
-#define LINE_BYTES 64
 /* Kernel buffers, in bytes. */
 #define SOCKET_BUFFER (4 * 1024 * 1024)
 /* Bytes of datagrams that the kernel cuts out of one message. */
@@ -29,7 +27,6 @@
 	struct sockaddr_in addr[BATCH];
 	uint8_t (*bytes)[UDP_DATAGRAM_MAX]; /* BATCH of them, owned */
 	unsigned n;
-	size_t used; /* bytes written, when they stand close together */
 } batch_t;
 
 /*
@@ -242,9 +239,7 @@
 {
 	if (s->out.n == BATCH)
 		udp_socket_flush(s);
-	/* Close together: short datagrams then share pages. */
-	s->out.iov[s->out.n].iov_base = s->out.bytes[0] + s->out.used;
-	return s->out.iov[s->out.n].iov_base;
+	return s->out.bytes[s->out.n];
 }
 
 void udp_socket_commit(udp_socket_t *s, const endpoint_t *to, size_t len)
@@ -252,7 +247,6 @@
 	batch_t *b = &s->out;
 
 	b->iov[b->n].iov_len = len;
-	b->used += (len + LINE_BYTES - 1) / LINE_BYTES * LINE_BYTES;
 	if (s->connected) {
 		b->headers[b->n].msg_hdr.msg_name = NULL;
 		b->headers[b->n].msg_hdr.msg_namelen = 0;
@@ -404,7 +398,6 @@
 			done += (unsigned)n;
 	}
 	s->out.n = 0;
-	s->out.used = 0;
 }
 
 uint64_t udp_socket_failures(const udp_socket_t *s)
