Fill the capacity tables from the measured files

Ruled out: the slope between 100 and 400 opens a second, which would hide that an open costs more at the target's rate; the case nearest to it is used.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -74,17 +74,15 @@
     s["agent_idle_cpu"] = idle["agent"]["cpu_percent"]
     s["balancer_idle_bytes"] = idle["balancer"]["bytes_s"]
     s["balancer_idle_cpu"] = idle["balancer"]["cpu_percent"]
-    low, high = c["opens-100"], c["opens-400"]
-    per_agent = (high["opens_s"] - low["opens_s"]) / high["targets"]
-    per_balancer = (high["opens_s"] - low["opens_s"]) / high["balancers"]
-    s["agent_open_bytes"] = (high["agent"]["bytes_s"] -
-                             low["agent"]["bytes_s"]) / per_agent
-    s["agent_open_cpu"] = (high["agent"]["cpu_percent"] -
-                           low["agent"]["cpu_percent"]) / per_agent
-    s["balancer_open_bytes"] = (high["balancer"]["bytes_s"] -
-                                low["balancer"]["bytes_s"]) / per_balancer
-    s["balancer_open_cpu"] = (high["balancer"]["cpu_percent"] -
-                              low["balancer"]["cpu_percent"]) / per_balancer
+    # The case nearest the target's rate; the slope falls at higher ones.
+    near = c["opens-100"]
+    per_agent = near["opens_s"] / near["targets"]
+    per_balancer = near["opens_s"] / near["balancers"]
+    for role, rate in (("agent", per_agent), ("balancer", per_balancer)):
+        s[role + "_open_bytes"] = max(0, near[role]["bytes_s"] -
+                                      idle[role]["bytes_s"]) / rate
+        s[role + "_open_cpu"] = max(0, near[role]["cpu_percent"] -
+                                    idle[role]["cpu_percent"]) / rate
     few, many = c["services-100"], c["services-1000"]
     declared = (many["services"] - few["services"]) * 4
     for role in ("balancer", "agent"):
@@ -130,7 +128,7 @@
     agent_mb = (s["agent_base_mb"] + TARGETS * s["agent_target_kb"] / 1024 +
                 flows_agent * s["flow_kb"] / 1024)
     balancer_bytes = (s["balancer_idle_bytes"] + change +
-                      opens_node * max(s["balancer_open_bytes"], 0))
+                      opens_node * s["balancer_open_bytes"])
     balancer_cpu = s["balancer_idle_cpu"] + opens_node * s["balancer_open_cpu"]
     balancer_mb = (s["balancer_base_mb"] +
                    TARGETS * s["balancer_target_kb"] / 1024 +
@@ -168,6 +166,7 @@
     if not rows:
         return "%s: not run.\n" % title
     head = [k for k, v in rows[0].items() if not isinstance(v, (list, dict))]
+    rows = [row for row in rows if head[0] in row]
     return table(head, [[row.get(k, "") for k in head] for row in rows])
 
 
