--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 CC = gcc
 CXX = g++
 BUILD = build
-PACKAGES = libuv libprotobuf-c glib-2.0 libsodium libcurl libxxhash
-CPPFLAGS = -Isrc $(shell pkg-config --cflags $(PACKAGES)) $(EXTRA_CPPFLAGS)
+PACKAGES = libuv libprotobuf-c glib-2.0 libsodium libcurl libxxhash json-c
+CPPFLAGS = -Isrc -Iplatform $(shell pkg-config --cflags $(PACKAGES)) $(EXTRA_CPPFLAGS)
 WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wcast-qual -Wundef \
 	-Wformat=2 -Werror
 C_WARNINGS = $(WARNINGS) -Wstrict-prototypes -Wmissing-prototypes \
@@ -12,24 +12,42 @@
 CFLAGS = -std=gnu11 -O2 -g $(SANITIZE)
 CXXFLAGS = -std=c++17 -O1 -g $(SANITIZE)
 LDFLAGS = $(SANITIZE)
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lm
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lhttp_parser -lstdc++ -lm
+
+# The daemons that relay packets, with the adapter of a platform. They link
+# what they need and no more: hosts that run them are small.
+RELAY_PACKAGES = libuv libprotobuf-c glib-2.0 libxxhash json-c
+RELAY_SRC = $(wildcard src/relay*.c src/http_*.c platform/*.c) \
+	src/counters.c src/directory.c src/endpoint.c src/err.c \
+	src/event_log.c src/feed.c src/flow_index.c src/packet.c \
+	src/placement.c src/routes.c src/toml_text.c src/udp_socket.c
+RELAY_OBJ = $(RELAY_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
+RELAY_LIBS = $(shell pkg-config --libs $(RELAY_PACKAGES)) -lhttp_parser \
+	-lstdc++ -lm
 
 # Sources of the library: all but the programs' own.
-PROGRAM_SRC = $(wildcard src/*_main.c src/cli_*.c)
+PROGRAM_SRC = $(wildcard src/*_main.c src/*_daemon.c src/cli_*.c)
 LIB_SRC = $(filter-out $(PROGRAM_SRC),$(wildcard src/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
 CLI_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/cli_*.c))
 
 PROGRAMS = $(BUILD)/cherviltray-balancer $(BUILD)/cherviltray-agent \
 	$(BUILD)/cherviltray
+RELAY = $(BUILD)/cherviltray-relay
 FAKES = $(patsubst test/%.c,$(BUILD)/%,$(wildcard test/fake_*.c))
 TESTS = $(patsubst test/%.c,$(BUILD)/%,$(wildcard test/test_*.c))
 BENCHES = $(BUILD)/relay $(patsubst bench/%.c,$(BUILD)/%,\
 	$(wildcard bench/bench_*.c))
 
-all: $(PROGRAMS)
+all: $(PROGRAMS) $(RELAY)
 
-everything: $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo
+everything: $(PROGRAMS) $(RELAY) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo
+
+$(RELAY_OBJ): PACKAGES = $(RELAY_PACKAGES)
+
+$(BUILD)/cherviltray-relay: $(RELAY_OBJ)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(RELAY_LIBS)
 
 $(BUILD)/src/%.pb-c.o: C_WARNINGS = -Wno-error
 
@@ -90,6 +108,7 @@
 	$(MAKE) check-tests
 
 C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/*.cc \
+	platform/*.[ch] \
 	test/*.[ch] bench/*.[ch]))
 
 check-format:
@@ -165,7 +184,8 @@
 	bench/capacity.py docs/measured docs/CAPACITY.md
 
 proto:
-	protoc-c --proto_path=proto --c_out=src proto/cherviltray.proto
+	protoc-c --proto_path=proto --c_out=src proto/cherviltray.proto \
+		proto/relay.proto
 
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/src/directory.c
@@ -0,0 +1,174 @@
+#include "directory.h"
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Entries that are gone are kept while their agents may hold flows. */
+#define FORGET_MS 70000
+/* Targets whose entries lapsed in an outage vanish up to this much later. */
+#define OUTAGE_MEMORY_MS 2000
+
+struct directory {
+	GHashTable *by_id; /* id of the entry -> entry */
+	list_t entries;
+	directory_ops_t ops;
+	void *ctx;
+	uint64_t unreachable_ms; /* last failure to read; 0: none */
+	uint64_t contact_ms;	 /* first answer after it */
+};
+
+static void set_state(directory_t *d, uint64_t now, target_entry_t *e,
+		      entry_state_t state);
+static void vanish(directory_t *d, uint64_t now, target_entry_t *e);
+static void forget(directory_t *d, target_entry_t *e);
+
+directory_t *directory_new(const directory_ops_t *ops, void *ctx)
+{
+	directory_t *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		return NULL;
+	d->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	d->ops = *ops;
+	d->ctx = ctx;
+	list_init(&d->entries);
+	return d;
+}
+
+static void forget(directory_t *d, target_entry_t *e)
+{
+	g_hash_table_remove(d->by_id, e->id);
+	list_remove(&e->node);
+	free(e);
+}
+
+void directory_free(directory_t *d)
+{
+	if (!d)
+		return;
+	list_each_safe(node, after, &d->entries)
+		forget(d, list_entry(node, target_entry_t, node));
+	g_hash_table_destroy(d->by_id);
+	free(d);
+}
+
+static void set_state(directory_t *d, uint64_t now, target_entry_t *e,
+		      entry_state_t state)
+{
+	e->state = state;
+	e->since_ms = now;
+	e->lapsed_ms = 0;
+	d->ops.changed(d->ctx, e);
+}
+
+void directory_put(directory_t *d, uint64_t now, const target_entry_t *entry)
+{
+	target_entry_t *e = g_hash_table_lookup(d->by_id, entry->id);
+	entry_state_t before = ENTRY_GONE;
+	bool restarted = false;
+	list_t node;
+
+	if (e) {
+		e->listed = true;
+		if (entry->revision <= e->revision)
+			return;
+		before = e->state;
+		restarted = e->born_ms != entry->born_ms;
+		node = e->node;
+		*e = *entry;
+		e->node = node;
+	} else {
+		e = g_memdup2(entry, sizeof(*entry));
+		list_append(&d->entries, &e->node);
+		g_hash_table_insert(d->by_id, e->id, e);
+	}
+	e->listed = true;
+	e->lapsed_ms = 0;
+	e->warm_at_ms = now + entry->warmup_ms;
+	e->since_ms = now;
+	if (entry->state != before || restarted)
+		set_state(d, now, e, entry->state);
+}
+
+/* An entry that was taken away in or after an outage may only have lapsed. */
+static void vanish(directory_t *d, uint64_t now, target_entry_t *e)
+{
+	bool outage = d->unreachable_ms &&
+		      (!d->contact_ms ||
+		       now < d->contact_ms + OUTAGE_MEMORY_MS);
+
+	if (e->state == ENTRY_GONE || e->lapsed_ms)
+		return;
+	if (outage && e->state == ENTRY_READY)
+		e->lapsed_ms = now;
+	else
+		set_state(d, now, e, ENTRY_GONE);
+}
+
+void directory_remove(directory_t *d, uint64_t now, const char *id,
+		      uint64_t revision)
+{
+	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
+
+	if (!e || revision <= e->revision)
+		return;
+	e->revision = revision;
+	vanish(d, now, e);
+}
+
+void directory_reload(directory_t *d)
+{
+	list_each(node, &d->entries)
+		list_entry(node, target_entry_t, node)->listed = false;
+}
+
+void directory_reloaded(directory_t *d, uint64_t now, uint64_t revision)
+{
+	list_each(node, &d->entries)
+	{
+		target_entry_t *e = list_entry(node, target_entry_t, node);
+
+		if (e->listed || revision <= e->revision)
+			continue;
+		e->revision = revision;
+		vanish(d, now, e);
+	}
+}
+
+void directory_unreachable(directory_t *d, uint64_t now)
+{
+	d->unreachable_ms = now ? now : 1;
+	d->contact_ms = 0;
+}
+
+void directory_reachable(directory_t *d, uint64_t now)
+{
+	if (d->unreachable_ms && !d->contact_ms)
+		d->contact_ms = now;
+}
+
+void directory_tick(directory_t *d, uint64_t now)
+{
+	list_each_safe(node, after, &d->entries)
+	{
+		target_entry_t *e = list_entry(node, target_entry_t, node);
+
+		if (e->lapsed_ms && now >= e->lapsed_ms + DIRECTORY_LAPSE_MS)
+			set_state(d, now, e, ENTRY_GONE);
+		else if (e->state == ENTRY_GONE &&
+			 now >= e->since_ms + FORGET_MS)
+			forget(d, e);
+	}
+}
+
+list_t *directory_entries(directory_t *d)
+{
+	return &d->entries;
+}
+
+const char *entry_state_name(entry_state_t state)
+{
+	static const char *const names[] = { "ready", "draining", "gone" };
+
+	return names[state];
+}
--- /dev/null
+++ b/src/feed.h
@@ -0,0 +1,78 @@
+#ifndef FEED_H
+#define FEED_H
+
+/*
+ * feed - keeps a part of a platform's store read: pages first, then a watch
+ *
+ * Reads all pages, then waits for changes from the revision at which the
+ * reading began. When the history is gone it reads again; when the store
+ * can't be reached it tries again after a pause that grows. A watch waits for
+ * a short time only, since a connection may go silent without an end. What
+ * paths and answers look like is a table of function pointers.
+ */
+
+#include "counters.h"
+#include "endpoint.h"
+#include "err.h"
+#include <stdbool.h>
+#include <uv.h>
+
+/* Longest a watch waits in the store: with FEED_SPARE_MS it is the longest
+ * that a silent connection goes unnoticed, under the 4 s after which the
+ * platform counts a host as in touch again. */
+#define FEED_WAIT_MS 2500
+#define FEED_SPARE_MS 700
+/* A page or a refusal; a slow store takes some hundred ms. */
+#define FEED_READ_MS 1500
+/* Pauses between tries: the first and the longest. */
+#define FEED_PAUSE_MS 120
+#define FEED_PAUSE_MAX_MS 700
+
+typedef struct feed feed_t;
+
+typedef enum feed_verdict {
+	FEED_OK,
+	FEED_HISTORY_GONE, /* read all again */
+	FEED_BUSY,	   /* try again later */
+	FEED_BAD,	   /* not understood */
+} feed_verdict_t;
+
+/* What an answer said about the store. */
+typedef struct feed_page {
+	uint64_t revision; /* of the store */
+	bool more;	   /* another page follows */
+	char last_key[256];
+	unsigned items;
+} feed_page_t;
+
+typedef struct feed_ops {
+	const char *name; /* for logs */
+	/* Path of a page behind a key (NULL: the first); freed by g_free(). */
+	char *(*read_path)(void *ctx, const char *after_key);
+	/* Path that waits for changes after a revision. */
+	char *(*watch_path)(void *ctx, uint64_t revision, unsigned wait_ms);
+	/* Applies the items of an answer. */
+	feed_verdict_t (*apply)(void *ctx, int status, const char *body,
+				size_t len, bool watch, feed_page_t *page,
+				err_t *err);
+	/* A reading begins, or has come to its end. */
+	void (*begin)(void *ctx);
+	void (*end)(void *ctx, uint64_t revision);
+	/* Whether the store answers. */
+	void (*reachable)(void *ctx, bool yes);
+} feed_ops_t;
+
+/* NULL without memory. Begins at once. */
+feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store,
+		 const feed_ops_t *ops, void *ctx, counters_t *counters);
+
+/* Memory goes back when the loop has run. */
+void feed_free(feed_t *f);
+
+/* True once all pages were read. */
+bool feed_loaded(const feed_t *f);
+
+/* The host has slept: what waits may wait for nothing. Asks again at once. */
+void feed_wake(feed_t *f);
+
+#endif
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,264 @@
+#include "http_client.h"
+#include <glib.h>
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A connection that is not there by then hangs: several round trips. */
+#define CONNECT_MS 600
+#define READ_BYTES 16384
+
+/* A connection lives on until libuv has closed it, without its client. */
+typedef struct http_connection {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	struct http_client *client; /* NULL: given up */
+	char *request;		    /* owned */
+	char buffer[READ_BYTES];
+} http_connection_t;
+
+struct http_client {
+	uv_loop_t *loop;
+	endpoint_t server;
+	uv_timer_t timer;
+	http_connection_t *connection; /* NULL: none */
+	bool connected;
+	http_parser parser;
+	GString *body;
+	char *path; /* of the request under way, owned; NULL: none */
+	uint64_t timeout_ms;
+	bool keep;
+	bool complete;
+	http_done_fn done;
+	void *ctx;
+};
+
+static void drop_connection(http_client_t *c);
+static void finish(http_client_t *c, int status, const char *error);
+static void send_request(http_client_t *c);
+static void open_connection(http_client_t *c);
+
+static void on_closed(uv_handle_t *handle)
+{
+	http_connection_t *n = handle->data;
+
+	g_free(n->request);
+	free(n);
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	http_client_t *c = handle->data;
+
+	g_string_free(c->body, TRUE);
+	g_free(c->path);
+	free(c);
+}
+
+static void drop_connection(http_client_t *c)
+{
+	http_connection_t *n = c->connection;
+
+	if (!n)
+		return;
+	n->client = NULL;
+	c->connection = NULL;
+	c->connected = false;
+	uv_close((uv_handle_t *)&n->tcp, on_closed);
+}
+
+static void finish(http_client_t *c, int status, const char *error)
+{
+	http_answer_t answer = { status, error, c->body->str, c->body->len };
+	GString *body = c->body;
+	http_done_fn done = c->done;
+
+	uv_timer_stop(&c->timer);
+	if (!status || !c->keep)
+		drop_connection(c);
+	g_free(c->path);
+	c->path = NULL;
+	c->body = g_string_new(NULL);
+	done(c->ctx, &answer);
+	g_string_free(body, TRUE);
+}
+
+static void on_timeout(uv_timer_t *timer)
+{
+	http_client_t *c = timer->data;
+
+	finish(c, 0, c->connected ? "no answer in time" : "no connection");
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	http_client_t *c = parser->data;
+
+	if (c->body->len + len > HTTP_BODY_MAX)
+		return -1;
+	g_string_append_len(c->body, at, (gssize)len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	http_client_t *c = parser->data;
+
+	c->keep = http_should_keep_alive(parser);
+	c->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	http_connection_t *n = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(n->buffer, sizeof(n->buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	http_connection_t *n = stream->data;
+	http_client_t *c = n->client;
+
+	if (!c || len == 0)
+		return;
+	if (!c->path) {
+		/* Between requests: the server closed, or talks out of turn. */
+		drop_connection(c);
+		return;
+	}
+	if (len < 0) {
+		finish(c, 0, uv_strerror((int)len));
+		return;
+	}
+	http_parser_execute(&c->parser, &parser_settings, buf->base,
+			    (size_t)len);
+	if (c->complete)
+		finish(c, (int)c->parser.status_code, NULL);
+	else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+		finish(c, 0, "the answer is no HTTP");
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	http_connection_t *n = write->data;
+
+	if (n->client && n->client->path && status < 0)
+		finish(n->client, 0, uv_strerror(status));
+}
+
+static void send_request(http_client_t *c)
+{
+	http_connection_t *n = c->connection;
+	char host[ENDPOINT_TEXT];
+	uv_buf_t buf;
+
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	c->complete = false;
+	g_free(n->request);
+	n->request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+				     c->path,
+				     endpoint_format(&c->server, host));
+	buf = uv_buf_init(n->request, (unsigned)strlen(n->request));
+	uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
+	if (uv_write(&n->write, (uv_stream_t *)&n->tcp, &buf, 1, on_written) <
+	    0)
+		finish(c, 0, "cannot write");
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	http_connection_t *n = connect->data;
+	http_client_t *c = n->client;
+
+	if (!c)
+		return;
+	if (status < 0) {
+		finish(c, 0, uv_strerror(status));
+		return;
+	}
+	c->connected = true;
+	uv_tcp_nodelay(&n->tcp, 1);
+	uv_read_start((uv_stream_t *)&n->tcp, on_alloc, on_read);
+	send_request(c);
+}
+
+static void open_connection(http_client_t *c)
+{
+	struct sockaddr_in sa = endpoint_sockaddr(&c->server);
+	http_connection_t *n = calloc(1, sizeof(*n));
+
+	uv_timer_start(&c->timer, on_timeout, CONNECT_MS, 0);
+	if (!n)
+		return; /* the timer reports it */
+	n->client = c;
+	n->connect.data = n;
+	n->write.data = n;
+	uv_tcp_init(c->loop, &n->tcp);
+	n->tcp.data = n;
+	c->connection = n;
+	if (uv_tcp_connect(&n->connect, &n->tcp, (struct sockaddr *)&sa,
+			   on_connected) < 0)
+		drop_connection(c);
+}
+
+http_client_t *http_client_new(uv_loop_t *loop, const endpoint_t *server)
+{
+	http_client_t *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->loop = loop;
+	c->server = *server;
+	c->body = g_string_new(NULL);
+	uv_timer_init(loop, &c->timer);
+	c->timer.data = c;
+	return c;
+}
+
+void http_client_free(http_client_t *c)
+{
+	if (!c)
+		return;
+	drop_connection(c);
+	uv_timer_stop(&c->timer);
+	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
+}
+
+bool http_client_busy(const http_client_t *c)
+{
+	return c->path != NULL;
+}
+
+void http_client_get(http_client_t *c, const char *path, uint64_t timeout_ms,
+		     http_done_fn done, void *ctx)
+{
+	c->path = g_strdup(path);
+	c->timeout_ms = timeout_ms;
+	c->done = done;
+	c->ctx = ctx;
+	c->keep = false;
+	g_string_truncate(c->body, 0);
+	if (c->connection && c->connected)
+		send_request(c);
+	else
+		open_connection(c);
+}
+
+void http_client_abort(http_client_t *c, const char *why)
+{
+	if (c->path)
+		finish(c, 0, why);
+	else
+		drop_connection(c);
+}
--- /dev/null
+++ b/src/http_server.c
@@ -0,0 +1,228 @@
+#include "http_server.h"
+#include "list.h"
+#include <http_parser.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKLOG 32
+/* Connections at a time; more are closed at once. */
+#define CONNECTIONS_MAX 64
+#define PATH_MAX_BYTES 256
+#define READ_BYTES 2048
+
+struct http_server {
+	uv_tcp_t tcp;
+	http_handle_fn handle;
+	void *ctx;
+	list_t connections;
+	unsigned n;
+};
+
+typedef struct server_connection {
+	uv_tcp_t tcp;
+	uv_timer_t idle;
+	int handles; /* not closed yet */
+	bool closing;
+	http_server_t *server; /* NULL: closed */
+	http_parser parser;
+	char path[PATH_MAX_BYTES];
+	size_t path_len;
+	char buffer[READ_BYTES];
+	list_t node;
+} server_connection_t;
+
+typedef struct server_answer {
+	uv_write_t write;
+	char *text; /* owned */
+} server_answer_t;
+
+static void close_connection(server_connection_t *n);
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	server_connection_t *n = handle->data;
+
+	if (--n->handles == 0)
+		free(n);
+}
+
+static void close_connection(server_connection_t *n)
+{
+	if (n->closing)
+		return;
+	n->closing = true;
+	list_remove(&n->node);
+	if (n->server)
+		n->server->n--;
+	uv_close((uv_handle_t *)&n->tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&n->idle, on_handle_closed);
+}
+
+static void on_idle(uv_timer_t *timer)
+{
+	close_connection(timer->data);
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	server_answer_t *a = write->data;
+
+	(void)status; /* a broken connection shows itself when it is read */
+	g_free(a->text);
+	free(a);
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	server_connection_t *n = parser->data;
+
+	if (n->path_len + len >= sizeof(n->path))
+		return -1;
+	memcpy(n->path + n->path_len, at, len);
+	n->path_len += len;
+	n->path[n->path_len] = '\0';
+	return 0;
+}
+
+static void answer(server_connection_t *n)
+{
+	server_answer_t *a = calloc(1, sizeof(*a));
+	GString *body = g_string_new(NULL);
+	int status = n->server->handle(n->server->ctx, n->path, body);
+	uv_buf_t buf;
+
+	if (!a) {
+		g_string_free(body, TRUE);
+		close_connection(n);
+		return;
+	}
+	a->write.data = a;
+	a->text = g_strdup_printf(
+		"HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n"
+		"Content-Type: text/plain\r\n\r\n%s",
+		status, http_status_str((enum http_status)status), body->len,
+		body->str);
+	g_string_free(body, TRUE);
+	buf = uv_buf_init(a->text, (unsigned)strlen(a->text));
+	if (uv_write(&a->write, (uv_stream_t *)&n->tcp, &buf, 1, on_written) <
+	    0) {
+		g_free(a->text);
+		free(a);
+		close_connection(n);
+	}
+}
+
+static int on_complete(http_parser *parser)
+{
+	server_connection_t *n = parser->data;
+
+	answer(n);
+	n->path_len = 0;
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_url = on_url,
+	.on_message_complete = on_complete,
+};
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	server_connection_t *n = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(n->buffer, sizeof(n->buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	server_connection_t *n = stream->data;
+
+	if (len == 0)
+		return;
+	if (len < 0) {
+		close_connection(n);
+		return;
+	}
+	uv_timer_start(&n->idle, on_idle, HTTP_SERVER_IDLE_MS, 0);
+	http_parser_execute(&n->parser, &parser_settings, buf->base,
+			    (size_t)len);
+	if (HTTP_PARSER_ERRNO(&n->parser) != HPE_OK)
+		close_connection(n);
+}
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	http_server_t *s = stream->data;
+	server_connection_t *n;
+
+	if (status < 0)
+		return;
+	n = calloc(1, sizeof(*n));
+	if (!n)
+		return;
+	list_init(&n->node);
+	uv_tcp_init(s->tcp.loop, &n->tcp);
+	uv_timer_init(s->tcp.loop, &n->idle);
+	n->tcp.data = n;
+	n->idle.data = n;
+	n->handles = 2;
+	if (uv_accept(stream, (uv_stream_t *)&n->tcp) < 0 ||
+	    s->n >= CONNECTIONS_MAX) {
+		close_connection(n);
+		return;
+	}
+	n->server = s;
+	s->n++;
+	list_append(&s->connections, &n->node);
+	http_parser_init(&n->parser, HTTP_REQUEST);
+	n->parser.data = n;
+	uv_timer_start(&n->idle, on_idle, HTTP_SERVER_IDLE_MS, 0);
+	uv_read_start((uv_stream_t *)&n->tcp, on_alloc, on_read);
+}
+
+http_server_t *http_server_open(uv_loop_t *loop, const endpoint_t *bind_to,
+				http_handle_fn handle, void *ctx, err_t *err)
+{
+	struct sockaddr_in sa = endpoint_sockaddr(bind_to);
+	http_server_t *s = calloc(1, sizeof(*s));
+	char text[ENDPOINT_TEXT];
+	int ret;
+
+	if (!s) {
+		err_set(err, ERR_MEMORY, NULL, 0, "free memory",
+			"no memory for a server");
+		return NULL;
+	}
+	s->handle = handle;
+	s->ctx = ctx;
+	list_init(&s->connections);
+	uv_tcp_init(loop, &s->tcp);
+	s->tcp.data = s;
+	ret = uv_tcp_bind(&s->tcp, (struct sockaddr *)&sa, 0);
+	if (ret == 0)
+		ret = uv_listen((uv_stream_t *)&s->tcp, BACKLOG, on_connection);
+	if (ret < 0) {
+		err_set(err, ERR_IO, endpoint_format(bind_to, text), 0,
+			"use a free address of this host", "cannot listen: %s",
+			uv_strerror(ret));
+		http_server_close(s);
+		return NULL;
+	}
+	return s;
+}
+
+static void on_server_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+void http_server_close(http_server_t *s)
+{
+	if (!s)
+		return;
+	list_each_safe(node, after, &s->connections)
+		close_connection(list_entry(node, server_connection_t, node));
+	uv_close((uv_handle_t *)&s->tcp, on_server_closed);
+}
--- /dev/null
+++ b/src/relay_agent.c
@@ -0,0 +1,411 @@
+#include "relay_agent_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* Flows are discarded by the platform's rules after a minute. */
+#define FLOW_IDLE_MS 70000
+/* A request without an answer for so long no longer counts as load. */
+#define REQUEST_FORGOTTEN_MS 5000
+#define SWEEP_MS 1000
+/* A caller acknowledges at most this much beyond what was seen sent. */
+#define ACK_SLACK 76800
+
+static void aflow_release(flow_node_t *node);
+static bool matches(const aflow_t *f, const relay_packet_t *p);
+static void give_back(relay_agent_t *a, uint32_t balancer,
+		      const relay_packet_t *p);
+static void returned(relay_agent_t *a, relay_packet_t *p);
+static void lost_flow(relay_agent_t *a, aflow_t *f);
+static void query(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
+static void hello(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
+static void server_packet(relay_agent_t *a, aflow_t *f,
+			  const relay_packet_t *p);
+
+static void aflow_release(flow_node_t *node)
+{
+	aflow_t *f = (aflow_t *)node;
+
+	list_remove(&f->opening);
+	free(f);
+}
+
+relay_agent_t *relay_agent_new(const relay_agent_options_t *options,
+			       const relay_agent_ops_t *ops, void *ctx)
+{
+	relay_agent_t *a = calloc(1, sizeof(*a));
+
+	if (!a)
+		return NULL;
+	a->options = *options;
+	a->ops = *ops;
+	a->ctx = ctx;
+	a->tag = service_tag(options->service);
+	list_init(&a->opening);
+	a->flows = flow_index_new(options->flows, aflow_release);
+	if (!a->flows) {
+		free(a);
+		return NULL;
+	}
+	return a;
+}
+
+void relay_agent_free(relay_agent_t *a)
+{
+	if (!a)
+		return;
+	flow_index_free(a->flows);
+	free(a);
+}
+
+size_t relay_agent_flows(const relay_agent_t *a)
+{
+	return flow_index_count(a->flows);
+}
+
+uint32_t relay_agent_in_flight(const relay_agent_t *a)
+{
+	return a->in_flight;
+}
+
+counters_t *relay_agent_counters(relay_agent_t *a)
+{
+	return &a->counters;
+}
+
+const histogram_t *relay_agent_service_ms(const relay_agent_t *a)
+{
+	return &a->service_ms;
+}
+
+aflow_t *aflow_take(relay_agent_t *a, const flow_key_t *key)
+{
+	aflow_t *f = (aflow_t *)flow_index_find(a->flows, key);
+
+	if (f) {
+		flow_index_touch(a->flows, &f->node, a->now);
+		return f;
+	}
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		return NULL;
+	f->node.key = *key;
+	list_init(&f->opening);
+	flow_index_add(a->flows, &f->node, a->now);
+	return f;
+}
+
+void aflow_forget(relay_agent_t *a, aflow_t *f)
+{
+	relay_load_end(a, f, false);
+	flow_index_remove(a->flows, &f->node);
+}
+
+void aflow_phase(relay_agent_t *a, aflow_t *f, aflow_phase_t phase)
+{
+	f->phase = phase;
+	list_remove(&f->opening);
+	if (phase == AFLOW_OPENING)
+		list_append(&a->opening, &f->opening);
+}
+
+/* The margin names the balancer, so that a returned packet finds back. */
+void aflow_deliver(relay_agent_t *a, aflow_t *f, relay_packet_t *p)
+{
+	a->options.form->annotate(p, 0, f->balancer);
+	counter_add(&a->counters, COUNTER_PACKETS_OUT, 1);
+	a->ops.deliver(a->ctx, p->data, p->len);
+}
+
+void relay_agent_tell(relay_agent_t *a, uint32_t to, relay_kind_t kind,
+		      const flow_key_t *key)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+
+	relay_load_fill(a, &load);
+	relay_msg_init(&msg, kind);
+	relay_msg_set_key(&msg, key);
+	msg.service = (char *)a->options.service;
+	msg.load = &load;
+	counter_add(&a->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	a->ops.message(a->ctx, to, &msg);
+}
+
+/* The packet speaks of the flow that the server accepted, not of a twin that
+ * another server accepted for a copy of the same SYN. */
+static bool matches(const aflow_t *f, const relay_packet_t *p)
+{
+	uint32_t sent;
+
+	if (!f->isn_known || !(p->flags & RELAY_ACK))
+		return true;
+	sent = f->server_next - f->server_isn;
+	return p->ack - f->server_isn <= sent + ACK_SLACK;
+}
+
+static void give_back(relay_agent_t *a, uint32_t balancer,
+		      const relay_packet_t *p)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+
+	if (p->flags & RELAY_RST)
+		return;
+	relay_load_fill(a, &load);
+	relay_msg_init(&msg, RELAY_GIVEN_BACK);
+	msg.service = (char *)a->options.service;
+	msg.load = &load;
+	msg.packet.data = p->data;
+	msg.packet.len = p->len;
+	counter_add(&a->counters, COUNTER_LOOKUPS_PASSED, 1);
+	a->ops.message(a->ctx, balancer, &msg);
+}
+
+/* Notes what the caller sends: requests, acknowledgements, the end. */
+static void caller_packet(relay_agent_t *a, aflow_t *f, const relay_packet_t *p)
+{
+	uint32_t end = p->seq + p->payload_len;
+
+	if (p->flags & RELAY_ACK)
+		f->caller_ack = p->ack;
+	if (p->payload_len && (!f->data_seen ||
+			       seq_diff(end, f->caller_next) > 0)) {
+		f->caller_next = end;
+		f->data_seen = true;
+		if (!f->busy)
+			relay_load_begin(a, f);
+	}
+	if (p->flags & (RELAY_FIN | RELAY_RST)) {
+		relay_load_end(a, f, false);
+		aflow_phase(a, f, AFLOW_ENDED);
+	}
+}
+
+void relay_agent_packet(relay_agent_t *a, uint64_t now, uint32_t from,
+			uint8_t *buf, size_t len)
+{
+	relay_packet_t p;
+	aflow_t *f;
+
+	a->now = now;
+	counter_add(&a->counters, COUNTER_PACKETS_IN, 1);
+	if (a->options.form->read(buf, len, &p) < 0) {
+		counter_add(&a->counters, COUNTER_DROP_TRUNCATED, 1);
+		return;
+	}
+	if (p.note != a->tag) {
+		/* Another service's target had this address before. */
+		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
+		give_back(a, from, &p);
+		return;
+	}
+	f = (aflow_t *)flow_index_find(a->flows, &p.key);
+	if (f && !matches(f, &p)) {
+		give_back(a, from, &p);
+		return;
+	}
+	if (!f && relay_packet_opens(&p))
+		return; /* a late copy: opens come as offers */
+	if (!f && a->options.complete && !(p.mark & RELAY_MARK_TRIAL)) {
+		give_back(a, from, &p);
+		return;
+	}
+	if (!f) {
+		f = aflow_take(a, &p.key);
+		if (!f)
+			return;
+		f->phase = AFLOW_TRIAL;
+	}
+	flow_index_touch(a->flows, &f->node, now);
+	f->balancer = from;
+	caller_packet(a, f, &p);
+	aflow_deliver(a, f, &p);
+}
+
+/* The server has lost a flow that it had: it is a new one. */
+static void lost_flow(relay_agent_t *a, aflow_t *f)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	char text[FLOW_TEXT];
+	size_t len = a->options.form->reset(&f->node.key, f->caller_ack, buf);
+
+	event_log(EVENT_RESET,
+		  "\"flow\":\"%s\",\"seq\":%u,\"why\":\"server lost it\","
+		  "\"busy\":%s",
+		  flow_text(&f->node.key, text), f->caller_isn,
+		  f->busy ? "true" : "false");
+	counter_add(&a->counters, COUNTER_FLOWS_RESET, 1);
+	a->ops.reply(a->ctx, f->node.key.src, buf, len);
+	aflow_forget(a, f);
+}
+
+/* A packet that the server does not take. */
+static void returned(relay_agent_t *a, relay_packet_t *p)
+{
+	aflow_t *f = (aflow_t *)flow_index_find(a->flows, &p->key);
+	uint32_t balancer = f ? f->balancer : p->note;
+
+	if (relay_packet_opens(p)) {
+		if (f && f->phase == AFLOW_OPENING)
+			relay_agent_pass(a, f, true);
+		return;
+	}
+	if (f && f->confirmed && f->phase == AFLOW_OPEN) {
+		lost_flow(a, f);
+		return;
+	}
+	if (f && f->phase == AFLOW_ENDED)
+		return;
+	if (f)
+		aflow_forget(a, f);
+	a->options.form->annotate(p, 0, 0);
+	give_back(a, balancer, p);
+}
+
+/* Notes what the server sends: acceptance, answers, the end. */
+static void server_packet(relay_agent_t *a, aflow_t *f, const relay_packet_t *p)
+{
+	uint32_t end = p->seq + p->payload_len;
+
+	if ((p->flags & (RELAY_SYN | RELAY_ACK)) == (RELAY_SYN | RELAY_ACK)) {
+		f->server_isn = p->seq;
+		f->server_next = p->seq + 1;
+		f->isn_known = true;
+		if (f->phase == AFLOW_OPENING) {
+			counter_add(&a->counters, COUNTER_OPENS_ACCEPTED, 1);
+			aflow_phase(a, f, AFLOW_OPEN);
+			relay_agent_tell(a, f->balancer, RELAY_TAKEN,
+					 &f->node.key);
+		}
+		return;
+	}
+	f->confirmed = true;
+	if (f->phase == AFLOW_TRIAL) {
+		counter_add(&a->counters, COUNTER_FLOWS_ADOPTED, 1);
+		aflow_phase(a, f, AFLOW_OPEN);
+		relay_agent_tell(a, f->balancer, RELAY_HELD, &f->node.key);
+	}
+	if (!f->isn_known || seq_diff(end, f->server_next) > 0)
+		f->server_next = end;
+	if (p->payload_len)
+		relay_load_end(a, f, true);
+	if (p->flags & (RELAY_FIN | RELAY_RST)) {
+		relay_load_end(a, f, false);
+		aflow_phase(a, f, AFLOW_ENDED);
+	}
+}
+
+void relay_agent_answer(relay_agent_t *a, uint64_t now, uint8_t *buf,
+			size_t len)
+{
+	relay_packet_t p;
+	flow_key_t key;
+	aflow_t *f;
+
+	a->now = now;
+	if (a->options.form->read(buf, len, &p) < 0) {
+		counter_add(&a->counters, COUNTER_DROP_TRUNCATED, 1);
+		return;
+	}
+	relay_server_heard(a);
+	if (p.flags & RELAY_RETURNED) {
+		returned(a, &p);
+		return;
+	}
+	key = flow_key_reverse(&p.key);
+	f = aflow_take(a, &key);
+	if (f)
+		server_packet(a, f, &p);
+	a->ops.reply(a->ctx, p.key.dst, buf, len);
+}
+
+static void query(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
+{
+	flow_key_t key = relay_msg_key(msg);
+	aflow_t *f = (aflow_t *)flow_index_find(a->flows, &key);
+	relay_packet_t p = { .flags = RELAY_ACK, .ack = msg->ack };
+	relay_kind_t kind = RELAY_NOT_HELD;
+
+	if (f && matches(f, &p))
+		kind = f->phase == AFLOW_TRIAL ? RELAY_UNSURE : RELAY_HELD;
+	else if (!f && !a->options.complete)
+		kind = RELAY_UNSURE;
+	if (kind == RELAY_HELD)
+		f->balancer = from;
+	relay_agent_tell(a, from, kind, &key);
+}
+
+static void hello(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
+{
+	relay_load_t load;
+	relay_msg_t answer;
+
+	relay_load_balancer(a, from);
+	if (strcmp(msg->service, a->options.service)) {
+		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
+		return;
+	}
+	if (msg->slots)
+		a->slots = msg->slots;
+	relay_load_fill(a, &load);
+	relay_msg_init(&answer, RELAY_LOAD);
+	answer.service = (char *)a->options.service;
+	answer.load = &load;
+	counter_add(&a->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	a->ops.message(a->ctx, from, &answer);
+}
+
+void relay_agent_message(relay_agent_t *a, uint64_t now, uint32_t from,
+			 const relay_msg_t *msg)
+{
+	a->now = now;
+	counter_add(&a->counters, COUNTER_MESSAGES_IN, 1);
+	switch (msg->kind) {
+	case RELAY_HELLO:
+		hello(a, from, msg);
+		break;
+	case RELAY_OFFER:
+		relay_agent_offer(a, from, msg);
+		break;
+	case RELAY_QUERY:
+		query(a, from, msg);
+		break;
+	default:
+		counter_add(&a->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
+	}
+}
+
+/* Requests whose callers and servers are both silent are no load. */
+static void sweep(relay_agent_t *a)
+{
+	list_each_safe(node, after, flow_index_recent(a->flows))
+	{
+		flow_node_t *n = list_entry(node, flow_node_t, recent);
+		aflow_t *f = (aflow_t *)n;
+
+		if (f->node.last_ms + REQUEST_FORGOTTEN_MS > a->now)
+			return;
+		relay_load_end(a, f, false);
+		if (f->phase == AFLOW_ENDED || f->phase == AFLOW_OPENING ||
+		    f->node.last_ms + FLOW_IDLE_MS <= a->now)
+			aflow_forget(a, f);
+	}
+}
+
+void relay_agent_tick(relay_agent_t *a, uint64_t now)
+{
+	a->now = now;
+	relay_agent_opening_tick(a);
+	relay_load_tick(a);
+	if (now < a->swept_ms + SWEEP_MS)
+		return;
+	a->swept_ms = now;
+	sweep(a);
+}
+
+void relay_agent_stop(relay_agent_t *a, uint64_t now)
+{
+	a->now = now;
+	a->stopping = true;
+	relay_load_tell(a);
+}
--- /dev/null
+++ b/src/relay_agent_daemon.c
@@ -0,0 +1,157 @@
+/*
+ * Agent that relays packets. The way of a packet: it comes in at
+ * settings.packets, on_packet() hands it to the agent, which hands it to
+ * deliver() and so to the backend server. The server's packets come in at
+ * settings.server_out, on_answer() hands them to the agent, which hands them
+ * to reply() and so to the caller.
+ */
+
+#include "event_log.h"
+#include "relay_agent.h"
+#include "relay_process.h"
+#include <stdlib.h>
+
+/* Balancers hear of the stop, opens that were offered are served. */
+#define STOP_MS 400
+/* Flows remembered, for each MB of the memory limit. */
+#define FLOWS_A_MB 64
+
+typedef struct agent_state {
+	relay_agent_t *agent;
+	udp_socket_t *server;
+} agent_state_t;
+
+static void deliver(void *ctx, const uint8_t *buf, size_t len)
+{
+	relay_process_t *p = ctx;
+	agent_state_t *s = p->ctx;
+
+	udp_socket_send(s->server, &p->settings.server, buf, len);
+}
+
+static void send_message(void *ctx, uint32_t to, const relay_msg_t *msg)
+{
+	relay_process_message(ctx, to, msg);
+}
+
+static void reply(void *ctx, uint32_t caller, const uint8_t *buf, size_t len)
+{
+	relay_process_packet(ctx, caller, buf, len);
+}
+
+static void on_answer(void *ctx, const endpoint_t *from, uint8_t *buf,
+		      size_t len)
+{
+	relay_process_t *p = ctx;
+	agent_state_t *s = p->ctx;
+
+	(void)from;
+	relay_agent_answer(s->agent, relay_process_now(p), buf, len);
+}
+
+static int start(relay_process_t *p, err_t *err)
+{
+	static const relay_agent_ops_t ops = { deliver, send_message, reply };
+	static const udp_socket_ops_t server_ops = { .receive = on_answer };
+	relay_agent_options_t options = {
+		.service = p->settings.service,
+		.form = relay_platform.form,
+		.flows = (size_t)p->settings.memory_mb * FLOWS_A_MB,
+		.incarnation = uv_hrtime(),
+		.complete = p->settings.first_start,
+	};
+	agent_state_t *s = calloc(1, sizeof(*s));
+
+	p->ctx = s;
+	if (s)
+		s->agent = relay_agent_new(&options, &ops, p);
+	if (!s || !s->agent)
+		return err_set(err, ERR_MEMORY, NULL, 0, "free memory",
+			       "no memory for the agent");
+	p->counters = relay_agent_counters(s->agent);
+	s->server = udp_socket_open(&p->loop, &p->settings.server_out, NULL,
+				    &server_ops, p, err);
+	if (!s->server)
+		return -1;
+	udp_socket_apart(s->server);
+	return 0;
+}
+
+static void end(relay_process_t *p)
+{
+	agent_state_t *s = p->ctx;
+
+	if (!s)
+		return;
+	udp_socket_close(s->server);
+	relay_agent_free(s->agent);
+	free(s);
+}
+
+static void on_packet(relay_process_t *p, uint64_t now, uint32_t from,
+		      uint8_t *buf, size_t len)
+{
+	agent_state_t *s = p->ctx;
+
+	relay_agent_packet(s->agent, now, from, buf, len);
+}
+
+static void on_message(relay_process_t *p, uint64_t now, uint32_t from,
+		       const relay_msg_t *msg)
+{
+	agent_state_t *s = p->ctx;
+
+	relay_agent_message(s->agent, now, from, msg);
+}
+
+static void tick(relay_process_t *p, uint64_t now)
+{
+	agent_state_t *s = p->ctx;
+
+	relay_agent_tick(s->agent, now);
+}
+
+static void stop(relay_process_t *p, uint64_t now)
+{
+	agent_state_t *s = p->ctx;
+
+	relay_agent_stop(s->agent, now);
+}
+
+/* What the agent believes comes from packets: none is too old after a sleep. */
+static void woke(relay_process_t *p, uint64_t now, uint64_t slept_ms)
+{
+	(void)p;
+	(void)now;
+	(void)slept_ms;
+}
+
+static bool ready(relay_process_t *p)
+{
+	(void)p;
+	return true;
+}
+
+static const histogram_t *histogram(relay_process_t *p, const char **name)
+{
+	agent_state_t *s = p->ctx;
+
+	*name = "cherviltray_service_ms";
+	return relay_agent_service_ms(s->agent);
+}
+
+const relay_daemon_t relay_agent_daemon = {
+	.name = "agent",
+	.role = RELAY_ROLE_AGENT,
+	.tick_ms = RELAY_AGENT_TICK_MS,
+	.stop_ms = STOP_MS,
+	.start = start,
+	.end = end,
+	.packet = on_packet,
+	.message = on_message,
+	.tick = tick,
+	.stop = stop,
+	.woke = woke,
+	.ready = ready,
+	.histogram = histogram,
+};
--- /dev/null
+++ b/src/relay_agent_load.c
@@ -0,0 +1,148 @@
+#include "relay_agent_int.h"
+#include <math.h>
+
+/* The load is smoothed over about a second: long flows bring a request each
+ * second or so. */
+#define SMOOTH_MS 1000.0
+/* Part of a new service time in the typical one. */
+#define SERVICE_PART 0.08
+/* Balancers hear of the load at least and at most this often. */
+#define TELL_MAX_MS 1000
+#define TELL_MIN_MS 150
+/* Change of the load, in slots, that is told before TELL_MAX_MS. */
+#define TELL_CHANGE 0.25
+/* Balancers say hello each 4 s. */
+#define BALANCER_FORGET_MS 10000
+/* Opens without an answer until the server is taken for silent. */
+#define SILENT_OPENS 2
+
+static void smooth(relay_agent_t *a);
+
+static void smooth(relay_agent_t *a)
+{
+	double part = exp(-(double)(a->now - a->work_ms) / SMOOTH_MS);
+
+	a->work = a->work * part + a->in_flight * (1 - part);
+	a->work_ms = a->now;
+}
+
+void relay_load_begin(relay_agent_t *a, aflow_t *f)
+{
+	smooth(a);
+	f->busy = true;
+	f->asked_ms = a->now;
+	f->found_free = !a->slots || a->in_flight < a->slots;
+	a->in_flight++;
+	counter_add(&a->counters, COUNTER_REQUESTS, 1);
+}
+
+void relay_load_end(relay_agent_t *a, aflow_t *f, bool answered)
+{
+	double took = (double)(a->now - f->asked_ms);
+
+	if (!f->busy)
+		return;
+	smooth(a);
+	f->busy = false;
+	a->in_flight--;
+	if (!answered)
+		return;
+	counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
+	histogram_add(&a->service_ms, (uint64_t)took);
+	if (!f->found_free)
+		return;
+	a->typical_ms = a->typical_ms > 0
+				? a->typical_ms + (took - a->typical_ms) *
+							  SERVICE_PART
+				: took;
+}
+
+void relay_load_fill(relay_agent_t *a, relay_load_t *load)
+{
+	smooth(a);
+	ct__relay__load__init(load);
+	load->in_flight = a->in_flight;
+	load->work_hundredths = (uint32_t)(a->work * 100);
+	load->service_us = (uint32_t)(a->typical_ms * 1000);
+	load->flows = (uint32_t)flow_index_count(a->flows);
+	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
+	load->stopping = a->stopping;
+	load->incarnation = a->options.incarnation;
+}
+
+void relay_load_tell(relay_agent_t *a)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+	size_t kept = 0;
+
+	relay_load_fill(a, &load);
+	relay_msg_init(&msg, RELAY_LOAD);
+	msg.load = &load;
+	msg.service = (char *)a->options.service;
+	for (size_t i = 0; i < a->nbalancers; i++) {
+		known_balancer_t *k = &a->balancers[i];
+
+		if (a->now >= k->heard_ms + BALANCER_FORGET_MS)
+			continue;
+		a->balancers[kept++] = *k;
+		counter_add(&a->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+		a->ops.message(a->ctx, a->balancers[kept - 1].address, &msg);
+	}
+	a->nbalancers = kept;
+	a->told_ms = a->now;
+	a->told_work = a->work;
+}
+
+void relay_load_balancer(relay_agent_t *a, uint32_t address)
+{
+	for (size_t i = 0; i < a->nbalancers; i++)
+		if (a->balancers[i].address == address) {
+			a->balancers[i].heard_ms = a->now;
+			return;
+		}
+	if (a->nbalancers == BALANCERS_MAX)
+		return;
+	a->balancers[a->nbalancers].address = address;
+	a->balancers[a->nbalancers++].heard_ms = a->now;
+}
+
+void relay_load_tick(relay_agent_t *a)
+{
+	double slots = a->slots ? a->slots : 1;
+
+	if (a->now < a->told_ms + TELL_MIN_MS)
+		return;
+	smooth(a);
+	if (a->now >= a->told_ms + TELL_MAX_MS ||
+	    fabs(a->work - a->told_work) >= TELL_CHANGE * slots)
+		relay_load_tell(a);
+}
+
+void relay_server_heard(relay_agent_t *a)
+{
+	a->heard_ms = a->now;
+	a->silent_ms = 0;
+	a->unanswered = 0;
+	if (!a->down)
+		return;
+	a->down = false;
+	event_log(EVENT_SERVER, "\"state\":\"answers\"");
+	relay_load_tell(a);
+}
+
+void relay_server_silent(relay_agent_t *a, const aflow_t *f)
+{
+	if (f->opened_ms < a->heard_ms)
+		return;
+	if (!a->silent_ms)
+		a->silent_ms = f->opened_ms;
+	if (++a->unanswered < SILENT_OPENS || a->down)
+		return;
+	a->down = true;
+	counter_add(&a->counters, COUNTER_SERVER_LOST, 1);
+	event_log(EVENT_SERVER,
+		  "\"state\":\"silent\",\"opens\":%u,\"heard_ms_ago\":%llu",
+		  a->unanswered, (unsigned long long)(a->now - a->heard_ms));
+	relay_load_tell(a);
+}
--- /dev/null
+++ b/src/relay_agent_open.c
@@ -0,0 +1,147 @@
+#include "relay_agent_int.h"
+#include <string.h>
+
+/* A living server answers an open within a few milliseconds; its host may
+ * wait for its share of the processor. */
+#define ANSWER_MS 60
+/* Requests in flight a slot at which an open is passed on when others are
+ * left: the answer would take three times as long as at a free slot. */
+#define PASS_LOAD 2
+/* An open that no server answered is forgotten when its caller gave up. */
+#define FORGET_MS 2000
+
+static bool refuses(const relay_agent_t *a, const relay_msg_t *msg);
+static bool pass_on(relay_agent_t *a, const relay_msg_t *offer);
+static void refused(relay_agent_t *a, uint32_t balancer,
+		    const flow_key_t *key);
+
+/* Taken if there is nobody else, unless the agent is about to go. */
+static bool refuses(const relay_agent_t *a, const relay_msg_t *msg)
+{
+	if (strcmp(msg->service, a->options.service) || a->stopping)
+		return true;
+	return msg->n_candidates > 0 && a->slots &&
+	       a->in_flight >= a->slots * PASS_LOAD;
+}
+
+/* Offers an open to the next candidate. Returns false when none is left. */
+static bool pass_on(relay_agent_t *a, const relay_msg_t *offer)
+{
+	relay_msg_t msg;
+	char agent[ENDPOINT_TEXT];
+
+	if (offer->n_candidates == 0)
+		return false;
+	relay_msg_init(&msg, RELAY_OFFER);
+	msg.service = offer->service;
+	msg.balancer = offer->balancer;
+	msg.packet = offer->packet;
+	msg.candidates = offer->candidates + 1;
+	msg.n_candidates = offer->n_candidates - 1;
+	counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
+	event_log(EVENT_PASSED,
+		  "\"to\":\"%s\",\"in_flight\":%u,\"slots\":%u,\"down\":%s",
+		  ipv4_format(offer->candidates[0], agent), a->in_flight,
+		  a->slots, a->down ? "true" : "false");
+	a->ops.message(a->ctx, offer->candidates[0], &msg);
+	return true;
+}
+
+static void refused(relay_agent_t *a, uint32_t balancer, const flow_key_t *key)
+{
+	char text[FLOW_TEXT];
+
+	counter_add(&a->counters, COUNTER_OPENS_REFUSED, 1);
+	event_log(EVENT_REFUSED,
+		  "\"flow\":\"%s\",\"in_flight\":%u,\"slots\":%u,"
+		  "\"stopping\":%s",
+		  flow_text(key, text), a->in_flight, a->slots,
+		  a->stopping ? "true" : "false");
+	relay_agent_tell(a, balancer, RELAY_REFUSED, key);
+}
+
+void relay_agent_offer(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
+{
+	relay_packet_t p;
+	aflow_t *f;
+	size_t n;
+
+	(void)from;
+	if (a->options.form->read(msg->packet.data, msg->packet.len, &p) < 0 ||
+	    p.len > sizeof(f->syn)) {
+		counter_add(&a->counters, COUNTER_DROP_TRUNCATED, 1);
+		return;
+	}
+	counter_add(&a->counters, COUNTER_OPENS, 1);
+	f = (aflow_t *)flow_index_find(a->flows, &p.key);
+	if (f && f->caller_isn == p.seq && f->phase == AFLOW_OPEN) {
+		f->balancer = msg->balancer;
+		aflow_deliver(a, f, &p);
+		relay_agent_tell(a, msg->balancer, RELAY_TAKEN, &p.key);
+		return;
+	}
+	if (refuses(a, msg)) {
+		if (!pass_on(a, msg))
+			refused(a, msg->balancer, &p.key);
+		return;
+	}
+	if (f)
+		aflow_forget(a, f);
+	f = aflow_take(a, &p.key);
+	if (!f) {
+		if (!pass_on(a, msg))
+			refused(a, msg->balancer, &p.key);
+		return;
+	}
+	n = msg->n_candidates < CANDIDATES_MAX ? msg->n_candidates
+					       : CANDIDATES_MAX;
+	f->caller_isn = p.seq;
+	f->balancer = msg->balancer;
+	f->opened_ms = a->now;
+	f->ncandidates = n;
+	if (n)
+		memcpy(f->candidates, msg->candidates,
+		       n * sizeof(f->candidates[0]));
+	memcpy(f->syn, p.data, p.len);
+	f->syn_len = (uint8_t)p.len;
+	aflow_phase(a, f, AFLOW_OPENING);
+	aflow_deliver(a, f, &p);
+}
+
+void relay_agent_pass(relay_agent_t *a, aflow_t *f, bool returned)
+{
+	relay_msg_t offer;
+	bool passed;
+
+	relay_msg_init(&offer, RELAY_OFFER);
+	offer.service = (char *)a->options.service;
+	offer.balancer = f->balancer;
+	offer.packet.data = f->syn;
+	offer.packet.len = f->syn_len;
+	offer.candidates = f->candidates;
+	offer.n_candidates = f->ncandidates;
+	passed = pass_on(a, &offer);
+	f->ncandidates = 0;
+	/* Without the server's word an open may yet be accepted. */
+	if (!passed && returned)
+		refused(a, f->balancer, &f->node.key);
+	if (returned)
+		aflow_forget(a, f);
+}
+
+void relay_agent_opening_tick(relay_agent_t *a)
+{
+	list_each_safe(node, after, &a->opening)
+	{
+		aflow_t *f = list_entry(node, aflow_t, opening);
+
+		if (a->now < f->opened_ms + ANSWER_MS)
+			return;
+		if (f->ncandidates)
+			relay_agent_pass(a, f, false);
+		if (!f->isn_known && f->phase == AFLOW_OPENING)
+			relay_server_silent(a, f);
+		/* It waits on without a place in the list. */
+		list_remove(&f->opening);
+	}
+}
--- /dev/null
+++ b/src/relay_balancer.c
@@ -0,0 +1,327 @@
+#include "relay_balancer_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* A flow is forgotten this long after its last packet; a caller whose flow
+ * idles longer finds it again by a look-up. */
+#define FLOW_IDLE_MS 30000
+/* Flows that callers ended are remembered for late packets. */
+#define SWEEP_MS 1000
+
+static void flow_release(flow_node_t *node);
+static void on_entry(void *ctx, const target_entry_t *entry);
+static void no_route(relay_balancer_t *b, const relay_packet_t *p);
+
+uint32_t relay_random(relay_balancer_t *b)
+{
+	b->random ^= b->random << 13;
+	b->random ^= b->random >> 17;
+	b->random ^= b->random << 5;
+	return b->random;
+}
+
+static void flow_release(flow_node_t *node)
+{
+	relay_flow_t *f = (relay_flow_t *)node;
+
+	list_remove(&f->waiting);
+	relay_lookup_free(f->lookup);
+	free(f);
+}
+
+static void on_entry(void *ctx, const target_entry_t *entry)
+{
+	relay_member_entry(ctx, entry);
+}
+
+relay_balancer_t *relay_balancer_new(const relay_balancer_options_t *options,
+				     const relay_balancer_ops_t *ops, void *ctx)
+{
+	static const directory_ops_t directory_ops = { on_entry };
+	relay_balancer_t *b = calloc(1, sizeof(*b));
+
+	if (!b)
+		return NULL;
+	b->options = *options;
+	b->ops = *ops;
+	b->ctx = ctx;
+	b->random = options->random_seed | 1;
+	list_init(&b->members);
+	list_init(&b->waiting);
+	b->by_agent = g_hash_table_new(NULL, NULL);
+	b->flows = flow_index_new(options->flows, flow_release);
+	b->directory = directory_new(&directory_ops, b);
+	if (!b->flows || !b->directory) {
+		relay_balancer_free(b);
+		return NULL;
+	}
+	return b;
+}
+
+void relay_balancer_free(relay_balancer_t *b)
+{
+	if (!b)
+		return;
+	flow_index_free(b->flows);
+	directory_free(b->directory);
+	list_each_safe(node, after, &b->members)
+		free(list_entry(node, relay_member_t, node));
+	g_hash_table_destroy(b->by_agent);
+	route_table_unref(b->routes);
+	free(b);
+}
+
+void relay_balancer_routes(relay_balancer_t *b, route_table_t *routes)
+{
+	uint64_t version = route_table_version(routes);
+
+	if (version <= relay_balancer_version(b)) {
+		counter_add(&b->counters, COUNTER_CONFIG_REFUSED,
+			    version < relay_balancer_version(b));
+		route_table_unref(routes);
+		return;
+	}
+	event_log(EVENT_ROUTES, "\"version\":%llu,\"before\":%llu,\"routes\":%zu",
+		  (unsigned long long)version,
+		  (unsigned long long)relay_balancer_version(b),
+		  route_table_count(routes));
+	route_table_unref(b->routes);
+	b->routes = routes;
+	counter_add(&b->counters, COUNTER_CONFIG_ACCEPTED, 1);
+}
+
+uint64_t relay_balancer_version(const relay_balancer_t *b)
+{
+	return b->routes ? route_table_version(b->routes) : 0;
+}
+
+directory_t *relay_balancer_directory(relay_balancer_t *b)
+{
+	return b->directory;
+}
+
+counters_t *relay_balancer_counters(relay_balancer_t *b)
+{
+	return &b->counters;
+}
+
+const histogram_t *relay_balancer_open_ms(const relay_balancer_t *b)
+{
+	return &b->open_ms;
+}
+
+size_t relay_balancer_flows(const relay_balancer_t *b)
+{
+	return flow_index_count(b->flows);
+}
+
+relay_flow_t *relay_flow_find(relay_balancer_t *b, const flow_key_t *key)
+{
+	return (relay_flow_t *)flow_index_find(b->flows, key);
+}
+
+relay_flow_t *relay_flow_take(relay_balancer_t *b, const flow_key_t *key)
+{
+	relay_flow_t *f = relay_flow_find(b, key);
+
+	if (f) {
+		flow_index_touch(b->flows, &f->node, b->now);
+		return f;
+	}
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		return NULL;
+	f->node.key = *key;
+	list_init(&f->waiting);
+	flow_index_add(b->flows, &f->node, b->now);
+	return f;
+}
+
+void relay_flow_phase(relay_balancer_t *b, relay_flow_t *f, relay_phase_t phase)
+{
+	f->phase = phase;
+	list_remove(&f->waiting);
+	if (phase == PHASE_OPENING || phase == PHASE_ASKING)
+		list_append(&b->waiting, &f->waiting);
+}
+
+void relay_flow_holder(relay_balancer_t *b, relay_flow_t *f, uint32_t agent,
+		       const char *service)
+{
+	f->agent = agent;
+	if (service[0]) {
+		f->service = g_intern_string(service);
+		f->tag = service_tag(service);
+	}
+	relay_flow_phase(b, f, PHASE_KNOWN);
+	if (f->lookup)
+		relay_lookup_held(b, f);
+}
+
+void relay_flow_reset(relay_balancer_t *b, relay_flow_t *f, const char *why)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+	size_t len = b->options.form->reset(&f->node.key, f->ack, buf);
+
+	event_log(EVENT_RESET,
+		  "\"flow\":\"%s\",\"seq\":%u,\"agent\":\"%s\",\"why\":\"%s\","
+		  "\"offers\":%u,\"version\":%llu",
+		  flow_text(&f->node.key, text), f->seq,
+		  ipv4_format(f->agent, agent), why, f->offers,
+		  (unsigned long long)relay_balancer_version(b));
+	counter_add(&b->counters, COUNTER_FLOWS_RESET, 1);
+	b->ops.reply(b->ctx, f->node.key.src, buf, len);
+	flow_index_remove(b->flows, &f->node);
+}
+
+void relay_flow_send(relay_balancer_t *b, const relay_flow_t *f,
+		     relay_packet_t *p, uint8_t mark)
+{
+	b->options.form->annotate(p, mark, f->tag);
+	counter_add(&b->counters, COUNTER_PACKETS_OUT, 1);
+	b->ops.packet(b->ctx, f->agent, p->data, p->len);
+}
+
+/* A flow of a route that was removed, or one that never was. */
+static void no_route(relay_balancer_t *b, const relay_packet_t *p)
+{
+	relay_flow_t *f = relay_flow_find(b, &p->key);
+	uint8_t buf[RELAY_PACKET_MAX];
+	char text[FLOW_TEXT];
+
+	counter_add(&b->counters, COUNTER_DROP_NO_SERVICE, 1);
+	if (f)
+		flow_index_remove(b->flows, &f->node);
+	if (p->flags & RELAY_RST)
+		return;
+	event_log(EVENT_REFUSED,
+		  "\"flow\":\"%s\",\"seq\":%u,\"why\":\"no route\","
+		  "\"version\":%llu",
+		  flow_text(&p->key, text), p->seq,
+		  (unsigned long long)relay_balancer_version(b));
+	b->ops.reply(b->ctx, p->key.src, buf,
+		     b->options.form->reset(&p->key, p->ack, buf));
+}
+
+void relay_balancer_packet(relay_balancer_t *b, uint64_t now, uint8_t *buf,
+			   size_t len)
+{
+	const route_t *route;
+	relay_packet_t p;
+	relay_flow_t *f;
+
+	b->now = now;
+	counter_add(&b->counters, COUNTER_PACKETS_IN, 1);
+	if (b->options.form->read(buf, len, &p) < 0) {
+		counter_add(&b->counters, COUNTER_DROP_TRUNCATED, 1);
+		return;
+	}
+	if (!b->routes) {
+		counter_add(&b->counters, COUNTER_DROP_NO_CONFIG, 1);
+		return;
+	}
+	route = route_find(b->routes, p.key.dst, p.key.dport);
+	if (!route) {
+		no_route(b, &p);
+		return;
+	}
+	if (relay_packet_opens(&p)) {
+		relay_open_packet(b, route, &p);
+		return;
+	}
+	f = relay_flow_take(b, &p.key);
+	if (!f)
+		return;
+	if (p.flags & RELAY_ACK)
+		f->ack = p.ack;
+	if (f->agent == 0 || f->phase == PHASE_ASKING) {
+		relay_lookup_packet(b, route, f, &p, 0);
+		return;
+	}
+	relay_flow_send(b, f, &p, 0);
+	if (p.flags & (RELAY_FIN | RELAY_RST))
+		relay_flow_phase(b, f, PHASE_CLOSING);
+}
+
+/* The agent's server does not hold the flow of a packet that we sent. */
+static void given_back(relay_balancer_t *b, uint32_t from,
+		       const relay_msg_t *msg)
+{
+	relay_packet_t p;
+	const route_t *route;
+	relay_flow_t *f;
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+
+	if (b->options.form->read(msg->packet.data, msg->packet.len, &p) < 0 ||
+	    !b->routes)
+		return;
+	route = route_find(b->routes, p.key.dst, p.key.dport);
+	f = route ? relay_flow_take(b, &p.key) : NULL;
+	if (!f)
+		return;
+	event_log(EVENT_GIVEN_BACK, "\"flow\":\"%s\",\"agent\":\"%s\"",
+		  flow_text(&p.key, text), ipv4_format(from, agent));
+	if (p.flags & RELAY_ACK)
+		f->ack = p.ack;
+	if (f->agent == from && f->phase != PHASE_ASKING)
+		f->agent = 0;
+	if (f->agent && f->phase != PHASE_ASKING) {
+		/* Known elsewhere by now. */
+		relay_flow_send(b, f, &p, 0);
+		return;
+	}
+	relay_lookup_packet(b, route, f, &p, from);
+}
+
+void relay_balancer_message(relay_balancer_t *b, uint64_t now, uint32_t from,
+			    const relay_msg_t *msg)
+{
+	relay_member_t *m = relay_member(b, from);
+
+	b->now = now;
+	counter_add(&b->counters, COUNTER_MESSAGES_IN, 1);
+	if (m)
+		relay_member_heard(b, m, msg);
+	switch (msg->kind) {
+	case RELAY_TAKEN:
+		relay_open_taken(b, from, msg);
+		break;
+	case RELAY_REFUSED:
+		relay_open_refused(b, from, msg);
+		break;
+	case RELAY_HELD:
+	case RELAY_NOT_HELD:
+	case RELAY_UNSURE:
+		relay_lookup_answer(b, from, msg);
+		break;
+	case RELAY_GIVEN_BACK:
+		given_back(b, from, msg);
+		break;
+	case RELAY_LOAD:
+		break;
+	default:
+		counter_add(&b->counters, COUNTER_MESSAGE_UNEXPECTED, 1);
+	}
+}
+
+void relay_balancer_tick(relay_balancer_t *b, uint64_t now)
+{
+	b->now = now;
+	list_each_safe(node, after, &b->waiting)
+	{
+		relay_flow_t *f = list_entry(node, relay_flow_t, waiting);
+
+		if (f->phase == PHASE_OPENING)
+			relay_open_tick(b, f);
+		else
+			relay_lookup_tick(b, f);
+	}
+	relay_members_tick(b);
+	if (now < b->swept_ms + SWEEP_MS)
+		return;
+	b->swept_ms = now;
+	directory_tick(b->directory, now);
+	if (now > FLOW_IDLE_MS)
+		flow_index_expire(b->flows, now - FLOW_IDLE_MS);
+}
--- /dev/null
+++ b/src/relay_balancer_daemon.c
@@ -0,0 +1,200 @@
+/*
+ * Balancer that relays packets. The way of a packet: it comes in at
+ * settings.packets, on_packet() hands it to the balancer, which hands it to
+ * send_packet() and so to an agent's host. Answers go from the agent to the
+ * caller and do not pass here.
+ */
+
+#include "event_log.h"
+#include "relay_balancer.h"
+#include "relay_process.h"
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+/* The routers take a host out after two probes, half a second apart, without
+ * a 200; callers' packets that are under way follow. */
+#define STOP_MS 1800
+/* Flows remembered, for each MB of the memory limit. */
+#define FLOWS_A_MB 64
+
+typedef struct balancer_state {
+	relay_balancer_t *balancer;
+	relay_feed_ctx_t sink;
+	feed_t *routes;
+	feed_t *targets;
+} balancer_state_t;
+
+static void send_packet(void *ctx, uint32_t agent, const uint8_t *buf,
+			size_t len)
+{
+	relay_process_packet(ctx, agent, buf, len);
+}
+
+static void send_message(void *ctx, uint32_t agent, const relay_msg_t *msg)
+{
+	relay_process_message(ctx, agent, msg);
+}
+
+static void sink_routes(void *ctx, route_table_t *routes)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+
+	relay_balancer_routes(s->balancer, routes);
+}
+
+static void sink_refused(void *ctx, const char *key, const err_t *err)
+{
+	relay_process_t *p = ctx;
+
+	counter_add(p->counters, COUNTER_CONFIG_REFUSED, 1);
+	event_log(EVENT_STORE,
+		  "\"state\":\"item refused\",\"key\":\"%.100s\","
+		  "\"error\":\"%.200s\"",
+		  key, err->what);
+}
+
+static directory_t *sink_directory(void *ctx)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+
+	return relay_balancer_directory(s->balancer);
+}
+
+static uint64_t sink_now(void *ctx)
+{
+	return relay_process_now(ctx);
+}
+
+static void sink_reachable(void *ctx, bool yes)
+{
+	directory_t *d = sink_directory(ctx);
+
+	if (yes)
+		directory_reachable(d, sink_now(ctx));
+	else
+		directory_unreachable(d, sink_now(ctx));
+}
+
+static int start(relay_process_t *p, err_t *err)
+{
+	static const relay_balancer_ops_t ops = { send_packet, send_message,
+						  send_packet };
+	static const relay_sink_t sink = { sink_routes, sink_refused,
+					   sink_directory, sink_now,
+					   sink_reachable };
+	relay_balancer_options_t options = {
+		.self = p->settings.address,
+		.zone = p->settings.zone,
+		.form = relay_platform.form,
+		.flows = (size_t)p->settings.memory_mb * FLOWS_A_MB,
+		.random_seed = p->settings.address ^ (uint32_t)getpid() ^
+			       (uint32_t)uv_hrtime(),
+	};
+	balancer_state_t *s = calloc(1, sizeof(*s));
+
+	p->ctx = s;
+	if (s)
+		s->balancer = relay_balancer_new(&options, &ops, p);
+	if (!s || !s->balancer)
+		return err_set(err, ERR_MEMORY, NULL, 0, "free memory",
+			       "no memory for the balancer");
+	p->counters = relay_balancer_counters(s->balancer);
+	s->sink.sink = &sink;
+	s->sink.ctx = p;
+	s->routes = feed_new(&p->loop, &p->settings.platform,
+			     relay_platform.routes_feed, &s->sink, p->counters);
+	s->targets =
+		feed_new(&p->loop, &p->settings.platform,
+			 relay_platform.targets_feed, &s->sink, p->counters);
+	if (!s->routes || !s->targets)
+		return err_set(err, ERR_MEMORY, NULL, 0, "free memory",
+			       "no memory to read the platform");
+	return 0;
+}
+
+static void end(relay_process_t *p)
+{
+	balancer_state_t *s = p->ctx;
+
+	if (!s)
+		return;
+	feed_free(s->routes);
+	feed_free(s->targets);
+	relay_balancer_free(s->balancer);
+	free(s);
+}
+
+static void on_packet(relay_process_t *p, uint64_t now, uint32_t from,
+		      uint8_t *buf, size_t len)
+{
+	balancer_state_t *s = p->ctx;
+
+	(void)from;
+	relay_balancer_packet(s->balancer, now, buf, len);
+}
+
+static void on_message(relay_process_t *p, uint64_t now, uint32_t from,
+		       const relay_msg_t *msg)
+{
+	balancer_state_t *s = p->ctx;
+
+	relay_balancer_message(s->balancer, now, from, msg);
+}
+
+static void tick(relay_process_t *p, uint64_t now)
+{
+	balancer_state_t *s = p->ctx;
+
+	relay_balancer_tick(s->balancer, now);
+}
+
+static void stop(relay_process_t *p, uint64_t now)
+{
+	(void)p;
+	(void)now;
+}
+
+static void woke(relay_process_t *p, uint64_t now, uint64_t slept_ms)
+{
+	balancer_state_t *s = p->ctx;
+
+	(void)now;
+	(void)slept_ms;
+	feed_wake(s->routes);
+	feed_wake(s->targets);
+}
+
+static bool ready(relay_process_t *p)
+{
+	balancer_state_t *s = p->ctx;
+
+	return feed_loaded(s->targets) &&
+	       relay_balancer_version(s->balancer) > 0;
+}
+
+static const histogram_t *histogram(relay_process_t *p, const char **name)
+{
+	balancer_state_t *s = p->ctx;
+
+	*name = "cherviltray_open_ms";
+	return relay_balancer_open_ms(s->balancer);
+}
+
+const relay_daemon_t relay_balancer_daemon = {
+	.name = "balancer",
+	.role = RELAY_ROLE_BALANCER,
+	.tick_ms = RELAY_TICK_MS,
+	.stop_ms = STOP_MS,
+	.start = start,
+	.end = end,
+	.packet = on_packet,
+	.message = on_message,
+	.tick = tick,
+	.stop = stop,
+	.woke = woke,
+	.ready = ready,
+	.histogram = histogram,
+};
--- /dev/null
+++ b/src/relay_balancer_int.h
@@ -0,0 +1,169 @@
+#ifndef RELAY_BALANCER_INT_H
+#define RELAY_BALANCER_INT_H
+
+/*
+ * relay_balancer_int - what the files of relay_balancer share
+ */
+
+#include "event_log.h"
+#include "flow_index.h"
+#include "placement.h"
+#include "relay_balancer.h"
+#include <glib.h>
+
+/* Agents that an open is offered to before the caller is refused. */
+#define OFFERS_MAX 5
+/* Candidates that go with an offer, the first receiver included. */
+#define OFFER_CANDIDATES 3
+/* Packets that wait for the end of a look-up, a flow. */
+#define HELD_MAX 4
+
+/* An agent and the backend server beside it. */
+typedef struct relay_member {
+	uint32_t agent;
+	const char *service; /* interned */
+	char entry[DIRECTORY_NAME];
+	uint64_t born_ms; /* of the target, as published */
+	entry_state_t state;
+	bool local;
+	uint32_t slots;
+	uint64_t warm_at_ms;
+	uint64_t gone_ms; /* state GONE since */
+	/* as told by the agent */
+	double work;
+	double in_flight;
+	double service_ms;
+	uint32_t down_ms;
+	bool stopping;
+	uint64_t incarnation;
+	uint64_t told_ms;  /* load */
+	uint64_t heard_ms; /* anything */
+	uint64_t hello_ms; /* last hello sent */
+	/* own doubts */
+	uint32_t unanswered;	/* offers in a row */
+	uint64_t avoid_until;	/* takes no opens until then */
+	uint64_t trial_ms;	/* last open offered in spite of doubts */
+	uint64_t lost_told_ms;	/* its flows were reset; 0: no */
+	double placed;		/* opens placed since it told its load */
+	uint64_t placed_ms;
+	list_t node;
+} relay_member_t;
+
+typedef enum relay_phase {
+	PHASE_OPENING, /* offered, not taken yet */
+	PHASE_KNOWN,   /* an agent holds it */
+	PHASE_ASKING,  /* a look-up is under way */
+	PHASE_CLOSING, /* the caller ended it */
+} relay_phase_t;
+
+typedef enum lookup_answer {
+	ANSWER_NONE,
+	ANSWER_NOT_HELD,
+	ANSWER_UNSURE,
+} lookup_answer_t;
+
+typedef struct lookup_asked {
+	uint32_t agent;
+	lookup_answer_t answer;
+	bool tried; /* the packet was sent there to find out */
+} lookup_asked_t;
+
+typedef struct held_packet {
+	size_t len;
+	uint8_t data[];
+} held_packet_t;
+
+typedef struct relay_lookup {
+	uint64_t started_ms;
+	uint64_t asked_ms;
+	unsigned rounds;
+	GArray *asked; /* of lookup_asked_t */
+	held_packet_t *held[HELD_MAX];
+	unsigned nheld;
+} relay_lookup_t;
+
+typedef struct relay_flow {
+	flow_node_t node; /* first, see flow_index.h */
+	relay_phase_t phase;
+	const char *service; /* interned; NULL: any of the route's */
+	uint32_t tag;	     /* of the service */
+	uint32_t agent;	     /* that holds it, 0 unknown */
+	uint32_t seq;	     /* of the SYN */
+	uint32_t ack;	     /* the caller's last acknowledgement */
+	uint64_t first_ms;   /* first offer */
+	uint64_t offered_ms; /* last offer */
+	uint32_t tried[OFFERS_MAX + OFFER_CANDIDATES];
+	unsigned ntried;
+	unsigned offers;
+	bool silent; /* an offer was not answered: its server may have run */
+	uint8_t syn[64];
+	uint8_t syn_len;
+	relay_lookup_t *lookup; /* owned, NULL: none */
+	list_t waiting;		/* in relay_balancer.waiting */
+} relay_flow_t;
+
+struct relay_balancer {
+	relay_balancer_options_t options;
+	relay_balancer_ops_t ops;
+	void *ctx;
+	counters_t counters;
+	histogram_t open_ms;
+	route_table_t *routes;
+	directory_t *directory;
+	list_t members;
+	GHashTable *by_agent; /* address -> relay_member_t */
+	flow_index_t *flows;
+	list_t waiting; /* flows that are opening or looked up */
+	uint32_t random;
+	uint64_t now;	     /* of the call under way */
+	uint64_t swept_ms;
+};
+
+uint32_t relay_random(relay_balancer_t *b);
+
+/* relay_balancer_member.c: agents and what is believed of them */
+relay_member_t *relay_member(relay_balancer_t *b, uint32_t agent);
+void relay_member_entry(relay_balancer_t *b, const target_entry_t *entry);
+void relay_member_heard(relay_balancer_t *b, relay_member_t *m,
+			const relay_msg_t *msg);
+/* Notes that an offer was not answered. */
+void relay_member_silent(relay_balancer_t *b, relay_member_t *m);
+void relay_members_tick(relay_balancer_t *b);
+/* True when it may be asked about flows. */
+bool relay_member_answers(const relay_balancer_t *b, const relay_member_t *m);
+
+/* relay_balancer_open.c: opens */
+void relay_open_packet(relay_balancer_t *b, const route_t *route,
+		       relay_packet_t *p);
+void relay_open_taken(relay_balancer_t *b, uint32_t from,
+		      const relay_msg_t *msg);
+void relay_open_refused(relay_balancer_t *b, uint32_t from,
+			const relay_msg_t *msg);
+void relay_open_tick(relay_balancer_t *b, relay_flow_t *f);
+
+/* relay_balancer_lookup.c: flows that are not remembered */
+void relay_lookup_packet(relay_balancer_t *b, const route_t *route,
+			 relay_flow_t *f, const relay_packet_t *p,
+			 uint32_t not_at);
+void relay_lookup_answer(relay_balancer_t *b, uint32_t from,
+			 const relay_msg_t *msg);
+void relay_lookup_tick(relay_balancer_t *b, relay_flow_t *f);
+/* The holder is known: sends what waited. */
+void relay_lookup_held(relay_balancer_t *b, relay_flow_t *f);
+void relay_lookup_free(relay_lookup_t *l);
+
+/* relay_balancer.c */
+/* The flow, made when it isn't known. */
+relay_flow_t *relay_flow_take(relay_balancer_t *b, const flow_key_t *key);
+relay_flow_t *relay_flow_find(relay_balancer_t *b, const flow_key_t *key);
+void relay_flow_phase(relay_balancer_t *b, relay_flow_t *f,
+		      relay_phase_t phase);
+/* Resets the caller's flow and forgets it; why goes to the log. */
+void relay_flow_reset(relay_balancer_t *b, relay_flow_t *f, const char *why);
+void relay_flow_holder(relay_balancer_t *b, relay_flow_t *f, uint32_t agent,
+		       const char *service);
+/* Sends a packet to the agent that holds the flow. */
+void relay_flow_send(relay_balancer_t *b, const relay_flow_t *f,
+		     relay_packet_t *p, uint8_t mark);
+
+#endif
--- /dev/null
+++ b/src/relay_balancer_lookup.c
@@ -0,0 +1,272 @@
+#include "relay_balancer_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* A question without an answer is asked again after this. */
+#define ASK_AGAIN_MS 120
+/* Rounds of questions; then the flow's packets are dropped in silence. */
+#define ASK_ROUNDS 3
+/* A server returns a packet that it does not hold at once: one that has not
+ * come back by now was taken. */
+#define RETURN_MS 100
+/* A silent flow may be looked up again after this. */
+#define LOOKUP_PAUSE_MS 800
+
+static void ask(relay_balancer_t *b, relay_flow_t *f, uint32_t agent);
+static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
+		  uint32_t not_at);
+static void hold(relay_lookup_t *l, const relay_packet_t *p);
+static void release(relay_balancer_t *b, relay_flow_t *f, uint8_t mark);
+static void go_on(relay_balancer_t *b, relay_flow_t *f);
+static lookup_asked_t *asked_of(relay_lookup_t *l, uint32_t agent);
+static void finish(relay_balancer_t *b, relay_flow_t *f, const char *outcome);
+
+void relay_lookup_free(relay_lookup_t *l)
+{
+	if (!l)
+		return;
+	for (unsigned i = 0; i < l->nheld; i++)
+		free(l->held[i]);
+	g_array_free(l->asked, TRUE);
+	free(l);
+}
+
+static lookup_asked_t *asked_of(relay_lookup_t *l, uint32_t agent)
+{
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+
+		if (a->agent == agent)
+			return a;
+	}
+	return NULL;
+}
+
+static void ask(relay_balancer_t *b, relay_flow_t *f, uint32_t agent)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_QUERY);
+	relay_msg_set_key(&msg, &f->node.key);
+	msg.ack = f->ack;
+	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	b->ops.message(b->ctx, agent, &msg);
+}
+
+/* Asks the agents of all services that the route may have sent the flow to. */
+static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
+		  uint32_t not_at)
+{
+	relay_lookup_t *l = g_new0(relay_lookup_t, 1);
+
+	l->asked = g_array_new(FALSE, TRUE, sizeof(lookup_asked_t));
+	l->started_ms = b->now;
+	l->asked_ms = b->now;
+	f->lookup = l;
+	relay_flow_phase(b, f, PHASE_ASKING);
+	counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
+	list_each(node, &b->members)
+	{
+		relay_member_t *m = list_entry(node, relay_member_t, node);
+		lookup_asked_t a = { .agent = m->agent };
+		bool fits = false;
+
+		for (size_t i = 0; i < route->nshares; i++)
+			fits = fits ||
+			       !strcmp(route->shares[i].service, m->service);
+		if (!fits || !relay_member_answers(b, m))
+			continue;
+		if (m->agent == not_at) {
+			a.answer = ANSWER_NOT_HELD;
+			a.tried = true;
+		}
+		g_array_append_val(l->asked, a);
+		if (m->agent != not_at)
+			ask(b, f, m->agent);
+	}
+}
+
+static void hold(relay_lookup_t *l, const relay_packet_t *p)
+{
+	held_packet_t *h;
+
+	if (l->nheld == HELD_MAX)
+		return;
+	h = malloc(sizeof(*h) + p->len);
+	if (!h)
+		return;
+	h->len = p->len;
+	memcpy(h->data, p->data, p->len);
+	l->held[l->nheld++] = h;
+}
+
+/* Sends the packets that waited to the agent that the flow has now. */
+static void release(relay_balancer_t *b, relay_flow_t *f, uint8_t mark)
+{
+	relay_lookup_t *l = f->lookup;
+
+	for (unsigned i = 0; i < l->nheld; i++) {
+		relay_packet_t p;
+
+		if (b->options.form->read(l->held[i]->data, l->held[i]->len,
+					  &p) == 0)
+			relay_flow_send(b, f, &p, mark);
+		free(l->held[i]);
+	}
+	l->nheld = 0;
+}
+
+static void finish(relay_balancer_t *b, relay_flow_t *f, const char *outcome)
+{
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+
+	event_log(EVENT_LOOKUP,
+		  "\"flow\":\"%s\",\"outcome\":\"%s\",\"agent\":\"%s\","
+		  "\"asked\":%u,\"ms\":%llu",
+		  flow_text(&f->node.key, text), outcome,
+		  ipv4_format(f->agent, agent), f->lookup->asked->len,
+		  (unsigned long long)(b->now - f->lookup->started_ms));
+}
+
+/*
+ * Once every agent has answered: an agent that can't know has its server try
+ * the packet, one after the other; when none is left nobody holds the flow.
+ */
+static void go_on(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_lookup_t *l = f->lookup;
+
+	for (guint i = 0; i < l->asked->len; i++)
+		if (g_array_index(l->asked, lookup_asked_t, i).answer ==
+		    ANSWER_NONE)
+			return;
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+		relay_member_t *m = relay_member(b, a->agent);
+
+		if (a->answer != ANSWER_UNSURE || a->tried || !m)
+			continue;
+		a->tried = true;
+		l->asked_ms = b->now;
+		f->agent = a->agent;
+		f->service = m->service;
+		f->tag = service_tag(m->service);
+		counter_add(&b->counters, COUNTER_TRIALS, 1);
+		release(b, f, RELAY_MARK_TRIAL);
+		return;
+	}
+	f->agent = 0;
+	for (guint i = 0; i < l->asked->len; i++)
+		if (g_array_index(l->asked, lookup_asked_t, i).answer ==
+		    ANSWER_UNSURE)
+			return; /* its server may have the packet still */
+	counter_add(&b->counters, COUNTER_LOOKUPS_UNKNOWN, 1);
+	finish(b, f, "nobody holds it");
+	relay_flow_reset(b, f, "nobody holds it");
+}
+
+void relay_lookup_packet(relay_balancer_t *b, const route_t *route,
+			 relay_flow_t *f, const relay_packet_t *p,
+			 uint32_t not_at)
+{
+	relay_lookup_t *l = f->lookup;
+	lookup_asked_t *a;
+
+	if (p->flags & RELAY_RST) {
+		/* Nobody waits for an answer. */
+		flow_index_remove(b->flows, &f->node);
+		return;
+	}
+	if (!l) {
+		begin(b, route, f, not_at);
+		hold(f->lookup, p);
+		go_on(b, f);
+		return;
+	}
+	hold(l, p);
+	a = not_at ? asked_of(l, not_at) : NULL;
+	if (a) {
+		a->answer = ANSWER_NOT_HELD;
+		a->tried = true;
+	}
+	if (not_at)
+		go_on(b, f);
+}
+
+void relay_lookup_held(relay_balancer_t *b, relay_flow_t *f)
+{
+	finish(b, f, "held");
+	release(b, f, 0);
+	relay_lookup_free(f->lookup);
+	f->lookup = NULL;
+}
+
+/* The agent whose server has the packet, and did not return it; or NULL. */
+static lookup_asked_t *on_trial(relay_lookup_t *l)
+{
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+
+		if (a->tried && a->answer == ANSWER_UNSURE)
+			return a;
+	}
+	return NULL;
+}
+
+void relay_lookup_answer(relay_balancer_t *b, uint32_t from,
+			 const relay_msg_t *msg)
+{
+	flow_key_t key = relay_msg_key(msg);
+	relay_flow_t *f = relay_flow_find(b, &key);
+	lookup_asked_t *a;
+
+	if (!f || !f->lookup)
+		return;
+	if (msg->kind == RELAY_HELD) {
+		relay_flow_holder(b, f, from, msg->service);
+		return;
+	}
+	a = asked_of(f->lookup, from);
+	if (!a || a->answer != ANSWER_NONE)
+		return;
+	a->answer = msg->kind == RELAY_UNSURE ? ANSWER_UNSURE : ANSWER_NOT_HELD;
+	go_on(b, f);
+}
+
+void relay_lookup_tick(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_lookup_t *l = f->lookup;
+	lookup_asked_t *trial = on_trial(l);
+	bool waiting = false;
+
+	if (trial && b->now >= l->asked_ms + RETURN_MS) {
+		relay_flow_holder(b, f, trial->agent, "");
+		return;
+	}
+	if (b->now < l->asked_ms + ASK_AGAIN_MS)
+		return;
+	if (++l->rounds > ASK_ROUNDS) {
+		if (b->now < l->started_ms + LOOKUP_PAUSE_MS)
+			return;
+		counter_add(&b->counters, COUNTER_LOOKUPS_SILENT, 1);
+		f->agent = 0;
+		finish(b, f, "some did not answer");
+		flow_index_remove(b->flows, &f->node);
+		return;
+	}
+	l->asked_ms = b->now;
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+
+		if (a->answer != ANSWER_NONE)
+			continue;
+		ask(b, f, a->agent);
+		waiting = true;
+	}
+	if (!waiting)
+		go_on(b, f);
+}
--- /dev/null
+++ b/src/relay_balancer_member.c
@@ -0,0 +1,183 @@
+#include "relay_balancer_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* An agent that was not heard of for so long is asked how it is. */
+#define HELLO_MS 1000
+/* Hellos to an agent that does not answer. */
+#define HELLO_AGAIN_MS 500
+/* Agents forget balancers after 10 s: this is well below. */
+#define HELLO_REFRESH_MS 4000
+/* Agents of targets that are gone may hold flows for so long. */
+#define GONE_ASKED_MS 70000
+/* Not heard of for so long in spite of hellos: unreachable. */
+#define UNREACHABLE_MS 2500
+/* Offers in a row without an answer until a member is avoided. */
+#define SILENT_OFFERS 2
+/* How long it is avoided unless it is heard of: two hello rounds. */
+#define AVOID_MS 1200
+/* A server that answers nothing for so long, and is no longer published, has
+ * lost its flows: three heartbeats of the platform's targets. */
+#define LOST_MS 2000
+
+static void hello(relay_balancer_t *b, relay_member_t *m);
+static void reset_flows(relay_balancer_t *b, relay_member_t *m,
+			const char *why);
+
+relay_member_t *relay_member(relay_balancer_t *b, uint32_t agent)
+{
+	return g_hash_table_lookup(b->by_agent, GUINT_TO_POINTER(agent));
+}
+
+static void hello(relay_balancer_t *b, relay_member_t *m)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_HELLO);
+	msg.service = (char *)m->service;
+	msg.slots = m->slots;
+	m->hello_ms = b->now;
+	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	b->ops.message(b->ctx, m->agent, &msg);
+}
+
+/* The server that held these flows is gone: callers may open new ones. */
+static void reset_flows(relay_balancer_t *b, relay_member_t *m, const char *why)
+{
+	list_each_safe(node, after, flow_index_recent(b->flows))
+	{
+		flow_node_t *n = list_entry(node, flow_node_t, recent);
+		relay_flow_t *f = (relay_flow_t *)n;
+
+		if (f->agent == m->agent && f->phase == PHASE_KNOWN)
+			relay_flow_reset(b, f, why);
+	}
+}
+
+/* Takes over what is published; a new target forgets the one before. */
+void relay_member_entry(relay_balancer_t *b, const target_entry_t *e)
+{
+	relay_member_t *m = relay_member(b, e->address.ip);
+	bool same = m && !strcmp(m->entry, e->id);
+	char text[ENDPOINT_TEXT];
+
+	event_log(EVENT_TARGET,
+		  "\"target\":\"%s\",\"service\":\"%s\",\"agent\":\"%s\","
+		  "\"state\":\"%s\",\"revision\":%llu,\"slots\":%u",
+		  e->id, e->service, ipv4_format(e->address.ip, text),
+		  entry_state_name(e->state), (unsigned long long)e->revision,
+		  e->slots);
+	if (e->state == ENTRY_GONE) {
+		if (same && m->state != ENTRY_GONE) {
+			m->state = ENTRY_GONE;
+			m->gone_ms = b->now;
+		}
+		return;
+	}
+	if (!m) {
+		m = calloc(1, sizeof(*m));
+		if (!m)
+			return;
+		m->agent = e->address.ip;
+		list_append(&b->members, &m->node);
+		g_hash_table_insert(b->by_agent, GUINT_TO_POINTER(m->agent), m);
+	} else if (!same || m->born_ms != e->born_ms) {
+		reset_flows(b, m, "another target at this address");
+		m->down_ms = 0;
+		m->told_ms = 0;
+		m->service_ms = 0;
+		m->unanswered = 0;
+		m->avoid_until = 0;
+	}
+	g_strlcpy(m->entry, e->id, sizeof(m->entry));
+	m->service = g_intern_string(e->service);
+	m->born_ms = e->born_ms;
+	m->state = e->state;
+	m->local = !strcmp(e->zone, b->options.zone);
+	m->slots = e->slots;
+	m->warm_at_ms = e->warm_at_ms;
+	m->gone_ms = 0;
+	m->lost_told_ms = 0;
+	hello(b, m);
+}
+
+void relay_member_heard(relay_balancer_t *b, relay_member_t *m,
+			const relay_msg_t *msg)
+{
+	const relay_load_t *load = msg->load;
+	char text[ENDPOINT_TEXT];
+
+	m->heard_ms = b->now;
+	m->unanswered = 0;
+	if (m->avoid_until > b->now)
+		event_log(EVENT_MEMBER,
+			  "\"agent\":\"%s\",\"state\":\"answers again\"",
+			  ipv4_format(m->agent, text));
+	m->avoid_until = 0;
+	if (!load)
+		return;
+	if ((load->down_ms > 0) != (m->down_ms > 0))
+		event_log(EVENT_MEMBER,
+			  "\"agent\":\"%s\",\"state\":\"server %s\","
+			  "\"silent_ms\":%u",
+			  ipv4_format(m->agent, text),
+			  load->down_ms ? "silent" : "answers", load->down_ms);
+	m->in_flight = load->in_flight;
+	m->work = load->work_hundredths / 100.0;
+	m->service_ms = load->service_us / 1000.0;
+	m->down_ms = load->down_ms;
+	m->stopping = load->stopping;
+	m->incarnation = load->incarnation;
+	m->told_ms = b->now;
+	if (msg->kind == RELAY_LOAD)
+		m->placed = 0;
+}
+
+void relay_member_silent(relay_balancer_t *b, relay_member_t *m)
+{
+	char text[ENDPOINT_TEXT];
+
+	if (++m->unanswered < SILENT_OFFERS || m->avoid_until > b->now)
+		return;
+	m->avoid_until = b->now + AVOID_MS;
+	counter_add(&b->counters, COUNTER_SUSPICIONS, 1);
+	event_log(EVENT_MEMBER,
+		  "\"agent\":\"%s\",\"state\":\"avoided\",\"unanswered\":%u,"
+		  "\"heard_ms_ago\":%llu",
+		  ipv4_format(m->agent, text), m->unanswered,
+		  (unsigned long long)(b->now - m->heard_ms));
+	hello(b, m);
+}
+
+bool relay_member_answers(const relay_balancer_t *b, const relay_member_t *m)
+{
+	if (m->state != ENTRY_GONE)
+		return true;
+	return b->now < m->gone_ms + GONE_ASKED_MS &&
+	       b->now < m->heard_ms + UNREACHABLE_MS;
+}
+
+static void member_tick(relay_balancer_t *b, relay_member_t *m)
+{
+	uint64_t quiet = b->now - m->heard_ms;
+	uint64_t asked = b->now - m->hello_ms;
+	bool wanted = m->state != ENTRY_GONE ||
+		      b->now < m->gone_ms + GONE_ASKED_MS;
+
+	if (wanted && ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
+		       asked >= HELLO_REFRESH_MS))
+		hello(b, m);
+	if (m->state != ENTRY_GONE || m->lost_told_ms ||
+	    b->now < m->gone_ms + DIRECTORY_LAPSE_MS)
+		return;
+	if (m->down_ms >= LOST_MS || quiet >= UNREACHABLE_MS) {
+		m->lost_told_ms = b->now;
+		reset_flows(b, m, "target gone");
+	}
+}
+
+void relay_members_tick(relay_balancer_t *b)
+{
+	list_each(node, &b->members)
+		member_tick(b, list_entry(node, relay_member_t, node));
+}
--- /dev/null
+++ b/src/relay_balancer_open.c
@@ -0,0 +1,265 @@
+#include "relay_balancer_int.h"
+#include <string.h>
+
+/* An offer without an answer for this long goes to another agent: a round
+ * trip between zones, and a host that waits for its quota for a tenth of a
+ * second. */
+#define OFFER_MS 130
+/* The caller sends no more copies after its last one at 600 ms and gives up
+ * at 1.4 s. */
+#define OPEN_GIVEN_UP_MS 1500
+/* Open placed with a member: one request until its load is told. */
+#define OPEN_WORK 1.0
+/* What was placed counts half after this time. */
+#define PLACED_HALF_MS 300
+/* Load told longer ago than this is not believed. */
+#define LOAD_OLD_MS 3000
+/* A doubted member is offered an open this often, with others behind it. */
+#define TRIAL_MS 1000
+
+static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m,
+			const char *service);
+static bool was_tried(const relay_flow_t *f, uint32_t agent);
+static void describe(const relay_balancer_t *b, const relay_member_t *m,
+		     placement_member_t *out);
+static relay_member_t *doubted_member(relay_balancer_t *b,
+				      const relay_flow_t *f);
+static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
+			 relay_member_t **out, size_t want);
+static bool offer(relay_balancer_t *b, relay_flow_t *f);
+static void refuse(relay_balancer_t *b, relay_flow_t *f);
+
+static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m,
+			const char *service)
+{
+	return m->state == ENTRY_READY && m->service == service &&
+	       !m->stopping && m->down_ms == 0 && m->avoid_until <= b->now;
+}
+
+static bool was_tried(const relay_flow_t *f, uint32_t agent)
+{
+	for (unsigned i = 0; i < f->ntried; i++)
+		if (f->tried[i] == agent)
+			return true;
+	return false;
+}
+
+static void describe(const relay_balancer_t *b, const relay_member_t *m,
+		     placement_member_t *out)
+{
+	uint64_t age = b->now - m->placed_ms;
+
+	out->local = m->local;
+	out->known = m->told_ms && b->now < m->told_ms + LOAD_OLD_MS;
+	out->cold = m->warm_at_ms > b->now;
+	out->slots = m->slots;
+	out->work = m->work;
+	out->in_flight = m->in_flight;
+	out->service_ms = m->service_ms;
+	out->placed = age < 8 * PLACED_HALF_MS
+			      ? m->placed / (1 << (age / PLACED_HALF_MS))
+			      : 0;
+}
+
+/* A member that seemed silent and may be back: it is tried now and then. */
+static relay_member_t *doubted_member(relay_balancer_t *b,
+				      const relay_flow_t *f)
+{
+	list_each(node, &b->members)
+	{
+		relay_member_t *m = list_entry(node, relay_member_t, node);
+
+		if (m->state != ENTRY_READY || m->service != f->service ||
+		    m->stopping || m->down_ms == 0 ||
+		    b->now < m->trial_ms + TRIAL_MS ||
+		    m->avoid_until > b->now || was_tried(f, m->agent))
+			continue;
+		m->trial_ms = b->now;
+		return m;
+	}
+	return NULL;
+}
+
+/* Members to offer an open to, best first. */
+static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
+			 relay_member_t **out, size_t want)
+{
+	size_t all = g_hash_table_size(b->by_agent), n = 0, kept = 0;
+	g_autofree relay_member_t **list = g_new(relay_member_t *, all + 1);
+	g_autofree placement_member_t *seen =
+		g_new(placement_member_t, all + 1);
+	uint32_t order[OFFER_CANDIDATES];
+	relay_member_t *doubted = doubted_member(b, f);
+
+	if (doubted)
+		out[kept++] = doubted;
+	list_each(node, &b->members)
+	{
+		relay_member_t *m = list_entry(node, relay_member_t, node);
+
+		if (!takes_opens(b, m, f->service) || was_tried(f, m->agent))
+			continue;
+		list[n] = m;
+		describe(b, m, &seen[n++]);
+	}
+	if (want > OFFER_CANDIDATES)
+		want = OFFER_CANDIDATES;
+	n = placement_order(seen, n, relay_random(b), order, want);
+	for (size_t i = 0; i < n && kept < want; i++)
+		out[kept++] = list[order[i]];
+	return kept;
+}
+
+/* Offers an open to its best candidates. Returns false when none is left. */
+static bool offer(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_member_t *to[OFFER_CANDIDATES];
+	uint32_t behind[OFFER_CANDIDATES];
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+	relay_msg_t msg;
+	size_t n;
+
+	if (f->offers >= OFFERS_MAX)
+		return false;
+	n = candidates(b, f, to, OFFER_CANDIDATES);
+	if (n == 0)
+		return false;
+	relay_msg_init(&msg, RELAY_OFFER);
+	msg.service = (char *)f->service;
+	msg.balancer = b->options.self;
+	msg.packet.data = f->syn;
+	msg.packet.len = f->syn_len;
+	for (size_t i = 1; i < n; i++)
+		behind[i - 1] = to[i]->agent;
+	msg.candidates = behind;
+	msg.n_candidates = n - 1;
+	f->tried[f->ntried++] = to[0]->agent;
+	f->offers++;
+	f->offered_ms = b->now;
+	describe(b, to[0], &(placement_member_t){ 0 });
+	to[0]->placed += OPEN_WORK;
+	to[0]->placed_ms = b->now;
+	event_log(EVENT_OPEN,
+		  "\"flow\":\"%s\",\"seq\":%u,\"service\":\"%s\","
+		  "\"agent\":\"%s\",\"behind\":%zu,\"offer\":%u,"
+		  "\"work\":%.2f,\"service_ms\":%.1f,\"load_age_ms\":%llu,"
+		  "\"version\":%llu",
+		  flow_text(&f->node.key, text), f->seq, f->service,
+		  ipv4_format(to[0]->agent, agent), n - 1, f->offers,
+		  to[0]->work, to[0]->service_ms,
+		  (unsigned long long)(b->now - to[0]->told_ms),
+		  (unsigned long long)relay_balancer_version(b));
+	counter_add(&b->counters, COUNTER_MESSAGES_OUT, 1);
+	b->ops.message(b->ctx, to[0]->agent, &msg);
+	return true;
+}
+
+/*
+ * No agent is left to offer the open to. "Not run" must be true: when an
+ * offer was not answered its server may have taken the open, and the caller
+ * is left to its own time-out.
+ */
+static void refuse(relay_balancer_t *b, relay_flow_t *f)
+{
+	if (f->silent)
+		return;
+	counter_add(&b->counters, COUNTER_OPENS_REFUSED, 1);
+	relay_flow_reset(b, f, f->offers ? "refused by all" : "no target");
+}
+
+void relay_open_packet(relay_balancer_t *b, const route_t *route,
+		       relay_packet_t *p)
+{
+	relay_flow_t *f = relay_flow_find(b, &p->key);
+
+	if (f && f->syn_len && f->seq == p->seq) {
+		/* A copy: the holder repeats its answer, or others try. */
+		counter_add(&b->counters, COUNTER_OPENS_RETRIED, 1);
+		if (f->phase == PHASE_OPENING && f->ntried) {
+			f->silent = true;
+			if (!offer(b, f))
+				refuse(b, f);
+		} else if (f->phase == PHASE_KNOWN) {
+			relay_flow_send(b, f, p, 0);
+		}
+		return;
+	}
+	if (f)
+		flow_index_remove(b->flows, &f->node);
+	f = relay_flow_take(b, &p->key);
+	if (!f || p->len > sizeof(f->syn))
+		return;
+	counter_add(&b->counters, COUNTER_OPENS, 1);
+	f->seq = p->seq;
+	f->first_ms = b->now;
+	f->service = g_intern_string(
+		route_service(route, flow_key_hash(&p->key, 0)));
+	f->tag = service_tag(f->service);
+	b->options.form->annotate(p, 0, 0);
+	memcpy(f->syn, p->data, p->len);
+	f->syn_len = (uint8_t)p->len;
+	relay_flow_phase(b, f, PHASE_OPENING);
+	if (!offer(b, f))
+		refuse(b, f);
+}
+
+void relay_open_taken(relay_balancer_t *b, uint32_t from,
+		      const relay_msg_t *msg)
+{
+	flow_key_t key = relay_msg_key(msg);
+	relay_flow_t *f = relay_flow_take(b, &key);
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+
+	if (!f)
+		return;
+	if (f->phase == PHASE_KNOWN && f->agent && f->agent != from)
+		return; /* two servers answered: packets tell which is meant */
+	if (f->first_ms)
+		histogram_add(&b->open_ms, b->now - f->first_ms);
+	event_log(EVENT_TAKEN,
+		  "\"flow\":\"%s\",\"seq\":%u,\"agent\":\"%s\",\"ms\":%llu",
+		  flow_text(&key, text), f->seq, ipv4_format(from, agent),
+		  (unsigned long long)(b->now - f->first_ms));
+	counter_add(&b->counters, COUNTER_OPENS_ACCEPTED, 1);
+	relay_flow_holder(b, f, from, msg->service);
+}
+
+void relay_open_refused(relay_balancer_t *b, uint32_t from,
+			const relay_msg_t *msg)
+{
+	flow_key_t key = relay_msg_key(msg);
+	relay_flow_t *f = relay_flow_find(b, &key);
+
+	if (!f || f->phase != PHASE_OPENING)
+		return;
+	if (!was_tried(f, from) &&
+	    f->ntried < sizeof(f->tried) / sizeof(f->tried[0]))
+		f->tried[f->ntried++] = from;
+	if (!offer(b, f))
+		refuse(b, f);
+}
+
+void relay_open_tick(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_member_t *m;
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+
+	if (b->now >= f->first_ms + OPEN_GIVEN_UP_MS) {
+		flow_index_remove(b->flows, &f->node);
+		return;
+	}
+	if (!f->ntried || b->now < f->offered_ms + OFFER_MS)
+		return;
+	m = relay_member(b, f->tried[f->ntried - 1]);
+	event_log(EVENT_UNANSWERED,
+		  "\"flow\":\"%s\",\"seq\":%u,\"agent\":\"%s\",\"ms\":%llu",
+		  flow_text(&f->node.key, text), f->seq,
+		  ipv4_format(f->tried[f->ntried - 1], agent),
+		  (unsigned long long)(b->now - f->offered_ms));
+	f->silent = true;
+	f->offered_ms = b->now;
+	if (m)
+		relay_member_silent(b, m);
+	if (!offer(b, f))
+		refuse(b, f);
+}
--- /dev/null
+++ b/src/relay_main.c
@@ -0,0 +1,74 @@
+/*
+ * cherviltray-relay - daemons for platforms whose packets are relayed
+ *
+ * One program with the daemon's name as its first word, so that a host that
+ * runs both has one file in memory.
+ */
+
+#include "relay_process.h"
+#include "version.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const relay_daemon_t *const daemons[] = {
+	&relay_balancer_daemon,
+	&relay_agent_daemon,
+};
+
+static int usage(void)
+{
+	fprintf(stderr,
+		"usage: cherviltray-relay balancer|agent [SETTINGS]\n"
+		"       cherviltray-relay check balancer|agent SETTINGS\n"
+		"       cherviltray-relay --version\n"
+		"Without SETTINGS the file is the one that %s names.\n",
+		relay_platform.settings_variable);
+	return 2;
+}
+
+static const relay_daemon_t *daemon_named(const char *name)
+{
+	for (size_t i = 0; i < sizeof(daemons) / sizeof(daemons[0]); i++)
+		if (!strcmp(daemons[i]->name, name))
+			return daemons[i];
+	return NULL;
+}
+
+/* Reads a settings file as the daemon would, and says what is wrong. */
+static int check(const relay_daemon_t *daemon, const char *file)
+{
+	relay_settings_t settings;
+	char text[900];
+	err_t err;
+
+	if (relay_settings_load(file, daemon->role, &settings, &err) < 0) {
+		fprintf(stderr, "%s\n", err_format(&err, text, sizeof(text)));
+		return 1;
+	}
+	printf("%s: good settings for %s \"%s\"\n", file, daemon->name,
+	       settings.name);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	const relay_daemon_t *daemon;
+	const char *file;
+
+	if (argc == 2 && !strcmp(argv[1], "--version")) {
+		printf("cherviltray-relay %s\n", CHERVILTRAY_VERSION);
+		return 0;
+	}
+	if (argc == 4 && !strcmp(argv[1], "check")) {
+		daemon = daemon_named(argv[2]);
+		return daemon ? check(daemon, argv[3]) : usage();
+	}
+	if (argc != 2 && argc != 3)
+		return usage();
+	daemon = daemon_named(argv[1]);
+	file = argc == 3 ? argv[2] : getenv(relay_platform.settings_variable);
+	if (!daemon || !file)
+		return usage();
+	return relay_process_run(daemon, file);
+}
--- /dev/null
+++ b/src/relay_process.c
@@ -0,0 +1,327 @@
+#include "relay_process.h"
+#include "event_log.h"
+#include "version.h"
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
+
+/* The settings file is looked at this often: it may change without a word. */
+#define SETTINGS_CHECK_MS 2000
+/* A shorter sleep of the host changes no belief. */
+#define SLEEP_MS 300
+
+static uint64_t clock_ms(clockid_t id)
+{
+	struct timespec t;
+
+	clock_gettime(id, &t);
+	return (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / 1000000;
+}
+
+/* Time that the steady clock left out since the host started. */
+static uint64_t asleep(void)
+{
+	uint64_t steady = clock_ms(CLOCK_MONOTONIC);
+	uint64_t all = clock_ms(CLOCK_BOOTTIME);
+
+	return all > steady ? all - steady : 0;
+}
+
+static int64_t changed_at(const char *file)
+{
+	struct stat st;
+
+	if (stat(file, &st) < 0)
+		return -1;
+	return (int64_t)st.st_mtim.tv_sec * 1000000000 + st.st_mtim.tv_nsec;
+}
+
+uint64_t relay_process_now(const relay_process_t *p)
+{
+	return uv_now(&p->loop);
+}
+
+void relay_process_packet(relay_process_t *p, uint32_t host, const uint8_t *buf,
+			  size_t len)
+{
+	endpoint_t to = { host, p->settings.packets.port };
+
+	udp_socket_send(p->packets, &to, buf, len);
+}
+
+void relay_process_message(relay_process_t *p, uint32_t host,
+			   const relay_msg_t *msg)
+{
+	endpoint_t to = { host, p->settings.internal_port };
+	size_t len = relay_msg_pack(msg, udp_socket_reserve(p->messages));
+
+	if (len)
+		udp_socket_commit(p->messages, &to, len);
+	else
+		event_log(EVENT_LATE, "\"why\":\"message too long\",\"kind\":"
+				      "\"%s\"",
+			  relay_kind_name(msg->kind));
+}
+
+static void on_packet(void *ctx, const endpoint_t *from, uint8_t *buf,
+		      size_t len)
+{
+	relay_process_t *p = ctx;
+
+	p->daemon->packet(p, uv_now(&p->loop), from->ip, buf, len);
+}
+
+static void on_message(void *ctx, const endpoint_t *from, uint8_t *buf,
+		       size_t len)
+{
+	relay_process_t *p = ctx;
+	relay_msg_t *msg = relay_msg_unpack(buf, len);
+
+	if (!msg) {
+		counter_add(p->counters, COUNTER_MESSAGE_MALFORMED, 1);
+		return;
+	}
+	p->daemon->message(p, uv_now(&p->loop), from->ip, msg);
+	relay_msg_free(msg);
+}
+
+static void add_histogram(GString *out, const char *name, const histogram_t *h)
+{
+	uint64_t below = 0;
+
+	for (int i = 0; i < HISTOGRAM_CLASSES - 1; i++) {
+		below += h->counts[i];
+		g_string_append_printf(out, "%s_bucket{le=\"%d\"} %llu\n", name,
+				       1 << i, (unsigned long long)below);
+	}
+	g_string_append_printf(
+		out, "%s_bucket{le=\"+Inf\"} %llu\n%s_sum %llu\n%s_count %llu\n",
+		name, (unsigned long long)h->total, name,
+		(unsigned long long)h->sum_ms, name,
+		(unsigned long long)h->total);
+}
+
+static int answer_metrics(relay_process_t *p, GString *body)
+{
+	const char *name;
+	const histogram_t *h = p->daemon->histogram(p, &name);
+
+	for (int i = 0; i < COUNTERS; i++)
+		if (p->counters->values[i])
+			g_string_append_printf(
+				body, "cherviltray_%s %llu\n",
+				counter_name((counter_t)i),
+				(unsigned long long)p->counters->values[i]);
+	add_histogram(body, name, h);
+	return 200;
+}
+
+static bool is_ready(relay_process_t *p)
+{
+	bool ready = !p->stopping && p->daemon->ready(p);
+
+	if (ready != p->told_ready)
+		event_log(EVENT_READY, "\"ready\":%s,\"stopping\":%s",
+			  ready ? "true" : "false",
+			  p->stopping ? "true" : "false");
+	p->told_ready = ready;
+	return ready;
+}
+
+static int on_request(void *ctx, const char *path, GString *body)
+{
+	relay_process_t *p = ctx;
+
+	if (!strcmp(path, relay_platform.ready_path))
+		return is_ready(p) ? 200 : 503;
+	if (!strcmp(path, relay_platform.metrics_path))
+		return answer_metrics(p, body);
+	return 404;
+}
+
+/*
+ * The settings are checked whole. What a process is bound to does not change
+ * while it runs; a file that would need that is told to the operators.
+ */
+static void reload(relay_process_t *p, const char *why)
+{
+	relay_settings_t s;
+	char text[900];
+	err_t err;
+
+	if (relay_settings_load(p->settings_file, p->daemon->role, &s, &err) <
+	    0) {
+		event_log(EVENT_RELOAD,
+			  "\"why\":\"%s\",\"outcome\":\"refused\","
+			  "\"error\":\"%.300s\"",
+			  why, err_format(&err, text, sizeof(text)));
+		return;
+	}
+	s.first_start = p->settings.first_start;
+	event_log(EVENT_RELOAD, "\"why\":\"%s\",\"outcome\":\"%s\"", why,
+		  memcmp(&s, &p->settings, sizeof(s)) ? "needs a restart"
+						      : "nothing new for us");
+}
+
+static void check_settings(relay_process_t *p)
+{
+	uint64_t now = uv_now(&p->loop);
+	int64_t changed;
+
+	if (now < p->settings_checked_ms + SETTINGS_CHECK_MS)
+		return;
+	p->settings_checked_ms = now;
+	changed = changed_at(p->settings_file);
+	if (changed < 0 || changed == p->settings_changed)
+		return;
+	p->settings_changed = changed;
+	reload(p, "file changed");
+}
+
+static void check_sleep(relay_process_t *p)
+{
+	uint64_t slept = asleep();
+
+	if (slept > p->asleep_ms + SLEEP_MS) {
+		event_log(EVENT_WAKE, "\"slept_ms\":%llu",
+			  (unsigned long long)(slept - p->asleep_ms));
+		p->daemon->woke(p, uv_now(&p->loop), slept - p->asleep_ms);
+	}
+	p->asleep_ms = slept;
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	relay_process_t *p = timer->data;
+	uint64_t now = uv_now(&p->loop);
+
+	check_sleep(p);
+	p->daemon->tick(p, now);
+	check_settings(p);
+	event_log_flush();
+	if (p->stopping && now >= p->stop_at)
+		uv_stop(&p->loop);
+}
+
+static void on_signal(uv_signal_t *handle, int number)
+{
+	relay_process_t *p = handle->data;
+	uint64_t now = uv_now(&p->loop);
+
+	if (p->stopping)
+		return;
+	p->stopping = true;
+	p->stop_at = now + p->daemon->stop_ms;
+	event_log(EVENT_STOP, "\"signal\":%d,\"within_ms\":%llu", number,
+		  (unsigned long long)p->daemon->stop_ms);
+	p->daemon->stop(p, now);
+	is_ready(p);
+}
+
+static void on_hangup(uv_signal_t *handle, int number)
+{
+	relay_process_t *p = handle->data;
+
+	(void)number;
+	p->settings_changed = changed_at(p->settings_file);
+	reload(p, "signal");
+}
+
+static int open_all(relay_process_t *p, err_t *err)
+{
+	static const udp_socket_ops_t packet_ops = { .receive = on_packet };
+	static const udp_socket_ops_t message_ops = { .receive = on_message };
+	endpoint_t internal = { p->settings.address,
+				p->settings.internal_port };
+	endpoint_t metrics = { p->settings.address, p->settings.metrics_port };
+
+	p->packets = udp_socket_open(&p->loop, &p->settings.packets, NULL,
+				     &packet_ops, p, err);
+	if (!p->packets)
+		return -1;
+	p->messages = udp_socket_open(&p->loop, &internal, NULL, &message_ops,
+				      p, err);
+	if (!p->messages)
+		return -1;
+	udp_socket_apart(p->packets);
+	udp_socket_apart(p->messages);
+	if (p->daemon->start(p, err) < 0)
+		return -1;
+	p->ready = http_server_open(&p->loop, &p->settings.ready, on_request, p,
+				    err);
+	if (!p->ready)
+		return -1;
+	if (p->settings.metrics_port) {
+		p->metrics = http_server_open(&p->loop, &metrics, on_request, p,
+					      err);
+		if (!p->metrics)
+			return -1;
+	}
+	return 0;
+}
+
+static void close_all(relay_process_t *p)
+{
+	p->daemon->end(p);
+	http_server_close(p->ready);
+	http_server_close(p->metrics);
+	udp_socket_close(p->packets);
+	udp_socket_close(p->messages);
+	uv_close((uv_handle_t *)&p->tick, NULL);
+	uv_close((uv_handle_t *)&p->term, NULL);
+	uv_close((uv_handle_t *)&p->interrupt, NULL);
+	uv_close((uv_handle_t *)&p->hangup, NULL);
+	uv_run(&p->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&p->loop);
+	g_free(p->settings_file);
+}
+
+int relay_process_run(const relay_daemon_t *daemon, const char *settings_file)
+{
+	relay_process_t p = { .daemon = daemon };
+	counters_t before = { 0 };
+	char text[900];
+	err_t err = { 0 };
+	int code = 1;
+
+	if (relay_settings_load(settings_file, daemon->role, &p.settings,
+				&err) < 0) {
+		fprintf(stderr, "cherviltray-relay: %s\n",
+			err_format(&err, text, sizeof(text)));
+		return 1;
+	}
+	event_log_init(p.settings.name);
+	p.settings_file = g_strdup(settings_file);
+	p.settings_changed = changed_at(settings_file);
+	p.counters = &before;
+	p.asleep_ms = asleep();
+	uv_loop_init(&p.loop);
+	uv_timer_init(&p.loop, &p.tick);
+	uv_signal_init(&p.loop, &p.term);
+	uv_signal_init(&p.loop, &p.interrupt);
+	uv_signal_init(&p.loop, &p.hangup);
+	p.tick.data = p.term.data = p.interrupt.data = p.hangup.data = &p;
+	event_log(EVENT_START,
+		  "\"program\":\"%s\",\"version\":\"%s\",\"zone\":\"%s\","
+		  "\"first_start\":%s",
+		  daemon->name, CHERVILTRAY_VERSION, p.settings.zone,
+		  p.settings.first_start ? "true" : "false");
+	if (open_all(&p, &err) < 0) {
+		event_log(EVENT_STOP, "\"error\":\"%.400s\"",
+			  err_format(&err, text, sizeof(text)));
+		goto out;
+	}
+	uv_timer_start(&p.tick, on_tick, daemon->tick_ms, daemon->tick_ms);
+	uv_signal_start(&p.term, on_signal, SIGTERM);
+	uv_signal_start(&p.interrupt, on_signal, SIGINT);
+	uv_signal_start(&p.hangup, on_hangup, SIGHUP);
+	uv_run(&p.loop, UV_RUN_DEFAULT);
+	code = 0;
+out:
+	p.counters = &before;
+	close_all(&p);
+	event_log(EVENT_STOP, "\"code\":%d", code);
+	event_log_flush();
+	return code;
+}
--- /dev/null
+++ b/src/relay_settings.c
@@ -0,0 +1,29 @@
+#include "relay_settings.h"
+#include "toml_reader.h"
+#include <glib.h>
+#include <string.h>
+
+/* Memory limit when the settings name none, in MB. */
+#define MEMORY_DEFAULT_MB 128
+
+int relay_settings_load(const char *file, relay_role_t role,
+			relay_settings_t *out, err_t *err)
+{
+	GError *gerr = NULL;
+	char *text;
+	size_t len;
+	int ret;
+
+	memset(out, 0, sizeof(*out));
+	out->memory_mb = MEMORY_DEFAULT_MB;
+	if (!g_file_get_contents(file, &text, &len, &gerr)) {
+		err_set(err, ERR_IO, file, 0, "name a settings file", "%s",
+			gerr->message);
+		g_error_free(gerr);
+		return -1;
+	}
+	ret = toml_read_relay_settings(file, text, len,
+				       role == RELAY_ROLE_AGENT, out, err);
+	g_free(text);
+	return ret;
+}
--- /dev/null
+++ b/src/routes.c
@@ -0,0 +1,121 @@
+#include "routes.h"
+#include "endpoint.h"
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+struct route_table {
+	int refs;
+	uint64_t version;
+	uint32_t idle_timeout_ms;
+	GHashTable *routes; /* address and port -> route_t */
+};
+
+static gpointer route_key(uint32_t address, uint16_t port);
+static void route_free(gpointer data);
+
+/* Address and port in one pointer-sized number, never 0. */
+static gpointer route_key(uint32_t address, uint16_t port)
+{
+	return (gpointer)(uintptr_t)(((uint64_t)address << 16 | port) + 1);
+}
+
+static void route_free(gpointer data)
+{
+	route_t *route = data;
+
+	free(route->shares);
+	free(route);
+}
+
+route_table_t *route_table_new(uint64_t version, uint32_t idle_timeout_ms)
+{
+	route_table_t *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->refs = 1;
+	t->version = version;
+	t->idle_timeout_ms = idle_timeout_ms;
+	t->routes = g_hash_table_new_full(NULL, NULL, NULL, route_free);
+	return t;
+}
+
+route_table_t *route_table_ref(route_table_t *t)
+{
+	t->refs++;
+	return t;
+}
+
+void route_table_unref(route_table_t *t)
+{
+	if (!t || --t->refs > 0)
+		return;
+	g_hash_table_destroy(t->routes);
+	free(t);
+}
+
+int route_table_add(route_table_t *t, const route_t *route, err_t *err)
+{
+	gpointer key = route_key(route->address, route->port);
+	char text[ENDPOINT_TEXT];
+	route_t *copy;
+
+	if (route->nshares == 0)
+		return err_set(err, ERR_MISSING, NULL, 0, "name a service",
+			       "route \"%s\" has no service", route->name);
+	if (g_hash_table_contains(t->routes, key))
+		return err_set(err, ERR_DUPLICATE, NULL, 0,
+			       "give each route an address and port of its own",
+			       "route \"%s\" repeats %s port %u", route->name,
+			       ipv4_format(route->address, text), route->port);
+	copy = g_memdup2(route, sizeof(*route));
+	copy->shares = g_memdup2(route->shares,
+				 route->nshares * sizeof(*route->shares));
+	g_hash_table_insert(t->routes, key, copy);
+	return 0;
+}
+
+uint64_t route_table_version(const route_table_t *t)
+{
+	return t->version;
+}
+
+uint32_t route_table_idle_timeout_ms(const route_table_t *t)
+{
+	return t->idle_timeout_ms;
+}
+
+size_t route_table_count(const route_table_t *t)
+{
+	return g_hash_table_size(t->routes);
+}
+
+const route_t *route_find(const route_table_t *t, uint32_t address,
+			  uint16_t port)
+{
+	return g_hash_table_lookup(t->routes, route_key(address, port));
+}
+
+const char *route_service(const route_t *route, uint64_t hash)
+{
+	uint64_t total = 0, at;
+
+	for (size_t i = 0; i < route->nshares; i++)
+		total += route->shares[i].weight;
+	if (total == 0)
+		return route->shares[0].service;
+	at = hash % total;
+	for (size_t i = 0; i < route->nshares; i++) {
+		if (at < route->shares[i].weight)
+			return route->shares[i].service;
+		at -= route->shares[i].weight;
+	}
+	return route->shares[0].service;
+}
+
+uint32_t service_tag(const char *service)
+{
+	return (uint32_t)XXH64(service, strlen(service), 0);
+}
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -490,6 +490,41 @@
 	read_limits(r, root, out);
 }
 
+void read_relay_settings(reader &r, const toml::table &root, bool agent,
+			 relay_settings_t *out)
+{
+	char text[NAME_BYTES];
+	int64_t n = 0;
+
+	r.only(root, { "name", "zone", "address", "packets", "ready",
+		       "internal_port", "metrics_port", "platform", "service",
+		       "server", "server_out", "first_start", "memory_mb" });
+	r.string(root, "name", true, out->name, sizeof(out->name));
+	r.string(root, "zone", true, out->zone, sizeof(out->zone));
+	r.string(root, "address", true, text, sizeof(text));
+	if (ipv4_parse(text, &out->address) < 0)
+		r.refuse(ERR_RANGE, *root.get("address"),
+			 "write it as \"192.0.2.1\"",
+			 "\"address\" is no IPv4 address");
+	r.address(root, "packets", true, &out->packets);
+	r.address(root, "ready", true, &out->ready);
+	r.integer(root, "internal_port", true, 1, UINT16_MAX, &n);
+	out->internal_port = (uint16_t)n;
+	n = 0;
+	r.integer(root, "metrics_port", false, 0, UINT16_MAX, &n);
+	out->metrics_port = (uint16_t)n;
+	n = out->memory_mb;
+	r.integer(root, "memory_mb", false, 1, 1 << 20, &n);
+	out->memory_mb = (uint32_t)n;
+	r.boolean(root, "first_start", false, &out->first_start);
+	r.address(root, "platform", !agent, &out->platform);
+	if (!agent)
+		return;
+	r.string(root, "service", true, out->service, sizeof(out->service));
+	r.address(root, "server", true, &out->server);
+	r.address(root, "server_out", true, &out->server_out);
+}
+
 template <typename F>
 int guarded(const char *file, const char *text, size_t len, err_t *err, F body)
 {
@@ -539,3 +574,13 @@
 			       read_settings(r, root, out);
 		       });
 }
+
+extern "C" int toml_read_relay_settings(const char *file, const char *text,
+					size_t len, bool agent,
+					relay_settings_t *out, err_t *err)
+{
+	return guarded(file, text, len, err,
+		       [&](reader &r, const toml::table &root) {
+			       read_relay_settings(r, root, agent, out);
+		       });
+}
--- a/src/toml_reader.h
+++ b/src/toml_reader.h
@@ -13,6 +13,7 @@
 #endif
 
 #include "config.h"
+#include "relay_settings.h"
 #include "settings.h"
 
 int toml_read_config(const char *file, const char *text, size_t len,
@@ -22,6 +23,9 @@
 int toml_read_settings(const char *file, const char *text, size_t len,
 		       settings_t *out, err_t *err);
 
+int toml_read_relay_settings(const char *file, const char *text, size_t len,
+			     bool agent, relay_settings_t *out, err_t *err);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/udp_socket.c
+++ b/src/udp_socket.c
@@ -400,6 +400,11 @@
 	s->out.n = 0;
 }
 
+void udp_socket_apart(udp_socket_t *s)
+{
+	s->segment_max = 0;
+}
+
 uint64_t udp_socket_failures(const udp_socket_t *s)
 {
 	return s->failures;
