--- a/Makefile
+++ b/Makefile
@@ -44,10 +44,13 @@
 everything: $(PROGRAMS) $(RELAY) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo
 
 $(RELAY_OBJ): PACKAGES = $(RELAY_PACKAGES)
+# The reader of other documents is left out, with what it would need.
+$(BUILD)/src/toml_reader.o: CXXFLAGS += -ffunction-sections
 
 $(BUILD)/cherviltray-relay: $(RELAY_OBJ)
 	@echo LD $@
-	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(RELAY_LIBS)
+	@$(CC) $(LDFLAGS) -Wl,--gc-sections -o $@ $(filter %.o,$^) \
+		$(RELAY_LIBS)
 
 $(BUILD)/src/%.pb-c.o: C_WARNINGS = -Wno-error
 
