Pass opens on to sooner servers only, refuse those past the objective

Change: offers carry each candidate's expected answer time and the route's objective; placement_admit() decides.

--- a/src/placement.c
+++ b/src/placement.c
@@ -12,6 +12,12 @@
 #define OTHER_ZONE_MS 6.0
 /* Costs that differ by less than this part are taken for equal. */
 #define SPREAD 0.25
+/* An open goes on when the next candidate answers sooner by this factor: the
+ * way there and what is not known of it. */
+#define PASS_FACTOR 1.5
+/* Part of the latency objective that may pass at the server; the rest is the
+ * way, and the open itself. */
+#define PATIENCE_PART 0.85
 /* Unknown load is taken for half of the slots. */
 #define UNKNOWN_LOAD 0.5
 
@@ -55,8 +61,28 @@
 	return service * (1 + busy * busy) + (m->local ? 0 : OTHER_ZONE_MS);
 }
 
+double placement_wait(uint32_t in_flight, uint32_t slots, double service_ms)
+{
+	double ahead;
+
+	if (!slots || service_ms <= 0)
+		return 0;
+	ahead = in_flight + 1 > slots ? in_flight + 1 - slots : 0;
+	return service_ms * (1 + ahead / slots);
+}
+
+admission_t placement_admit(double wait_ms, double next_ms, double patience_ms)
+{
+	if (next_ms > 0 && wait_ms > next_ms * PASS_FACTOR)
+		return ADMIT_PASS;
+	if (patience_ms > 0 && wait_ms > patience_ms * PATIENCE_PART)
+		return next_ms > 0 ? ADMIT_PASS : ADMIT_REFUSE;
+	return ADMIT_TAKE;
+}
+
 size_t placement_order(const placement_member_t *members, size_t n,
-		       uint32_t random, uint32_t *order, size_t want)
+		       uint32_t random, uint32_t *order, double *costs_out,
+		       size_t want)
 {
 	double typical = typical_service(members, n);
 	double costs[COMPARED_MAX];
@@ -82,7 +108,9 @@
 	}
 	if (want > compared)
 		want = compared;
-	for (size_t i = 0; i < want; i++)
+	for (size_t i = 0; i < want; i++) {
 		order[i] = at[i];
+		costs_out[i] = costs[i];
+	}
 	return want;
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -28,12 +28,32 @@
  * unknown service time. */
 double placement_cost(const placement_member_t *m, double typical_ms);
 
+/*
+ * Time in which a server answers one more request, in ms, from what its agent
+ * sees at this moment; 0 when nothing is known.
+ */
+double placement_wait(uint32_t in_flight, uint32_t slots, double service_ms);
+
+typedef enum admission {
+	ADMIT_TAKE,
+	ADMIT_PASS,   /* the next candidate answers sooner */
+	ADMIT_REFUSE, /* it would answer too late for the caller */
+} admission_t;
+
+/*
+ * What an agent does with an open that its server would answer in wait_ms:
+ * next_ms is the time of the next candidate (0: none is left), patience_ms
+ * what the answer is worth waiting for (0: unknown).
+ */
+admission_t placement_admit(double wait_ms, double next_ms, double patience_ms);
+
 /*
  * Writes the positions of up to `want` members, best first, and returns how
- * many. `random` (0 to 2^32-1) spreads opens of balancers that were told the
+ * many; costs go to `costs`. `random` (0 to 2^32-1) spreads opens of balancers that were told the
  * same.
  */
 size_t placement_order(const placement_member_t *members, size_t n,
-		       uint32_t random, uint32_t *order, size_t want);
+		       uint32_t random, uint32_t *order, double *costs,
+		       size_t want);
 
 #endif
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -213,7 +213,7 @@
   (ProtobufCMessageInit) ct__relay__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[14] =
 {
   {
     "kind",
@@ -371,10 +371,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "candidate_ms",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ct__Relay__Message, n_candidate_ms),
+    offsetof(Ct__Relay__Message, candidate_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
   4,   /* field[4] = balancer */
+  13,   /* field[13] = candidate_ms */
   3,   /* field[3] = candidates */
   8,   /* field[8] = dport */
   7,   /* field[7] = dst */
@@ -390,7 +403,7 @@
 static const ProtobufCIntRange ct__relay__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -400,7 +413,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  13,
+  14,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   1,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -96,10 +96,15 @@
    * an open is worth this much waiting
    */
   uint32_t patience_ms;
+  /*
+   * time in which each would answer
+   */
+  size_t n_candidate_ms;
+  uint32_t *candidate_ms;
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL }
 
 
 /* Ct__Relay__Load methods */
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -4,8 +4,11 @@
 
 /* Flows are discarded by the platform's rules after a minute. */
 #define FLOW_IDLE_MS 70000
-/* A request without an answer for so long no longer counts as load. */
-#define REQUEST_FORGOTTEN_MS 5000
+/* A request without a packet either way for so long no longer counts as load:
+ * callers repeat what was not acknowledged each 1.6 s at least. */
+#define REQUEST_FORGOTTEN_MS 2000
+/* Flows that ended are kept for late packets. */
+#define ENDED_MS 5000
 #define SWEEP_MS 1000
 /* A caller acknowledges at most this much beyond what was seen sent. */
 #define ACK_SLACK 76800
@@ -386,7 +389,8 @@
 		if (f->node.last_ms + REQUEST_FORGOTTEN_MS > a->now)
 			return;
 		relay_load_end(a, f, false);
-		if (f->phase == AFLOW_ENDED || f->phase == AFLOW_OPENING ||
+		if ((f->phase != AFLOW_OPEN &&
+		     f->node.last_ms + ENDED_MS <= a->now) ||
 		    f->node.last_ms + FLOW_IDLE_MS <= a->now)
 			aflow_forget(a, f);
 	}
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -8,6 +8,7 @@
 #include "endpoint.h"
 #include "event_log.h"
 #include "flow_index.h"
+#include "placement.h"
 #include "relay_agent.h"
 #include "routes.h"
 #include <glib.h>
@@ -42,6 +43,7 @@
 	uint64_t opened_ms;   /* when the open was handed over */
 	uint32_t candidates[CANDIDATES_MAX];
 	size_t ncandidates;
+	uint32_t patience_ms; /* of the open */
 	uint8_t syn[64]; /* kept until the server answers */
 	uint8_t syn_len;
 	list_t opening; /* in relay_agent.opening */
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -4,24 +4,24 @@
 /* A living server answers an open within a few milliseconds; its host may
  * wait for its share of the processor. */
 #define ANSWER_MS 60
-/* Requests in flight a slot at which an open is passed on when others are
- * left: the answer would take three times as long as at a free slot. */
-#define PASS_LOAD 2
 /* An open that no server answered is forgotten when its caller gave up. */
 #define FORGET_MS 2000
 
-static bool refuses(const relay_agent_t *a, const relay_msg_t *msg);
+static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
 static bool pass_on(relay_agent_t *a, const relay_msg_t *offer);
 static void refused(relay_agent_t *a, uint32_t balancer,
 		    const flow_key_t *key);
 
-/* Taken if there is nobody else, unless the agent is about to go. */
-static bool refuses(const relay_agent_t *a, const relay_msg_t *msg)
+static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
+	double wait =
+		placement_wait(a->in_flight, a->slots, a->typical_ms);
+
 	if (strcmp(msg->service, a->options.service) || a->stopping)
-		return true;
-	return msg->n_candidates > 0 && a->slots &&
-	       a->in_flight >= a->slots * PASS_LOAD;
+		return msg->n_candidates ? ADMIT_PASS : ADMIT_REFUSE;
+	return placement_admit(wait, msg->n_candidate_ms ? msg->candidate_ms[0]
+							 : 0,
+			       msg->patience_ms);
 }
 
 /* Offers an open to the next candidate. Returns false when none is left. */
@@ -38,6 +38,11 @@
 	msg.packet = offer->packet;
 	msg.candidates = offer->candidates + 1;
 	msg.n_candidates = offer->n_candidates - 1;
+	if (offer->n_candidate_ms == offer->n_candidates) {
+		msg.candidate_ms = offer->candidate_ms + 1;
+		msg.n_candidate_ms = offer->n_candidate_ms - 1;
+	}
+	msg.patience_ms = offer->patience_ms;
 	counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
 	event_log(EVENT_PASSED,
 		  "\"to\":\"%s\",\"in_flight\":%u,\"slots\":%u,\"down\":%s",
@@ -80,7 +85,7 @@
 		relay_agent_tell(a, msg->balancer, RELAY_TAKEN, &p.key);
 		return;
 	}
-	if (refuses(a, msg)) {
+	if (admit(a, msg) != ADMIT_TAKE) {
 		if (!pass_on(a, msg))
 			refused(a, msg->balancer, &p.key);
 		return;
@@ -99,6 +104,7 @@
 	f->balancer = msg->balancer;
 	f->opened_ms = a->now;
 	f->ncandidates = n;
+	f->patience_ms = msg->patience_ms;
 	if (n)
 		memcpy(f->candidates, msg->candidates,
 		       n * sizeof(f->candidates[0]));
@@ -120,6 +126,7 @@
 	offer.packet.len = f->syn_len;
 	offer.candidates = f->candidates;
 	offer.n_candidates = f->ncandidates;
+	offer.patience_ms = f->patience_ms;
 	passed = pass_on(a, &offer);
 	f->ncandidates = 0;
 	/* Without the server's word an open may yet be accepted. */
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -95,6 +95,7 @@
 	uint32_t tried[OFFERS_MAX + OFFER_CANDIDATES];
 	unsigned ntried;
 	unsigned offers;
+	uint32_t patience_ms; /* its route's latency objective */
 	bool silent; /* an offer was not answered: its server may have run */
 	uint8_t syn[64];
 	uint8_t syn_len;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -25,7 +25,7 @@
 static relay_member_t *doubted_member(relay_balancer_t *b,
 				      const relay_flow_t *f);
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
-			 relay_member_t **out, size_t want);
+			 relay_member_t **out, double *costs, size_t want);
 static bool offer(relay_balancer_t *b, relay_flow_t *f);
 static void refuse(relay_balancer_t *b, relay_flow_t *f);
 
@@ -82,17 +82,20 @@
 
 /* Members to offer an open to, best first. */
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
-			 relay_member_t **out, size_t want)
+			 relay_member_t **out, double *costs, size_t want)
 {
 	size_t all = g_hash_table_size(b->by_agent), n = 0, kept = 0;
 	g_autofree relay_member_t **list = g_new(relay_member_t *, all + 1);
 	g_autofree placement_member_t *seen =
 		g_new(placement_member_t, all + 1);
 	uint32_t order[OFFER_CANDIDATES];
+	double found[OFFER_CANDIDATES];
 	relay_member_t *doubted = doubted_member(b, f);
 
-	if (doubted)
+	if (doubted) {
+		costs[kept] = 0;
 		out[kept++] = doubted;
+	}
 	list_each(node, &b->members)
 	{
 		relay_member_t *m = list_entry(node, relay_member_t, node);
@@ -104,9 +107,11 @@
 	}
 	if (want > OFFER_CANDIDATES)
 		want = OFFER_CANDIDATES;
-	n = placement_order(seen, n, relay_random(b), order, want);
-	for (size_t i = 0; i < n && kept < want; i++)
+	n = placement_order(seen, n, relay_random(b), order, found, want);
+	for (size_t i = 0; i < n && kept < want; i++) {
+		costs[kept] = found[i];
 		out[kept++] = list[order[i]];
+	}
 	return kept;
 }
 
@@ -114,14 +119,15 @@
 static bool offer(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_member_t *to[OFFER_CANDIDATES];
-	uint32_t behind[OFFER_CANDIDATES];
+	uint32_t behind[OFFER_CANDIDATES], behind_ms[OFFER_CANDIDATES];
+	double costs[OFFER_CANDIDATES];
 	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
 	relay_msg_t msg;
 	size_t n;
 
 	if (f->offers >= OFFERS_MAX)
 		return false;
-	n = candidates(b, f, to, OFFER_CANDIDATES);
+	n = candidates(b, f, to, costs, OFFER_CANDIDATES);
 	if (n == 0)
 		return false;
 	relay_msg_init(&msg, RELAY_OFFER);
@@ -129,14 +135,18 @@
 	msg.balancer = b->options.self;
 	msg.packet.data = f->syn;
 	msg.packet.len = f->syn_len;
-	for (size_t i = 1; i < n; i++)
+	for (size_t i = 1; i < n; i++) {
 		behind[i - 1] = to[i]->agent;
+		behind_ms[i - 1] = (uint32_t)costs[i] + 1;
+	}
 	msg.candidates = behind;
 	msg.n_candidates = n - 1;
+	msg.candidate_ms = behind_ms;
+	msg.n_candidate_ms = n - 1;
+	msg.patience_ms = f->patience_ms;
 	f->tried[f->ntried++] = to[0]->agent;
 	f->offers++;
 	f->offered_ms = b->now;
-	describe(b, to[0], &(placement_member_t){ 0 });
 	to[0]->placed += OPEN_WORK;
 	to[0]->placed_ms = b->now;
 	event_log(EVENT_OPEN,
@@ -195,6 +205,7 @@
 	f->service = g_intern_string(
 		route_service(route, flow_key_hash(&p->key, 0)));
 	f->tag = service_tag(f->service);
+	f->patience_ms = route->aim_ms;
 	b->options.form->annotate(p, 0, 0);
 	memcpy(f->syn, p->data, p->len);
 	f->syn_len = (uint8_t)p->len;
