Take the newest entry at an address for its target

Change: an entry of a lower revision than the member's is left aside; test older_entry_listed_last failed before.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 # Sources of the library: all but the programs' own.
 PROGRAM_SRC = $(wildcard src/*_main.c src/*_daemon.c src/cli_*.c)
 LIB_SRC = $(filter-out $(PROGRAM_SRC),$(wildcard src/*.c))
-LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o \
+	$(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 CLI_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/cli_*.c))
 
 PROGRAMS = $(BUILD)/cherviltray-balancer $(BUILD)/cherviltray-agent \
--- a/src/placement.c
+++ b/src/placement.c
@@ -5,6 +5,16 @@
 #define COMPARED_MAX 64
 /* Service time that stands in while no member has told one, in ms. */
 #define SERVICE_DEFAULT_MS 20.0
+/* Requests in flight that an open flow brings, while too few were seen. */
+#define FLOW_WORK_DEFAULT 0.05
+#define FLOWS_ENOUGH	  20
+/* Parts of what flows will bring, of the smoothed load and of the requests in
+ * flight in a member's load. */
+#define COMING_PART    0.5
+#define WORK_PART      0.3
+#define IN_FLIGHT_PART 0.2
+/* An open that was placed is a request at once, until its load is told. */
+#define PLACED_WORK 0.5
 /* A target that has just started takes about this much longer. */
 #define COLD_FACTOR 1.6
 /* Way to another availability zone and back, and what its bytes cost, as
@@ -22,7 +32,6 @@
 #define UNKNOWN_LOAD 0.5
 
 static uint32_t next_random(uint32_t *state);
-static double typical_service(const placement_member_t *members, size_t n);
 
 /* Xorshift (Marsaglia 2003): the order needs no better one. */
 static uint32_t next_random(uint32_t *state)
@@ -33,31 +42,54 @@
 	return *state;
 }
 
-static double typical_service(const placement_member_t *members, size_t n)
+placement_group_t placement_group(const placement_member_t *members, size_t n)
 {
-	double sum = 0;
+	placement_group_t g = { SERVICE_DEFAULT_MS, FLOW_WORK_DEFAULT };
+	double service = 0, work = 0, flows = 0;
 	size_t told = 0;
 
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < n; i++) {
 		if (members[i].service_ms > 0) {
-			sum += members[i].service_ms;
+			service += members[i].service_ms;
 			told++;
 		}
-	return told ? sum / (double)told : SERVICE_DEFAULT_MS;
+		if (members[i].known) {
+			work += members[i].work;
+			flows += members[i].flows;
+		}
+	}
+	if (told)
+		g.service_ms = service / (double)told;
+	if (flows >= FLOWS_ENOUGH)
+		g.flow_work = work / flows;
+	return g;
+}
+
+/*
+ * Long flows bring requests later: the load that a member's flows will bring
+ * counts beside the one that is seen, or the member with the least load is
+ * given all opens until it has too many.
+ */
+static double expected_work(const placement_member_t *m, double service_ms,
+			    const placement_group_t *g)
+{
+	double coming = (m->flows + m->placed) * g->flow_work * service_ms /
+			g->service_ms;
+
+	return COMING_PART * coming + WORK_PART * m->work +
+	       IN_FLIGHT_PART * m->in_flight;
 }
 
-double placement_cost(const placement_member_t *m, double typical_ms)
+double placement_cost(const placement_member_t *m, const placement_group_t *g)
 {
-	double service = m->service_ms > 0 ? m->service_ms : typical_ms;
+	double service = m->service_ms > 0 ? m->service_ms : g->service_ms;
 	double slots = m->slots ? m->slots : 1;
-	double load = m->known ? m->work : slots * UNKNOWN_LOAD;
-	double busy;
+	double load, busy;
 
-	if (m->known && m->in_flight > load)
-		load = (load + m->in_flight) / 2;
-	busy = (load + m->placed) / slots;
 	if (m->cold)
 		service *= COLD_FACTOR;
+	load = m->known ? expected_work(m, service, g) : slots * UNKNOWN_LOAD;
+	busy = (load + m->placed * PLACED_WORK) / slots;
 	return service * (1 + busy * busy) + (m->local ? 0 : OTHER_ZONE_MS);
 }
 
@@ -84,7 +116,7 @@
 		       uint32_t random, uint32_t *order, double *costs_out,
 		       size_t want)
 {
-	double typical = typical_service(members, n);
+	placement_group_t g = placement_group(members, n);
 	double costs[COMPARED_MAX];
 	uint32_t at[COMPARED_MAX];
 	uint32_t state = random | 1;
@@ -94,7 +126,7 @@
 	for (size_t i = 0; i < compared; i++) {
 		size_t position = (start + i) % n;
 		double luck = next_random(&state) / (double)UINT32_MAX;
-		double cost = placement_cost(&members[position], typical) *
+		double cost = placement_cost(&members[position], &g) *
 			      (1 + SPREAD * luck);
 		size_t j = i;
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -20,13 +20,21 @@
 	uint32_t slots;	   /* requests served at a time */
 	double work;	   /* requests in flight, smoothed, as told */
 	double in_flight;  /* requests in flight when it was told */
+	double flows;	   /* open and used lately, as told */
 	double placed;	   /* opens placed there since, decayed */
 	double service_ms; /* of a request that found a free slot; 0: unknown */
 } placement_member_t;
 
-/* Time in which a member would answer, in ms; typical_ms stands in for an
- * unknown service time. */
-double placement_cost(const placement_member_t *m, double typical_ms);
+/* What the members of a service have in common. */
+typedef struct placement_group {
+	double service_ms; /* typical service time */
+	double flow_work;  /* requests in flight that an open flow brings */
+} placement_group_t;
+
+placement_group_t placement_group(const placement_member_t *members, size_t n);
+
+/* Time in which a member would answer, in ms. */
+double placement_cost(const placement_member_t *m, const placement_group_t *g);
 
 /*
  * Time in which a server answers one more request, in ms, from what its agent
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -7,6 +7,8 @@
 /* A request without a packet either way for so long no longer counts as load:
  * callers repeat what was not acknowledged each 1.6 s at least. */
 #define REQUEST_FORGOTTEN_MS 2000
+/* A flow without packets for so long brings no requests for now. */
+#define LIVE_MS 3000
 /* Flows that ended are kept for late packets. */
 #define ENDED_MS 5000
 #define SWEEP_MS 1000
@@ -97,15 +99,29 @@
 	return f;
 }
 
+/* Flows that are used bring requests: their number is told with the load. */
+static void set_live(relay_agent_t *a, aflow_t *f, bool live)
+{
+	if (f->live == live)
+		return;
+	f->live = live;
+	if (live)
+		a->live++;
+	else
+		a->live--;
+}
+
 void aflow_forget(relay_agent_t *a, aflow_t *f)
 {
 	relay_load_end(a, f, false);
+	set_live(a, f, false);
 	flow_index_remove(a->flows, &f->node);
 }
 
 void aflow_phase(relay_agent_t *a, aflow_t *f, aflow_phase_t phase)
 {
 	f->phase = phase;
+	set_live(a, f, phase == AFLOW_OPEN);
 	list_remove(&f->opening);
 	if (phase == AFLOW_OPENING)
 		list_append(&a->opening, &f->opening);
@@ -220,6 +236,7 @@
 		f->phase = AFLOW_TRIAL;
 	}
 	flow_index_touch(a->flows, &f->node, now);
+	set_live(a, f, f->phase == AFLOW_OPEN);
 	f->balancer = from;
 	caller_packet(a, f, &p);
 	aflow_deliver(a, f, &p);
@@ -389,6 +406,8 @@
 		if (f->node.last_ms + REQUEST_FORGOTTEN_MS > a->now)
 			return;
 		relay_load_end(a, f, false);
+		if (f->node.last_ms + LIVE_MS <= a->now)
+			set_live(a, f, false);
 		if ((f->phase != AFLOW_OPEN &&
 		     f->node.last_ms + ENDED_MS <= a->now) ||
 		    f->node.last_ms + FLOW_IDLE_MS <= a->now)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -37,6 +37,7 @@
 	uint32_t caller_next; /* behind the last byte that the caller sent */
 	uint32_t caller_ack;  /* the caller's last acknowledgement */
 	bool data_seen;	      /* caller_next is known */
+	bool live;	      /* open, and used lately */
 	bool busy;	      /* a request has no answer yet */
 	bool found_free;      /* the request found a free slot */
 	uint64_t asked_ms;    /* when the request began */
@@ -69,6 +70,7 @@
 	known_balancer_t balancers[BALANCERS_MAX];
 	size_t nbalancers;
 	/* load */
+	uint32_t live; /* flows that are open and used lately */
 	uint32_t in_flight;
 	double work; /* in_flight, smoothed */
 	uint64_t work_ms;
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -64,7 +64,7 @@
 	load->in_flight = a->in_flight;
 	load->work_hundredths = (uint32_t)(a->work * 100);
 	load->service_us = (uint32_t)(a->typical_ms * 1000);
-	load->flows = (uint32_t)flow_index_count(a->flows);
+	load->flows = a->live;
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
 	load->incarnation = a->options.incarnation;
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -23,7 +23,8 @@
 	uint32_t agent;
 	const char *service; /* interned */
 	char entry[DIRECTORY_NAME];
-	uint64_t born_ms; /* of the target, as published */
+	uint64_t revision; /* of that entry */
+	uint64_t born_ms;  /* of the target, as published */
 	entry_state_t state;
 	bool local;
 	uint32_t slots;
@@ -33,6 +34,7 @@
 	double work;
 	double in_flight;
 	double service_ms;
+	double flows; /* open and used lately */
 	uint32_t down_ms;
 	bool stopping;
 	uint64_t incarnation;
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -67,6 +67,8 @@
 		  e->id, e->service, ipv4_format(e->address.ip, text),
 		  entry_state_name(e->state), (unsigned long long)e->revision,
 		  e->slots);
+	if (m && !same && e->revision < m->revision)
+		return; /* left over from a target before at this address */
 	if (e->state == ENTRY_GONE) {
 		if (same && m->state != ENTRY_GONE) {
 			m->state = ENTRY_GONE;
@@ -90,6 +92,7 @@
 		m->avoid_until = 0;
 	}
 	g_strlcpy(m->entry, e->id, sizeof(m->entry));
+	m->revision = e->revision;
 	m->service = g_intern_string(e->service);
 	m->born_ms = e->born_ms;
 	m->state = e->state;
@@ -125,6 +128,7 @@
 	m->in_flight = load->in_flight;
 	m->work = load->work_hundredths / 100.0;
 	m->service_ms = load->service_us / 1000.0;
+	m->flows = load->flows;
 	m->down_ms = load->down_ms;
 	m->stopping = load->stopping;
 	m->incarnation = load->incarnation;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -55,6 +55,7 @@
 	out->slots = m->slots;
 	out->work = m->work;
 	out->in_flight = m->in_flight;
+	out->flows = m->flows;
 	out->service_ms = m->service_ms;
 	out->placed = age < 8 * PLACED_HALF_MS
 			      ? m->placed / (1 << (age / PLACED_HALF_MS))
--- /dev/null
+++ b/test/relay_rig.c
@@ -0,0 +1,332 @@
+#include "relay_rig.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define RIG_ZONE "here"
+
+static void record(relay_rig_t *r, rig_to_t to, uint32_t host,
+		   const uint8_t *buf, size_t len)
+{
+	rig_sent_t *s;
+
+	if (r->n == RIG_SENT_MAX)
+		abort();
+	s = &r->sent[r->n++];
+	s->to = to;
+	s->host = host;
+	s->len = len;
+	memcpy(s->buf, buf, len);
+}
+
+static void to_agent(void *ctx, uint32_t host, const uint8_t *buf, size_t len)
+{
+	record(ctx, RIG_AGENT, host, buf, len);
+}
+
+static void to_caller(void *ctx, uint32_t host, const uint8_t *buf, size_t len)
+{
+	record(ctx, RIG_CALLER, host, buf, len);
+}
+
+static void to_server(void *ctx, const uint8_t *buf, size_t len)
+{
+	record(ctx, RIG_SERVER, 0, buf, len);
+}
+
+static void to_process(void *ctx, uint32_t host, const relay_msg_t *msg)
+{
+	uint8_t buf[RELAY_MSG_MAX];
+
+	record(ctx, RIG_MESSAGE, host, buf, relay_msg_pack(msg, buf));
+}
+
+static relay_rig_t *rr_new(void)
+{
+	relay_rig_t *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		abort();
+	r->now = 100000;
+	return r;
+}
+
+relay_rig_t *rr_balancer(void)
+{
+	static const relay_balancer_ops_t ops = { to_agent, to_process,
+						  to_caller };
+	relay_balancer_options_t options = { .self = RIG_SELF,
+					     .zone = RIG_ZONE,
+					     .form = &fleet_packet_form,
+					     .flows = 1000,
+					     .random_seed = 7 };
+	relay_rig_t *r = rr_new();
+
+	r->balancer = relay_balancer_new(&options, &ops, r);
+	relay_balancer_tick(r->balancer, r->now);
+	return r;
+}
+
+relay_rig_t *rr_agent(bool complete)
+{
+	static const relay_agent_ops_t ops = { to_server, to_process,
+					       to_caller };
+	relay_agent_options_t options = { .service = "feeds",
+					  .form = &fleet_packet_form,
+					  .flows = 1000,
+					  .incarnation = 1,
+					  .complete = complete };
+	relay_rig_t *r = rr_new();
+
+	r->agent = relay_agent_new(&options, &ops, r);
+	relay_agent_tick(r->agent, r->now);
+	return r;
+}
+
+void rr_free(relay_rig_t *r)
+{
+	relay_balancer_free(r->balancer);
+	relay_agent_free(r->agent);
+	free(r);
+}
+
+void rr_routes(relay_rig_t *r, uint64_t version)
+{
+	route_share_t share = { .service = "feeds", .weight = 1 };
+	route_t route = { .name = "r",
+			  .address = RIG_ADDRESS,
+			  .port = RIG_PORT,
+			  .idempotent = true,
+			  .aim_ms = 100,
+			  .shares = &share,
+			  .nshares = 1 };
+	route_table_t *t = route_table_new(version, 15000);
+
+	if (route_table_add(t, &route, NULL) < 0)
+		abort();
+	relay_balancer_routes(r->balancer, t);
+}
+
+void rr_entry(relay_rig_t *r, const char *id, uint32_t host, uint64_t revision,
+	       entry_state_t state)
+{
+	target_entry_t e = { .service = "feeds",
+			     .zone = RIG_ZONE,
+			     .address = { host, 8080 },
+			     .slots = 2,
+			     .state = state,
+			     .revision = revision };
+
+	strcpy(e.id, id);
+	directory_put(relay_balancer_directory(r->balancer), r->now, &e);
+}
+
+void rr_entry_gone(relay_rig_t *r, const char *id, uint64_t revision)
+{
+	directory_remove(relay_balancer_directory(r->balancer), r->now, id,
+			 revision);
+}
+
+void rr_run(relay_rig_t *r, uint64_t ms)
+{
+	uint64_t end = r->now + ms;
+
+	while (r->now < end) {
+		r->now += RELAY_TICK_MS;
+		if (r->balancer)
+			relay_balancer_tick(r->balancer, r->now);
+		else
+			relay_agent_tick(r->agent, r->now);
+	}
+}
+
+static void put(uint8_t *at, uint32_t value, int bytes)
+{
+	while (bytes-- > 0) {
+		at[bytes] = (uint8_t)value;
+		value >>= 8;
+	}
+}
+
+static uint8_t wire_flags(uint8_t flags)
+{
+	uint8_t wire = 0;
+
+	if (flags & RELAY_SYN)
+		wire |= 16;
+	if (flags & RELAY_ACK)
+		wire |= 2;
+	if (flags & RELAY_FIN)
+		wire |= 8;
+	if (flags & RELAY_RST)
+		wire |= 4;
+	if (flags & RELAY_RETURNED)
+		wire |= 1;
+	return wire;
+}
+
+static size_t build(uint8_t *buf, unsigned flow, bool to_service, uint8_t flags,
+		    uint32_t seq, uint32_t ack, unsigned payload)
+{
+	memset(buf, 0, 32 + payload);
+	put(buf, payload, 2);
+	put(buf + 2, seq, 4);
+	put(buf + 6, ack, 4);
+	put(buf + (to_service ? 14 : 20), RIG_CALLERS, 4);
+	put(buf + (to_service ? 18 : 24), 10000 + flow, 2);
+	put(buf + (to_service ? 20 : 14), RIG_ADDRESS, 4);
+	put(buf + (to_service ? 24 : 18), RIG_PORT, 2);
+	buf[26] = wire_flags(flags);
+	return 32 + payload;
+}
+
+size_t rr_packet(uint8_t *buf, unsigned flow, uint8_t flags, uint32_t seq,
+		  uint32_t ack, unsigned payload)
+{
+	return build(buf, flow, true, flags, seq, ack, payload);
+}
+
+void rr_from_caller(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
+		     uint32_t ack, unsigned payload)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	size_t len = build(buf, flow, true, flags, seq, ack, payload);
+
+	relay_balancer_packet(r->balancer, r->now, buf, len);
+}
+
+void rr_from_balancer(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		       uint8_t flags, uint32_t seq, uint32_t ack,
+		       unsigned payload, uint8_t mark)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	size_t len = build(buf, flow, true, flags, seq, ack, payload);
+
+	buf[27] = mark;
+	put(buf + 28, service_tag("feeds"), 4);
+	relay_agent_packet(r->agent, r->now, balancer, buf, len);
+}
+
+void rr_from_server(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
+		     uint32_t ack, unsigned payload)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	size_t len = build(buf, flow, false, flags, seq, ack, payload);
+
+	relay_agent_answer(r->agent, r->now, buf, len);
+}
+
+void rr_returned(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
+		  uint32_t ack, unsigned payload)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	size_t len = build(buf, flow, true, flags | RELAY_RETURNED, seq, ack,
+			   payload);
+
+	put(buf + 28, RIG_SELF, 4);
+	relay_agent_answer(r->agent, r->now, buf, len);
+}
+
+static void deliver_message(relay_rig_t *r, uint32_t host,
+			    const relay_msg_t *msg)
+{
+	if (r->balancer)
+		relay_balancer_message(r->balancer, r->now, host, msg);
+	else
+		relay_agent_message(r->agent, r->now, host, msg);
+}
+
+void rr_answer(relay_rig_t *r, uint32_t host, relay_kind_t kind, unsigned flow,
+		const char *service)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, kind);
+	msg.src = RIG_CALLERS;
+	msg.sport = 10000 + flow;
+	msg.dst = RIG_ADDRESS;
+	msg.dport = RIG_PORT;
+	msg.service = (char *)service;
+	deliver_message(r, host, &msg);
+}
+
+void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
+	      double service_ms, uint32_t down_ms)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+
+	ct__relay__load__init(&load);
+	relay_msg_init(&msg, RELAY_LOAD);
+	load.in_flight = in_flight;
+	load.work_hundredths = (uint32_t)(work * 100);
+	load.service_us = (uint32_t)(service_ms * 1000);
+	load.down_ms = down_ms;
+	msg.load = &load;
+	deliver_message(r, host, &msg);
+}
+
+void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
+	       const uint32_t *candidates, size_t n)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_OFFER);
+	msg.service = (char *)"feeds";
+	msg.balancer = balancer;
+	msg.packet.data = buf;
+	msg.packet.len = build(buf, flow, true, RELAY_SYN, seq, 0, 0);
+	msg.candidates = (uint32_t *)candidates;
+	msg.n_candidates = n;
+	deliver_message(r, balancer, &msg);
+}
+
+void rr_hello(relay_rig_t *r, uint32_t balancer, uint32_t slots)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_HELLO);
+	msg.service = (char *)"feeds";
+	msg.slots = slots;
+	deliver_message(r, balancer, &msg);
+}
+
+static bool fits(const rig_sent_t *s, rig_to_t to, uint32_t host,
+		 relay_kind_t kind)
+{
+	relay_msg_t *msg;
+	bool ret;
+
+	if (s->to != to || (host && s->host != host))
+		return false;
+	if (!kind || to != RIG_MESSAGE)
+		return true;
+	msg = relay_msg_unpack(s->buf, s->len);
+	ret = msg && msg->kind == kind;
+	relay_msg_free(msg);
+	return ret;
+}
+
+int rr_last(const relay_rig_t *r, rig_to_t to, uint32_t host,
+	     relay_kind_t kind)
+{
+	for (size_t i = r->n; i-- > 0;)
+		if (fits(&r->sent[i], to, host, kind))
+			return (int)i;
+	return -1;
+}
+
+size_t rr_count(const relay_rig_t *r, rig_to_t to, uint32_t host,
+		 relay_kind_t kind)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < r->n; i++)
+		n += fits(&r->sent[i], to, host, kind);
+	return n;
+}
+
+void rr_clear(relay_rig_t *r)
+{
+	r->n = 0;
+}
--- /dev/null
+++ b/test/test_relay_balancer.c
@@ -0,0 +1,316 @@
+/*
+ * test_relay_balancer - opens, look-ups and members of a relaying balancer
+ */
+
+#include "relay_rig.h"
+#include "runner.h"
+
+#define AGENT_A 0x0a010009u
+#define AGENT_B 0x0a02000au
+
+/*
+ * A reading lists entries by id: of two entries at one address the older one
+ * may come last, and its removal must not take the newer target out.
+ */
+START_TEST(older_entry_listed_last)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "i-6f", AGENT_A, 48, ENTRY_READY);
+	rr_entry(r, "i-cd", AGENT_A, 39, ENTRY_READY);
+	rr_entry_gone(r, "i-cd", 58);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* The older entry's target is gone even when its entry is still there. */
+START_TEST(newer_entry_replaces_older)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "i-cd", AGENT_A, 39, ENTRY_READY);
+	rr_entry(r, "i-6f", AGENT_A, 48, ENTRY_DRAINING);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_int_lt(rr_last(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER), 0);
+	ck_assert_int_ge(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* An open goes to an agent; packets follow it; another flow is looked up. */
+START_TEST(open_and_packets)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_answer(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_QUERY), 1);
+	rr_answer(r, AGENT_A, RELAY_HELD, 2, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* A flow that every agent denies is reset at once, with a seq it can take. */
+START_TEST(nobody_holds_it)
+{
+	relay_rig_t *r = rr_balancer();
+	relay_packet_t p;
+	int at;
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_answer(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
+	ck_assert_int_lt(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
+	rr_answer(r, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
+	at = rr_last(r, RIG_CALLER, RIG_CALLERS, 0);
+	ck_assert_int_ge(at, 0);
+	ck_assert_int_eq(fleet_packet_form.read(r->sent[at].buf,
+						r->sent[at].len, &p),
+			 0);
+	ck_assert_uint_eq(p.flags, RELAY_RST);
+	ck_assert_uint_eq(p.seq, 900);
+	rr_free(r);
+}
+END_TEST
+
+/* While an agent has not answered a flow is not reset, and is dropped late. */
+START_TEST(silent_agent_is_no_denial)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_answer(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
+	rr_run(r, 3000);
+	ck_assert_int_lt(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* An agent that restarted has its server try the packet; a server that does
+ * not return it holds the flow. */
+START_TEST(unsure_agents_try_in_turn)
+{
+	relay_rig_t *r = rr_balancer();
+	uint8_t buf[RELAY_PACKET_MAX];
+	relay_msg_t back;
+	uint32_t first, second;
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_answer(r, AGENT_A, RELAY_UNSURE, 1, "feeds");
+	rr_answer(r, AGENT_B, RELAY_UNSURE, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, 0, 0), 1);
+	first = r->sent[rr_last(r, RIG_AGENT, 0, 0)].host;
+	second = first == AGENT_A ? AGENT_B : AGENT_A;
+	relay_msg_init(&back, RELAY_GIVEN_BACK);
+	back.packet.data = buf;
+	back.packet.len = rr_packet(buf, 1, RELAY_ACK, 6, 900, 100);
+	relay_balancer_message(r->balancer, r->now, first, &back);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, second, 0), 1);
+	rr_run(r, 200);
+	rr_from_caller(r, 1, RELAY_ACK, 106, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, second, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* An open that an agent does not answer goes to another one; the caller is
+ * not told "not run", since the silent one's server may have taken it. */
+START_TEST(unanswered_open_moves_on)
+{
+	relay_rig_t *r = rr_balancer();
+	uint32_t first;
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	first = r->sent[rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER)].host;
+	rr_run(r, 200);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER), 2);
+	ck_assert_uint_ne(r->sent[rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER)].host,
+			  first);
+	rr_answer(r, first == AGENT_A ? AGENT_B : AGENT_A, RELAY_REFUSED, 1,
+		   "feeds");
+	rr_run(r, 2000);
+	ck_assert_int_lt(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Refused by all, or no target at all: the caller hears it at once. */
+START_TEST(refused_at_once)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
+	rr_answer(r, AGENT_A, RELAY_REFUSED, 2, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* No route: a reset; a lower version never replaces a higher one. */
+START_TEST(routes_only_rise)
+{
+	relay_rig_t *r = rr_balancer();
+	route_table_t *empty = route_table_new(3, 15000);
+
+	rr_routes(r, 4);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	relay_balancer_routes(r->balancer, empty);
+	ck_assert_uint_eq(relay_balancer_version(r->balancer), 4);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER), 0);
+	relay_balancer_routes(r->balancer, route_table_new(5, 15000));
+	rr_clear(r);
+	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
+	ck_assert_int_lt(rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Another target at an address: flows of the one before are reset. */
+START_TEST(replaced_target_loses_its_flows)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_answer(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_entry(r, "n", AGENT_A, 9, ENTRY_READY);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* A target that left, and whose server still answers, keeps its flows. */
+START_TEST(leaving_target_keeps_its_flows)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_answer(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_entry_gone(r, "a", 5);
+	for (int i = 0; i < 10; i++) {
+		rr_load(r, AGENT_A, 0, 0, 10, 0);
+		rr_run(r, 1000);
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* A target that is gone and whose agent is silent too has lost them. */
+START_TEST(lost_target_resets_its_flows)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_answer(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_entry_gone(r, "a", 5);
+	rr_run(r, 2000);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_run(r, 2000);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Entries that lapse while the store can't be read take opens for a while. */
+START_TEST(lapsed_entries_live_on)
+{
+	relay_rig_t *r = rr_balancer();
+	directory_t *d = relay_balancer_directory(r->balancer);
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	directory_unreachable(d, r->now);
+	rr_run(r, 1000);
+	directory_reachable(d, r->now);
+	rr_entry_gone(r, "a", 5);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER), 1);
+	rr_answer(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_run(r, 3500);
+	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* A silent server gets no opens, but is tried once a second. */
+START_TEST(silent_server_is_tried_now_and_then)
+{
+	relay_rig_t *r = rr_balancer();
+	size_t tried;
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	for (unsigned i = 0; i < 100; i++) {
+		rr_load(r, AGENT_A, 0, 0, 10, 600);
+		rr_load(r, AGENT_B, 0, 0, 10, 0);
+		rr_from_caller(r, i, RELAY_SYN, 5, 0, 0);
+		rr_answer(r, AGENT_B, RELAY_TAKEN, i, "feeds");
+		rr_run(r, RELAY_TICK_MS);
+	}
+	tried = rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER);
+	ck_assert_uint_ge(tried, 2);
+	ck_assert_uint_le(tried, 4);
+	rr_free(r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay_balancer");
+	TCase *tc = tcase_create("decisions");
+
+	tcase_add_test(tc, older_entry_listed_last);
+	tcase_add_test(tc, newer_entry_replaces_older);
+	tcase_add_test(tc, open_and_packets);
+	tcase_add_test(tc, nobody_holds_it);
+	tcase_add_test(tc, silent_agent_is_no_denial);
+	tcase_add_test(tc, unsure_agents_try_in_turn);
+	tcase_add_test(tc, unanswered_open_moves_on);
+	tcase_add_test(tc, refused_at_once);
+	tcase_add_test(tc, routes_only_rise);
+	tcase_add_test(tc, replaced_target_loses_its_flows);
+	tcase_add_test(tc, leaving_target_keeps_its_flows);
+	tcase_add_test(tc, lost_target_resets_its_flows);
+	tcase_add_test(tc, lapsed_entries_live_on);
+	tcase_add_test(tc, silent_server_is_tried_now_and_then);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
