Admit opens by defaults while an agent knows nothing yet

Change: defaults for both, slots travel with the offer, and opens whose first request is on its way count; test first_agent_back_takes_no_more_than_it_can failed before.

--- a/src/placement.c
+++ b/src/placement.c
@@ -5,6 +5,8 @@
 #define COMPARED_MAX 64
 /* Service time that stands in while no member has told one, in ms. */
 #define SERVICE_DEFAULT_MS 20.0
+/* Slots while the platform's word is not known: few servers have fewer. */
+#define SLOTS_DEFAULT 2
 /* Requests in flight that an open flow brings, while too few were seen. */
 #define FLOW_WORK_DEFAULT 0.05
 #define FLOWS_ENOUGH	  20
@@ -97,8 +99,10 @@
 {
 	double ahead;
 
-	if (!slots || service_ms <= 0)
-		return 0;
+	if (!slots)
+		slots = SLOTS_DEFAULT;
+	if (service_ms <= 0)
+		service_ms = SERVICE_DEFAULT_MS;
 	ahead = in_flight + 1 > slots ? in_flight + 1 - slots : 0;
 	return service_ms * (1 + ahead / slots);
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -38,7 +38,7 @@
 
 /*
  * Time in which a server answers one more request, in ms, from what its agent
- * sees at this moment; 0 when nothing is known.
+ * sees at this moment; 0 stands for what is not known.
  */
 double placement_wait(uint32_t in_flight, uint32_t slots, double service_ms);
 
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -31,6 +31,7 @@
 	aflow_t *f = (aflow_t *)node;
 
 	list_remove(&f->opening);
+	list_remove(&f->awaited);
 	free(f);
 }
 
@@ -46,6 +47,7 @@
 	a->ctx = ctx;
 	a->tag = service_tag(options->service);
 	list_init(&a->opening);
+	list_init(&a->awaited);
 	a->flows = flow_index_new(options->flows, aflow_release);
 	if (!a->flows) {
 		free(a);
@@ -95,6 +97,7 @@
 		return NULL;
 	f->node.key = *key;
 	list_init(&f->opening);
+	list_init(&f->awaited);
 	flow_index_add(a->flows, &f->node, a->now);
 	return f;
 }
@@ -111,8 +114,21 @@
 		a->live--;
 }
 
+void aflow_await(relay_agent_t *a, aflow_t *f, bool awaited)
+{
+	if (!list_empty(&f->awaited)) {
+		list_remove(&f->awaited);
+		a->nawaited--;
+	}
+	if (awaited) {
+		list_append(&a->awaited, &f->awaited);
+		a->nawaited++;
+	}
+}
+
 void aflow_forget(relay_agent_t *a, aflow_t *f)
 {
+	aflow_await(a, f, false);
 	relay_load_end(a, f, false);
 	set_live(a, f, false);
 	flow_index_remove(a->flows, &f->node);
@@ -191,6 +207,7 @@
 			       seq_diff(end, f->caller_next) > 0)) {
 		f->caller_next = end;
 		f->data_seen = true;
+		aflow_await(a, f, false);
 		if (!f->busy)
 			relay_load_begin(a, f);
 	}
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -48,6 +48,7 @@
 	uint8_t syn[64]; /* kept until the server answers */
 	uint8_t syn_len;
 	list_t opening; /* in relay_agent.opening */
+	list_t awaited; /* in relay_agent.awaited */
 } aflow_t;
 
 typedef struct known_balancer {
@@ -65,6 +66,8 @@
 	uint64_t now; /* of the call under way */
 	flow_index_t *flows;
 	list_t opening; /* flows whose open was not answered, oldest first */
+	list_t awaited; /* opens whose first request is on its way */
+	uint32_t nawaited;
 	uint32_t slots; /* of the server, as published; 0 unknown */
 	bool stopping;
 	known_balancer_t balancers[BALANCERS_MAX];
@@ -106,6 +109,8 @@
 void relay_agent_opening_tick(relay_agent_t *a);
 
 /* relay_agent.c */
+/* The first request of an open is expected, or no longer. */
+void aflow_await(relay_agent_t *a, aflow_t *f, bool awaited);
 void relay_agent_tell(relay_agent_t *a, uint32_t to, relay_kind_t kind,
 		      const flow_key_t *key);
 aflow_t *aflow_take(relay_agent_t *a, const flow_key_t *key);
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -4,8 +4,8 @@
 /* A living server answers an open within a few milliseconds; its host may
  * wait for its share of the processor. */
 #define ANSWER_MS 60
-/* An open that no server answered is forgotten when its caller gave up. */
-#define FORGET_MS 2000
+/* The first request follows the open after the caller's round trip. */
+#define AWAIT_MS 60
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
 static bool pass_on(relay_agent_t *a, const relay_msg_t *offer);
@@ -14,8 +14,8 @@
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
-	double wait =
-		placement_wait(a->in_flight, a->slots, a->typical_ms);
+	double wait = placement_wait(a->in_flight + a->nawaited, a->slots,
+				     a->typical_ms);
 
 	if (strcmp(msg->service, a->options.service) || a->stopping)
 		return msg->n_candidates ? ADMIT_PASS : ADMIT_REFUSE;
@@ -78,6 +78,8 @@
 		return;
 	}
 	counter_add(&a->counters, COUNTER_OPENS, 1);
+	if (msg->slots)
+		a->slots = msg->slots;
 	f = (aflow_t *)flow_index_find(a->flows, &p.key);
 	if (f && f->caller_isn == p.seq && f->phase == AFLOW_OPEN) {
 		f->balancer = msg->balancer;
@@ -111,6 +113,7 @@
 	memcpy(f->syn, p.data, p.len);
 	f->syn_len = (uint8_t)p.len;
 	aflow_phase(a, f, AFLOW_OPENING);
+	aflow_await(a, f, true);
 	aflow_deliver(a, f, &p);
 }
 
@@ -138,6 +141,14 @@
 
 void relay_agent_opening_tick(relay_agent_t *a)
 {
+	list_each_safe(node, after, &a->awaited)
+	{
+		aflow_t *f = list_entry(node, aflow_t, awaited);
+
+		if (a->now < f->opened_ms + AWAIT_MS)
+			break;
+		aflow_await(a, f, false);
+	}
 	list_each_safe(node, after, &a->opening)
 	{
 		aflow_t *f = list_entry(node, aflow_t, opening);
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -145,6 +145,7 @@
 	msg.candidate_ms = behind_ms;
 	msg.n_candidate_ms = n - 1;
 	msg.patience_ms = f->patience_ms;
+	msg.slots = to[0]->slots;
 	f->tried[f->ntried++] = to[0]->agent;
 	f->offers++;
 	f->offered_ms = b->now;
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -278,6 +278,7 @@
 	msg.packet.len = build(buf, flow, true, RELAY_SYN, seq, 0, 0);
 	msg.candidates = (uint32_t *)candidates;
 	msg.n_candidates = n;
+	msg.patience_ms = 100;
 	deliver_message(r, balancer, &msg);
 }
 
--- /dev/null
+++ b/test/test_relay_agent.c
@@ -0,0 +1,218 @@
+/*
+ * test_relay_agent - opens, flows and load of a relaying agent
+ */
+
+#include "relay_rig.h"
+#include "runner.h"
+
+#define BALANCER 0x0a010005u
+#define OTHER    0x0a02000au
+#define ISN      5000u /* of the server in tests */
+
+static void open_flow(relay_rig_t *r, unsigned flow)
+{
+	rr_offer(r, BALANCER, flow, 5, NULL, 0);
+	rr_from_server(r, flow, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+}
+
+/* An open is delivered; the server's answer goes to the caller, and the
+ * balancer hears who took it. */
+START_TEST(open_is_taken)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, RIG_CALLERS, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_TAKEN), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* An open that the server returns goes to the next candidate, or is refused:
+ * nothing ran. */
+START_TEST(returned_open_goes_on)
+{
+	relay_rig_t *r = rr_agent(true);
+	uint32_t other = OTHER;
+
+	rr_offer(r, BALANCER, 1, 5, &other, 1);
+	rr_returned(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 1);
+	rr_offer(r, BALANCER, 2, 5, NULL, 0);
+	rr_returned(r, 2, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED),
+			  1);
+	rr_free(r);
+}
+END_TEST
+
+/* A silent server: the open goes on, but is not said to be refused. */
+START_TEST(silent_server_passes_opens_on)
+{
+	relay_rig_t *r = rr_agent(true);
+	uint32_t other = OTHER;
+
+	rr_offer(r, BALANCER, 1, 5, &other, 1);
+	rr_offer(r, BALANCER, 2, 5, NULL, 0);
+	rr_run(r, 200);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED),
+			  0);
+	rr_free(r);
+}
+END_TEST
+
+/* A packet that acknowledges another server's number is not delivered. */
+START_TEST(twin_is_given_back)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	rr_clear(r);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 0x10000000, 100,
+			 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* A packet for another service's target never reaches this one. */
+START_TEST(other_service_is_given_back)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint8_t buf[RELAY_PACKET_MAX];
+	size_t len = rr_packet(buf, 1, RELAY_ACK, 6, 7, 100);
+
+	relay_agent_packet(r->agent, r->now, BALANCER, buf, len);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  1);
+	rr_free(r);
+}
+END_TEST
+
+/* A server that returns a packet of a flow that it had is a new one. */
+START_TEST(restarted_server_resets_its_flows)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	rr_clear(r);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 501, 100, 0);
+	rr_returned(r, 1, RELAY_ACK, 106, ISN + 501, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, RIG_CALLERS, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  0);
+	rr_free(r);
+}
+END_TEST
+
+/* An agent that restarted asks its server, and adopts what it holds. */
+START_TEST(restarted_agent_adopts)
+{
+	relay_rig_t *r = rr_agent(false);
+
+	rr_answer(r, BALANCER, RELAY_QUERY, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_UNSURE), 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, 7, 100,
+			 RELAY_MARK_TRIAL);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_from_server(r, 1, RELAY_ACK, 7, 106, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	rr_from_balancer(r, BALANCER, 2, RELAY_ACK, 6, 7, 100,
+			 RELAY_MARK_TRIAL);
+	rr_returned(r, 2, RELAY_ACK, 6, 7, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  1);
+	rr_free(r);
+}
+END_TEST
+
+/*
+ * After a mass restart all opens come to the first agent that is back. It has
+ * seen no request yet and no balancer has greeted it: it must still not take
+ * more than it can answer in time.
+ */
+START_TEST(first_agent_back_takes_no_more_than_it_can)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint32_t other = OTHER;
+
+	for (unsigned i = 0; i < 100; i++) {
+		rr_offer(r, BALANCER, i, 5, &other, 1);
+		if (rr_count(r, RIG_SERVER, 0, 0) == 0)
+			continue;
+		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+	}
+	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 80);
+	rr_free(r);
+}
+END_TEST
+
+/* Requests in flight are told to the balancers. */
+START_TEST(load_is_told)
+{
+	relay_rig_t *r = rr_agent(true);
+	relay_msg_t *msg;
+	int at;
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < 4; i++) {
+		open_flow(r, i);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+	}
+	rr_clear(r);
+	rr_run(r, 1100);
+	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
+	ck_assert_int_ge(at, 0);
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	ck_assert_uint_eq(msg->load->in_flight, 4);
+	ck_assert_uint_eq(msg->load->flows, 4);
+	ck_assert_uint_gt(msg->load->work_hundredths, 100);
+	relay_msg_free(msg);
+	rr_from_server(r, 0, RELAY_ACK, ISN + 1, 106, 500);
+	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 3);
+	rr_free(r);
+}
+END_TEST
+
+/* A request whose caller and server fell silent is no load for long. */
+START_TEST(forgotten_request_is_no_load)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 1);
+	rr_run(r, 4000);
+	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 0);
+	rr_free(r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay_agent");
+	TCase *tc = tcase_create("decisions");
+
+	tcase_add_test(tc, open_is_taken);
+	tcase_add_test(tc, returned_open_goes_on);
+	tcase_add_test(tc, silent_server_passes_opens_on);
+	tcase_add_test(tc, twin_is_given_back);
+	tcase_add_test(tc, other_service_is_given_back);
+	tcase_add_test(tc, restarted_server_resets_its_flows);
+	tcase_add_test(tc, restarted_agent_adopts);
+	tcase_add_test(tc, first_agent_back_takes_no_more_than_it_can);
+	tcase_add_test(tc, load_is_told);
+	tcase_add_test(tc, forgotten_request_is_no_load);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
