Watch all keys with one call and gather changes

Change: one feed over all keys; 400 ms pause after changes; the wait comes from the bound in which a silent connection must be noticed.

--- a/src/feed.c
+++ b/src/feed.c
@@ -19,6 +19,7 @@
 	uint64_t revision; /* watch from there */
 	uint64_t begun_at; /* revision of the first page */
 	char last_key[256];
+	unsigned wait_ms; /* of a watch, in the store */
 	uint64_t pause_ms;
 	uint64_t asked_ms;
 	uint64_t answered_ms; /* last good answer */
@@ -33,9 +34,9 @@
 		return;
 	f->reachable = yes;
 	event_log(EVENT_STORE,
-		  "\"feed\":\"%s\",\"state\":\"%s\",\"why\":\"%s\","
-		  "\"revision\":%llu,\"age_ms\":%llu",
-		  f->ops.name, yes ? "regained" : "lost", why,
+		  "\"state\":\"%s\",\"why\":\"%s\",\"revision\":%llu,"
+		  "\"age_ms\":%llu",
+		  yes ? "regained" : "lost", why,
 		  (unsigned long long)f->revision,
 		  (unsigned long long)(uv_now(f->loop) - f->answered_ms));
 }
@@ -66,8 +67,8 @@
 		return;
 	f->watching = f->loaded && !f->reading;
 	if (f->watching) {
-		path = f->ops.watch_path(f->ctx, f->revision, FEED_WAIT_MS);
-		timeout = FEED_WAIT_MS + FEED_SPARE_MS;
+		path = f->ops.watch_path(f->ctx, f->revision, f->wait_ms);
+		timeout = f->wait_ms + FEED_SPARE_MS;
 	} else {
 		if (!f->reading) {
 			f->reading = true;
@@ -98,8 +99,8 @@
 	f->revision = f->begun_at;
 	f->ops.end(f->ctx, f->begun_at);
 	event_log(EVENT_STORE,
-		  "\"feed\":\"%s\",\"state\":\"read\",\"revision\":%llu",
-		  f->ops.name, (unsigned long long)f->revision);
+		  "\"state\":\"read\",\"revision\":%llu",
+		  (unsigned long long)f->revision);
 }
 
 static void failed(feed_t *f, const char *why)
@@ -129,9 +130,8 @@
 		break;
 	case FEED_HISTORY_GONE:
 		event_log(EVENT_STORE,
-			  "\"feed\":\"%s\",\"state\":\"history gone\","
-			  "\"revision\":%llu",
-			  f->ops.name, (unsigned long long)f->revision);
+			  "\"state\":\"history gone\",\"revision\":%llu",
+			  (unsigned long long)f->revision);
 		f->loaded = f->reading = false;
 		ask(f);
 		return;
@@ -152,10 +152,13 @@
 							  : f->revision;
 	else
 		page_read(f, &page);
-	ask(f);
+	if (f->watching && page.items)
+		uv_timer_start(&f->timer, on_pause_over, FEED_GATHER_MS, 0);
+	else
+		ask(f);
 }
 
-feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store,
+feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store, uint32_t silence_ms,
 		 const feed_ops_t *ops, void *ctx, counters_t *counters)
 {
 	feed_t *f = calloc(1, sizeof(*f));
@@ -171,6 +174,9 @@
 	f->ops = *ops;
 	f->ctx = ctx;
 	f->counters = counters;
+	f->wait_ms = FEED_WAIT_MIN_MS;
+	if (silence_ms > FEED_WAIT_MIN_MS + FEED_SPARE_MS + FEED_AGAIN_MS)
+		f->wait_ms = silence_ms - FEED_SPARE_MS - FEED_AGAIN_MS;
 	uv_timer_init(loop, &f->timer);
 	f->timer.data = f;
 	ask(f);
--- a/src/feed.h
+++ b/src/feed.h
@@ -17,11 +17,16 @@
 #include <stdbool.h>
 #include <uv.h>
 
-/* Longest a watch waits in the store: with FEED_SPARE_MS it is the longest
- * that a silent connection goes unnoticed, under the 4 s after which the
- * platform counts a host as in touch again. */
-#define FEED_WAIT_MS 2500
+/* A watch that is not answered this long after the time it was told to wait
+ * for has a dead connection: a slow store takes some hundred ms. */
 #define FEED_SPARE_MS 700
+/* Reconnecting and reading then takes some round trips. */
+#define FEED_AGAIN_MS 500
+/* A shorter wait would be a poll. */
+#define FEED_WAIT_MIN_MS 500
+/* Changes come in bursts (releases, restarts): the next call gathers them. A
+ * tenth of the bound in which a new version has to be in force. */
+#define FEED_GATHER_MS 400
 /* A page or a refusal; a slow store takes some hundred ms. */
 #define FEED_READ_MS 1500
 /* Pauses between tries: the first and the longest. */
@@ -46,7 +51,6 @@
 } feed_page_t;
 
 typedef struct feed_ops {
-	const char *name; /* for logs */
 	/* Path of a page behind a key (NULL: the first); freed by g_free(). */
 	char *(*read_path)(void *ctx, const char *after_key);
 	/* Path that waits for changes after a revision. */
@@ -62,8 +66,11 @@
 	void (*reachable)(void *ctx, bool yes);
 } feed_ops_t;
 
-/* NULL without memory. Begins at once. */
-feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store,
+/*
+ * NULL without memory. Begins at once. A connection that went silent is
+ * noticed and replaced within silence_ms.
+ */
+feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store, uint32_t silence_ms,
 		 const feed_ops_t *ops, void *ctx, counters_t *counters);
 
 /* Memory goes back when the loop has run. */
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -21,8 +21,7 @@
 typedef struct balancer_state {
 	relay_balancer_t *balancer;
 	relay_feed_ctx_t sink;
-	feed_t *routes;
-	feed_t *targets;
+	feed_t *feed;
 } balancer_state_t;
 
 static void send_packet(void *ctx, uint32_t agent, const uint8_t *buf,
@@ -104,12 +103,10 @@
 	p->counters = relay_balancer_counters(s->balancer);
 	s->sink.sink = &sink;
 	s->sink.ctx = p;
-	s->routes = feed_new(&p->loop, &p->settings.platform,
-			     relay_platform.routes_feed, &s->sink, p->counters);
-	s->targets =
-		feed_new(&p->loop, &p->settings.platform,
-			 relay_platform.targets_feed, &s->sink, p->counters);
-	if (!s->routes || !s->targets)
+	s->feed = feed_new(&p->loop, &p->settings.platform,
+			   p->settings.silence_ms, relay_platform.feed,
+			   &s->sink, p->counters);
+	if (!s->feed)
 		return err_set(err, ERR_MEMORY, NULL, 0, "free memory",
 			       "no memory to read the platform");
 	return 0;
@@ -121,8 +118,7 @@
 
 	if (!s)
 		return;
-	feed_free(s->routes);
-	feed_free(s->targets);
+	feed_free(s->feed);
 	relay_balancer_free(s->balancer);
 	free(s);
 }
@@ -163,16 +159,14 @@
 
 	(void)now;
 	(void)slept_ms;
-	feed_wake(s->routes);
-	feed_wake(s->targets);
+	feed_wake(s->feed);
 }
 
 static bool ready(relay_process_t *p)
 {
 	balancer_state_t *s = p->ctx;
 
-	return feed_loaded(s->targets) &&
-	       relay_balancer_version(s->balancer) > 0;
+	return feed_loaded(s->feed) && relay_balancer_version(s->balancer) > 0;
 }
 
 static const histogram_t *histogram(relay_process_t *p, const char **name)
--- a/src/relay_platform.h
+++ b/src/relay_platform.h
@@ -25,7 +25,7 @@
 	void (*reachable)(void *ctx, bool yes);
 } relay_sink_t;
 
-/* What the adapter's feeds are called with. */
+/* What the adapter's feed is called with. */
 typedef struct relay_feed_ctx {
 	const relay_sink_t *sink;
 	void *ctx;
@@ -35,8 +35,7 @@
 	const char *settings_variable; /* holds the path of the settings */
 	const packet_form_t *form;
 	/* Called with a relay_feed_ctx_t. */
-	const feed_ops_t *routes_feed;
-	const feed_ops_t *targets_feed;
+	const feed_ops_t *feed;
 	const char *ready_path;
 	const char *metrics_path;
 } relay_platform_t;
--- a/src/relay_settings.c
+++ b/src/relay_settings.c
@@ -6,6 +6,10 @@
 /* Memory limit when the settings name none, in MB. */
 #define MEMORY_DEFAULT_MB 128
 
+/* A silent connection to the store is noticed within this time when the
+ * settings say nothing of it, in ms. */
+#define SILENCE_DEFAULT_MS 4000
+
 int relay_settings_load(const char *file, relay_role_t role,
 			relay_settings_t *out, err_t *err)
 {
@@ -15,6 +19,7 @@
 	int ret;
 
 	memset(out, 0, sizeof(*out));
+	out->silence_ms = SILENCE_DEFAULT_MS;
 	out->memory_mb = MEMORY_DEFAULT_MB;
 	if (!g_file_get_contents(file, &text, &len, &gerr)) {
 		err_set(err, ERR_IO, file, 0, "name a settings file", "%s",
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -29,6 +29,7 @@
 	endpoint_t server;	    /* agent, UDP: the backend server */
 	endpoint_t server_out;	    /* agent, UDP: its packets come in here */
 	bool first_start;	    /* the whole system starts for the first time */
+	uint32_t silence_ms;	    /* a dead connection is noticed within it */
 	uint32_t memory_mb;	    /* limit of this process */
 } relay_settings_t;
 
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -498,7 +498,8 @@
 
 	r.only(root, { "name", "zone", "address", "packets", "ready",
 		       "internal_port", "metrics_port", "platform", "service",
-		       "server", "server_out", "first_start", "memory_mb" });
+		       "server", "server_out", "first_start", "memory_mb",
+		       "silence_ms" });
 	r.string(root, "name", true, out->name, sizeof(out->name));
 	r.string(root, "zone", true, out->zone, sizeof(out->zone));
 	r.string(root, "address", true, text, sizeof(text));
@@ -513,6 +514,9 @@
 	n = 0;
 	r.integer(root, "metrics_port", false, 0, UINT16_MAX, &n);
 	out->metrics_port = (uint16_t)n;
+	n = out->silence_ms;
+	r.integer(root, "silence_ms", false, 1000, 60000, &n);
+	out->silence_ms = (uint32_t)n;
 	n = out->memory_mb;
 	r.integer(root, "memory_mb", false, 1, 1 << 20, &n);
 	out->memory_mb = (uint32_t)n;
