Refuse opens at the balancer when no target would answer in time

Change: placement_hopeless() leaves members out whose told queue is past the route's objective; agents tell jumps of their queue at once.

--- a/src/placement.c
+++ b/src/placement.c
@@ -30,6 +30,8 @@
 /* Part of the latency objective that may pass at the server; the rest is the
  * way, and the open itself. */
 #define PATIENCE_PART 0.85
+/* Part of a server's rate at which its requests in flight grow less. */
+#define DRAIN_PART 0.5
 /* Unknown load is taken for half of the slots. */
 #define UNKNOWN_LOAD 0.5
 
@@ -116,6 +118,23 @@
 	return ADMIT_TAKE;
 }
 
+bool placement_hopeless(const placement_member_t *m, double patience_ms)
+{
+	double service = m->service_ms > 0 ? m->service_ms : SERVICE_DEFAULT_MS;
+	double slots = m->slots ? m->slots : SLOTS_DEFAULT;
+	double left;
+
+	if (!m->known || patience_ms <= 0)
+		return false;
+	/* What was in flight has been answered since, and some came. */
+	left = m->in_flight + m->placed -
+	       m->told_ms_ago / service * slots * DRAIN_PART;
+	if (left < 0)
+		left = 0;
+	return placement_wait((uint32_t)left, (uint32_t)slots, service) >
+	       patience_ms * PATIENCE_PART;
+}
+
 size_t placement_order(const placement_member_t *members, size_t n,
 		       uint32_t random, uint32_t *order, double *costs_out,
 		       size_t want)
--- a/src/placement.h
+++ b/src/placement.h
@@ -20,6 +20,7 @@
 	uint32_t slots;	   /* requests served at a time */
 	double work;	   /* requests in flight, smoothed, as told */
 	double in_flight;  /* requests in flight when it was told */
+	double told_ms_ago;
 	double flows;	   /* open and used lately, as told */
 	double placed;	   /* opens placed there since, decayed */
 	double service_ms; /* of a request that found a free slot; 0: unknown */
@@ -55,6 +56,13 @@
  */
 admission_t placement_admit(double wait_ms, double next_ms, double patience_ms);
 
+/*
+ * True when a member that was told of lately would answer too late for a
+ * caller with this patience: offering it the open would only cost the caller
+ * time and the agent work, at a moment when both have none.
+ */
+bool placement_hopeless(const placement_member_t *m, double patience_ms);
+
 /*
  * Writes the positions of up to `want` members, best first, and returns how
  * many; costs go to `costs`. `random` (0 to 2^32-1) spreads opens of balancers that were told the
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -80,6 +80,7 @@
 	double typical_ms; /* service time; 0 unknown */
 	uint64_t told_ms;
 	double told_work;
+	double told_in_flight;
 	/* whether the server is there */
 	uint64_t heard_ms;	 /* any packet of the server */
 	uint64_t silent_ms;	 /* first unanswered open since; 0: none */
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -61,7 +61,7 @@
 {
 	smooth(a);
 	ct__relay__load__init(load);
-	load->in_flight = a->in_flight;
+	load->in_flight = a->in_flight + a->nawaited;
 	load->work_hundredths = (uint32_t)(a->work * 100);
 	load->service_us = (uint32_t)(a->typical_ms * 1000);
 	load->flows = a->live;
@@ -92,6 +92,7 @@
 	a->nbalancers = kept;
 	a->told_ms = a->now;
 	a->told_work = a->work;
+	a->told_in_flight = a->in_flight;
 }
 
 void relay_load_balancer(relay_agent_t *a, uint32_t address)
@@ -115,7 +116,8 @@
 		return;
 	smooth(a);
 	if (a->now >= a->told_ms + TELL_MAX_MS ||
-	    fabs(a->work - a->told_work) >= TELL_CHANGE * slots)
+	    fabs(a->work - a->told_work) >= TELL_CHANGE * slots ||
+	    fabs((double)a->in_flight - a->told_in_flight) >= slots)
 		relay_load_tell(a);
 }
 
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -55,6 +55,7 @@
 	out->slots = m->slots;
 	out->work = m->work;
 	out->in_flight = m->in_flight;
+	out->told_ms_ago = (double)(b->now - m->told_ms);
 	out->flows = m->flows;
 	out->service_ms = m->service_ms;
 	out->placed = age < 8 * PLACED_HALF_MS
@@ -104,7 +105,9 @@
 		if (!takes_opens(b, m, f->service) || was_tried(f, m->agent))
 			continue;
 		list[n] = m;
-		describe(b, m, &seen[n++]);
+		describe(b, m, &seen[n]);
+		if (!placement_hopeless(&seen[n], f->patience_ms))
+			n++;
 	}
 	if (want > OFFER_CANDIDATES)
 		want = OFFER_CANDIDATES;
