Refuse opens past 0.45 of the objective instead of 0.85

Cause: a typical answer that uses up the objective is late half of the time, and its queue makes the next ones late too.

--- a/src/placement.c
+++ b/src/placement.c
@@ -27,9 +27,9 @@
 /* An open goes on when the next candidate answers sooner by this factor: the
  * way there and what is not known of it. */
 #define PASS_FACTOR 1.5
-/* Part of the latency objective that may pass at the server; the rest is the
- * way, and the open itself. */
-#define PATIENCE_PART 0.85
+/* Part of the latency objective that an expected answer may take at the
+ * server: service times spread around the typical one by as much again. */
+#define PATIENCE_PART 0.45
 /* Part of a server's rate at which its requests in flight grow less. */
 #define DRAIN_PART 0.5
 /* Unknown load is taken for half of the slots. */
