Look flows up along chains of agents; keep half closed flows known

Change: RELAY_LOOKUP carries the packet along chains of 8 agents; agents that restarted have their server try it; a late tick blames nobody.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -213,7 +213,7 @@
   (ProtobufCMessageInit) ct__relay__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[15] =
 {
   {
     "kind",
@@ -383,12 +383,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chain",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, chain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
   4,   /* field[4] = balancer */
   13,   /* field[13] = candidate_ms */
   3,   /* field[3] = candidates */
+  14,   /* field[14] = chain */
   8,   /* field[8] = dport */
   7,   /* field[7] = dst */
   0,   /* field[0] = kind */
@@ -403,7 +416,7 @@
 static const ProtobufCIntRange ct__relay__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -413,7 +426,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  14,
+  15,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   1,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -43,7 +43,7 @@
    */
   uint32_t service_us;
   /*
-   * open flows
+   * open flows that were used lately
    */
   uint32_t flows;
   /*
@@ -101,10 +101,14 @@
    */
   size_t n_candidate_ms;
   uint32_t *candidate_ms;
+  /*
+   * which chain of a look-up, from 1
+   */
+  uint32_t chain;
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0 }
 
 
 /* Ct__Relay__Load methods */
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -12,11 +12,13 @@
 /* Flows that ended are kept for late packets. */
 #define ENDED_MS 5000
 #define SWEEP_MS 1000
+/* A server returns a packet that it does not hold within a few milliseconds:
+ * what has not come back by now is held. */
+#define RETURN_MS 50
 /* A caller acknowledges at most this much beyond what was seen sent. */
 #define ACK_SLACK 76800
 
 static void aflow_release(flow_node_t *node);
-static bool matches(const aflow_t *f, const relay_packet_t *p);
 static void give_back(relay_agent_t *a, uint32_t balancer,
 		      const relay_packet_t *p);
 static void returned(relay_agent_t *a, relay_packet_t *p);
@@ -168,7 +170,7 @@
 
 /* The packet speaks of the flow that the server accepted, not of a twin that
  * another server accepted for a copy of the same SYN. */
-static bool matches(const aflow_t *f, const relay_packet_t *p)
+bool aflow_matches(const aflow_t *f, const relay_packet_t *p)
 {
 	uint32_t sent;
 
@@ -196,6 +198,17 @@
 	a->ops.message(a->ctx, balancer, &msg);
 }
 
+/* Half closed flows stay: their servers answer callers that go on. */
+static void end_flow(relay_agent_t *a, aflow_t *f, const relay_packet_t *p)
+{
+	if (!(p->flags & (RELAY_FIN | RELAY_RST)))
+		return;
+	relay_load_end(a, f, false);
+	set_live(a, f, false);
+	if ((p->flags & RELAY_RST) || (f->caller_done && f->server_done))
+		aflow_phase(a, f, AFLOW_ENDED);
+}
+
 /* Notes what the caller sends: requests, acknowledgements, the end. */
 static void caller_packet(relay_agent_t *a, aflow_t *f, const relay_packet_t *p)
 {
@@ -211,10 +224,19 @@
 		if (!f->busy)
 			relay_load_begin(a, f);
 	}
-	if (p->flags & (RELAY_FIN | RELAY_RST)) {
-		relay_load_end(a, f, false);
-		aflow_phase(a, f, AFLOW_ENDED);
-	}
+	if (p->flags & RELAY_FIN)
+		f->caller_done = true;
+	end_flow(a, f, p);
+}
+
+void aflow_packet(relay_agent_t *a, aflow_t *f, uint32_t balancer,
+		  relay_packet_t *p)
+{
+	flow_index_touch(a->flows, &f->node, a->now);
+	set_live(a, f, f->phase == AFLOW_OPEN && !f->server_done);
+	f->balancer = balancer;
+	caller_packet(a, f, p);
+	aflow_deliver(a, f, p);
 }
 
 void relay_agent_packet(relay_agent_t *a, uint64_t now, uint32_t from,
@@ -236,7 +258,7 @@
 		return;
 	}
 	f = (aflow_t *)flow_index_find(a->flows, &p.key);
-	if (f && !matches(f, &p)) {
+	if (f && !aflow_matches(f, &p)) {
 		give_back(a, from, &p);
 		return;
 	}
@@ -252,11 +274,7 @@
 			return;
 		f->phase = AFLOW_TRIAL;
 	}
-	flow_index_touch(a->flows, &f->node, now);
-	set_live(a, f, f->phase == AFLOW_OPEN);
-	f->balancer = from;
-	caller_packet(a, f, &p);
-	aflow_deliver(a, f, &p);
+	aflow_packet(a, f, from, &p);
 }
 
 /* The server has lost a flow that it had: it is a new one. */
@@ -293,9 +311,14 @@
 	}
 	if (f && f->phase == AFLOW_ENDED)
 		return;
+	a->options.form->annotate(p, 0, 0);
+	if (f && f->chain) {
+		relay_agent_lookup_on(a, f, p);
+		aflow_forget(a, f);
+		return;
+	}
 	if (f)
 		aflow_forget(a, f);
-	a->options.form->annotate(p, 0, 0);
 	give_back(a, balancer, p);
 }
 
@@ -317,6 +340,7 @@
 		return;
 	}
 	f->confirmed = true;
+	f->chain = 0;
 	if (f->phase == AFLOW_TRIAL) {
 		counter_add(&a->counters, COUNTER_FLOWS_ADOPTED, 1);
 		aflow_phase(a, f, AFLOW_OPEN);
@@ -326,10 +350,9 @@
 		f->server_next = end;
 	if (p->payload_len)
 		relay_load_end(a, f, true);
-	if (p->flags & (RELAY_FIN | RELAY_RST)) {
-		relay_load_end(a, f, false);
-		aflow_phase(a, f, AFLOW_ENDED);
-	}
+	if (p->flags & RELAY_FIN)
+		f->server_done = true;
+	end_flow(a, f, p);
 }
 
 void relay_agent_answer(relay_agent_t *a, uint64_t now, uint8_t *buf,
@@ -363,8 +386,11 @@
 	relay_packet_t p = { .flags = RELAY_ACK, .ack = msg->ack };
 	relay_kind_t kind = RELAY_NOT_HELD;
 
-	if (f && matches(f, &p))
-		kind = f->phase == AFLOW_TRIAL ? RELAY_UNSURE : RELAY_HELD;
+	if (f && f->phase == AFLOW_TRIAL)
+		kind = a->now < f->node.last_ms + RETURN_MS ? RELAY_UNSURE
+							    : RELAY_HELD;
+	else if (f && aflow_matches(f, &p))
+		kind = RELAY_HELD;
 	else if (!f && !a->options.complete)
 		kind = RELAY_UNSURE;
 	if (kind == RELAY_HELD)
@@ -404,6 +430,9 @@
 	case RELAY_OFFER:
 		relay_agent_offer(a, from, msg);
 		break;
+	case RELAY_LOOKUP:
+		relay_agent_lookup(a, msg);
+		break;
 	case RELAY_QUERY:
 		query(a, from, msg);
 		break;
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -13,8 +13,8 @@
 #include "routes.h"
 #include <glib.h>
 
-/* Candidates of an open that are kept. */
-#define CANDIDATES_MAX 8
+/* Candidates of an open or a look-up that are kept. */
+#define CANDIDATES_MAX 16
 /* Balancers that are told the load. */
 #define BALANCERS_MAX 64
 
@@ -22,7 +22,7 @@
 	AFLOW_OPENING, /* the open was handed to the server */
 	AFLOW_OPEN,    /* the server accepted it */
 	AFLOW_TRIAL,   /* only the server knows whether it holds the flow */
-	AFLOW_ENDED,   /* either end ended it */
+	AFLOW_ENDED,   /* both ends ended it, or one reset it */
 } aflow_phase_t;
 
 typedef struct aflow {
@@ -36,14 +36,17 @@
 	uint32_t server_next; /* behind the last byte that the server sent */
 	uint32_t caller_next; /* behind the last byte that the caller sent */
 	uint32_t caller_ack;  /* the caller's last acknowledgement */
+	bool caller_done;     /* the caller sent its end */
+	bool server_done;     /* so did the server */
 	bool data_seen;	      /* caller_next is known */
 	bool live;	      /* open, and used lately */
 	bool busy;	      /* a request has no answer yet */
 	bool found_free;      /* the request found a free slot */
 	uint64_t asked_ms;    /* when the request began */
 	uint64_t opened_ms;   /* when the open was handed over */
-	uint32_t candidates[CANDIDATES_MAX];
+	uint32_t candidates[CANDIDATES_MAX]; /* others for its open or look-up */
 	size_t ncandidates;
+	uint32_t chain; /* of the look-up that its server tries; 0: none */
 	uint32_t patience_ms; /* of the open */
 	uint8_t syn[64]; /* kept until the server answers */
 	uint8_t syn_len;
@@ -103,6 +106,12 @@
 /* An open was not answered. */
 void relay_server_silent(relay_agent_t *a, const aflow_t *f);
 
+/* relay_agent_lookup.c: packets of flows that a balancer does not know */
+void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg);
+/* The server returned the packet that it was to try. */
+void relay_agent_lookup_on(relay_agent_t *a, const aflow_t *f,
+			   const relay_packet_t *p);
+
 /* relay_agent_open.c */
 void relay_agent_offer(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
 /* The server did not accept the open: others may. */
@@ -118,5 +127,10 @@
 void aflow_forget(relay_agent_t *a, aflow_t *f);
 void aflow_phase(relay_agent_t *a, aflow_t *f, aflow_phase_t phase);
 void aflow_deliver(relay_agent_t *a, aflow_t *f, relay_packet_t *p);
+/* A caller's packet of a flow that the server holds, or may hold. */
+void aflow_packet(relay_agent_t *a, aflow_t *f, uint32_t balancer,
+		  relay_packet_t *p);
+/* The packet may be of the flow that the server accepted. */
+bool aflow_matches(const aflow_t *f, const relay_packet_t *p);
 
 #endif
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -305,9 +305,25 @@
 	}
 }
 
-void relay_balancer_tick(relay_balancer_t *b, uint64_t now)
+/*
+ * A host that had no processor for a while has answers waiting in its socket:
+ * they are read before anybody is blamed for not answering.
+ */
+static bool answers_may_wait(relay_balancer_t *b)
+{
+	bool late = b->tick_ms && b->now > b->tick_ms + 2 * RELAY_TICK_MS;
+
+	b->tick_ms = b->now;
+	if (!late || b->late) {
+		b->late = false;
+		return false;
+	}
+	b->late = true;
+	return true;
+}
+
+static void waiting_tick(relay_balancer_t *b)
 {
-	b->now = now;
 	list_each_safe(node, after, &b->waiting)
 	{
 		relay_flow_t *f = list_entry(node, relay_flow_t, waiting);
@@ -318,6 +334,13 @@
 			relay_lookup_tick(b, f);
 	}
 	relay_members_tick(b);
+}
+
+void relay_balancer_tick(relay_balancer_t *b, uint64_t now)
+{
+	b->now = now;
+	if (!answers_may_wait(b))
+		waiting_tick(b);
 	if (now < b->swept_ms + SWEEP_MS)
 		return;
 	b->swept_ms = now;
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -67,7 +67,9 @@
 typedef struct lookup_asked {
 	uint32_t agent;
 	lookup_answer_t answer;
-	bool tried; /* the packet was sent there to find out */
+	const char *service; /* of the agent, interned */
+	unsigned chain;	     /* that it was put in */
+	bool tried;	/* the packet was sent there to find out */
 } lookup_asked_t;
 
 typedef struct held_packet {
@@ -120,6 +122,8 @@
 	uint32_t random;
 	uint64_t now;	     /* of the call under way */
 	uint64_t swept_ms;
+	uint64_t tick_ms; /* last tick */
+	bool late;	  /* the last tick was late, answers may wait */
 };
 
 uint32_t relay_random(relay_balancer_t *b);
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -2,6 +2,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Agents in a chain: each passes the packet to the next, so that a balancer
+ * sends few messages however many agents there are. */
+#define CHAIN_AGENTS 8
+/* A chain that has not come to its end by then has a silent agent in it. */
+#define CHAIN_MS 200
 /* A question without an answer is asked again after this. */
 #define ASK_AGAIN_MS 120
 /* Rounds of questions; then the flow's packets are dropped in silence. */
@@ -14,7 +19,7 @@
 
 static void ask(relay_balancer_t *b, relay_flow_t *f, uint32_t agent);
 static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
-		  uint32_t not_at);
+		  const relay_packet_t *p, uint32_t not_at);
 static void hold(relay_lookup_t *l, const relay_packet_t *p);
 static void release(relay_balancer_t *b, relay_flow_t *f, uint8_t mark);
 static void go_on(relay_balancer_t *b, relay_flow_t *f);
@@ -54,39 +59,84 @@
 	b->ops.message(b->ctx, agent, &msg);
 }
 
-/* Asks the agents of all services that the route may have sent the flow to. */
-static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
-		  uint32_t not_at)
+/* Lists the agents of a service; those of the own zone first, where opens are
+ * placed rather than elsewhere. */
+static void list_agents(relay_balancer_t *b, const char *service,
+			relay_lookup_t *l, bool local, uint32_t not_at)
 {
-	relay_lookup_t *l = g_new0(relay_lookup_t, 1);
-
-	l->asked = g_array_new(FALSE, TRUE, sizeof(lookup_asked_t));
-	l->started_ms = b->now;
-	l->asked_ms = b->now;
-	f->lookup = l;
-	relay_flow_phase(b, f, PHASE_ASKING);
-	counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
 	list_each(node, &b->members)
 	{
 		relay_member_t *m = list_entry(node, relay_member_t, node);
-		lookup_asked_t a = { .agent = m->agent };
-		bool fits = false;
+		lookup_asked_t a = { .agent = m->agent, .service = m->service };
 
-		for (size_t i = 0; i < route->nshares; i++)
-			fits = fits ||
-			       !strcmp(route->shares[i].service, m->service);
-		if (!fits || !relay_member_answers(b, m))
+		if (strcmp(service, m->service) || m->local != local ||
+		    !relay_member_answers(b, m))
 			continue;
 		if (m->agent == not_at) {
 			a.answer = ANSWER_NOT_HELD;
 			a.tried = true;
 		}
 		g_array_append_val(l->asked, a);
-		if (m->agent != not_at)
-			ask(b, f, m->agent);
 	}
 }
 
+/* Sends a packet along a chain of agents. Returns how many it has. */
+static unsigned send_chain(relay_balancer_t *b, relay_lookup_t *l,
+			   const relay_packet_t *p, unsigned chain)
+{
+	uint32_t agents[CHAIN_AGENTS];
+	const char *service = NULL;
+	unsigned n = 0;
+	relay_msg_t msg;
+
+	for (guint i = 0; i < l->asked->len && n < CHAIN_AGENTS; i++) {
+		lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+
+		if (a->answer != ANSWER_NONE || a->chain ||
+		    (service && service != a->service))
+			continue;
+		service = a->service;
+		a->chain = chain;
+		agents[n++] = a->agent;
+	}
+	if (n == 0)
+		return 0;
+	relay_msg_init(&msg, RELAY_LOOKUP);
+	msg.service = (char *)service;
+	msg.balancer = b->options.self;
+	msg.packet.data = p->data;
+	msg.packet.len = p->len;
+	msg.candidates = agents + 1;
+	msg.n_candidates = n - 1;
+	msg.chain = chain;
+	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	b->ops.message(b->ctx, agents[0], &msg);
+	return n;
+}
+
+static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
+		  const relay_packet_t *p, uint32_t not_at)
+{
+	relay_lookup_t *l = g_new0(relay_lookup_t, 1);
+	unsigned chain = 1;
+
+	l->asked = g_array_new(FALSE, TRUE, sizeof(lookup_asked_t));
+	l->started_ms = b->now;
+	l->asked_ms = b->now;
+	f->lookup = l;
+	relay_flow_phase(b, f, PHASE_ASKING);
+	counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
+	for (size_t i = 0; i < route->nshares; i++) {
+		const char *service = route->shares[i].service;
+
+		list_agents(b, service, l, true, not_at);
+		list_agents(b, service, l, false, not_at);
+	}
+	while (send_chain(b, l, p, chain))
+		chain++;
+}
+
 static void hold(relay_lookup_t *l, const relay_packet_t *p)
 {
 	held_packet_t *h;
@@ -180,8 +230,7 @@
 		return;
 	}
 	if (!l) {
-		begin(b, route, f, not_at);
-		hold(f->lookup, p);
+		begin(b, route, f, p, not_at);
 		go_on(b, f);
 		return;
 	}
@@ -216,6 +265,20 @@
 	return NULL;
 }
 
+/* No server of the chain's agents holds the flow: each was asked. */
+static void chain_ended(relay_lookup_t *l, unsigned chain)
+{
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+
+		if (a->chain != chain || a->answer != ANSWER_NONE)
+			continue;
+		a->answer = ANSWER_NOT_HELD;
+		a->tried = true;
+	}
+}
+
 void relay_lookup_answer(relay_balancer_t *b, uint32_t from,
 			 const relay_msg_t *msg)
 {
@@ -229,6 +292,11 @@
 		relay_flow_holder(b, f, from, msg->service);
 		return;
 	}
+	if (msg->chain) {
+		chain_ended(f->lookup, msg->chain);
+		go_on(b, f);
+		return;
+	}
 	a = asked_of(f->lookup, from);
 	if (!a || a->answer != ANSWER_NONE)
 		return;
@@ -246,7 +314,7 @@
 		relay_flow_holder(b, f, trial->agent, "");
 		return;
 	}
-	if (b->now < l->asked_ms + ASK_AGAIN_MS)
+	if (b->now < l->asked_ms + (l->rounds ? ASK_AGAIN_MS : CHAIN_MS))
 		return;
 	if (++l->rounds > ASK_ROUNDS) {
 		if (b->now < l->started_ms + LOOKUP_PAUSE_MS)
--- a/src/relay_msg.c
+++ b/src/relay_msg.c
@@ -53,7 +53,7 @@
 {
 	static const char *const names[RELAY_KINDS] = {
 		"none",	   "hello", "load", "offer",	"taken",  "refused",
-		"query",   "held",  "not-held", "unsure", "given-back",
+		"lookup", "query",   "held",  "not-held", "unsure", "given-back",
 	};
 
 	return kind < RELAY_KINDS ? names[kind] : "unknown";
--- a/src/relay_msg.h
+++ b/src/relay_msg.h
@@ -24,9 +24,11 @@
 	RELAY_OFFER,	 /* an open, with further candidates */
 	RELAY_TAKEN,	 /* agent: the open was handed to the server */
 	RELAY_REFUSED,	 /* agent: no candidate was left; nothing ran */
+	RELAY_LOOKUP,	 /* a packet, for the agent among the candidates whose
+			  * server holds its flow */
 	RELAY_QUERY,	 /* balancer: do you hold this flow? */
 	RELAY_HELD,	 /* agent: yes */
-	RELAY_NOT_HELD,	 /* agent: no */
+	RELAY_NOT_HELD,	 /* agent: no, or no agent of the chain */
 	RELAY_UNSURE,	 /* agent: only its server knows */
 	RELAY_GIVEN_BACK, /* agent: the server does not hold this packet's flow */
 	RELAY_KINDS,	 /* number of kinds, not one */
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -331,3 +331,34 @@
 {
 	r->n = 0;
 }
+
+void rr_chain_ended(relay_rig_t *r, uint32_t host, unsigned flow,
+		    unsigned chain)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_NOT_HELD);
+	msg.src = RIG_CALLERS;
+	msg.sport = 10000 + flow;
+	msg.dst = RIG_ADDRESS;
+	msg.dport = RIG_PORT;
+	msg.chain = chain;
+	deliver_message(r, host, &msg);
+}
+
+void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
+	       const uint32_t *candidates, size_t n)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_LOOKUP);
+	msg.service = (char *)"feeds";
+	msg.balancer = balancer;
+	msg.packet.data = buf;
+	msg.packet.len = build(buf, flow, true, RELAY_ACK, 6, ack, 100);
+	msg.candidates = (uint32_t *)candidates;
+	msg.n_candidates = n;
+	msg.chain = 1;
+	deliver_message(r, balancer, &msg);
+}
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -72,6 +72,12 @@
 /* A message of an agent about a flow; load NULL: none. */
 void rr_answer(relay_rig_t *r, uint32_t host, relay_kind_t kind, unsigned flow,
 		const char *service);
+/* The last agent of a look-up's chain: nobody holds the flow. */
+void rr_chain_ended(relay_rig_t *r, uint32_t host, unsigned flow,
+		    unsigned chain);
+/* A packet looked up along agents. */
+void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
+	       const uint32_t *candidates, size_t n);
 void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
 	      double service_ms, uint32_t down_ms);
 /* An open offered to the agent. */
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -135,6 +135,62 @@
 }
 END_TEST
 
+/* A server that closes an idle flow still answers its caller's next request:
+ * the flow is its own until the caller has ended it too. */
+START_TEST(half_closed_flow_stays)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	rr_run(r, 12000);
+	rr_from_server(r, 1, RELAY_ACK | RELAY_FIN, ISN + 501, 106, 0);
+	rr_run(r, 10000);
+	rr_clear(r);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 502, 100, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK | RELAY_FIN, 206, ISN + 502,
+			 0, 0);
+	rr_run(r, 10000);
+	rr_clear(r);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 206, ISN + 502, 100, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* A look-up goes along the agents: one that knows all its flows passes it on,
+ * one that restarted has its server try the packet first. */
+START_TEST(lookup_goes_on)
+{
+	relay_rig_t *r = rr_agent(true);
+	uint32_t other = OTHER;
+
+	rr_lookup(r, BALANCER, 1, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_LOOKUP), 1);
+	rr_lookup(r, BALANCER, 1, 7, NULL, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_NOT_HELD),
+			  1);
+	open_flow(r, 1);
+	rr_lookup(r, BALANCER, 1, ISN + 1, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 2);
+	rr_free(r);
+	r = rr_agent(false);
+	rr_lookup(r, BALANCER, 1, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_LOOKUP), 0);
+	rr_returned(r, 1, RELAY_ACK, 6, 7, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_LOOKUP), 1);
+	rr_lookup(r, BALANCER, 2, 7, &other, 1);
+	rr_from_server(r, 2, RELAY_ACK, 7, 106, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	rr_free(r);
+}
+END_TEST
+
 /*
  * After a mass restart all opens come to the first agent that is back. It has
  * seen no request yet and no balancer has greeted it: it must still not take
@@ -210,6 +266,8 @@
 	tcase_add_test(tc, other_service_is_given_back);
 	tcase_add_test(tc, restarted_server_resets_its_flows);
 	tcase_add_test(tc, restarted_agent_adopts);
+	tcase_add_test(tc, half_closed_flow_stays);
+	tcase_add_test(tc, lookup_goes_on);
 	tcase_add_test(tc, first_agent_back_takes_no_more_than_it_can);
 	tcase_add_test(tc, load_is_told);
 	tcase_add_test(tc, forgotten_request_is_no_load);
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -4,6 +4,7 @@
 
 #include "relay_rig.h"
 #include "runner.h"
+#include <stdio.h>
 
 #define AGENT_A 0x0a010009u
 #define AGENT_B 0x0a02000au
@@ -54,13 +55,53 @@
 	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
 	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
 	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
-	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_QUERY), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 1);
 	rr_answer(r, AGENT_A, RELAY_HELD, 2, "feeds");
+	rr_from_caller(r, 2, RELAY_ACK, 106, 900, 100);
 	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 2);
 	rr_free(r);
 }
 END_TEST
 
+/* Packets that come while a flow is looked up follow to its holder. */
+START_TEST(packets_wait_for_the_lookup)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
+	rr_from_caller(r, 2, RELAY_ACK, 106, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 0);
+	rr_answer(r, AGENT_A, RELAY_HELD, 2, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* The balancer's messages for a look-up do not grow with the service. */
+START_TEST(lookup_is_a_chain)
+{
+	relay_rig_t *r = rr_balancer();
+	char id[8];
+
+	rr_routes(r, 1);
+	for (unsigned i = 0; i < 37; i++) {
+		snprintf(id, sizeof(id), "t%u", i);
+		rr_entry(r, id, AGENT_A + i, 2 + i, ENTRY_READY);
+	}
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(r->n, 5);
+	for (unsigned chain = 1; chain <= 5; chain++) {
+		ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+		rr_chain_ended(r, AGENT_A, 1, chain);
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* A flow that every agent denies is reset at once, with a seq it can take. */
 START_TEST(nobody_holds_it)
 {
@@ -72,6 +113,7 @@
 	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
 	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_run(r, 250);
 	rr_answer(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
 	ck_assert_int_lt(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
 	rr_answer(r, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
@@ -95,6 +137,7 @@
 	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
 	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_run(r, 250);
 	rr_answer(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
 	rr_run(r, 3000);
 	ck_assert_int_lt(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
@@ -115,6 +158,8 @@
 	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
 	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_run(r, 250); /* the chain is broken */
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	rr_answer(r, AGENT_A, RELAY_UNSURE, 1, "feeds");
 	rr_answer(r, AGENT_B, RELAY_UNSURE, 1, "feeds");
 	ck_assert_uint_eq(rr_count(r, RIG_AGENT, 0, 0), 1);
@@ -300,6 +345,8 @@
 	tcase_add_test(tc, older_entry_listed_last);
 	tcase_add_test(tc, newer_entry_replaces_older);
 	tcase_add_test(tc, open_and_packets);
+	tcase_add_test(tc, packets_wait_for_the_lookup);
+	tcase_add_test(tc, lookup_is_a_chain);
 	tcase_add_test(tc, nobody_holds_it);
 	tcase_add_test(tc, silent_agent_is_no_denial);
 	tcase_add_test(tc, unsure_agents_try_in_turn);
