--- a/src/directory.c
+++ b/src/directory.c
@@ -93,9 +93,9 @@
 /* An entry that was taken away in or after an outage may only have lapsed. */
 static void vanish(directory_t *d, uint64_t now, target_entry_t *e)
 {
-	bool outage = d->unreachable_ms &&
-		      (!d->contact_ms ||
-		       now < d->contact_ms + OUTAGE_MEMORY_MS);
+	bool outage =
+		d->unreachable_ms &&
+		(!d->contact_ms || now < d->contact_ms + OUTAGE_MEMORY_MS);
 
 	if (e->state == ENTRY_GONE || e->lapsed_ms)
 		return;
@@ -118,8 +118,8 @@
 
 void directory_reload(directory_t *d)
 {
-	list_each(node, &d->entries)
-		list_entry(node, target_entry_t, node)->listed = false;
+	list_each(node, &d->entries) list_entry(node, target_entry_t, node)
+		->listed = false;
 }
 
 void directory_reloaded(directory_t *d, uint64_t now, uint64_t revision)
--- a/src/directory.h
+++ b/src/directory.h
@@ -37,12 +37,12 @@
 	uint32_t warmup_ms;	   /* slow for this long after its start */
 	uint64_t born_ms;	   /* its start, Unix time; told apart only */
 	entry_state_t state;
-	uint64_t revision;  /* of the last change */
-	uint64_t since_ms;  /* when this state was learned */
+	uint64_t revision;   /* of the last change */
+	uint64_t since_ms;   /* when this state was learned */
 	uint64_t warm_at_ms; /* no longer slow from then on */
-	uint64_t lapsed_ms; /* vanished then, perhaps only lapsed; 0: no */
-	bool listed;	    /* seen by the reload under way */
-	list_t node;	    /* in the directory */
+	uint64_t lapsed_ms;  /* vanished then, perhaps only lapsed; 0: no */
+	bool listed;	     /* seen by the reload under way */
+	list_t node;	     /* in the directory */
 } target_entry_t;
 
 typedef struct directory directory_t;
--- a/src/event_log.c
+++ b/src/event_log.c
@@ -14,10 +14,10 @@
 #define LINE_BYTES 700
 
 static const char *const names[EVENTS] = {
-	"start",      "stop",	"reload", "ready",	"store",
-	"routes",     "target", "member", "open",	"taken",
-	"passed",     "refused", "unanswered", "lookup", "given-back",
-	"reset",      "late",	"server", "wake",
+	"start",  "stop",    "reload",	   "ready",  "store",
+	"routes", "target",  "member",	   "open",   "taken",
+	"passed", "refused", "unanswered", "lookup", "given-back",
+	"reset",  "late",    "server",	   "wake",
 };
 
 static const char *process_name = "cherviltray";
--- a/src/feed.c
+++ b/src/feed.c
@@ -12,9 +12,9 @@
 	feed_ops_t ops;
 	void *ctx;
 	counters_t *counters;
-	bool loaded;	   /* pages were read once */
-	bool watching;	   /* the request under way is a watch */
-	bool reading;	   /* pages are being read */
+	bool loaded;   /* pages were read once */
+	bool watching; /* the request under way is a watch */
+	bool reading;  /* pages are being read */
 	bool reachable;
 	uint64_t revision; /* watch from there */
 	uint64_t begun_at; /* revision of the first page */
@@ -52,9 +52,8 @@
 	if (f->pause_ms > FEED_PAUSE_MAX_MS)
 		f->pause_ms = FEED_PAUSE_MAX_MS;
 	uv_timer_start(&f->timer, on_pause_over,
-		       f->pause_ms / 2 +
-			       (uint64_t)g_random_int_range(
-				       0, (gint32)f->pause_ms),
+		       f->pause_ms / 2 + (uint64_t)g_random_int_range(
+						 0, (gint32)f->pause_ms),
 		       0);
 }
 
@@ -98,8 +97,7 @@
 	f->loaded = true;
 	f->revision = f->begun_at;
 	f->ops.end(f->ctx, f->begun_at);
-	event_log(EVENT_STORE,
-		  "\"state\":\"read\",\"revision\":%llu",
+	event_log(EVENT_STORE, "\"state\":\"read\",\"revision\":%llu",
 		  (unsigned long long)f->revision);
 }
 
--- a/src/feed.h
+++ b/src/feed.h
@@ -30,7 +30,7 @@
 /* A page or a refusal; a slow store takes some hundred ms. */
 #define FEED_READ_MS 1500
 /* Pauses between tries: the first and the longest. */
-#define FEED_PAUSE_MS 120
+#define FEED_PAUSE_MS	  120
 #define FEED_PAUSE_MAX_MS 700
 
 typedef struct feed feed_t;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -166,9 +166,9 @@
 	c->parser.data = c;
 	c->complete = false;
 	g_free(n->request);
-	n->request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
-				     c->path,
-				     endpoint_format(&c->server, host));
+	n->request =
+		g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c->path,
+				endpoint_format(&c->server, host));
 	buf = uv_buf_init(n->request, (unsigned)strlen(n->request));
 	uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
 	if (uv_write(&n->write, (uv_stream_t *)&n->tcp, &buf, 1, on_written) <
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -8,8 +8,8 @@
 #define BACKLOG 32
 /* Connections at a time; more are closed at once. */
 #define CONNECTIONS_MAX 64
-#define PATH_MAX_BYTES 256
-#define READ_BYTES 2048
+#define PATH_MAX_BYTES	256
+#define READ_BYTES	2048
 
 struct http_server {
 	uv_tcp_t tcp;
@@ -98,11 +98,11 @@
 		return;
 	}
 	a->write.data = a;
-	a->text = g_strdup_printf(
-		"HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n"
-		"Content-Type: text/plain\r\n\r\n%s",
-		status, http_status_str((enum http_status)status), body->len,
-		body->str);
+	a->text = g_strdup_printf("HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n"
+				  "Content-Type: text/plain\r\n\r\n%s",
+				  status,
+				  http_status_str((enum http_status)status),
+				  body->len, body->str);
 	g_string_free(body, TRUE);
 	buf = uv_buf_init(a->text, (unsigned)strlen(a->text));
 	if (uv_write(&a->write, (uv_stream_t *)&n->tcp, &buf, 1, on_written) <
--- a/src/placement.h
+++ b/src/placement.h
@@ -14,12 +14,12 @@
 #include <stdint.h>
 
 typedef struct placement_member {
-	bool local;	   /* in the balancer's availability zone */
-	bool known;	   /* its load was told lately */
-	bool cold;	   /* started lately */
-	uint32_t slots;	   /* requests served at a time */
-	double work;	   /* requests in flight, smoothed, as told */
-	double in_flight;  /* requests in flight when it was told */
+	bool local;	  /* in the balancer's availability zone */
+	bool known;	  /* its load was told lately */
+	bool cold;	  /* started lately */
+	uint32_t slots;	  /* requests served at a time */
+	double work;	  /* requests in flight, smoothed, as told */
+	double in_flight; /* requests in flight when it was told */
 	double told_ms_ago;
 	double flows;	   /* open and used lately, as told */
 	double placed;	   /* opens placed there since, decayed */
@@ -65,8 +65,8 @@
 
 /*
  * Writes the positions of up to `want` members, best first, and returns how
- * many; costs go to `costs`. `random` (0 to 2^32-1) spreads opens of balancers that were told the
- * same.
+ * many; costs go to `costs`. `random` (0 to 2^32-1) spreads opens of balancers
+ * that were told the same.
  */
 size_t placement_order(const placement_member_t *members, size_t n,
 		       uint32_t random, uint32_t *order, double *costs,
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -216,8 +216,8 @@
 
 	if (p->flags & RELAY_ACK)
 		f->caller_ack = p->ack;
-	if (p->payload_len && (!f->data_seen ||
-			       seq_diff(end, f->caller_next) > 0)) {
+	if (p->payload_len &&
+	    (!f->data_seen || seq_diff(end, f->caller_next) > 0)) {
 		f->caller_next = end;
 		f->data_seen = true;
 		aflow_await(a, f, false);
@@ -404,7 +404,7 @@
 	relay_msg_t answer;
 
 	relay_load_balancer(a, from);
-	if (strcmp(msg->service, a->options.service)) {
+	if (strcmp(msg->service, a->options.service) != 0) {
 		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
 		return;
 	}
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -34,7 +34,7 @@
 	const packet_form_t *form; /* of the packets */
 	size_t flows;		   /* greatest number remembered */
 	uint64_t incarnation;	   /* told apart from other starts only */
-	bool complete;		   /* started with its server: knows all flows */
+	bool complete; /* started with its server: knows all flows */
 } relay_agent_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -44,11 +44,12 @@
 	bool found_free;      /* the request found a free slot */
 	uint64_t asked_ms;    /* when the request began */
 	uint64_t opened_ms;   /* when the open was handed over */
-	uint32_t candidates[CANDIDATES_MAX]; /* others for its open or look-up */
+	uint32_t
+		candidates[CANDIDATES_MAX]; /* others for its open or look-up */
 	size_t ncandidates;
 	uint32_t chain; /* of the look-up that its server tries; 0: none */
 	uint32_t patience_ms; /* of the open */
-	uint8_t syn[64]; /* kept until the server answers */
+	uint8_t syn[64];      /* kept until the server answers */
 	uint8_t syn_len;
 	list_t opening; /* in relay_agent.opening */
 	list_t awaited; /* in relay_agent.awaited */
@@ -85,9 +86,9 @@
 	double told_work;
 	double told_in_flight;
 	/* whether the server is there */
-	uint64_t heard_ms;	 /* any packet of the server */
-	uint64_t silent_ms;	 /* first unanswered open since; 0: none */
-	uint32_t unanswered;	 /* opens since */
+	uint64_t heard_ms;   /* any packet of the server */
+	uint64_t silent_ms;  /* first unanswered open since; 0: none */
+	uint32_t unanswered; /* opens since */
 	bool down;
 	uint64_t swept_ms;
 };
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -51,10 +51,10 @@
 	histogram_add(&a->service_ms, (uint64_t)took);
 	if (!f->found_free)
 		return;
-	a->typical_ms = a->typical_ms > 0
-				? a->typical_ms + (took - a->typical_ms) *
-							  SERVICE_PART
-				: took;
+	a->typical_ms =
+		a->typical_ms > 0
+			? a->typical_ms + (took - a->typical_ms) * SERVICE_PART
+			: took;
 }
 
 void relay_load_fill(relay_agent_t *a, relay_load_t *load)
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -64,8 +64,8 @@
 		aflow_packet(a, f, msg->balancer, &p);
 		return;
 	}
-	if (strcmp(msg->service, a->options.service) || a->options.complete ||
-	    (f && f->phase != AFLOW_TRIAL)) {
+	if (strcmp(msg->service, a->options.service) != 0 ||
+	    a->options.complete || (f && f->phase != AFLOW_TRIAL)) {
 		pass_on(a, msg, &p.key);
 		return;
 	}
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -9,18 +9,17 @@
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
 static bool pass_on(relay_agent_t *a, const relay_msg_t *offer);
-static void refused(relay_agent_t *a, uint32_t balancer,
-		    const flow_key_t *key);
+static void refused(relay_agent_t *a, uint32_t balancer, const flow_key_t *key);
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
 	double wait = placement_wait(a->in_flight + a->nawaited, a->slots,
 				     a->typical_ms);
 
-	if (strcmp(msg->service, a->options.service) || a->stopping)
+	if (strcmp(msg->service, a->options.service) != 0 || a->stopping)
 		return msg->n_candidates ? ADMIT_PASS : ADMIT_REFUSE;
-	return placement_admit(wait, msg->n_candidate_ms ? msg->candidate_ms[0]
-							 : 0,
+	return placement_admit(wait,
+			       msg->n_candidate_ms ? msg->candidate_ms[0] : 0,
 			       msg->patience_ms);
 }
 
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -42,11 +42,11 @@
 	uint64_t heard_ms; /* anything */
 	uint64_t hello_ms; /* last hello sent */
 	/* own doubts */
-	uint32_t unanswered;	/* offers in a row */
-	uint64_t avoid_until;	/* takes no opens until then */
-	uint64_t trial_ms;	/* last open offered in spite of doubts */
-	uint64_t lost_told_ms;	/* its flows were reset; 0: no */
-	double placed;		/* opens placed since it told its load */
+	uint32_t unanswered;   /* offers in a row */
+	uint64_t avoid_until;  /* takes no opens until then */
+	uint64_t trial_ms;     /* last open offered in spite of doubts */
+	uint64_t lost_told_ms; /* its flows were reset; 0: no */
+	double placed;	       /* opens placed since it told its load */
 	uint64_t placed_ms;
 	list_t node;
 } relay_member_t;
@@ -69,7 +69,7 @@
 	lookup_answer_t answer;
 	const char *service; /* of the agent, interned */
 	unsigned chain;	     /* that it was put in */
-	bool tried;	/* the packet was sent there to find out */
+	bool tried;	     /* the packet was sent there to find out */
 } lookup_asked_t;
 
 typedef struct held_packet {
@@ -117,10 +117,12 @@
 	directory_t *directory;
 	list_t members;
 	GHashTable *by_agent; /* address -> relay_member_t */
+	GPtrArray *compared;  /* members for an open, kept between calls */
+	GArray *described;    /* placement_member_t of each */
 	flow_index_t *flows;
 	list_t waiting; /* flows that are opening or looked up */
 	uint32_t random;
-	uint64_t now;	     /* of the call under way */
+	uint64_t now; /* of the call under way */
 	uint64_t swept_ms;
 	uint64_t tick_ms; /* last tick */
 	bool late;	  /* the last tick was late, answers may wait */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -39,8 +39,7 @@
 static lookup_asked_t *asked_of(relay_lookup_t *l, uint32_t agent)
 {
 	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_asked_t *a =
-			&g_array_index(l->asked, lookup_asked_t, i);
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 
 		if (a->agent == agent)
 			return a;
@@ -69,7 +68,7 @@
 		relay_member_t *m = list_entry(node, relay_member_t, node);
 		lookup_asked_t a = { .agent = m->agent, .service = m->service };
 
-		if (strcmp(service, m->service) || m->local != local ||
+		if (strcmp(service, m->service) != 0 || m->local != local ||
 		    !relay_member_answers(b, m))
 			continue;
 		if (m->agent == not_at) {
@@ -90,8 +89,7 @@
 	relay_msg_t msg;
 
 	for (guint i = 0; i < l->asked->len && n < CHAIN_AGENTS; i++) {
-		lookup_asked_t *a =
-			&g_array_index(l->asked, lookup_asked_t, i);
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 
 		if (a->answer != ANSWER_NONE || a->chain ||
 		    (service && service != a->service))
@@ -192,8 +190,7 @@
 		    ANSWER_NONE)
 			return;
 	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_asked_t *a =
-			&g_array_index(l->asked, lookup_asked_t, i);
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 		relay_member_t *m = relay_member(b, a->agent);
 
 		if (a->answer != ANSWER_UNSURE || a->tried || !m)
@@ -256,8 +253,7 @@
 static lookup_asked_t *on_trial(relay_lookup_t *l)
 {
 	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_asked_t *a =
-			&g_array_index(l->asked, lookup_asked_t, i);
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 
 		if (a->tried && a->answer == ANSWER_UNSURE)
 			return a;
@@ -269,8 +265,7 @@
 static void chain_ended(relay_lookup_t *l, unsigned chain)
 {
 	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_asked_t *a =
-			&g_array_index(l->asked, lookup_asked_t, i);
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 
 		if (a->chain != chain || a->answer != ANSWER_NONE)
 			continue;
@@ -327,8 +322,7 @@
 	}
 	l->asked_ms = b->now;
 	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_asked_t *a =
-			&g_array_index(l->asked, lookup_asked_t, i);
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 
 		if (a->answer != ANSWER_NONE)
 			continue;
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -165,8 +165,8 @@
 {
 	uint64_t quiet = b->now - m->heard_ms;
 	uint64_t asked = b->now - m->hello_ms;
-	bool wanted = m->state != ENTRY_GONE ||
-		      b->now < m->gone_ms + GONE_ASKED_MS;
+	bool wanted =
+		m->state != ENTRY_GONE || b->now < m->gone_ms + GONE_ASKED_MS;
 
 	if (wanted && ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
 		       asked >= HELLO_REFRESH_MS))
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -86,14 +86,17 @@
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
 			 relay_member_t **out, double *costs, size_t want)
 {
-	size_t all = g_hash_table_size(b->by_agent), n = 0, kept = 0;
-	g_autofree relay_member_t **list = g_new(relay_member_t *, all + 1);
-	g_autofree placement_member_t *seen =
-		g_new(placement_member_t, all + 1);
+	size_t n = 0, kept = 0;
+	relay_member_t **list;
+	placement_member_t *seen;
 	uint32_t order[OFFER_CANDIDATES];
 	double found[OFFER_CANDIDATES];
 	relay_member_t *doubted = doubted_member(b, f);
 
+	g_ptr_array_set_size(b->compared, (gint)g_hash_table_size(b->by_agent));
+	g_array_set_size(b->described, g_hash_table_size(b->by_agent));
+	list = (relay_member_t **)b->compared->pdata;
+	seen = (placement_member_t *)(void *)b->described->data;
 	if (doubted) {
 		costs[kept] = 0;
 		out[kept++] = doubted;
@@ -169,6 +172,18 @@
 	return true;
 }
 
+static const char *refusal_reason(const relay_balancer_t *b,
+				  const relay_flow_t *f)
+{
+	if (f->offers)
+		return "refused by all";
+	list_each(node, &b->members)
+		if (takes_opens(b, list_entry(node, relay_member_t, node),
+				f->service))
+			return "no target would answer in time";
+	return "no target";
+}
+
 /*
  * No agent is left to offer the open to. "Not run" must be true: when an
  * offer was not answered its server may have taken the open, and the caller
@@ -179,7 +194,7 @@
 	if (f->silent)
 		return;
 	counter_add(&b->counters, COUNTER_OPENS_REFUSED, 1);
-	relay_flow_reset(b, f, f->offers ? "refused by all" : "no target");
+	relay_flow_reset(b, f, refusal_reason(b, f));
 }
 
 void relay_open_packet(relay_balancer_t *b, const route_t *route,
--- a/src/relay_msg.c
+++ b/src/relay_msg.c
@@ -52,8 +52,8 @@
 const char *relay_kind_name(uint32_t kind)
 {
 	static const char *const names[RELAY_KINDS] = {
-		"none",	   "hello", "load", "offer",	"taken",  "refused",
-		"lookup", "query",   "held",  "not-held", "unsure", "given-back",
+		"none",	  "hello", "load", "offer",    "taken",	 "refused",
+		"lookup", "query", "held", "not-held", "unsure", "given-back",
 	};
 
 	return kind < RELAY_KINDS ? names[kind] : "unknown";
--- a/src/relay_msg.h
+++ b/src/relay_msg.h
@@ -30,8 +30,9 @@
 	RELAY_HELD,	 /* agent: yes */
 	RELAY_NOT_HELD,	 /* agent: no, or no agent of the chain */
 	RELAY_UNSURE,	 /* agent: only its server knows */
-	RELAY_GIVEN_BACK, /* agent: the server does not hold this packet's flow */
-	RELAY_KINDS,	 /* number of kinds, not one */
+	RELAY_GIVEN_BACK, /* agent: the server does not hold this packet's flow
+			   */
+	RELAY_KINDS,	  /* number of kinds, not one */
 } relay_kind_t;
 
 void relay_msg_init(relay_msg_t *msg, relay_kind_t kind);
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -59,8 +59,9 @@
 	if (len)
 		udp_socket_commit(p->messages, &to, len);
 	else
-		event_log(EVENT_LATE, "\"why\":\"message too long\",\"kind\":"
-				      "\"%s\"",
+		event_log(EVENT_LATE,
+			  "\"why\":\"message too long\",\"kind\":"
+			  "\"%s\"",
 			  relay_kind_name(msg->kind));
 }
 
@@ -96,7 +97,8 @@
 				       1 << i, (unsigned long long)below);
 	}
 	g_string_append_printf(
-		out, "%s_bucket{le=\"+Inf\"} %llu\n%s_sum %llu\n%s_count %llu\n",
+		out,
+		"%s_bucket{le=\"+Inf\"} %llu\n%s_sum %llu\n%s_count %llu\n",
 		name, (unsigned long long)h->total, name,
 		(unsigned long long)h->sum_ms, name,
 		(unsigned long long)h->total);
@@ -158,10 +160,9 @@
 			  why, err_format(&err, text, sizeof(text)));
 		return;
 	}
-	s.first_start = p->settings.first_start;
 	event_log(EVENT_RELOAD, "\"why\":\"%s\",\"outcome\":\"%s\"", why,
-		  memcmp(&s, &p->settings, sizeof(s)) ? "needs a restart"
-						      : "nothing new for us");
+		  relay_settings_same(&s, &p->settings) ? "nothing new for us"
+							: "needs a restart");
 }
 
 static void check_settings(relay_process_t *p)
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -58,7 +58,7 @@
 	counters_t *counters; /* the daemon's */
 	bool stopping;
 	bool told_ready;
-	uint64_t stop_at; /* ms, loop's clock */
+	uint64_t stop_at;   /* ms, loop's clock */
 	uint64_t asleep_ms; /* the host's sleep up to now */
 	uint64_t settings_checked_ms;
 	int64_t settings_changed; /* time of the file's last change */
--- a/src/relay_settings.c
+++ b/src/relay_settings.c
@@ -32,3 +32,17 @@
 	g_free(text);
 	return ret;
 }
+
+bool relay_settings_same(const relay_settings_t *a, const relay_settings_t *b)
+{
+	return !strcmp(a->name, b->name) && !strcmp(a->zone, b->zone) &&
+	       !strcmp(a->service, b->service) && a->address == b->address &&
+	       a->internal_port == b->internal_port &&
+	       a->metrics_port == b->metrics_port &&
+	       a->silence_ms == b->silence_ms && a->memory_mb == b->memory_mb &&
+	       endpoint_equal(&a->packets, &b->packets) &&
+	       endpoint_equal(&a->ready, &b->ready) &&
+	       endpoint_equal(&a->platform, &b->platform) &&
+	       endpoint_equal(&a->server, &b->server) &&
+	       endpoint_equal(&a->server_out, &b->server_out);
+}
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -17,20 +17,20 @@
 #define RELAY_NAME 64
 
 typedef struct relay_settings {
-	char name[RELAY_NAME];	    /* of this process, for logs */
-	char zone[RELAY_NAME];	    /* availability zone */
-	uint32_t address;	    /* own host */
-	endpoint_t packets;	    /* UDP: callers' packets come in here */
-	endpoint_t ready;	    /* TCP: readiness and metrics */
-	uint16_t internal_port;	    /* UDP: messages, on all hosts */
-	uint16_t metrics_port;	    /* TCP: metrics; 0: none */
-	endpoint_t platform;	    /* TCP: store; balancer */
-	char service[RELAY_NAME];   /* agent: of the backend server */
-	endpoint_t server;	    /* agent, UDP: the backend server */
-	endpoint_t server_out;	    /* agent, UDP: its packets come in here */
-	bool first_start;	    /* the whole system starts for the first time */
-	uint32_t silence_ms;	    /* a dead connection is noticed within it */
-	uint32_t memory_mb;	    /* limit of this process */
+	char name[RELAY_NAME];	  /* of this process, for logs */
+	char zone[RELAY_NAME];	  /* availability zone */
+	uint32_t address;	  /* own host */
+	endpoint_t packets;	  /* UDP: callers' packets come in here */
+	endpoint_t ready;	  /* TCP: readiness and metrics */
+	uint16_t internal_port;	  /* UDP: messages, on all hosts */
+	uint16_t metrics_port;	  /* TCP: metrics; 0: none */
+	endpoint_t platform;	  /* TCP: store; balancer */
+	char service[RELAY_NAME]; /* agent: of the backend server */
+	endpoint_t server;	  /* agent, UDP: the backend server */
+	endpoint_t server_out;	  /* agent, UDP: its packets come in here */
+	bool first_start;    /* the whole system starts for the first time */
+	uint32_t silence_ms; /* a dead connection is noticed within it */
+	uint32_t memory_mb;  /* limit of this process */
 } relay_settings_t;
 
 typedef enum relay_role {
@@ -38,6 +38,9 @@
 	RELAY_ROLE_AGENT,
 } relay_role_t;
 
+/* True when both say the same, but for first_start. */
+bool relay_settings_same(const relay_settings_t *a, const relay_settings_t *b);
+
 /* Reads and checks the file. Returns 0, or -1 and the error. */
 int relay_settings_load(const char *file, relay_role_t role,
 			relay_settings_t *out, err_t *err);
--- a/src/routes.h
+++ b/src/routes.h
@@ -24,10 +24,10 @@
 	char name[ROUTE_NAME];
 	uint32_t address;
 	uint16_t port;
-	bool idempotent;      /* its requests may be run twice */
-	uint32_t priority;    /* 0 is highest */
-	uint32_t timeout_ms;  /* of a request */
-	uint32_t aim_ms;      /* latency objective of a request */
+	bool idempotent;       /* its requests may be run twice */
+	uint32_t priority;     /* 0 is highest */
+	uint32_t timeout_ms;   /* of a request */
+	uint32_t aim_ms;       /* latency objective of a request */
 	route_share_t *shares; /* owned */
 	size_t nshares;
 } route_t;
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -496,10 +496,10 @@
 	char text[NAME_BYTES];
 	int64_t n = 0;
 
-	r.only(root, { "name", "zone", "address", "packets", "ready",
-		       "internal_port", "metrics_port", "platform", "service",
-		       "server", "server_out", "first_start", "memory_mb",
-		       "silence_ms" });
+	r.only(root,
+	       { "name", "zone", "address", "packets", "ready", "internal_port",
+		 "metrics_port", "platform", "service", "server", "server_out",
+		 "first_start", "memory_mb", "silence_ms" });
 	r.string(root, "name", true, out->name, sizeof(out->name));
 	r.string(root, "zone", true, out->zone, sizeof(out->zone));
 	r.string(root, "address", true, text, sizeof(text));
--- a/src/udp_socket.h
+++ b/src/udp_socket.h
@@ -53,7 +53,8 @@
 
 void udp_socket_flush(udp_socket_t *s);
 
-/* Hands each datagram to the kernel by itself, for hosts without UDP_SEGMENT. */
+/* Hands each datagram to the kernel by itself, for hosts without UDP_SEGMENT.
+ */
 void udp_socket_apart(udp_socket_t *s);
 
 /* Datagrams that the kernel did not take. */
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -1,4 +1,5 @@
 #include "relay_rig.h"
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -107,7 +108,7 @@
 }
 
 void rr_entry(relay_rig_t *r, const char *id, uint32_t host, uint64_t revision,
-	       entry_state_t state)
+	      entry_state_t state)
 {
 	target_entry_t e = { .service = "feeds",
 			     .zone = RIG_ZONE,
@@ -116,7 +117,7 @@
 			     .state = state,
 			     .revision = revision };
 
-	strcpy(e.id, id);
+	snprintf(e.id, sizeof(e.id), "%s", id);
 	directory_put(relay_balancer_directory(r->balancer), r->now, &e);
 }
 
@@ -180,13 +181,13 @@
 }
 
 size_t rr_packet(uint8_t *buf, unsigned flow, uint8_t flags, uint32_t seq,
-		  uint32_t ack, unsigned payload)
+		 uint32_t ack, unsigned payload)
 {
 	return build(buf, flow, true, flags, seq, ack, payload);
 }
 
 void rr_from_caller(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
-		     uint32_t ack, unsigned payload)
+		    uint32_t ack, unsigned payload)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	size_t len = build(buf, flow, true, flags, seq, ack, payload);
@@ -195,8 +196,8 @@
 }
 
 void rr_from_balancer(relay_rig_t *r, uint32_t balancer, unsigned flow,
-		       uint8_t flags, uint32_t seq, uint32_t ack,
-		       unsigned payload, uint8_t mark)
+		      uint8_t flags, uint32_t seq, uint32_t ack,
+		      unsigned payload, uint8_t mark)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	size_t len = build(buf, flow, true, flags, seq, ack, payload);
@@ -207,7 +208,7 @@
 }
 
 void rr_from_server(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
-		     uint32_t ack, unsigned payload)
+		    uint32_t ack, unsigned payload)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	size_t len = build(buf, flow, false, flags, seq, ack, payload);
@@ -216,7 +217,7 @@
 }
 
 void rr_returned(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
-		  uint32_t ack, unsigned payload)
+		 uint32_t ack, unsigned payload)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	size_t len = build(buf, flow, true, flags | RELAY_RETURNED, seq, ack,
@@ -236,7 +237,7 @@
 }
 
 void rr_answer(relay_rig_t *r, uint32_t host, relay_kind_t kind, unsigned flow,
-		const char *service)
+	       const char *service)
 {
 	relay_msg_t msg;
 
@@ -250,7 +251,7 @@
 }
 
 void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
-	      double service_ms, uint32_t down_ms)
+	     double service_ms, uint32_t down_ms)
 {
 	relay_load_t load;
 	relay_msg_t msg;
@@ -266,7 +267,7 @@
 }
 
 void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
-	       const uint32_t *candidates, size_t n)
+	      const uint32_t *candidates, size_t n)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	relay_msg_t msg;
@@ -308,8 +309,7 @@
 	return ret;
 }
 
-int rr_last(const relay_rig_t *r, rig_to_t to, uint32_t host,
-	     relay_kind_t kind)
+int rr_last(const relay_rig_t *r, rig_to_t to, uint32_t host, relay_kind_t kind)
 {
 	for (size_t i = r->n; i-- > 0;)
 		if (fits(&r->sent[i], to, host, kind))
@@ -318,7 +318,7 @@
 }
 
 size_t rr_count(const relay_rig_t *r, rig_to_t to, uint32_t host,
-		 relay_kind_t kind)
+		relay_kind_t kind)
 {
 	size_t n = 0;
 
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -47,8 +47,8 @@
 void rr_routes(relay_rig_t *r, uint64_t version);
 
 /* An entry of the directory; the zone is the balancer's own. */
-void rr_entry(relay_rig_t *r, const char *id, uint32_t host,
-	       uint64_t revision, entry_state_t state);
+void rr_entry(relay_rig_t *r, const char *id, uint32_t host, uint64_t revision,
+	      entry_state_t state);
 void rr_entry_gone(relay_rig_t *r, const char *id, uint64_t revision);
 
 /* Moves the clock in ticks. */
@@ -56,22 +56,22 @@
 
 /* A caller's packet, with the flow's number in its port. */
 size_t rr_packet(uint8_t *buf, unsigned flow, uint8_t flags, uint32_t seq,
-		  uint32_t ack, unsigned payload);
+		 uint32_t ack, unsigned payload);
 void rr_from_caller(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
-		     uint32_t ack, unsigned payload);
+		    uint32_t ack, unsigned payload);
 /* The same through a balancer to the agent. */
 void rr_from_balancer(relay_rig_t *r, uint32_t balancer, unsigned flow,
-		       uint8_t flags, uint32_t seq, uint32_t ack,
-		       unsigned payload, uint8_t mark);
+		      uint8_t flags, uint32_t seq, uint32_t ack,
+		      unsigned payload, uint8_t mark);
 /* The backend server's own packet, or a caller's that it returns. */
 void rr_from_server(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
-		     uint32_t ack, unsigned payload);
+		    uint32_t ack, unsigned payload);
 void rr_returned(relay_rig_t *r, unsigned flow, uint8_t flags, uint32_t seq,
-		  uint32_t ack, unsigned payload);
+		 uint32_t ack, unsigned payload);
 
 /* A message of an agent about a flow; load NULL: none. */
 void rr_answer(relay_rig_t *r, uint32_t host, relay_kind_t kind, unsigned flow,
-		const char *service);
+	       const char *service);
 /* The last agent of a look-up's chain: nobody holds the flow. */
 void rr_chain_ended(relay_rig_t *r, uint32_t host, unsigned flow,
 		    unsigned chain);
@@ -79,18 +79,18 @@
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n);
 void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
-	      double service_ms, uint32_t down_ms);
+	     double service_ms, uint32_t down_ms);
 /* An open offered to the agent. */
 void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
-	       const uint32_t *candidates, size_t n);
+	      const uint32_t *candidates, size_t n);
 void rr_hello(relay_rig_t *r, uint32_t balancer, uint32_t slots);
 
 /* Position of the last thing sent that fits, or -1. kind 0: any. */
 int rr_last(const relay_rig_t *r, rig_to_t to, uint32_t host,
-	     relay_kind_t kind);
+	    relay_kind_t kind);
 /* How many of what was sent fit; host 0: any. */
 size_t rr_count(const relay_rig_t *r, rig_to_t to, uint32_t host,
-		 relay_kind_t kind);
+		relay_kind_t kind);
 /* Forgets what was sent. */
 void rr_clear(relay_rig_t *r);
 
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -6,8 +6,8 @@
 #include "runner.h"
 
 #define BALANCER 0x0a010005u
-#define OTHER    0x0a02000au
-#define ISN      5000u /* of the server in tests */
+#define OTHER	 0x0a02000au
+#define ISN	 5000u /* of the server in tests */
 
 static void open_flow(relay_rig_t *r, unsigned flow)
 {
@@ -41,8 +41,7 @@
 	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 1);
 	rr_offer(r, BALANCER, 2, 5, NULL, 0);
 	rr_returned(r, 2, RELAY_SYN, 5, 0, 0);
-	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED),
-			  1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED), 1);
 	rr_free(r);
 }
 END_TEST
@@ -57,8 +56,7 @@
 	rr_offer(r, BALANCER, 2, 5, NULL, 0);
 	rr_run(r, 200);
 	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 1);
-	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED),
-			  0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED), 0);
 	rr_free(r);
 }
 END_TEST
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -119,9 +119,9 @@
 	rr_answer(r, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
 	at = rr_last(r, RIG_CALLER, RIG_CALLERS, 0);
 	ck_assert_int_ge(at, 0);
-	ck_assert_int_eq(fleet_packet_form.read(r->sent[at].buf,
-						r->sent[at].len, &p),
-			 0);
+	ck_assert_int_eq(
+		fleet_packet_form.read(r->sent[at].buf, r->sent[at].len, &p),
+		0);
 	ck_assert_uint_eq(p.flags, RELAY_RST);
 	ck_assert_uint_eq(p.seq, 900);
 	rr_free(r);
@@ -194,7 +194,7 @@
 	ck_assert_uint_ne(r->sent[rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER)].host,
 			  first);
 	rr_answer(r, first == AGENT_A ? AGENT_B : AGENT_A, RELAY_REFUSED, 1,
-		   "feeds");
+		  "feeds");
 	rr_run(r, 2000);
 	ck_assert_int_lt(rr_last(r, RIG_CALLER, RIG_CALLERS, 0), 0);
 	rr_free(r);
