Reset the flows of a silent server, give failing ones fewer opens

Change: three opens without an answer for half a second count as a lost server; the part of requests that a server resets is told and weighs in placement. Tests crashed_server_resets_its_flows and failing_server_is_told failed before; slow_server_keeps_its_flows guards the other side.

--- a/src/counters.h
+++ b/src/counters.h
@@ -72,6 +72,7 @@
 	X(WITNESS_PROBES, "witness_probes")                                    \
 	X(SERVICE_POLLS, "service_polls")                                      \
 	X(REQUESTS, "requests")                                                \
+	X(REQUESTS_FAILED, "requests_failed")                                  \
 	X(REQUESTS_ANSWERED, "requests_answered")                              \
 	X(SUSPICIONS, "suspicions")                                            \
 	X(REFUTATIONS, "refutations")                                          \
--- a/src/placement.c
+++ b/src/placement.c
@@ -32,6 +32,9 @@
 #define PATIENCE_PART 0.45
 /* Part of a server's rate at which its requests in flight grow less. */
 #define DRAIN_PART 0.5
+/* A request that fails costs its caller this many more: another flow, another
+ * queue, and a try less. */
+#define FAILED_COST 20
 /* Unknown load is taken for half of the slots. */
 #define UNKNOWN_LOAD 0.5
 
@@ -94,7 +97,8 @@
 		service *= COLD_FACTOR;
 	load = m->known ? expected_work(m, service, g) : slots * UNKNOWN_LOAD;
 	busy = (load + m->placed * PLACED_WORK) / slots;
-	return service * (1 + busy * busy) + (m->local ? 0 : OTHER_ZONE_MS);
+	return service * (1 + busy * busy) * (1 + m->failed * FAILED_COST) +
+	       (m->local ? 0 : OTHER_ZONE_MS);
 }
 
 double placement_wait(uint32_t in_flight, uint32_t slots, double service_ms)
--- a/src/placement.h
+++ b/src/placement.h
@@ -22,6 +22,7 @@
 	double in_flight; /* requests in flight when it was told */
 	double told_ms_ago;
 	double flows;	   /* open and used lately, as told */
+	double failed;	   /* part of its requests that failed, 0 to 1 */
 	double placed;	   /* opens placed there since, decayed */
 	double service_ms; /* of a request that found a free slot; 0: unknown */
 } placement_member_t;
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &ct__relay__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[8] =
 {
   {
     "in_flight",
@@ -363,9 +363,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_percent",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Load, failed_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__load__field_indices_by_name[] = {
   4,   /* field[4] = down_ms */
+  7,   /* field[7] = failed_percent */
   3,   /* field[3] = flows */
   0,   /* field[0] = in_flight */
   6,   /* field[6] = incarnation */
@@ -376,7 +389,7 @@
 static const ProtobufCIntRange ct__relay__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ct__relay__load__descriptor =
 {
@@ -386,7 +399,7 @@
   "Ct__Relay__Load",
   "ct.relay",
   sizeof(Ct__Relay__Load),
-  7,
+  8,
   ct__relay__load__field_descriptors,
   ct__relay__load__field_indices_by_name,
   1,  ct__relay__load__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -62,10 +62,14 @@
    * of the agent's process
    */
   uint64_t incarnation;
+  /*
+   * requests that the server reset, smoothed
+   */
+  uint32_t failed_percent;
 };
 #define CT__RELAY__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Relay__Message
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -22,7 +22,7 @@
 static void give_back(relay_agent_t *a, uint32_t balancer,
 		      const relay_packet_t *p);
 static void returned(relay_agent_t *a, relay_packet_t *p);
-static void lost_flow(relay_agent_t *a, aflow_t *f);
+static void lost_flow(relay_agent_t *a, aflow_t *f, const char *why);
 static void query(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
 static void hello(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
 static void server_packet(relay_agent_t *a, aflow_t *f,
@@ -278,16 +278,15 @@
 }
 
 /* The server has lost a flow that it had: it is a new one. */
-static void lost_flow(relay_agent_t *a, aflow_t *f)
+static void lost_flow(relay_agent_t *a, aflow_t *f, const char *why)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	char text[FLOW_TEXT];
 	size_t len = a->options.form->reset(&f->node.key, f->caller_ack, buf);
 
 	event_log(EVENT_RESET,
-		  "\"flow\":\"%s\",\"seq\":%u,\"why\":\"server lost it\","
-		  "\"busy\":%s",
-		  flow_text(&f->node.key, text), f->caller_isn,
+		  "\"flow\":\"%s\",\"seq\":%u,\"why\":\"%s\",\"busy\":%s",
+		  flow_text(&f->node.key, text), f->caller_isn, why,
 		  f->busy ? "true" : "false");
 	counter_add(&a->counters, COUNTER_FLOWS_RESET, 1);
 	a->ops.reply(a->ctx, f->node.key.src, buf, len);
@@ -306,7 +305,7 @@
 		return;
 	}
 	if (f && f->confirmed && f->phase == AFLOW_OPEN) {
-		lost_flow(a, f);
+		lost_flow(a, f, "server returned it");
 		return;
 	}
 	if (f && f->phase == AFLOW_ENDED)
@@ -350,6 +349,8 @@
 		f->server_next = end;
 	if (p->payload_len)
 		relay_load_end(a, f, true);
+	if (p->flags & RELAY_RST)
+		relay_load_failed(a, f);
 	if (p->flags & RELAY_FIN)
 		f->server_done = true;
 	end_flow(a, f, p);
@@ -461,10 +462,43 @@
 	}
 }
 
+/* Callers of a server that is lost may ask elsewhere before their deadlines. */
+static void reset_flows(relay_agent_t *a)
+{
+	a->lost = true;
+	event_log(EVENT_SERVER,
+		  "\"state\":\"lost\",\"opens\":%u,\"silent_ms\":%llu,"
+		  "\"flows\":%zu",
+		  a->unanswered, (unsigned long long)(a->now - a->silent_ms),
+		  flow_index_count(a->flows));
+	list_each_safe(node, after, flow_index_recent(a->flows))
+	{
+		flow_node_t *n = list_entry(node, flow_node_t, recent);
+		aflow_t *f = (aflow_t *)n;
+
+		if (f->phase == AFLOW_OPEN)
+			lost_flow(a, f, "server silent");
+	}
+}
+
+/* An agent that had no processor for a while has answers waiting in its
+ * socket: they are read before the server is blamed. */
+static bool answers_may_wait(relay_agent_t *a)
+{
+	bool late = a->tick_ms && a->now > a->tick_ms + 2 * RELAY_AGENT_TICK_MS;
+
+	a->tick_ms = a->now;
+	a->late = late && !a->late;
+	return a->late;
+}
+
 void relay_agent_tick(relay_agent_t *a, uint64_t now)
 {
 	a->now = now;
-	relay_agent_opening_tick(a);
+	if (!answers_may_wait(a))
+		relay_agent_opening_tick(a);
+	if (!a->lost && !a->late && relay_server_lost(a))
+		reset_flows(a);
 	relay_load_tick(a);
 	if (now < a->swept_ms + SWEEP_MS)
 		return;
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -90,6 +90,11 @@
 	uint64_t silent_ms;  /* first unanswered open since; 0: none */
 	uint32_t unanswered; /* opens since */
 	bool down;
+	bool lost;     /* its flows were reset */
+	double failed; /* part of the requests that it reset, smoothed */
+	uint64_t failed_ms;
+	uint64_t tick_ms; /* last tick */
+	bool late;	  /* the last tick was late, answers may wait */
 	uint64_t swept_ms;
 };
 
@@ -106,6 +111,10 @@
 void relay_server_heard(relay_agent_t *a);
 /* An open was not answered. */
 void relay_server_silent(relay_agent_t *a, const aflow_t *f);
+/* True when the server has lost its flows. */
+bool relay_server_lost(const relay_agent_t *a);
+/* The server reset a request instead of answering it. */
+void relay_load_failed(relay_agent_t *a, aflow_t *f);
 
 /* relay_agent_lookup.c: packets of flows that a balancer does not know */
 void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg);
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -16,7 +16,18 @@
 /* Opens without an answer until the server is taken for silent. */
 #define SILENT_OPENS 2
 
+/* A silent server has lost its flows: so many opens were not answered, for so
+ * long. A living one answers each within milliseconds, however slow its
+ * requests are. */
+#define LOST_OPENS 3
+#define LOST_MS	   500
+/* Part of a new request in the smoothed part of failed ones. */
+#define FAILED_PART 0.1
+/* Without requests it is forgotten, so that the server is tried again. */
+#define FAILED_FORGET_MS 4000.0
+
 static void smooth(relay_agent_t *a);
+static double failed_now(const relay_agent_t *a);
 
 static void smooth(relay_agent_t *a)
 {
@@ -47,6 +58,8 @@
 	a->in_flight--;
 	if (!answered)
 		return;
+	a->failed = failed_now(a) * (1 - FAILED_PART);
+	a->failed_ms = a->now;
 	counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
 	histogram_add(&a->service_ms, (uint64_t)took);
 	if (!f->found_free)
@@ -57,6 +70,22 @@
 			: took;
 }
 
+static double failed_now(const relay_agent_t *a)
+{
+	return a->failed *
+	       exp(-(double)(a->now - a->failed_ms) / FAILED_FORGET_MS);
+}
+
+void relay_load_failed(relay_agent_t *a, aflow_t *f)
+{
+	if (!f->busy)
+		return;
+	a->failed = failed_now(a) * (1 - FAILED_PART) + FAILED_PART;
+	a->failed_ms = a->now;
+	counter_add(&a->counters, COUNTER_REQUESTS_FAILED, 1);
+	relay_load_end(a, f, false);
+}
+
 void relay_load_fill(relay_agent_t *a, relay_load_t *load)
 {
 	smooth(a);
@@ -68,6 +97,7 @@
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
 	load->incarnation = a->options.incarnation;
+	load->failed_percent = (uint32_t)(failed_now(a) * 100);
 }
 
 void relay_load_tell(relay_agent_t *a)
@@ -129,6 +159,7 @@
 	if (!a->down)
 		return;
 	a->down = false;
+	a->lost = false;
 	event_log(EVENT_SERVER, "\"state\":\"answers\"");
 	relay_load_tell(a);
 }
@@ -148,3 +179,9 @@
 		  a->unanswered, (unsigned long long)(a->now - a->heard_ms));
 	relay_load_tell(a);
 }
+
+bool relay_server_lost(const relay_agent_t *a)
+{
+	return a->down && a->unanswered >= LOST_OPENS &&
+	       a->now >= a->silent_ms + LOST_MS;
+}
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -34,7 +34,8 @@
 	double work;
 	double in_flight;
 	double service_ms;
-	double flows; /* open and used lately */
+	double failed; /* part of its requests, 0 to 1 */
+	double flows;  /* open and used lately */
 	uint32_t down_ms;
 	bool stopping;
 	uint64_t incarnation;
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -129,6 +129,7 @@
 	m->work = load->work_hundredths / 100.0;
 	m->service_ms = load->service_us / 1000.0;
 	m->flows = load->flows;
+	m->failed = load->failed_percent / 100.0;
 	m->down_ms = load->down_ms;
 	m->stopping = load->stopping;
 	m->incarnation = load->incarnation;
@@ -171,8 +172,7 @@
 	if (wanted && ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
 		       asked >= HELLO_REFRESH_MS))
 		hello(b, m);
-	if (m->state != ENTRY_GONE || m->lost_told_ms ||
-	    b->now < m->gone_ms + DIRECTORY_LAPSE_MS)
+	if (m->state != ENTRY_GONE || m->lost_told_ms)
 		return;
 	if (m->down_ms >= LOST_MS || quiet >= UNREACHABLE_MS) {
 		m->lost_told_ms = b->now;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -57,6 +57,7 @@
 	out->in_flight = m->in_flight;
 	out->told_ms_ago = (double)(b->now - m->told_ms);
 	out->flows = m->flows;
+	out->failed = m->failed;
 	out->service_ms = m->service_ms;
 	out->placed = age < 8 * PLACED_HALF_MS
 			      ? m->placed / (1 << (age / PLACED_HALF_MS))
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -158,6 +158,81 @@
 }
 END_TEST
 
+/*
+ * A server that crashes says nothing. Opens are not answered, which a living
+ * one does in milliseconds: its callers are told before their deadlines, so
+ * that they can ask elsewhere.
+ */
+START_TEST(crashed_server_resets_its_flows)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	open_flow(r, 2);
+	rr_clear(r);
+	rr_run(r, 100);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 501, 100, 0);
+	for (unsigned i = 10; i < 14; i++) {
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+		rr_run(r, 100);
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_run(r, 600);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* A slow server, and one that nobody opens flows at, keeps its flows. */
+START_TEST(slow_server_keeps_its_flows)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	open_flow(r, 1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_clear(r);
+	rr_run(r, 5000);
+	for (unsigned i = 10; i < 20; i++) {
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+		rr_run(r, 50);
+		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	}
+	rr_run(r, 2000);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 10);
+	rr_free(r);
+}
+END_TEST
+
+/* A server that resets requests instead of answering is told to balancers. */
+START_TEST(failing_server_is_told)
+{
+	relay_rig_t *r = rr_agent(true);
+	relay_msg_t *msg;
+	int at;
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < 40; i++) {
+		open_flow(r, i);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		if (i % 2)
+			rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+		else
+			rr_from_server(r, i, RELAY_RST, ISN + 1, 106, 0);
+	}
+	rr_clear(r);
+	rr_run(r, 1100);
+	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
+	ck_assert_int_ge(at, 0);
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	ck_assert_uint_ge(msg->load->failed_percent, 30);
+	ck_assert_uint_le(msg->load->failed_percent, 70);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* A look-up goes along the agents: one that knows all its flows passes it on,
  * one that restarted has its server try the packet first. */
 START_TEST(lookup_goes_on)
@@ -265,6 +340,9 @@
 	tcase_add_test(tc, restarted_server_resets_its_flows);
 	tcase_add_test(tc, restarted_agent_adopts);
 	tcase_add_test(tc, half_closed_flow_stays);
+	tcase_add_test(tc, crashed_server_resets_its_flows);
+	tcase_add_test(tc, slow_server_keeps_its_flows);
+	tcase_add_test(tc, failing_server_is_told);
 	tcase_add_test(tc, lookup_goes_on);
 	tcase_add_test(tc, first_agent_back_takes_no_more_than_it_can);
 	tcase_add_test(tc, load_is_told);
