Count a reset as a failed request only on a flow that is open both ways

Cause: servers reset late packets of flows that either end has closed; after a power loss that counted against the servers that were back first.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -349,7 +349,8 @@
 		f->server_next = end;
 	if (p->payload_len)
 		relay_load_end(a, f, true);
-	if (p->flags & RELAY_RST)
+	/* On a flow that either end has closed a reset says nothing. */
+	if ((p->flags & RELAY_RST) && !f->caller_done && !f->server_done)
 		relay_load_failed(a, f);
 	if (p->flags & RELAY_FIN)
 		f->server_done = true;
