--- /dev/null
+++ b/test/store_stand_in.c
@@ -0,0 +1,426 @@
+#include "store_stand_in.h"
+#include "list.h"
+#include <glib.h>
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PAGE_DEFAULT 50
+#define READ_BYTES   4096
+
+typedef struct item {
+	char *key;
+	char *value; /* NULL: deleted */
+	uint64_t revision;
+} item_t;
+
+struct fake_store {
+	uv_tcp_t tcp;
+	uv_loop_t *loop;
+	GPtrArray *items; /* by key, deleted ones kept for watches */
+	uint64_t revision;
+	uint64_t compacted;
+	store_fault_t fault;
+	unsigned page;
+	unsigned calls;
+	list_t connections;
+};
+
+typedef struct connection {
+	uv_tcp_t tcp;
+	uv_timer_t wait; /* of a watch */
+	int handles;
+	fake_store_t *store;
+	http_parser parser;
+	char path[512];
+	size_t path_len;
+	uint64_t after; /* watch under way, or 0 */
+	bool watching;
+	bool mute;
+	char buffer[READ_BYTES];
+	list_t node;
+} connection_t;
+
+typedef struct answer {
+	uv_write_t write;
+	char *text;
+	connection_t *end; /* closed behind it; NULL: kept */
+} answer_t;
+
+static void free_item(gpointer data)
+{
+	item_t *item = data;
+
+	g_free(item->key);
+	g_free(item->value);
+	g_free(item);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	connection_t *c = handle->data;
+
+	if (--c->handles == 0)
+		free(c);
+}
+
+static void hang_up(connection_t *c, bool reset)
+{
+	if (!c->store)
+		return;
+	c->store = NULL;
+	list_remove(&c->node);
+	if (reset)
+		uv_tcp_close_reset(&c->tcp, on_closed);
+	else
+		uv_close((uv_handle_t *)&c->tcp, on_closed);
+	uv_close((uv_handle_t *)&c->wait, on_closed);
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	answer_t *a = write->data;
+
+	(void)status;
+	if (a->end)
+		hang_up(a->end, false);
+	g_free(a->text);
+	free(a);
+}
+
+static void send_answer(connection_t *c, int status, const char *body)
+{
+	answer_t *a = calloc(1, sizeof(*a));
+	uv_buf_t buf;
+
+	if (!a)
+		abort();
+	a->write.data = a;
+	a->text = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
+				  "Content-Type: application/json\r\n\r\n%s",
+				  status, strlen(body), body);
+	buf = uv_buf_init(a->text, (unsigned)strlen(a->text));
+	if (c->store->fault == STORE_CUT) {
+		buf.len /= 2;
+		a->end = c;
+	}
+	uv_write(&a->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written);
+}
+
+static void add_item(GString *out, const item_t *item)
+{
+	g_autofree char *value = NULL;
+
+	if (out->str[out->len - 1] == '}')
+		g_string_append_c(out, ',');
+	if (!item->value) {
+		g_string_append_printf(
+			out,
+			"{\"key\":\"%s\",\"revision\":%llu,\"deleted\":true}",
+			item->key, (unsigned long long)item->revision);
+		return;
+	}
+	value = g_base64_encode((const guchar *)item->value,
+				strlen(item->value));
+	g_string_append_printf(out,
+			       "{\"key\":\"%s\",\"value\":\"%s\","
+			       "\"revision\":%llu,\"created\":1,\"lease\":0}",
+			       item->key, value,
+			       (unsigned long long)item->revision);
+}
+
+/* Answers a watch if there is news, or if it has waited for long enough. */
+static void answer_watch(connection_t *c, bool over)
+{
+	g_autoptr(GString) out = g_string_new("{\"events\":[");
+	unsigned n = 0;
+
+	if (c->after < c->store->compacted) {
+		c->watching = false;
+		send_answer(c, 410, "{\"error\":\"gone\"}");
+		return;
+	}
+	for (guint i = 0; i < c->store->items->len; i++) {
+		const item_t *item = g_ptr_array_index(c->store->items, i);
+
+		if (item->revision <= c->after)
+			continue;
+		add_item(out, item);
+		n++;
+	}
+	if (n == 0 && !over)
+		return;
+	c->watching = false;
+	uv_timer_stop(&c->wait);
+	g_string_append_printf(out, "],\"store_revision\":%llu}",
+			       (unsigned long long)c->store->revision);
+	send_answer(c, 200, out->str);
+}
+
+/* Answers as the fault has it. Returns false without one that answers. */
+static bool fault_answer(connection_t *c)
+{
+	switch (c->store->fault) {
+	case STORE_BUSY:
+		send_answer(c, 503, "{}");
+		return true;
+	case STORE_LIMITED:
+		send_answer(c, 429, "{}");
+		return true;
+	case STORE_RESETS:
+		hang_up(c, true);
+		return true;
+	case STORE_SILENT:
+		return true;
+	case STORE_GARBAGE:
+		send_answer(c, 200, "[not json");
+		return true;
+	default:
+		return c->mute;
+	}
+}
+
+static void on_wait_over(uv_timer_t *timer)
+{
+	connection_t *c = timer->data;
+
+	if (!fault_answer(c))
+		answer_watch(c, true);
+}
+
+static void answer_range(connection_t *c, const char *after)
+{
+	g_autoptr(GString) out = g_string_new("{\"items\":[");
+	const fake_store_t *s = c->store;
+	unsigned n = 0;
+	bool more = false;
+
+	for (guint i = 0; i < s->items->len; i++) {
+		const item_t *item = g_ptr_array_index(s->items, i);
+
+		if (!item->value || (after && strcmp(item->key, after) <= 0))
+			continue;
+		more = n == s->page;
+		if (more)
+			break;
+		add_item(out, item);
+		n++;
+	}
+	g_string_append_printf(
+		out, "],\"has_more\":%s,\"store_revision\":%llu}",
+		more ? "true" : "false", (unsigned long long)s->revision);
+	send_answer(c, 200, out->str);
+}
+
+/* The value of a field of the query, or NULL; freed by g_free(). */
+static char *query_of(const char *path, const char *name)
+{
+	g_autofree char *mark = g_strdup_printf("%s=", name);
+	const char *at = strstr(path, mark);
+	const char *end;
+
+	if (!at)
+		return NULL;
+	at += strlen(mark);
+	end = strchr(at, '&');
+	return end ? g_strndup(at, (gsize)(end - at)) : g_strdup(at);
+}
+
+static void request(connection_t *c)
+{
+	g_autofree char *after = query_of(c->path, "after");
+	g_autofree char *wait = query_of(c->path, "wait_ms");
+
+	if (fault_answer(c))
+		return;
+	if (g_str_has_prefix(c->path, "/v1/kv-range")) {
+		answer_range(c, after);
+	} else if (g_str_has_prefix(c->path, "/v1/kv-watch")) {
+		c->after = g_ascii_strtoull(after ? after : "0", NULL, 10);
+		c->watching = true;
+		uv_timer_start(&c->wait, on_wait_over,
+			       g_ascii_strtoull(wait ? wait : "0", NULL, 10),
+			       0);
+		answer_watch(c, false);
+	} else {
+		send_answer(c, 404, "{}");
+	}
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	connection_t *c = parser->data;
+
+	if (c->path_len + len >= sizeof(c->path))
+		return -1;
+	memcpy(c->path + c->path_len, at, len);
+	c->path_len += len;
+	c->path[c->path_len] = '\0';
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	connection_t *c = parser->data;
+
+	c->path_len = 0;
+	c->store->calls++;
+	request(c);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_url = on_url,
+	.on_message_complete = on_complete,
+};
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	connection_t *c = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(c->buffer, sizeof(c->buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	connection_t *c = stream->data;
+
+	if (len < 0)
+		hang_up(c, false);
+	else if (len > 0)
+		http_parser_execute(&c->parser, &parser_settings, buf->base,
+				    (size_t)len);
+}
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	fake_store_t *s = stream->data;
+	connection_t *c = calloc(1, sizeof(*c));
+
+	if (!c || status < 0)
+		abort();
+	uv_tcp_init(s->loop, &c->tcp);
+	uv_timer_init(s->loop, &c->wait);
+	c->tcp.data = c;
+	c->wait.data = c;
+	c->handles = 2;
+	c->store = s;
+	list_append(&s->connections, &c->node);
+	uv_accept(stream, (uv_stream_t *)&c->tcp);
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+fake_store_t *fake_store_open(uv_loop_t *loop, const endpoint_t *at)
+{
+	struct sockaddr_in sa = endpoint_sockaddr(at);
+	fake_store_t *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		abort();
+	s->loop = loop;
+	s->items = g_ptr_array_new_with_free_func(free_item);
+	s->page = PAGE_DEFAULT;
+	s->revision = 1;
+	list_init(&s->connections);
+	uv_tcp_init(loop, &s->tcp);
+	s->tcp.data = s;
+	if (uv_tcp_bind(&s->tcp, (struct sockaddr *)&sa, 0) < 0 ||
+	    uv_listen((uv_stream_t *)&s->tcp, 8, on_connection) < 0)
+		abort();
+	return s;
+}
+
+static void on_store_closed(uv_handle_t *handle)
+{
+	fake_store_t *s = handle->data;
+
+	g_ptr_array_free(s->items, TRUE);
+	free(s);
+}
+
+void fake_store_close(fake_store_t *s)
+{
+	list_each_safe(node, after, &s->connections)
+		hang_up(list_entry(node, connection_t, node), false);
+	uv_close((uv_handle_t *)&s->tcp, on_store_closed);
+}
+
+static gint by_key(gconstpointer a, gconstpointer b)
+{
+	const item_t *const *x = a;
+	const item_t *const *y = b;
+
+	return strcmp((*x)->key, (*y)->key);
+}
+
+static void change(fake_store_t *s, const char *key, const char *value)
+{
+	item_t *item = NULL;
+
+	for (guint i = 0; i < s->items->len && !item; i++) {
+		item_t *other = g_ptr_array_index(s->items, i);
+
+		if (!strcmp(other->key, key))
+			item = other;
+	}
+	if (!item) {
+		item = g_new0(item_t, 1);
+		item->key = g_strdup(key);
+		g_ptr_array_add(s->items, item);
+	}
+	g_free(item->value);
+	item->value = g_strdup(value);
+	item->revision = ++s->revision;
+	g_ptr_array_sort(s->items, by_key);
+	list_each_safe(node, after, &s->connections)
+	{
+		connection_t *c = list_entry(node, connection_t, node);
+
+		if (c->watching && !c->mute && s->fault == STORE_WELL)
+			answer_watch(c, false);
+	}
+}
+
+void fake_store_put(fake_store_t *s, const char *key, const char *value)
+{
+	change(s, key, value);
+}
+
+void fake_store_delete(fake_store_t *s, const char *key)
+{
+	change(s, key, NULL);
+}
+
+void fake_store_compact(fake_store_t *s)
+{
+	s->compacted = s->revision + 1;
+	s->revision++;
+}
+
+void fake_store_fault(fake_store_t *s, store_fault_t fault)
+{
+	s->fault = fault;
+	if (fault != STORE_RESETS)
+		return;
+	list_each_safe(node, after, &s->connections)
+		hang_up(list_entry(node, connection_t, node), true);
+}
+
+void fake_store_mute(fake_store_t *s)
+{
+	list_each(node, &s->connections) list_entry(node, connection_t, node)
+		->mute = true;
+}
+
+void fake_store_page(fake_store_t *s, unsigned items)
+{
+	s->page = items;
+}
+
+unsigned fake_store_calls(const fake_store_t *s)
+{
+	return s->calls;
+}
