--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -66,10 +66,14 @@
    * requests that the server reset, smoothed
    */
   uint32_t failed_percent;
+  /*
+   * longer silent than it should be; 0: it is not
+   */
+  uint32_t quiet_ms;
 };
 #define CT__RELAY__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Relay__Message
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -149,6 +149,8 @@
 void aflow_deliver(relay_agent_t *a, aflow_t *f, relay_packet_t *p)
 {
 	a->options.form->annotate(p, 0, f->balancer);
+	if (!a->waiting_ms)
+		a->waiting_ms = a->now;
 	counter_add(&a->counters, COUNTER_PACKETS_OUT, 1);
 	a->ops.deliver(a->ctx, p->data, p->len);
 }
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -87,6 +87,8 @@
 	double told_in_flight;
 	/* whether the server is there */
 	uint64_t heard_ms;   /* any packet of the server */
+	uint64_t waiting_ms; /* first packet handed over since; 0: none */
+	bool told_quiet;
 	uint64_t silent_ms;  /* first unanswered open since; 0: none */
 	uint32_t unanswered; /* opens since */
 	bool down;
@@ -113,6 +115,8 @@
 void relay_server_silent(relay_agent_t *a, const aflow_t *f);
 /* True when the server has lost its flows. */
 bool relay_server_lost(const relay_agent_t *a);
+/* For how long it is silent beyond what it should be, in ms; 0: it is not. */
+uint32_t relay_server_quiet(const relay_agent_t *a);
 /* The server reset a request instead of answering it. */
 void relay_load_failed(relay_agent_t *a, aflow_t *f);
 
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -21,6 +21,10 @@
  * requests are. */
 #define LOST_OPENS 3
 #define LOST_MS	   500
+/* A server that says nothing for so long, or for so many of its service times,
+ * is quiet: it may be gone, and opens are tried there to find out. */
+#define QUIET_MS     200
+#define QUIET_FACTOR 4
 /* Part of a new request in the smoothed part of failed ones. */
 #define FAILED_PART 0.1
 /* Without requests it is forgotten, so that the server is tried again. */
@@ -97,6 +101,7 @@
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
 	load->incarnation = a->options.incarnation;
+	load->quiet_ms = relay_server_quiet(a);
 	load->failed_percent = (uint32_t)(failed_now(a) * 100);
 }
 
@@ -121,6 +126,7 @@
 	}
 	a->nbalancers = kept;
 	a->told_ms = a->now;
+	a->told_quiet = load.quiet_ms > 0;
 	a->told_work = a->work;
 	a->told_in_flight = a->in_flight;
 }
@@ -146,14 +152,27 @@
 		return;
 	smooth(a);
 	if (a->now >= a->told_ms + TELL_MAX_MS ||
+	    a->told_quiet != (relay_server_quiet(a) > 0) ||
 	    fabs(a->work - a->told_work) >= TELL_CHANGE * slots ||
 	    fabs((double)a->in_flight - a->told_in_flight) >= slots)
 		relay_load_tell(a);
 }
 
+uint32_t relay_server_quiet(const relay_agent_t *a)
+{
+	uint64_t limit = (uint64_t)(a->typical_ms * QUIET_FACTOR);
+
+	if (limit < QUIET_MS)
+		limit = QUIET_MS;
+	if (!a->waiting_ms || a->now < a->waiting_ms + limit)
+		return 0;
+	return (uint32_t)(a->now - a->waiting_ms);
+}
+
 void relay_server_heard(relay_agent_t *a)
 {
 	a->heard_ms = a->now;
+	a->waiting_ms = 0;
 	a->silent_ms = 0;
 	a->unanswered = 0;
 	if (!a->down)
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -42,8 +42,9 @@
 	f->phase = AFLOW_TRIAL;
 	f->chain = msg->chain;
 	f->ncandidates = msg->n_candidates;
-	memcpy(f->candidates, msg->candidates,
-	       msg->n_candidates * sizeof(f->candidates[0]));
+	if (msg->n_candidates)
+		memcpy(f->candidates, msg->candidates,
+		       msg->n_candidates * sizeof(f->candidates[0]));
 	counter_add(&a->counters, COUNTER_TRIALS, 1);
 	aflow_packet(a, f, msg->balancer, p);
 }
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -18,6 +18,9 @@
 
 	if (strcmp(msg->service, a->options.service) != 0 || a->stopping)
 		return msg->n_candidates ? ADMIT_PASS : ADMIT_REFUSE;
+	/* A quiet server is tried, one open at a time. */
+	if (relay_server_quiet(a) && list_empty(&a->opening))
+		return ADMIT_TAKE;
 	return placement_admit(wait,
 			       msg->n_candidate_ms ? msg->candidate_ms[0] : 0,
 			       msg->patience_ms);
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -37,6 +37,7 @@
 	double failed; /* part of its requests, 0 to 1 */
 	double flows;  /* open and used lately */
 	uint32_t down_ms;
+	uint32_t quiet_ms;
 	bool stopping;
 	uint64_t incarnation;
 	uint64_t told_ms;  /* load */
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -16,6 +16,8 @@
 #define LOAD_OLD_MS 3000
 /* A doubted member is offered an open this often, with others behind it. */
 #define TRIAL_MS 1000
+/* One that may have crashed a moment ago more often: three opens decide. */
+#define QUIET_TRIAL_MS 250
 
 static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m,
 			const char *service);
@@ -73,8 +75,9 @@
 		relay_member_t *m = list_entry(node, relay_member_t, node);
 
 		if (m->state != ENTRY_READY || m->service != f->service ||
-		    m->stopping || m->down_ms == 0 ||
-		    b->now < m->trial_ms + TRIAL_MS ||
+		    m->stopping || (m->down_ms == 0 && m->quiet_ms == 0) ||
+		    b->now < m->trial_ms +
+				     (m->down_ms ? TRIAL_MS : QUIET_TRIAL_MS) ||
 		    m->avoid_until > b->now || was_tried(f, m->agent))
 			continue;
 		m->trial_ms = b->now;
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -185,6 +185,33 @@
 }
 END_TEST
 
+/*
+ * The requests that a crashed server leaves behind look like load: opens must
+ * still be tried there, or nobody finds out.
+ */
+START_TEST(quiet_server_is_tried)
+{
+	relay_rig_t *r = rr_agent(true);
+	uint32_t other = OTHER;
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < 12; i++) {
+		open_flow(r, i);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+	}
+	rr_clear(r);
+	rr_run(r, 400);
+	for (unsigned i = 20; i < 24; i++) {
+		rr_offer(r, BALANCER, i, 5, &other, 1);
+		rr_run(r, 150);
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 4);
+	rr_run(r, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 12);
+	rr_free(r);
+}
+END_TEST
+
 /* A slow server, and one that nobody opens flows at, keeps its flows. */
 START_TEST(slow_server_keeps_its_flows)
 {
@@ -341,6 +368,7 @@
 	tcase_add_test(tc, restarted_agent_adopts);
 	tcase_add_test(tc, half_closed_flow_stays);
 	tcase_add_test(tc, crashed_server_resets_its_flows);
+	tcase_add_test(tc, quiet_server_is_tried);
 	tcase_add_test(tc, slow_server_keeps_its_flows);
 	tcase_add_test(tc, failing_server_is_told);
 	tcase_add_test(tc, lookup_goes_on);
