Take nothing for held beside a server that is silent

Change: kept() asks that the server has spoken since; look-ups pass servers that are silent for half a second; entries that are gone with a quiet server are not asked. Requests that are never answered count as failed.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -11,7 +11,11 @@
 #define LIVE_MS 3000
 /* Flows that ended are kept for late packets. */
 #define ENDED_MS 5000
-#define SWEEP_MS 1000
+#define SWEEP_MS 500
+/* A request without an answer for so long, or for so many service times, will
+ * have none: no queue of a server is as long. */
+#define UNANSWERED_MS	  800
+#define UNANSWERED_FACTOR 20
 /* A server returns a packet that it does not hold within a few milliseconds:
  * what has not come back by now is held. */
 #define RETURN_MS 50
@@ -383,6 +387,13 @@
 	a->ops.reply(a->ctx, p.key.dst, buf, len);
 }
 
+/* A server that has spoken since, and not returned the packet, holds it. */
+static bool kept(const relay_agent_t *a, const aflow_t *f)
+{
+	return a->now >= f->node.last_ms + RETURN_MS &&
+	       a->heard_ms >= f->node.last_ms;
+}
+
 static void query(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
 {
 	flow_key_t key = relay_msg_key(msg);
@@ -391,8 +402,7 @@
 	relay_kind_t kind = RELAY_NOT_HELD;
 
 	if (f && f->phase == AFLOW_TRIAL)
-		kind = a->now < f->node.last_ms + RETURN_MS ? RELAY_UNSURE
-							    : RELAY_HELD;
+		kind = kept(a, f) ? RELAY_HELD : RELAY_UNSURE;
 	else if (f && aflow_matches(f, &p))
 		kind = RELAY_HELD;
 	else if (!f && !a->options.complete)
@@ -445,6 +455,23 @@
 	}
 }
 
+/* A request that is not answered while others are has been swallowed. */
+static void sweep_unanswered(relay_agent_t *a)
+{
+	uint64_t limit = (uint64_t)(a->typical_ms * UNANSWERED_FACTOR);
+
+	if (limit < UNANSWERED_MS)
+		limit = UNANSWERED_MS;
+	list_each(node, flow_index_recent(a->flows))
+	{
+		flow_node_t *n = list_entry(node, flow_node_t, recent);
+		aflow_t *f = (aflow_t *)n;
+
+		if (f->busy && f->asked_ms + limit <= a->now)
+			relay_load_failed(a, f);
+	}
+}
+
 /* Requests whose callers and servers are both silent are no load. */
 static void sweep(relay_agent_t *a)
 {
@@ -506,6 +533,8 @@
 	if (now < a->swept_ms + SWEEP_MS)
 		return;
 	a->swept_ms = now;
+	if (!relay_server_quiet(a))
+		sweep_unanswered(a);
 	sweep(a);
 }
 
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -1,6 +1,9 @@
 #include "relay_agent_int.h"
 #include <string.h>
 
+/* A server that is silent for so long while packets wait holds no flow. */
+#define DEAD_MS 500
+
 static void pass_on(relay_agent_t *a, const relay_msg_t *lookup,
 		    const flow_key_t *key);
 
@@ -66,7 +69,8 @@
 		return;
 	}
 	if (strcmp(msg->service, a->options.service) != 0 ||
-	    a->options.complete || (f && f->phase != AFLOW_TRIAL)) {
+	    a->options.complete || (f && f->phase != AFLOW_TRIAL) || a->down ||
+	    relay_server_quiet(a) >= DEAD_MS) {
 		pass_on(a, msg, &p.key);
 		return;
 	}
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -165,15 +165,29 @@
 	l->nheld = 0;
 }
 
+/* An agent that has not answered, 0 when all have. */
+static uint32_t silent_agent(const relay_lookup_t *l)
+{
+	for (guint i = 0; i < l->asked->len; i++) {
+		const lookup_asked_t *a =
+			&g_array_index(l->asked, lookup_asked_t, i);
+
+		if (a->answer == ANSWER_NONE)
+			return a->agent;
+	}
+	return 0;
+}
+
 static void finish(relay_balancer_t *b, relay_flow_t *f, const char *outcome)
 {
-	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+	char text[FLOW_TEXT], agent[ENDPOINT_TEXT], silent[ENDPOINT_TEXT];
 
 	event_log(EVENT_LOOKUP,
 		  "\"flow\":\"%s\",\"outcome\":\"%s\",\"agent\":\"%s\","
-		  "\"asked\":%u,\"ms\":%llu",
+		  "\"asked\":%u,\"silent\":\"%s\",\"ms\":%llu",
 		  flow_text(&f->node.key, text), outcome,
 		  ipv4_format(f->agent, agent), f->lookup->asked->len,
+		  ipv4_format(silent_agent(f->lookup), silent),
 		  (unsigned long long)(b->now - f->lookup->started_ms));
 }
 
@@ -305,10 +319,9 @@
 	lookup_asked_t *trial = on_trial(l);
 	bool waiting = false;
 
-	if (trial && b->now >= l->asked_ms + RETURN_MS) {
-		relay_flow_holder(b, f, trial->agent, "");
-		return;
-	}
+	/* The agent knows by now whether its server kept the packet. */
+	if (trial && b->now >= l->asked_ms + RETURN_MS)
+		ask(b, f, trial->agent);
 	if (b->now < l->asked_ms + (l->rounds ? ASK_AGAIN_MS : CHAIN_MS))
 		return;
 	if (++l->rounds > ASK_ROUNDS) {
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -10,6 +10,8 @@
 #define HELLO_REFRESH_MS 4000
 /* Agents of targets that are gone may hold flows for so long. */
 #define GONE_ASKED_MS 70000
+/* A server that is no longer published and silent for so long is dead. */
+#define GONE_QUIET_MS 500
 /* Not heard of for so long in spite of hellos: unreachable. */
 #define UNREACHABLE_MS 2500
 /* Offers in a row without an answer until a member is avoided. */
@@ -159,6 +161,8 @@
 {
 	if (m->state != ENTRY_GONE)
 		return true;
+	if (m->down_ms || m->quiet_ms >= GONE_QUIET_MS)
+		return false;
 	return b->now < m->gone_ms + GONE_ASKED_MS &&
 	       b->now < m->heard_ms + UNREACHABLE_MS;
 }
@@ -175,7 +179,7 @@
 		hello(b, m);
 	if (m->state != ENTRY_GONE || m->lost_told_ms)
 		return;
-	if (m->down_ms >= LOST_MS || quiet >= UNREACHABLE_MS) {
+	if (m->down_ms >= LOST_MS || m->quiet_ms >= LOST_MS || quiet >= UNREACHABLE_MS) {
 		m->lost_told_ms = b->now;
 		reset_flows(b, m, "target gone");
 	}
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -362,3 +362,15 @@
 	msg.chain = 1;
 	deliver_message(r, balancer, &msg);
 }
+
+void rr_quiet(relay_rig_t *r, uint32_t host, uint32_t quiet_ms)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+
+	ct__relay__load__init(&load);
+	relay_msg_init(&msg, RELAY_LOAD);
+	load.quiet_ms = quiet_ms;
+	msg.load = &load;
+	deliver_message(r, host, &msg);
+}
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -260,6 +260,37 @@
 }
 END_TEST
 
+/* One that never answers a part of its requests, though it answers others, is
+ * told as well. */
+START_TEST(swallowing_server_is_told)
+{
+	relay_rig_t *r = rr_agent(true);
+	relay_msg_t *msg;
+	int at;
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < 40; i++) {
+		open_flow(r, i);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		rr_run(r, 25);
+		if (i % 2)
+			rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+	}
+	rr_clear(r);
+	for (unsigned i = 0; i < 15; i++) {
+		open_flow(r, 50);
+		rr_run(r, 150);
+	}
+	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
+	ck_assert_int_ge(at, 0);
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	ck_assert_uint_ge(msg->load->failed_percent, 30);
+	ck_assert_uint_eq(msg->load->in_flight, 0);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* A look-up goes along the agents: one that knows all its flows passes it on,
  * one that restarted has its server try the packet first. */
 START_TEST(lookup_goes_on)
@@ -291,6 +322,41 @@
 }
 END_TEST
 
+/*
+ * An agent that restarted beside a server that is gone: a packet that does not
+ * come back is no sign that the server holds it, and look-ups go on.
+ */
+START_TEST(dead_server_holds_nothing)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint32_t other = OTHER;
+
+	rr_lookup(r, BALANCER, 1, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_run(r, 600);
+	rr_answer(r, BALANCER, RELAY_QUERY, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 0);
+	rr_lookup(r, BALANCER, 2, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER, RELAY_LOOKUP), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Beside a living one what did not come back is held. */
+START_TEST(kept_packet_is_held)
+{
+	relay_rig_t *r = rr_agent(false);
+
+	rr_lookup(r, BALANCER, 1, 7, NULL, 0);
+	rr_run(r, 20);
+	rr_returned(r, 9, RELAY_ACK, 6, 7, 100);
+	rr_run(r, 60);
+	rr_answer(r, BALANCER, RELAY_QUERY, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	rr_free(r);
+}
+END_TEST
+
 /*
  * After a mass restart all opens come to the first agent that is back. It has
  * seen no request yet and no balancer has greeted it: it must still not take
@@ -371,7 +437,10 @@
 	tcase_add_test(tc, quiet_server_is_tried);
 	tcase_add_test(tc, slow_server_keeps_its_flows);
 	tcase_add_test(tc, failing_server_is_told);
+	tcase_add_test(tc, swallowing_server_is_told);
 	tcase_add_test(tc, lookup_goes_on);
+	tcase_add_test(tc, dead_server_holds_nothing);
+	tcase_add_test(tc, kept_packet_is_held);
 	tcase_add_test(tc, first_agent_back_takes_no_more_than_it_can);
 	tcase_add_test(tc, load_is_told);
 	tcase_add_test(tc, forgotten_request_is_no_load);
