Wait no longer than three hellos for hosts that were taken away

Change: hosts of entries that are gone are asked each 250 ms and count as unreachable after 900 ms; test host_taken_away_is_not_waited_for failed before.

--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -10,6 +10,12 @@
 #define HELLO_REFRESH_MS 4000
 /* Agents of targets that are gone may hold flows for so long. */
 #define GONE_ASKED_MS 70000
+/* Hosts are taken away with their targets: one that is no longer published is
+ * asked often how it is, and three hellos without an answer are enough. */
+#define GONE_HELLO_MS	    250
+#define GONE_UNREACHABLE_MS 900
+/* For so long after that; then as seldom as the others. */
+#define GONE_WATCHED_MS 15000
 /* A server that is no longer published and silent for so long is dead. */
 #define GONE_QUIET_MS 500
 /* Not heard of for so long in spite of hellos: unreachable. */
@@ -164,7 +170,7 @@
 	if (m->down_ms || m->quiet_ms >= GONE_QUIET_MS)
 		return false;
 	return b->now < m->gone_ms + GONE_ASKED_MS &&
-	       b->now < m->heard_ms + UNREACHABLE_MS;
+	       b->now < m->heard_ms + GONE_UNREACHABLE_MS;
 }
 
 static void member_tick(relay_balancer_t *b, relay_member_t *m)
@@ -174,12 +180,16 @@
 	bool wanted =
 		m->state != ENTRY_GONE || b->now < m->gone_ms + GONE_ASKED_MS;
 
-	if (wanted && ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
-		       asked >= HELLO_REFRESH_MS))
+	if (m->state == ENTRY_GONE && b->now < m->gone_ms + GONE_WATCHED_MS &&
+	    quiet >= GONE_HELLO_MS && asked >= GONE_HELLO_MS)
+		hello(b, m);
+	else if (wanted && ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
+			    asked >= HELLO_REFRESH_MS))
 		hello(b, m);
 	if (m->state != ENTRY_GONE || m->lost_told_ms)
 		return;
-	if (m->down_ms >= LOST_MS || m->quiet_ms >= LOST_MS || quiet >= UNREACHABLE_MS) {
+	if (m->down_ms >= LOST_MS || m->quiet_ms >= LOST_MS ||
+	    quiet >= UNREACHABLE_MS) {
 		m->lost_told_ms = b->now;
 		reset_flows(b, m, "target gone");
 	}
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -314,6 +314,29 @@
 }
 END_TEST
 
+/*
+ * A host that is taken away with its target says nothing from then on: look-ups
+ * wait for it no longer than some hellos take.
+ */
+START_TEST(host_taken_away_is_not_waited_for)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_load(r, AGENT_A, 0, 0, 10, 0);
+	rr_entry_gone(r, "a", 5);
+	rr_clear(r);
+	rr_run(r, 1000);
+	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_HELLO), 3);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_chain_ended(r, AGENT_B, 1, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Entries that lapse while the store can't be read take opens for a while. */
 START_TEST(lapsed_entries_live_on)
 {
@@ -379,6 +402,7 @@
 	tcase_add_test(tc, leaving_target_keeps_its_flows);
 	tcase_add_test(tc, lost_target_resets_its_flows);
 	tcase_add_test(tc, gone_and_quiet_is_not_asked);
+	tcase_add_test(tc, host_taken_away_is_not_waited_for);
 	tcase_add_test(tc, lapsed_entries_live_on);
 	tcase_add_test(tc, silent_server_is_tried_now_and_then);
 	suite_add_tcase(s, tc);
