--- /dev/null
+++ b/test/test_fleet.c
@@ -0,0 +1,261 @@
+/*
+ * test_fleet - the platform's formats: packets, items, settings; and garbage
+ */
+
+#include "fleet_items.h"
+#include "fleet_packet.h"
+#include "relay_msg.h"
+#include "relay_rig.h"
+#include "relay_settings.h"
+#include "runner.h"
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <string.h>
+
+static const uint8_t syn[] = {
+	0x00, 0x00, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0xa1,
+	0xb2, 0xc3, 0xd5, 0x64, 0x40, 0x00, 0x07, 0x9c, 0x41, 0xc6, 0x12,
+	0x00, 0x01, 0x01, 0xbb, 0x10, 0x00, 0x00, 0x00, 0x00, 0x00,
+};
+static const uint8_t reset[] = {
+	0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+	0x00, 0x00, 0x00, 0xc6, 0x12, 0x00, 0x01, 0x01, 0xbb, 0x64, 0x40,
+	0x00, 0x07, 0x9c, 0x41, 0x04, 0x00, 0x00, 0x00, 0x00, 0x00,
+};
+
+static uint32_t luck = 1;
+
+static uint8_t random_byte(void)
+{
+	luck = luck * 1664525 + 1013904223;
+	return (uint8_t)(luck >> 24);
+}
+
+/* The published example, read, marked and answered with a reset. */
+START_TEST(published_packet)
+{
+	uint8_t buf[RELAY_PACKET_MAX], out[RELAY_PACKET_MAX];
+	relay_packet_t p;
+
+	memcpy(buf, syn, sizeof(syn));
+	ck_assert_int_eq(fleet_packet_form.read(buf, sizeof(syn), &p), 0);
+	ck_assert(relay_packet_opens(&p));
+	ck_assert_uint_eq(p.seq, 0x11223344);
+	ck_assert_uint_eq(p.key.src, 0x64400007);
+	ck_assert_uint_eq(p.key.sport, 40001);
+	ck_assert_uint_eq(p.key.dst, 0xc6120001);
+	ck_assert_uint_eq(p.key.dport, 443);
+	fleet_packet_form.annotate(&p, 7, 0x01020304);
+	ck_assert_mem_eq(buf, syn, 27);
+	ck_assert_int_eq(fleet_packet_form.read(buf, sizeof(syn), &p), 0);
+	ck_assert_uint_eq(p.mark, 7);
+	ck_assert_uint_eq(p.note, 0x01020304);
+	ck_assert_uint_eq(fleet_packet_form.reset(&p.key, 0, out),
+			  sizeof(reset));
+	ck_assert_mem_eq(out, reset, sizeof(reset));
+}
+END_TEST
+
+/* Lengths that don't agree are refused, and returned packets are told. */
+START_TEST(odd_packets)
+{
+	uint8_t buf[RELAY_PACKET_MAX] = { 0 };
+	relay_packet_t p;
+
+	memcpy(buf, syn, sizeof(syn));
+	ck_assert_int_lt(fleet_packet_form.read(buf, 31, &p), 0);
+	ck_assert_int_lt(fleet_packet_form.read(buf, 33, &p), 0);
+	buf[1] = 1;
+	ck_assert_int_eq(fleet_packet_form.read(buf, 33, &p), 0);
+	buf[0] = 0x04;
+	buf[1] = 0xb1;
+	ck_assert_int_lt(fleet_packet_form.read(buf, 32 + 0x4b1, &p), 0);
+	buf[0] = buf[1] = 0;
+	buf[26] |= 1;
+	ck_assert_int_eq(fleet_packet_form.read(buf, 32, &p), 0);
+	ck_assert_uint_eq(p.flags, RELAY_SYN | RELAY_RETURNED);
+	fleet_packet_form.annotate(&p, 0, 0);
+	ck_assert_mem_eq(buf, syn, sizeof(syn));
+}
+END_TEST
+
+/* Any bytes from the network harm neither daemon. */
+START_TEST(garbage_packets)
+{
+	relay_rig_t *balancer = rr_balancer(), *agent = rr_agent(false);
+	uint8_t buf[RELAY_PACKET_MAX];
+
+	rr_routes(balancer, 1);
+	rr_entry(balancer, "a", 0x0a010009u, 2, ENTRY_READY);
+	for (unsigned i = 0; i < 20000; i++) {
+		size_t len = random_byte() % 80;
+		relay_msg_t *msg;
+
+		for (size_t j = 0; j < len; j++)
+			buf[j] = random_byte();
+		if (len >= 32) {
+			buf[0] = 0;
+			buf[1] = (uint8_t)(len - 32);
+			if (i % 2)
+				memcpy(buf + 20, syn + 20, 6);
+		}
+		relay_balancer_packet(balancer->balancer, balancer->now, buf,
+				      len);
+		relay_agent_packet(agent->agent, agent->now, 1, buf, len);
+		relay_agent_answer(agent->agent, agent->now, buf, len);
+		msg = relay_msg_unpack(buf, len);
+		if (msg) {
+			relay_balancer_message(balancer->balancer,
+					       balancer->now, 0x0a010009u, msg);
+			relay_agent_message(agent->agent, agent->now, 1, msg);
+			relay_msg_free(msg);
+		}
+		rr_clear(balancer);
+		rr_clear(agent);
+		if (i % 50 == 0) {
+			rr_run(balancer, 50);
+			rr_run(agent, 50);
+		}
+	}
+	rr_free(balancer);
+	rr_free(agent);
+}
+END_TEST
+
+/* Values with bytes changed at random are read or refused, nothing else. */
+START_TEST(garbage_items)
+{
+	static const char routes[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":"
+		"\"198.18.0.1\",\"prefix\":\"/8443/\",\"route_type\":\"safe\","
+		"\"timeout_ms\":1500,\"slo_latency_ms\":100,\"priority\":2,"
+		"\"weighted_backends\":[{\"service\":\"a\",\"weight\":90},"
+		"{\"service\":\"b\",\"weight\":10}]}],\"limits\":"
+		"{\"idle_timeout_ms\":15000}}";
+	static const char target[] =
+		"{\"service\":\"a\",\"address\":\"10.1.0.9:8080\",\"zone\":"
+		"\"z\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
+		"\"warmup_left_ms\":0,\"seq\":4,\"born\":1700000000000}";
+	char text[512];
+
+	for (unsigned i = 0; i < 20000; i++) {
+		const char *from = i % 2 ? routes : target;
+		size_t len = strlen(from);
+		target_entry_t entry;
+		route_table_t *table;
+		err_t err;
+
+		memcpy(text, from, len + 1);
+		for (unsigned j = 0; j < 1 + i % 4; j++)
+			text[(random_byte() * 256 + random_byte()) % len] =
+				(char)random_byte();
+		table = fleet_read_routes(text, len, &err);
+		route_table_unref(table);
+		fleet_read_target("id", text, len, 1, &entry, &err);
+	}
+}
+END_TEST
+
+/* A document is read whole, or refused with what and where. */
+START_TEST(routes_are_read)
+{
+	static const char two[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":"
+		"\"198.18.0.1\",\"prefix\":\"/443/\",\"route_type\":\"unsafe\","
+		"\"slo_latency_ms\":120,\"priority\":1,\"service\":\"a\"},"
+		"{\"name\":\"s\",\"host\":\"198.18.0.1\",\"prefix\":\"/%s/\","
+		"\"route_type\":\"safe\",\"service\":\"b\"}],\"new\":1}";
+	g_autofree char *good = g_strdup_printf(two, "80");
+	g_autofree char *twice = g_strdup_printf(two, "443");
+	g_autofree char *odd = g_strdup_printf(two, "x");
+	route_table_t *t;
+	const route_t *r;
+	err_t err;
+
+	t = fleet_read_routes(good, strlen(good), &err);
+	ck_assert_ptr_nonnull(t);
+	ck_assert_uint_eq(route_table_version(t), 7);
+	ck_assert_uint_eq(route_table_count(t), 2);
+	r = route_find(t, 0xc6120001, 443);
+	ck_assert_ptr_nonnull(r);
+	ck_assert(!r->idempotent);
+	ck_assert_uint_eq(r->aim_ms, 120);
+	ck_assert_str_eq(route_service(r, 5), "a");
+	ck_assert_ptr_null(route_find(t, 0xc6120001, 81));
+	route_table_unref(t);
+	ck_assert_ptr_null(fleet_read_routes(twice, strlen(twice), &err));
+	ck_assert_ptr_nonnull(strstr(err.what, "\"s\" repeats"));
+	ck_assert_ptr_null(fleet_read_routes(odd, strlen(odd), &err));
+	ck_assert_ptr_nonnull(strstr(err.what, "\"prefix\" of route \"s\""));
+}
+END_TEST
+
+static int load(const char *text, relay_role_t role, relay_settings_t *s,
+		err_t *err)
+{
+	g_autofree char *file = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &file, NULL), ret;
+
+	ck_assert_int_ge(fd, 0);
+	g_close(fd, NULL);
+	g_file_set_contents(file, text, -1, NULL);
+	ret = relay_settings_load(file, role, s, err);
+	remove(file);
+	return ret;
+}
+
+#define COMMON                                                                 \
+	"name = \"n\"\nzone = \"z\"\naddress = \"10.1.0.1\"\n"                 \
+	"packets = \"10.1.0.1:1\"\nready = \"10.1.0.1:2\"\n"                   \
+	"internal_port = 3\n"
+
+/* Settings are checked whole: each fault has its line and what to do. */
+START_TEST(settings_are_checked)
+{
+	relay_settings_t s;
+	err_t err;
+
+	ck_assert_int_eq(load(COMMON "platform = \"10.0.0.1:9\"\npeers = "
+				     "[\"10.1.0.2:4\"]\ncontrol = "
+				     "\"10.1.0.1:4\"\n",
+			      RELAY_ROLE_BALANCER, &s, &err),
+			 0);
+	ck_assert_uint_eq(s.npeers, 1);
+	ck_assert_uint_eq(s.silence_ms, 4000);
+	ck_assert_int_lt(load(COMMON, RELAY_ROLE_BALANCER, &s, &err), 0);
+	ck_assert_int_eq(err.kind, ERR_MISSING);
+	ck_assert_int_lt(load(COMMON "platform = \"10.0.0.1:9\"\nspeed = 1\n",
+			      RELAY_ROLE_BALANCER, &s, &err),
+			 0);
+	ck_assert_int_eq(err.kind, ERR_UNKNOWN_KEY);
+	ck_assert_int_eq(err.line, 8);
+	ck_assert_int_lt(load(COMMON, RELAY_ROLE_AGENT, &s, &err), 0);
+	ck_assert_int_eq(load(COMMON "service = \"a\"\nserver = "
+				     "\"10.1.0.1:5\"\nserver_out = "
+				     "\"10.1.0.1:6\"\n",
+			      RELAY_ROLE_AGENT, &s, &err),
+			 0);
+	ck_assert_int_lt(load(COMMON "platform = \"10.0.0.1:9\"\npeers = "
+				     "[\"here\"]\n",
+			      RELAY_ROLE_BALANCER, &s, &err),
+			 0);
+	ck_assert_int_eq(err.kind, ERR_RANGE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("fleet");
+	TCase *tc = tcase_create("formats");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, published_packet);
+	tcase_add_test(tc, odd_packets);
+	tcase_add_test(tc, garbage_packets);
+	tcase_add_test(tc, garbage_items);
+	tcase_add_test(tc, routes_are_read);
+	tcase_add_test(tc, settings_are_checked);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
