Add a fault soak of the real processes

make soak runs balancers and agents on loopback beside stand-ins of store, servers, routers and callers; signals, a proxy before store and peers and crashes of servers come in overlapping series by seed.

--- a/Makefile
+++ b/Makefile
@@ -109,6 +109,7 @@
 	$(MAKE) check-lint
 	$(MAKE) check-man
 	$(MAKE) check-proof
+	$(MAKE) check-soak
 	$(MAKE) check-tests
 
 C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/*.cc \
@@ -146,6 +147,22 @@
 	$(MAKE) BUILD=build/sanitized SANITIZE="$(SANITIZE_FLAGS)" everything
 	test/run_tests
 
+# The real programs under faults from outside. Seeds that ever failed are in
+# test/soak_seeds, with the cause of each.
+SEEDS = $(shell seq 1 50)
+SOAK_S = 12
+SOAK_JOBS = 4
+SOAK_KEPT = $(shell sed -n 's/^\([0-9][0-9]*\).*/\1/p' test/soak_seeds)
+
+soak: $(BUILD)/cherviltray-relay
+	test/run_soak $(BUILD)/cherviltray-relay $(SOAK_S) $(SOAK_JOBS) $(SEEDS)
+
+# A short one with known seeds, from the sanitized build.
+check-soak:
+	$(MAKE) BUILD=build/sanitized SANITIZE="$(SANITIZE_FLAGS)" \
+		build/sanitized/cherviltray-relay
+	test/run_soak build/sanitized/cherviltray-relay 8 2 1 2 $(SOAK_KEPT)
+
 # Figures of one run, a JSON object a line, and the report made from them.
 SEED = 1
 GROUP_SIZES = 4 11 50 200
@@ -195,7 +212,7 @@
 	rm -rf $(BUILD)
 
 .PHONY: bench capacity bench-policy bench-membership bench-matrix report
-.PHONY: demo all everything packages check check-format check-lint check-man \
+.PHONY: soak check-soak demo all everything packages check check-format check-lint check-man \
 	check-proof check-tests format proto clean
 .SECONDARY:
 
--- /dev/null
+++ b/test/soak.py
@@ -0,0 +1,612 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of cherviltray-relay on loopback.
+
+Runs balancers and agents as processes beside stand-ins of store, backend
+servers, routers and callers, injects faults from outside (signals, a proxy
+before the store and the peers, crashes of servers) in overlapping series, and
+checks what callers and servers see. A seed gives the series of faults.
+
+usage: soak.py PROGRAM [--seconds N] [--seed N] [--hosts N] [--keep DIR]
+Exit status 0 when every promise was kept.
+"""
+import argparse, asyncio, base64, json, os, random, shutil, signal, struct
+import subprocess, sys, tempfile, time
+
+HEAD = struct.Struct(">HIIIIHIHBBI")
+SYN, ACK, FIN, RST, RETURNED = 16, 2, 8, 4, 1
+ROUTES = {"feeds": ("198.18.0.1", 443, "safe"), "logs": ("198.18.0.1", 80, "unsafe"),
+          "maps": ("198.18.0.2", 443, "download")}
+SERVICE_OF = {"feeds": "spots", "logs": "spots", "maps": "maps"}
+HEARTBEAT_S = 0.4
+# The bounds of the platform's pages, in seconds.
+DRAIN_S, IN_TOUCH_S, LAPSE_BEATS = 3.0, 4.0, 3
+SLOTS, QUEUE, WORK_S = 2, 8, 0.012
+# What must be served once faults have ended for CALM_S.
+CALM_S, SERVED_SHARE = 6.0, 0.95
+
+
+def ip(text):
+    return struct.unpack(">I", bytes(map(int, text.split("."))))[0]
+
+
+def now():
+    return time.monotonic()
+
+
+class Broken(Exception):
+    pass
+
+
+class Store:
+    """The platform's store: items, pages, waiting watches."""
+
+    def __init__(self, soak):
+        self.soak, self.items, self.revision = soak, {}, 1
+        self.compacted, self.changed, self.fault = 0, asyncio.Event(), None
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = (self.revision, value)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line = await reader.readline()
+                if not line:
+                    break
+                while (await reader.readline()).strip():
+                    pass
+                status, body = await self.answer(line.split()[1].decode())
+                data = json.dumps(body).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)) + data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, path):
+        query = dict(p.split("=", 1) for p in path.split("?")[1].split("&"))
+        if self.fault:
+            return self.fault, {}
+        after = query.get("after", "")
+        if "kv-range" in path:
+            found = [(k, v) for k, v in sorted(self.items.items()) if v[1] is not None and k > after]
+            return 200, {"items": [self.item(k, v) for k, v in found[:5]],
+                         "has_more": len(found) > 5, "store_revision": self.revision}
+        after, end = int(after), now() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.compacted:
+                return 410, {}
+            events = [self.item(k, v) for k, v in self.items.items() if v[0] > after]
+            if events or now() >= end:
+                return 200, {"events": events, "store_revision": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), max(0.01, end - now()))
+            except asyncio.TimeoutError:
+                pass
+
+    @staticmethod
+    def item(key, entry):
+        revision, value = entry
+        if value is None:
+            return {"key": key, "revision": revision, "deleted": True}
+        return {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(), "revision": revision}
+
+
+class Proxy:
+    """Before one balancer's store and peers: delays, resets, cuts, silence."""
+
+    def __init__(self, target):
+        self.target, self.mode, self.pairs = target, "well", set()
+
+    def set(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.pairs):
+                writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode in ("reset", "silent"):
+            if self.mode == "reset":
+                writer.transport.abort()
+            else:
+                self.pairs.add(writer)  # taken, and never answered
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.pairs |= {writer, up_writer}
+        try:
+            await asyncio.gather(self.pump(reader, up_writer, "to"), self.pump(up_reader, writer, "from"))
+        except asyncio.CancelledError:
+            pass  # the soak is over
+        self.pairs -= {writer, up_writer}
+
+    async def pump(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.25)
+                if self.mode == "silent" or self.mode == "cut-" + way:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        writer.close()
+
+
+class Process:
+    """A daemon and what was done to it."""
+
+    def __init__(self, soak, kind, address, settings):
+        self.soak, self.kind, self.address, self.settings = soak, kind, address, settings
+        self.child, self.disturbed, self.stopping, self.starts = None, now(), False, 0
+        self.frozen = False
+
+    def start(self):
+        path = os.path.join(self.soak.dir, self.address + ".toml")
+        first = "true" if self.starts == 0 else "false"
+        with open(path, "w") as f:
+            f.write(self.settings + "first_start = %s\n" % first)
+        log = open(os.path.join(self.soak.dir, self.address + ".log"), "ab")
+        self.child = subprocess.Popen([self.soak.program, self.kind, path], stdout=log, stderr=log)
+        self.starts += 1
+        self.stopping, self.disturbed, self.frozen = False, now(), False
+
+    def signal(self, number):
+        if self.child and self.child.poll() is None:
+            self.child.send_signal(number)
+        self.disturbed = now()
+
+    def watch(self):
+        """Starts it again when it was ended; nobody else may end it."""
+        code = self.child.poll() if self.child else None
+        if code is None:
+            return
+        if not self.stopping:
+            self.soak.broken("%s ended by itself with %s" % (self.address, code))
+        self.start()
+
+    def in_touch(self):
+        return not self.frozen and now() - self.disturbed > IN_TOUCH_S
+
+
+class Server(asyncio.DatagramProtocol):
+    """A backend server beside an agent."""
+
+    def __init__(self, soak, service, agent):
+        self.soak, self.service, self.agent = soak, service, agent
+        self.disturbed, self.number, self.up = 0, 0, False
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def start(self):
+        self.number += 1
+        self.id = "t-%s-%d" % (self.agent.address, self.number)
+        self.flows, self.busy, self.waiting = {}, 0, []
+        self.up, self.draining, self.drained = True, False, None
+        self.disturbed = now()
+        self.publish()
+
+    def publish(self):
+        if not self.soak.store.fault:
+            self.soak.store.put("servers/" + self.id, {
+                "service": self.service, "address": self.agent.address + ":80", "zone": "z", "slots": SLOTS,
+                "version": "v1", "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": 1})
+            if self.draining and not self.drained:
+                self.drained = now()
+
+    def crash(self):
+        self.up, self.disturbed = False, now()
+        gone, self.flows = self.id, {}
+        asyncio.get_running_loop().call_later(LAPSE_BEATS * HEARTBEAT_S, lambda: self.soak.store.put("servers/" + gone, None))
+
+    def out(self, src, sport, dst, dport, flags, seq, ack, data=b""):
+        self.transport.sendto(HEAD.pack(len(data), seq & 0xffffffff, ack & 0xffffffff, 0, src, sport, dst, dport, flags, 0, 0)
+                              + data, (self.agent.address, self.soak.port + 6))
+
+    def datagram_received(self, packet, addr):
+        if not self.up:
+            return
+        size, seq, ack, _, src, sport, dst, dport, flags, _, echo = HEAD.unpack_from(packet)
+        name = self.soak.route_at.get((dst, dport))
+        if name is None or SERVICE_OF[name] != self.service:
+            self.soak.broken("%s got a packet for %s" % (self.id, name))
+        key, loop = (src, sport, dst, dport), asyncio.get_running_loop()
+        if flags & SYN:
+            self.soak.judge_open(self, key)
+            isn = random.getrandbits(32)
+            self.flows.setdefault(key, {"isn": isn, "next": isn + 1, "open": False, "seen": {}})
+            self.out(dst, dport, src, sport, SYN | ACK, self.flows[key]["isn"], seq + 1)
+            return
+        flow = self.flows.get(key)
+        if flow is None or (not flow["open"] and ack != (flow["isn"] + 1) & 0xffffffff):
+            if not flags & RST:
+                self.transport.sendto(packet[:26] + bytes([flags | RETURNED, 0]) + packet[28:],
+                                      (self.agent.address, self.soak.port + 6))
+            return
+        if not flow["open"]:
+            flow["open"] = True
+            self.soak.opened(key, self)
+        if flags & (FIN | RST):
+            self.flows.pop(key, None)
+            self.soak.closed(key)
+            return
+        if size == 0:
+            return
+        request = packet[HEAD.size:]
+        if seq in flow["seen"]:
+            if flow["seen"][seq]:
+                self.out(dst, dport, src, sport, ACK, *flow["seen"][seq])
+            return
+        flow["seen"][seq] = None
+        if self.busy >= SLOTS + QUEUE:
+            del flow["seen"][seq]
+            self.out(dst, dport, src, sport, RST, flow["next"], seq)
+            self.flows.pop(key)
+            self.soak.closed(key)
+            return
+        self.busy += 1
+        self.soak.runs[request] = self.soak.runs.get(request, 0) + 1
+        number = self.number
+        delay = WORK_S * (1 + max(0, self.busy - SLOTS)) * random.uniform(0.5, 1.5)
+
+        def done():
+            if number != self.number or not self.up:
+                return
+            self.busy -= 1
+            if key in self.flows:
+                answer = (flow["next"], seq + size, b"done:" + request)
+                flow["next"] += len(answer[2])
+                flow["seen"][seq] = answer
+                self.out(dst, dport, src, sport, ACK, *answer)
+        loop.call_later(delay, done)
+
+
+class Caller(asyncio.DatagramProtocol):
+    """Opens flows and asks; long ones for feeds, one a request otherwise."""
+
+    def __init__(self, soak, number):
+        self.soak, self.address, self.flows, self.port = soak, "127.4.%d.%d" % (soak.net, number), {}, 2000
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def send(self, flow, flags, seq, ack, data=b""):
+        balancer = self.soak.balancer_for(flow["key"])
+        packet = HEAD.pack(len(data), seq & 0xffffffff, ack & 0xffffffff, 0, *flow["key"], flags, 0, 0) + data
+        self.transport.sendto(packet, (balancer.address, self.soak.port))
+        flow["through"].add(balancer)
+
+    def datagram_received(self, packet, addr):
+        size, seq, ack, _, src, sport, dst, dport, flags, _, _ = HEAD.unpack_from(packet)
+        flow = self.flows.get(dport)
+        if flow is None or flow["key"][2:] != (src, sport):
+            return
+        if flags & RST:
+            self.soak.judge_reset(flow, addr[0])
+            self.flows.pop(dport, None)
+            flow["event"].set()
+            flow["reset"] = True
+        elif flags & SYN:
+            if not flow["isn"]:
+                flow["isn"], flow["ack"] = seq, seq + 1
+                flow["event"].set()
+        elif size:
+            flow["ack"] = max(flow["ack"], seq + size)
+            flow["answer"] = packet[HEAD.size:]
+            flow["event"].set()
+
+    async def wait(self, flow, seconds):
+        try:
+            await asyncio.wait_for(flow["event"].wait(), seconds)
+        except asyncio.TimeoutError:
+            return False
+        flow["event"].clear()
+        return not flow["reset"]
+
+    async def open(self, name):
+        self.port = 2000 + (self.port - 1999) % 50000
+        key = (ip(self.address), self.port, ip(ROUTES[name][0]), ROUTES[name][1])
+        flow = {"key": key, "isn": 0, "ack": 0, "seq": 6, "event": asyncio.Event(), "reset": False, "answer": b"",
+                "through": set(), "name": name, "asked": set()}
+        self.flows[self.port] = flow
+        for copy, pause in enumerate((0.2, 0.4, 0.8)):
+            self.send(flow, SYN, 5, copy)
+            if await self.wait(flow, pause):
+                return flow
+            if flow["reset"]:
+                return None
+        self.flows.pop(key[1], None)
+        return None
+
+    async def ask(self, flow, request, deadline):
+        """True: answered; False: the flow is of no more use."""
+        pause, seq = 0.2, flow["seq"]
+        flow["seq"] += len(request)
+        flow["asked"].add(request)
+        while now() < deadline:
+            self.send(flow, ACK, seq, flow["ack"], request)
+            if await self.wait(flow, min(pause, max(0.01, deadline - now()))):
+                if flow["answer"] != b"done:" + request:
+                    if flow["answer"] and not flow["answer"][5:] in flow["asked"]:
+                        self.soak.broken("answer of another request on %r" % (flow["key"],))
+                    continue
+                return True
+            if flow["reset"]:
+                return False
+            pause *= 2
+        return False
+
+    async def live(self, name, pause):
+        flow, number = None, 0
+        while not self.soak.over:
+            await asyncio.sleep(random.expovariate(1 / pause))
+            started, deadline, served = now(), now() + 2.0, False
+            for attempt in range(3):
+                number += 1
+                request = b"%s/%s/%d" % (self.address.encode(), name.encode(), number)
+                if flow is None:
+                    flow = await self.open(name)
+                if flow is None:
+                    if now() > deadline:
+                        break
+                    continue
+                served = await self.ask(flow, request, deadline)
+                if not served or name != "feeds":
+                    if served:
+                        self.send(flow, FIN | ACK, flow["seq"], flow["ack"])
+                    self.flows.pop(flow["key"][1], None)
+                    flow = None
+                if served or now() > deadline or name == "logs":
+                    break
+            self.soak.finished(started, served)
+
+
+class Soak:
+    def __init__(self, options):
+        self.program, self.options = os.path.abspath(options.program), options
+        self.random, self.net = random.Random(options.seed), os.getpid() % 200 + 1
+        self.port = 20000 + os.getpid() % 2000 * 10
+        self.dir = options.keep or tempfile.mkdtemp(prefix="soak-")
+        os.makedirs(self.dir, exist_ok=True)
+        self.faults, self.log = [], open(os.path.join(self.dir, "soak.log"), "w")
+        self.store, self.over, self.broke, self.runs = Store(self), False, [], {}
+        self.flows, self.results = {}, []
+        self.route_at = {(ip(a), p): n for n, (a, p, _) in ROUTES.items()}
+        self.store_fault_ended, self.began = 0, now()
+
+    def note(self, text):
+        self.log.write("%.3f %s\n" % (now() - self.began, text))
+        self.log.flush()
+
+    def broken(self, text):
+        self.note("BROKEN " + text)
+        self.broke.append("%.2f s: %s" % (now() - self.began, text))
+
+    # What callers and servers see
+    def opened(self, key, server):
+        self.flows[key] = (server, server.number)
+
+    def closed(self, key):
+        self.flows.pop(key, None)
+
+    def calm(self, *processes):
+        return all(p.in_touch() for p in processes) and not self.store.fault and \
+            now() - self.store_fault_ended > IN_TOUCH_S
+
+    def judge_reset(self, flow, sender):
+        held = self.flows.get(flow["key"])
+        if held is None:
+            return
+        server, number = held
+        if not server.up or server.number != number or now() - server.disturbed < IN_TOUCH_S:
+            return
+        senders = [p for p in self.balancers + self.agents if p.address == sender]
+        if sender == server.agent.address and flow["key"] not in server.flows:
+            return
+        if all(p.in_touch() for p in senders + [server.agent] + list(flow["through"])):
+            self.broken("reset by %s of open flow %r at %s" % (sender, flow["key"], server.id))
+
+    def judge_open(self, server, key):
+        if server.draining and server.drained and now() - server.drained > DRAIN_S and \
+                self.calm(server.agent, *self.balancers) and all(p.mode == "well" for p in self.proxies):
+            self.broken("open at %s, drained %.1f s ago" % (server.id, now() - server.drained))
+
+    def finished(self, started, served):
+        self.results.append((started, served))
+
+    # Routers
+    def balancer_for(self, key):
+        ready = [b for b in self.balancers if b.rotation] or self.balancers
+        return max(ready, key=lambda b: hash((b.address, key)))
+
+    async def probe(self, balancer):
+        balancer.rotation, misses = False, 0
+        while not self.over:
+            ok = False
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(balancer.address, self.port + 1), 0.3)
+                writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                ok = b" 200 " in await asyncio.wait_for(reader.readline(), 0.3)
+                writer.close()
+            except (OSError, asyncio.TimeoutError):
+                pass
+            misses = 0 if ok else misses + 1
+            balancer.rotation = ok or (balancer.rotation and misses < 2)
+            await asyncio.sleep(0.5)
+
+    # Faults: each is a coroutine that ends what it began
+    async def fault(self, name):
+        pick, span = self.random.choice, self.random.uniform(0.3, 4)
+        process, server = pick(self.balancers + self.agents), pick(self.servers)
+        proxy = pick(self.proxies)
+        self.note("%s %s %s %.1f" % (name, process.address, server.id, span))
+        if name == "kill":
+            process.stopping = True
+            process.signal(signal.SIGKILL)
+        elif name == "term":
+            process.stopping = True
+            process.signal(signal.SIGTERM)
+        elif name == "hup":
+            process.child.send_signal(signal.SIGHUP)
+        elif name == "pause":
+            process.frozen = True
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(span)
+            process.signal(signal.SIGCONT)
+            process.frozen = False
+        elif name == "herd":
+            for p in self.balancers + self.agents:
+                if self.random.random() < 0.6:
+                    p.stopping = True
+                    p.signal(signal.SIGKILL)
+        elif name == "crash" and server.up and sum(s.up for s in self.servers if s.service == server.service) > 1:
+            server.crash()
+            await asyncio.sleep(span)
+            server.start()
+        elif name == "drain" and server.up and not server.draining and \
+                sum(s.up and not s.draining for s in self.servers if s.service == server.service) > 1:
+            server.draining = True
+            server.publish()
+            await asyncio.sleep(DRAIN_S + span)
+            if server.up and server.draining:
+                self.store.put("servers/" + server.id, None)
+                server.up = False
+                await asyncio.sleep(span)
+                server.start()
+        elif name == "store":
+            self.store.fault = pick((503, 429))
+            await asyncio.sleep(span)
+            self.store.fault, self.store_fault_ended = None, now()
+        elif name == "compact":
+            self.store.revision += 1
+            self.store.compacted = self.store.revision
+        elif name == "routes":
+            self.configure()
+        elif name.startswith("proxy-"):
+            proxy.set(name[6:])
+            await asyncio.sleep(span)
+            proxy.set("well")
+            self.store_fault_ended = now()
+
+    def configure(self):
+        self.version = getattr(self, "version", 0) + self.random.randint(1, 5)
+        routes = [{"name": n, "host": a, "prefix": "/%d/" % p, "route_type": k, "timeout_ms": 2000,
+                   "slo_latency_ms": 200, "priority": 1, "service": SERVICE_OF[n]} for n, (a, p, k) in ROUTES.items()]
+        for i in range(self.random.randint(0, 20)):
+            routes.append(dict(routes[0], name="idle-%d" % i, host="198.18.1.%d" % i))
+        self.store.put("op/config", {"version": self.version, "routes": routes, "services": [],
+                                     "limits": {"idle_timeout_ms": 15000}})
+
+    async def storm(self):
+        names = ["kill", "term", "term", "hup", "pause", "herd", "crash", "crash", "drain", "store", "compact",
+                 "routes", "proxy-delay", "proxy-reset", "proxy-silent", "proxy-cut-to", "proxy-cut-from"]
+        running, end = set(), now() + self.options.seconds
+        while now() < end:
+            task = asyncio.create_task(self.fault(self.random.choice(names)))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self.random.choice((0.1, 0.4, 1.0, 2.0)))
+        if running:
+            await asyncio.wait(running)
+
+    async def heartbeat(self):
+        while not self.over:
+            for p in self.balancers + self.agents:
+                if not p.frozen:
+                    p.watch()
+            for request, n in list(self.runs.items()):
+                if n > 1:
+                    self.broken("%r ran %d times" % (request, n))
+                    self.runs[request] = 1
+            await asyncio.sleep(0.1)
+
+    async def run(self):
+        loop, net, hosts = asyncio.get_running_loop(), self.net, self.options.hosts
+        store_at = ("127.9.%d.1" % net, self.port + 5)
+        await asyncio.start_server(self.store.serve, *store_at)
+        self.balancers, self.agents, self.servers, self.proxies = [], [], [], []
+        common = 'zone = "z"\npackets = "{a}:%d"\nready = "{a}:%d"\ninternal_port = %d\n' % (self.port, self.port + 1, self.port + 2)
+        for i in range(max(2, hosts // 3)):
+            proxy = Proxy(store_at)
+            await asyncio.start_server(proxy.serve, "127.9.%d.%d" % (net, 10 + i), self.port + 5)
+            address = "127.1.%d.%d" % (net, i + 1)
+            peer = Proxy(("127.1.%d.1" % net, self.port + 3))
+            await asyncio.start_server(peer.serve, "127.9.%d.%d" % (net, 100 + i), self.port + 3)
+            self.proxies += [proxy, peer]
+            self.balancers.append(Process(self, "balancer", address, common.format(a=address) + (
+                'name = "b%d"\naddress = "%s"\nplatform = "127.9.%d.%d:%d"\ncontrol = "%s:%d"\npeers = ["127.9.%d.%d:%d", "127.1.%d.2:%d"]\n'
+                % (i, address, net, 10 + i, self.port + 5, address, self.port + 3, net, 100 + i, self.port + 3, net, self.port + 3))))
+        for i in range(max(4, hosts - hosts // 3)):
+            address, service = "127.2.%d.%d" % (net, i + 1), "maps" if i % 3 == 2 else "spots"
+            agent = Process(self, "agent", address, common.format(a=address) + (
+                'name = "a%d"\naddress = "%s"\nservice = "%s"\nserver = "%s:%d"\nserver_out = "%s:%d"\n'
+                % (i, address, service, address, self.port + 4, address, self.port + 6)))
+            self.agents.append(agent)
+            server = Server(self, service, agent)
+            await loop.create_datagram_endpoint(lambda s=server: s, local_addr=(address, self.port + 4))
+            self.servers.append(server)
+        self.configure()
+        for p in self.balancers + self.agents:
+            p.start()
+        for s in self.servers:
+            s.start()
+        tasks = [asyncio.create_task(self.probe(b)) for b in self.balancers] + [asyncio.create_task(self.heartbeat())]
+        await asyncio.sleep(1.5)
+        for i in range(hosts * 2):
+            caller = Caller(self, i + 1)
+            await loop.create_datagram_endpoint(lambda c=caller: c, local_addr=(caller.address, self.port))
+            for name, pause in (("feeds", 0.4), ("logs", 1.0), ("maps", 1.0)):
+                tasks.append(asyncio.create_task(caller.live(name, pause)))
+        await self.storm()
+        calm = now() + CALM_S
+        await asyncio.sleep(CALM_S + 4)
+        self.over = True
+        late = [ok for started, ok in self.results if started > calm]
+        if not late or sum(late) < SERVED_SHARE * len(late):
+            self.broken("%d of %d served after the faults" % (sum(late), len(late)))
+        for t in tasks:
+            t.cancel()
+
+    def end(self):
+        for p in getattr(self, "balancers", []) + getattr(self, "agents", []):
+            if p.child and p.child.poll() is None:
+                p.child.kill()
+                p.child.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("program")
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=8)
+    parser.add_argument("--keep", help="folder for the logs")
+    options = parser.parse_args()
+    soak = Soak(options)
+    random.seed(options.seed)
+    try:
+        asyncio.run(soak.run())
+    finally:
+        soak.end()
+    served = sum(ok for _, ok in soak.results)
+    print("seed %d: %d of %d requests served, %d promises broken%s" % (
+        options.seed, served, len(soak.results), len(soak.broke),
+        "; logs in " + soak.dir if soak.broke or options.keep else ""))
+    for text in soak.broke[:10]:
+        print("  " + text)
+    if not soak.broke and not options.keep:
+        shutil.rmtree(soak.dir)
+    return 1 if soak.broke else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
