--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -36,7 +36,8 @@
 	m->timeout_ms = route->timeout_ms;
 	m->aim_ms = route->aim_ms;
 	m->n_shares = route->nshares;
-	m->shares = new_part(parts, route->nshares * sizeof(*m->shares));
+	m->shares = g_new0(share_msg_t *, route->nshares);
+	g_ptr_array_add(parts->owned, m->shares);
 	for (size_t i = 0; i < route->nshares; i++) {
 		share_msg_t *share = new_part(parts, sizeof(*share));
 
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -47,8 +47,8 @@
 	bool closed;
 	int server;	  /* that accepted it, -1 none */
 	unsigned epoch;	  /* of that server */
-	unsigned user;	   /* whose long flow it is, 0 none */
-	unsigned request;  /* under way, 0 none */
+	unsigned user;	  /* whose long flow it is, 0 none */
+	unsigned request; /* under way, 0 none */
 	unsigned sent;	  /* packets with data */
 	uint32_t isn;
 	uint32_t acked;
--- a/test/soak.py
+++ b/test/soak.py
@@ -283,7 +283,7 @@
         balancer = self.soak.balancer_for(flow["key"])
         packet = HEAD.pack(len(data), seq & 0xffffffff, ack & 0xffffffff, 0, *flow["key"], flags, 0, 0) + data
         self.transport.sendto(packet, (balancer.address, self.soak.port))
-        flow["through"].add(balancer)
+        flow["through"] = balancer
 
     def datagram_received(self, packet, addr):
         size, seq, ack, _, src, sport, dst, dport, flags, _, _ = HEAD.unpack_from(packet)
@@ -316,7 +316,7 @@
         self.port = 2000 + (self.port - 1999) % 50000
         key = (ip(self.address), self.port, ip(ROUTES[name][0]), ROUTES[name][1])
         flow = {"key": key, "isn": 0, "ack": 0, "seq": 6, "event": asyncio.Event(), "reset": False, "answer": b"",
-                "through": set(), "name": name, "asked": set()}
+                "through": None, "name": name, "asked": set()}
         self.flows[self.port] = flow
         for copy, pause in enumerate((0.2, 0.4, 0.8)):
             self.send(flow, SYN, 5, copy)
@@ -412,7 +412,7 @@
         senders = [p for p in self.balancers + self.agents if p.address == sender]
         if sender == server.agent.address and flow["key"] not in server.flows:
             return
-        if all(p.in_touch() for p in senders + [server.agent] + list(flow["through"])):
+        if all(p.in_touch() for p in senders + [server.agent, flow["through"]]):
             self.broken("reset by %s of open flow %r at %s" % (sender, flow["key"], server.id))
 
     def judge_open(self, server, key):
