Bound the agents that an open was tried at; remove what nothing reads

Cause: found by reading: agents behind a receiver that refuse are counted as tried too, so that a fifth offer wrote behind the array; test refused_by_those_behind ended with index 8 out of bounds before. Change: room for both; the incarnation that no decision read is gone; the event of a message that could not be sent has its own name. Result: relay tests pass under both sanitizers.

--- a/src/event_log.c
+++ b/src/event_log.c
@@ -17,7 +17,7 @@
 	"start",  "stop",    "reload",	   "ready",  "store",
 	"routes", "target",  "member",	   "open",   "taken",
 	"passed", "refused", "unanswered", "lookup", "given-back",
-	"reset",  "late",    "server",	   "wake",
+	"reset",  "message", "server",	   "wake",
 };
 
 static const char *process_name = "cherviltray";
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -37,7 +37,7 @@
 	EVENT_LOOKUP,
 	EVENT_GIVEN_BACK,
 	EVENT_RESET,
-	EVENT_LATE,
+	EVENT_MESSAGE,
 	EVENT_SERVER,
 	EVENT_WAKE,
 	EVENTS, /* number of kinds, not one */
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &ct__relay__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[8] =
 {
   {
     "in_flight",
@@ -351,21 +351,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "incarnation",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ct__Relay__Load, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "failed_percent",
-    8,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -377,7 +365,7 @@
   },
   {
     "quiet_ms",
-    9,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -390,11 +378,10 @@
 };
 static const unsigned ct__relay__load__field_indices_by_name[] = {
   4,   /* field[4] = down_ms */
-  7,   /* field[7] = failed_percent */
+  6,   /* field[6] = failed_percent */
   3,   /* field[3] = flows */
   0,   /* field[0] = in_flight */
-  6,   /* field[6] = incarnation */
-  8,   /* field[8] = quiet_ms */
+  7,   /* field[7] = quiet_ms */
   2,   /* field[2] = service_us */
   5,   /* field[5] = stopping */
   1,   /* field[1] = work_hundredths */
@@ -402,7 +389,7 @@
 static const ProtobufCIntRange ct__relay__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ct__relay__load__descriptor =
 {
@@ -412,7 +399,7 @@
   "Ct__Relay__Load",
   "ct.relay",
   sizeof(Ct__Relay__Load),
-  9,
+  8,
   ct__relay__load__field_descriptors,
   ct__relay__load__field_indices_by_name,
   1,  ct__relay__load__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -58,10 +58,6 @@
    * the agent is about to restart
    */
   protobuf_c_boolean stopping;
-  /*
-   * of the agent's process
-   */
-  uint64_t incarnation;
   /*
    * requests that the server reset, smoothed
    */
@@ -73,7 +69,7 @@
 };
 #define CT__RELAY__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Relay__Message
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -33,7 +33,6 @@
 	const char *service;	   /* that the backend server belongs to */
 	const packet_form_t *form; /* of the packets */
 	size_t flows;		   /* greatest number remembered */
-	uint64_t incarnation;	   /* told apart from other starts only */
 	bool complete; /* started with its server: knows all flows */
 } relay_agent_options_t;
 
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -57,7 +57,6 @@
 		.service = p->settings.service,
 		.form = relay_platform.form,
 		.flows = (size_t)p->settings.memory_mb * FLOWS_A_MB,
-		.incarnation = uv_hrtime(),
 		.complete = p->settings.first_start,
 	};
 	agent_state_t *s = calloc(1, sizeof(*s));
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -100,7 +100,6 @@
 	load->flows = a->live;
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
-	load->incarnation = a->options.incarnation;
 	load->quiet_ms = relay_server_quiet(a);
 	load->failed_percent = (uint32_t)(failed_now(a) * 100);
 }
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -39,7 +39,6 @@
 	uint32_t down_ms;
 	uint32_t quiet_ms;
 	bool stopping;
-	uint64_t incarnation;
 	uint64_t told_ms;  /* load */
 	uint64_t heard_ms; /* anything */
 	uint64_t hello_ms; /* last hello sent */
@@ -98,7 +97,8 @@
 	uint32_t ack;	     /* the caller's last acknowledgement */
 	uint64_t first_ms;   /* first offer */
 	uint64_t offered_ms; /* last offer */
-	uint32_t tried[OFFERS_MAX + OFFER_CANDIDATES];
+	/* Receivers of offers, and those behind them that refused. */
+	uint32_t tried[2 * OFFERS_MAX];
 	unsigned ntried;
 	unsigned offers;
 	uint32_t patience_ms; /* its route's latency objective */
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -141,7 +141,6 @@
 	m->down_ms = load->down_ms;
 	m->quiet_ms = load->quiet_ms;
 	m->stopping = load->stopping;
-	m->incarnation = load->incarnation;
 	m->told_ms = b->now;
 	if (msg->kind == RELAY_LOAD)
 		m->placed = 0;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -181,10 +181,14 @@
 {
 	if (f->offers)
 		return "refused by all";
-	list_each(node, &b->members) if (
-		takes_opens(
-			b, list_entry(node, relay_member_t, node),
-			f->service)) return "no target would answer in time";
+	list_each(node, &b->members)
+	{
+		const relay_member_t *m =
+			list_entry(node, relay_member_t, node);
+
+		if (takes_opens(b, m, f->service))
+			return "no target would answer in time";
+	}
 	return "no target";
 }
 
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -59,7 +59,7 @@
 	if (len)
 		udp_socket_commit(p->messages, &to, len);
 	else
-		event_log(EVENT_LATE,
+		event_log(EVENT_MESSAGE,
 			  "\"why\":\"message too long\",\"kind\":"
 			  "\"%s\"",
 			  relay_kind_name(msg->kind));
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -74,7 +74,6 @@
 	relay_agent_options_t options = { .service = "feeds",
 					  .form = &fleet_packet_form,
 					  .flows = 1000,
-					  .incarnation = 1,
 					  .complete = complete };
 	relay_rig_t *r = rr_new();
 
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -704,7 +704,6 @@
 	relay_agent_options_t options = { .service = SERVICE,
 					  .form = &fleet_packet_form,
 					  .flows = FLOWS_MAX,
-					  .incarnation = w->now + 1,
 					  .complete = complete };
 
 	w->agents[i] = relay_agent_new(&options, &ops, new_peer(w, i));
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -220,6 +220,27 @@
 }
 END_TEST
 
+/* Offers that others refuse than those that got them are counted as tried,
+ * however many there are. */
+START_TEST(refused_by_those_behind)
+{
+	relay_rig_t *r = rr_balancer();
+	char id[8];
+
+	rr_routes(r, 1);
+	for (unsigned i = 0; i < 12; i++) {
+		snprintf(id, sizeof(id), "t%u", i);
+		rr_entry(r, id, AGENT_A + i, 2 + i, ENTRY_READY);
+	}
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	for (unsigned i = 0; i < 6; i++)
+		rr_answer(r, AGENT_A + 100 + i, RELAY_REFUSED, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER), 5);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* No route: a reset; a lower version never replaces a higher one. */
 START_TEST(routes_only_rise)
 {
@@ -397,6 +418,7 @@
 	tcase_add_test(tc, unsure_agents_try_in_turn);
 	tcase_add_test(tc, unanswered_open_moves_on);
 	tcase_add_test(tc, refused_at_once);
+	tcase_add_test(tc, refused_by_those_behind);
 	tcase_add_test(tc, routes_only_rise);
 	tcase_add_test(tc, replaced_target_loses_its_flows);
 	tcase_add_test(tc, leaving_target_keeps_its_flows);
