Rank the members of a service by the flow, for opens and look-ups

Cause: an open went to the best of up to 64 members in random order, so a balancer that did not know a flow had to ask all of them: at 37 targets 5 chains and 37 agents a flow, at 300 machines each agent was asked about each flow after a restart. Hellos and loads went between all balancers and all agents; an agent at 300 machines used 1.5 % of a core (busiest 2.8 %). Ruled out: a hint at a home agent (a message an open, and lost when all restart); chains of all agents at once (the cost above). Change: weighted rendezvous ranks (rank.c, which the other balancer uses too) give each flow the order of a service's members; an open is placed among the first eight that would take it, a look-up asks these first, then four chains, then sixteen. Agents that don't answer hellos are asked last and alone, so that no chain breaks at them. Hellos go to agents that opens were offered to lately; targets that are long gone are forgotten.

--- a/src/placement.c
+++ b/src/placement.c
@@ -1,8 +1,6 @@
 #include "placement.h"
 #include <stdlib.h>
 
-/* Members compared at most; a random part of a larger group is looked at. */
-#define COMPARED_MAX 64
 /* Service time that stands in while no member has told one, in ms. */
 #define SERVICE_DEFAULT_MS 20.0
 /* Slots while the platform's word is not known: few servers have fewer. */
@@ -38,17 +36,6 @@
 /* Unknown load is taken for half of the slots. */
 #define UNKNOWN_LOAD 0.5
 
-static uint32_t next_random(uint32_t *state);
-
-/* Xorshift (Marsaglia 2003): the order needs no better one. */
-static uint32_t next_random(uint32_t *state)
-{
-	*state ^= *state << 13;
-	*state ^= *state >> 17;
-	*state ^= *state << 5;
-	return *state;
-}
-
 placement_group_t placement_group(const placement_member_t *members, size_t n)
 {
 	placement_group_t g = { SERVICE_DEFAULT_MS, FLOW_WORK_DEFAULT };
@@ -140,36 +127,29 @@
 }
 
 size_t placement_order(const placement_member_t *members, size_t n,
-		       uint32_t random, uint32_t *order, double *costs_out,
-		       size_t want)
+		       uint32_t *order, double *costs_out, size_t want)
 {
 	placement_group_t g = placement_group(members, n);
-	double costs[COMPARED_MAX];
-	uint32_t at[COMPARED_MAX];
-	uint32_t state = random | 1;
-	size_t compared = n < COMPARED_MAX ? n : COMPARED_MAX;
-	size_t start = n ? random % n : 0;
+	double costs[PLACEMENT_COMPARED];
 
-	for (size_t i = 0; i < compared; i++) {
-		size_t position = (start + i) % n;
-		double luck = next_random(&state) / (double)UINT32_MAX;
-		double cost = placement_cost(&members[position], &g) *
-			      (1 + SPREAD * luck);
+	if (n > PLACEMENT_COMPARED)
+		n = PLACEMENT_COMPARED;
+	for (size_t i = 0; i < n; i++) {
+		double rank = (double)i / PLACEMENT_COMPARED;
+		double cost =
+			placement_cost(&members[i], &g) * (1 + SPREAD * rank);
 		size_t j = i;
 
-		while (j > 0 && costs[j - 1] > cost) {
+		for (; j > 0 && costs[j - 1] > cost; j--) {
 			costs[j] = costs[j - 1];
-			at[j] = at[j - 1];
-			j--;
+			order[j] = order[j - 1];
 		}
 		costs[j] = cost;
-		at[j] = (uint32_t)position;
+		order[j] = (uint32_t)i;
 	}
-	if (want > compared)
-		want = compared;
-	for (size_t i = 0; i < want; i++) {
-		order[i] = at[i];
+	if (want > n)
+		want = n;
+	for (size_t i = 0; i < want; i++)
 		costs_out[i] = costs[i];
-	}
 	return want;
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -64,13 +64,17 @@
  */
 bool placement_hopeless(const placement_member_t *m, double patience_ms);
 
+/* Members that an open is placed among: the best of a few is nearly as good as
+ * the best of all (Mitzenmacher 2001), and a look-up asks these few first. */
+#define PLACEMENT_COMPARED 8
+
 /*
  * Writes the positions of up to `want` members, best first, and returns how
- * many; costs go to `costs`. `random` (0 to 2^32-1) spreads opens of balancers
- * that were told the same.
+ * many; costs go to `costs`. Members are handed in by their rank for the flow,
+ * PLACEMENT_COMPARED at most; among equals the first rank is taken, which
+ * spreads the opens of balancers that were told the same.
  */
 size_t placement_order(const placement_member_t *members, size_t n,
-		       uint32_t random, uint32_t *order, double *costs,
-		       size_t want);
+		       uint32_t *order, double *costs, size_t want);
 
 #endif
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -49,8 +49,7 @@
 	list_init(&b->members);
 	list_init(&b->waiting);
 	b->by_agent = g_hash_table_new(NULL, NULL);
-	b->compared = g_ptr_array_new();
-	b->described = g_array_new(FALSE, FALSE, sizeof(placement_member_t));
+	b->groups = relay_groups_new();
 	b->flows = flow_index_new(options->flows, flow_release);
 	b->directory = directory_new(&directory_ops, b);
 	if (!b->flows || !b->directory) {
@@ -69,8 +68,7 @@
 	list_each_safe(node, after, &b->members)
 		free(list_entry(node, relay_member_t, node));
 	g_hash_table_destroy(b->by_agent);
-	g_ptr_array_free(b->compared, TRUE);
-	g_array_free(b->described, TRUE);
+	g_hash_table_destroy(b->groups);
 	route_table_unref(b->routes);
 	free(b);
 }
--- /dev/null
+++ b/src/relay_balancer_group.c
@@ -0,0 +1,82 @@
+#include "relay_balancer_int.h"
+
+/* Members of the own availability zone are preferred by this factor: opens
+ * stay there as long as their load allows, and so do look-ups. */
+#define LOCAL_WEIGHT 4.0
+/* Seed of the ranking, the same for all balancers; route shares use 0. */
+#define RANK_SEED 1
+
+static void group_release(void *data);
+static void rank_again(relay_group_t *g);
+
+static void group_release(void *data)
+{
+	relay_group_t *g = data;
+
+	g_ptr_array_free(g->members, TRUE);
+	g_array_free(g->ranks, TRUE);
+	g_free(g);
+}
+
+GHashTable *relay_groups_new(void)
+{
+	return g_hash_table_new_full(NULL, NULL, NULL, group_release);
+}
+
+relay_group_t *relay_group(const relay_balancer_t *b, const char *service)
+{
+	return g_hash_table_lookup(b->groups, service);
+}
+
+void relay_group_put(relay_balancer_t *b, relay_member_t *m)
+{
+	relay_group_t *g = relay_group(b, m->service);
+
+	if (!g) {
+		g = g_new0(relay_group_t, 1);
+		g->members = g_ptr_array_new();
+		g->ranks = g_array_new(FALSE, FALSE, sizeof(rank_member_t));
+		g_hash_table_insert(b->groups, (gpointer)m->service, g);
+	}
+	g->stale = true;
+	if (m->group == g)
+		return;
+	relay_group_take(m);
+	g_ptr_array_add(g->members, m);
+	m->group = g;
+}
+
+void relay_group_take(relay_member_t *m)
+{
+	if (!m->group)
+		return;
+	g_ptr_array_remove_fast(m->group->members, m);
+	m->group->stale = true;
+	m->group = NULL;
+}
+
+static void rank_again(relay_group_t *g)
+{
+	g_array_set_size(g->ranks, 0);
+	for (guint i = 0; i < g->members->len; i++) {
+		const relay_member_t *m = g_ptr_array_index(g->members, i);
+		rank_member_t r = { m->agent, m->slots ? m->slots : 1 };
+
+		if (m->local)
+			r.weight *= LOCAL_WEIGHT;
+		g_array_append_val(g->ranks, r);
+	}
+	g->stale = false;
+}
+
+size_t relay_group_rank(relay_group_t *g, const flow_key_t *key,
+			uint32_t *order, size_t want, rank_accept_fn accept,
+			const void *ctx)
+{
+	uint64_t hash = flow_key_hash(key, RANK_SEED);
+
+	if (g->stale)
+		rank_again(g);
+	return rank_best_of(hash, (rank_member_t *)(void *)g->ranks->data,
+			    g->ranks->len, order, want, accept, ctx);
+}
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -8,6 +8,7 @@
 #include "event_log.h"
 #include "flow_index.h"
 #include "placement.h"
+#include "rank.h"
 #include "relay_balancer.h"
 #include <glib.h>
 
@@ -18,6 +19,17 @@
 /* Packets that wait for the end of a look-up, a flow. */
 #define HELD_MAX 4
 
+/*
+ * The members of a service. A flow ranks them by its hash, alike at each
+ * balancer of an availability zone: opens are placed among the first ranks, so
+ * look-ups find most flows there however large the group is.
+ */
+typedef struct relay_group {
+	GPtrArray *members; /* of relay_member_t, not owned */
+	GArray *ranks;	    /* rank_member_t of each */
+	bool stale;	    /* members changed since ranks were made */
+} relay_group_t;
+
 /* An agent and the backend server beside it. */
 typedef struct relay_member {
 	uint32_t agent;
@@ -49,6 +61,9 @@
 	uint64_t lost_told_ms; /* its flows were reset; 0: no */
 	double placed;	       /* opens placed since it told its load */
 	uint64_t placed_ms;
+	uint64_t used_ms;    /* last open offered */
+	uint64_t watched_ms; /* hellos go regularly since; 0: they don't */
+	relay_group_t *group;
 	list_t node;
 } relay_member_t;
 
@@ -68,9 +83,8 @@
 typedef struct lookup_asked {
 	uint32_t agent;
 	lookup_answer_t answer;
-	const char *service; /* of the agent, interned */
-	unsigned chain;	     /* that it was put in */
-	bool tried;	     /* the packet was sent there to find out */
+	unsigned chain; /* that it was put in */
+	bool tried;	/* the packet was sent there to find out */
 } lookup_asked_t;
 
 typedef struct held_packet {
@@ -82,7 +96,12 @@
 	uint64_t started_ms;
 	uint64_t asked_ms;
 	unsigned rounds;
-	GArray *asked; /* of lookup_asked_t */
+	GArray *asked;	 /* of lookup_asked_t */
+	GArray *pending; /* agents that were not asked yet, in their order */
+	guint next;	 /* the first of them */
+	unsigned chains; /* sent up to now */
+	unsigned batch;	 /* chains that go together */
+	held_packet_t *packet; /* that is looked up, owned */
 	held_packet_t *held[HELD_MAX];
 	unsigned nheld;
 } relay_lookup_t;
@@ -119,8 +138,7 @@
 	directory_t *directory;
 	list_t members;
 	GHashTable *by_agent; /* address -> relay_member_t */
-	GPtrArray *compared;  /* members for an open, kept between calls */
-	GArray *described;    /* placement_member_t of each */
+	GHashTable *groups;   /* service, interned -> relay_group_t, owned */
 	flow_index_t *flows;
 	list_t waiting; /* flows that are opening or looked up */
 	uint32_t random;
@@ -143,6 +161,24 @@
 /* True when it may be asked about flows. */
 bool relay_member_answers(const relay_balancer_t *b, const relay_member_t *m);
 
+/*
+ * True when it has not answered for a while: look-ups ask it apart from the
+ * others, who would wait behind it.
+ */
+bool relay_member_doubtful(const relay_balancer_t *b, const relay_member_t *m);
+
+/* relay_balancer_group.c: the members of a service, and their ranks */
+GHashTable *relay_groups_new(void);
+/* NULL when it has no member yet; the service is an interned string. */
+relay_group_t *relay_group(const relay_balancer_t *b, const char *service);
+/* Moves a member to the group of its service, or notes that it changed. */
+void relay_group_put(relay_balancer_t *b, relay_member_t *m);
+void relay_group_take(relay_member_t *m);
+/* Positions of the members that a flow ranks first, as rank_best_of(). */
+size_t relay_group_rank(relay_group_t *g, const flow_key_t *key,
+			uint32_t *order, size_t want, rank_accept_fn accept,
+			const void *ctx);
+
 /* relay_balancer_open.c: opens */
 void relay_open_packet(relay_balancer_t *b, const route_t *route,
 		       relay_packet_t *p);
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -3,8 +3,14 @@
 #include <string.h>
 
 /* Agents in a chain: each passes the packet to the next, so that a balancer
- * sends few messages however many agents there are. */
-#define CHAIN_AGENTS 8
+ * sends few messages. As many as an open is placed among. */
+#define CHAIN_AGENTS PLACEMENT_COMPARED
+/* Chains that go together, from one to the next time: nearly all flows are
+ * found in the first chain, and all agents of a large group in a few steps. */
+#define BATCH_GROWTH 4
+/* The next ones go when the others have not come to their end by then: eight
+ * agents in a row take a few milliseconds each. */
+#define BATCH_MS 60
 /* A chain that has not come to its end by then has a silent agent in it. */
 #define CHAIN_MS 200
 /* A question without an answer is asked again after this. */
@@ -20,6 +26,7 @@
 static void ask(relay_balancer_t *b, relay_flow_t *f, uint32_t agent);
 static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
 		  const relay_packet_t *p, uint32_t not_at);
+static held_packet_t *held_packet(const relay_packet_t *p);
 static void hold(relay_lookup_t *l, const relay_packet_t *p);
 static void release(relay_balancer_t *b, relay_flow_t *f, uint8_t mark);
 static void go_on(relay_balancer_t *b, relay_flow_t *f);
@@ -31,9 +38,11 @@
 	if (!l)
 		return;
 	for (unsigned i = 0; i < l->nheld; i++)
-		free(l->held[i]);
+		g_free(l->held[i]);
 	g_array_free(l->asked, TRUE);
-	free(l);
+	g_array_free(l->pending, TRUE);
+	g_free(l->packet);
+	g_free(l);
 }
 
 static lookup_asked_t *asked_of(relay_lookup_t *l, uint32_t agent)
@@ -58,95 +67,143 @@
 	b->ops.message(b->ctx, agent, &msg);
 }
 
-/* Lists the agents of a service; those of the own zone first, where opens are
- * placed rather than elsewhere. */
-static void list_agents(relay_balancer_t *b, const char *service,
-			relay_lookup_t *l, bool local, uint32_t not_at)
+typedef struct ask_accept {
+	const relay_balancer_t *b;
+	const relay_group_t *group;
+	uint32_t not_at;
+	bool doubtful;
+} ask_accept_t;
+
+static int to_be_asked(const void *ctx, uint32_t position)
 {
-	list_each(node, &b->members)
-	{
-		relay_member_t *m = list_entry(node, relay_member_t, node);
-		lookup_asked_t a = { .agent = m->agent, .service = m->service };
+	const ask_accept_t *a = ctx;
+	const relay_member_t *m =
+		g_ptr_array_index(a->group->members, position);
 
-		if (strcmp(service, m->service) != 0 || m->local != local ||
-		    !relay_member_answers(b, m))
-			continue;
-		if (m->agent == not_at) {
-			a.answer = ANSWER_NOT_HELD;
-			a.tried = true;
-		}
-		g_array_append_val(l->asked, a);
+	return m->agent != a->not_at && relay_member_answers(a->b, m) &&
+	       relay_member_doubtful(a->b, m) == a->doubtful;
+}
+
+/* Lists the agents of a service as the flow ranks them, which is where its
+ * open was placed. */
+static void list_agents(relay_balancer_t *b, const relay_flow_t *f,
+			relay_group_t *group, uint32_t not_at, bool doubtful)
+{
+	ask_accept_t accept = { b, group, not_at, doubtful };
+	uint32_t *order = g_new(uint32_t, group->members->len);
+	size_t n = relay_group_rank(group, &f->node.key, order,
+				    group->members->len, to_be_asked, &accept);
+
+	for (size_t i = 0; i < n; i++) {
+		const relay_member_t *m =
+			g_ptr_array_index(group->members, order[i]);
+
+		g_array_append_val(f->lookup->pending, m->agent);
 	}
+	g_free(order);
 }
 
-/* Sends a packet along a chain of agents. Returns how many it has. */
-static unsigned send_chain(relay_balancer_t *b, relay_lookup_t *l,
-			   const relay_packet_t *p, unsigned chain)
+/* Sends a packet along a chain of agents that were not asked yet. */
+static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
+		       const relay_packet_t *p)
 {
 	uint32_t agents[CHAIN_AGENTS];
-	const char *service = NULL;
-	unsigned n = 0;
+	const relay_group_t *group = NULL;
+	bool doubtful = false;
 	relay_msg_t msg;
-
-	for (guint i = 0; i < l->asked->len && n < CHAIN_AGENTS; i++) {
-		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
-
-		if (a->answer != ANSWER_NONE || a->chain ||
-		    (service && service != a->service))
+	size_t n = 0;
+
+	l->chains++;
+	while (l->next < l->pending->len && n < CHAIN_AGENTS && !doubtful) {
+		lookup_asked_t a = {
+			.agent = g_array_index(l->pending, uint32_t, l->next),
+			.chain = l->chains,
+		};
+		const relay_member_t *m = relay_member(b, a.agent);
+
+		doubtful = m && relay_member_doubtful(b, m);
+		if (n && (!m || m->group != group || doubtful))
+			break;
+		l->next++;
+		if (!m)
 			continue;
-		service = a->service;
-		a->chain = chain;
-		agents[n++] = a->agent;
+		group = m->group;
+		agents[n++] = a.agent;
+		g_array_append_val(l->asked, a);
 	}
 	if (n == 0)
-		return 0;
+		return;
 	relay_msg_init(&msg, RELAY_LOOKUP);
-	msg.service = (char *)service;
+	msg.service = (char *)relay_member(b, agents[0])->service;
 	msg.balancer = b->options.self;
 	msg.packet.data = p->data;
 	msg.packet.len = p->len;
 	msg.candidates = agents + 1;
 	msg.n_candidates = n - 1;
-	msg.chain = chain;
+	msg.chain = l->chains;
 	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
 	b->ops.message(b->ctx, agents[0], &msg);
-	return n;
+}
+
+/* Asks on, each time more agents at once. Returns false when all were. */
+static bool send_batch(relay_balancer_t *b, relay_lookup_t *l)
+{
+	relay_packet_t p;
+
+	if (l->next == l->pending->len ||
+	    b->options.form->read(l->packet->data, l->packet->len, &p) < 0)
+		return false;
+	for (unsigned i = 0; i < l->batch && l->next < l->pending->len; i++)
+		send_chain(b, l, &p);
+	l->batch *= BATCH_GROWTH;
+	l->asked_ms = b->now;
+	return true;
 }
 
 static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
 		  const relay_packet_t *p, uint32_t not_at)
 {
+	static const bool doubtful[] = { false, true };
 	relay_lookup_t *l = g_new0(relay_lookup_t, 1);
-	unsigned chain = 1;
 
 	l->asked = g_array_new(FALSE, TRUE, sizeof(lookup_asked_t));
+	l->pending = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	l->packet = held_packet(p);
+	l->batch = 1;
 	l->started_ms = b->now;
 	l->asked_ms = b->now;
 	f->lookup = l;
 	relay_flow_phase(b, f, PHASE_ASKING);
 	counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
-	for (size_t i = 0; i < route->nshares; i++) {
-		const char *service = route->shares[i].service;
+	if (not_at) {
+		lookup_asked_t a = { not_at, ANSWER_NOT_HELD, 0, true };
 
-		list_agents(b, service, l, true, not_at);
-		list_agents(b, service, l, false, not_at);
+		g_array_append_val(l->asked, a);
 	}
-	while (send_chain(b, l, p, chain))
-		chain++;
+	for (size_t d = 0; d < 2; d++)
+		for (size_t i = 0; i < route->nshares; i++) {
+			relay_group_t *group = relay_group(
+				b, g_intern_string(route->shares[i].service));
+
+			if (group)
+				list_agents(b, f, group, not_at, doubtful[d]);
+		}
+	send_batch(b, l);
 }
 
-static void hold(relay_lookup_t *l, const relay_packet_t *p)
+static held_packet_t *held_packet(const relay_packet_t *p)
 {
-	held_packet_t *h;
+	held_packet_t *h = g_malloc(sizeof(*h) + p->len);
 
-	if (l->nheld == HELD_MAX)
-		return;
-	h = malloc(sizeof(*h) + p->len);
-	if (!h)
-		return;
 	h->len = p->len;
 	memcpy(h->data, p->data, p->len);
-	l->held[l->nheld++] = h;
+	return h;
+}
+
+static void hold(relay_lookup_t *l, const relay_packet_t *p)
+{
+	if (l->nheld < HELD_MAX)
+		l->held[l->nheld++] = held_packet(p);
 }
 
 /* Sends the packets that waited to the agent that the flow has now. */
@@ -160,7 +217,7 @@
 		if (b->options.form->read(l->held[i]->data, l->held[i]->len,
 					  &p) == 0)
 			relay_flow_send(b, f, &p, mark);
-		free(l->held[i]);
+		g_free(l->held[i]);
 	}
 	l->nheld = 0;
 }
@@ -203,6 +260,8 @@
 		if (g_array_index(l->asked, lookup_asked_t, i).answer ==
 		    ANSWER_NONE)
 			return;
+	if (send_batch(b, l))
+		return;
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
 		relay_member_t *m = relay_member(b, a->agent);
@@ -322,6 +381,11 @@
 	/* The agent knows by now whether its server kept the packet. */
 	if (trial && b->now >= l->asked_ms + RETURN_MS)
 		ask(b, f, trial->agent);
+	if (l->next < l->pending->len) {
+		if (b->now >= l->asked_ms + BATCH_MS)
+			send_batch(b, l);
+		return;
+	}
 	if (b->now < l->asked_ms + (l->rounds ? ASK_AGAIN_MS : CHAIN_MS))
 		return;
 	if (++l->rounds > ASK_ROUNDS) {
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -8,6 +8,12 @@
 #define HELLO_AGAIN_MS 500
 /* Agents forget balancers after 10 s: this is well below. */
 #define HELLO_REFRESH_MS 4000
+/* Without a hello for so long an agent that was offered opens says no more how
+ * loaded it is: hellos follow the opens of a balancer, not the targets. */
+#define USED_MS 12000
+/* A hello without an answer for so long: a round trip between zones, and a
+ * host that waits for its quota for a tenth of a second. */
+#define DOUBT_MS 130
 /* Agents of targets that are gone may hold flows for so long. */
 #define GONE_ASKED_MS 70000
 /* Hosts are taken away with their targets: one that is no longer published is
@@ -62,6 +68,15 @@
 	}
 }
 
+/* Its flows are older than any that the platform lets live. */
+static void forget(relay_balancer_t *b, relay_member_t *m)
+{
+	relay_group_take(m);
+	g_hash_table_remove(b->by_agent, GUINT_TO_POINTER(m->agent));
+	list_remove(&m->node);
+	free(m);
+}
+
 /* Takes over what is published; a new target forgets the one before. */
 void relay_member_entry(relay_balancer_t *b, const target_entry_t *e)
 {
@@ -109,6 +124,7 @@
 	m->warm_at_ms = e->warm_at_ms;
 	m->gone_ms = 0;
 	m->lost_told_ms = 0;
+	relay_group_put(b, m);
 	hello(b, m);
 }
 
@@ -162,6 +178,15 @@
 	hello(b, m);
 }
 
+/* How long it has been silent while hellos went to it. */
+static uint64_t silent_ms(const relay_balancer_t *b, const relay_member_t *m)
+{
+	if (!m->watched_ms)
+		return 0;
+	return b->now -
+	       (m->heard_ms > m->watched_ms ? m->heard_ms : m->watched_ms);
+}
+
 bool relay_member_answers(const relay_balancer_t *b, const relay_member_t *m)
 {
 	if (m->state != ENTRY_GONE)
@@ -169,26 +194,49 @@
 	if (m->down_ms || m->quiet_ms >= GONE_QUIET_MS)
 		return false;
 	return b->now < m->gone_ms + GONE_ASKED_MS &&
-	       b->now < m->heard_ms + GONE_UNREACHABLE_MS;
+	       silent_ms(b, m) < GONE_UNREACHABLE_MS;
 }
 
-static void member_tick(relay_balancer_t *b, relay_member_t *m)
+bool relay_member_doubtful(const relay_balancer_t *b, const relay_member_t *m)
+{
+	return m->hello_ms > m->heard_ms && b->now >= m->hello_ms + DOUBT_MS;
+}
+
+/* Says hello when it is due, so that the agent tells its load. */
+static void keep_in_touch(relay_balancer_t *b, relay_member_t *m)
 {
 	uint64_t quiet = b->now - m->heard_ms;
 	uint64_t asked = b->now - m->hello_ms;
-	bool wanted =
-		m->state != ENTRY_GONE || b->now < m->gone_ms + GONE_ASKED_MS;
+	bool gone = m->state == ENTRY_GONE;
 
-	if (m->state == ENTRY_GONE && b->now < m->gone_ms + GONE_WATCHED_MS &&
+	if (!gone && b->now >= m->used_ms + USED_MS &&
+	    m->heard_ms >= m->hello_ms) {
+		m->watched_ms = 0;
+		return;
+	}
+	if (!m->watched_ms)
+		m->watched_ms = b->now;
+	if (gone && b->now < m->gone_ms + GONE_WATCHED_MS &&
 	    quiet >= GONE_HELLO_MS && asked >= GONE_HELLO_MS)
 		hello(b, m);
-	else if (wanted && ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
-			    asked >= HELLO_REFRESH_MS))
+	else if ((quiet >= HELLO_MS && asked >= HELLO_AGAIN_MS) ||
+		 asked >= HELLO_REFRESH_MS)
 		hello(b, m);
-	if (m->state != ENTRY_GONE || m->lost_told_ms)
+}
+
+static void member_tick(relay_balancer_t *b, relay_member_t *m)
+{
+	bool gone = m->state == ENTRY_GONE;
+
+	if (gone && b->now >= m->gone_ms + GONE_ASKED_MS) {
+		forget(b, m);
+		return;
+	}
+	keep_in_touch(b, m);
+	if (!gone || m->lost_told_ms)
 		return;
 	if (m->down_ms >= LOST_MS || m->quiet_ms >= LOST_MS ||
-	    quiet >= UNREACHABLE_MS) {
+	    silent_ms(b, m) >= UNREACHABLE_MS) {
 		m->lost_told_ms = b->now;
 		reset_flows(b, m, "target gone");
 	}
@@ -196,6 +244,6 @@
 
 void relay_members_tick(relay_balancer_t *b)
 {
-	list_each(node, &b->members)
+	list_each_safe(node, after, &b->members)
 		member_tick(b, list_entry(node, relay_member_t, node));
 }
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -19,23 +19,22 @@
 /* One that may have crashed a moment ago more often: three opens decide. */
 #define QUIET_TRIAL_MS 250
 
-static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m,
-			const char *service);
+static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m);
 static bool was_tried(const relay_flow_t *f, uint32_t agent);
 static void describe(const relay_balancer_t *b, const relay_member_t *m,
 		     placement_member_t *out);
 static relay_member_t *doubted_member(relay_balancer_t *b,
 				      const relay_flow_t *f);
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
-			 relay_member_t **out, double *costs, size_t want);
+			 relay_member_t **out, double *costs);
+static int acceptable(const void *ctx, uint32_t position);
 static bool offer(relay_balancer_t *b, relay_flow_t *f);
 static void refuse(relay_balancer_t *b, relay_flow_t *f);
 
-static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m,
-			const char *service)
+static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m)
 {
-	return m->state == ENTRY_READY && m->service == service &&
-	       !m->stopping && m->down_ms == 0 && m->avoid_until <= b->now;
+	return m->state == ENTRY_READY && !m->stopping && m->down_ms == 0 &&
+	       m->avoid_until <= b->now;
 }
 
 static bool was_tried(const relay_flow_t *f, uint32_t agent)
@@ -70,12 +69,13 @@
 static relay_member_t *doubted_member(relay_balancer_t *b,
 				      const relay_flow_t *f)
 {
-	list_each(node, &b->members)
-	{
-		relay_member_t *m = list_entry(node, relay_member_t, node);
+	relay_group_t *group = relay_group(b, f->service);
 
-		if (m->state != ENTRY_READY || m->service != f->service ||
-		    m->stopping || (m->down_ms == 0 && m->quiet_ms == 0) ||
+	for (guint i = 0; group && i < group->members->len; i++) {
+		relay_member_t *m = g_ptr_array_index(group->members, i);
+
+		if (m->state != ENTRY_READY || m->stopping ||
+		    (m->down_ms == 0 && m->quiet_ms == 0) ||
 		    b->now < m->trial_ms +
 				     (m->down_ms ? TRIAL_MS : QUIET_TRIAL_MS) ||
 		    m->avoid_until > b->now || was_tried(f, m->agent))
@@ -86,42 +86,58 @@
 	return NULL;
 }
 
-/* Members to offer an open to, best first. */
+typedef struct open_accept {
+	const relay_balancer_t *b;
+	const relay_flow_t *f;
+	const relay_group_t *group;
+} open_accept_t;
+
+/* True for a member that may take the open and would answer it in time. */
+static int acceptable(const void *ctx, uint32_t position)
+{
+	const open_accept_t *a = ctx;
+	const relay_member_t *m =
+		g_ptr_array_index(a->group->members, position);
+	placement_member_t seen;
+
+	if (!takes_opens(a->b, m) || was_tried(a->f, m->agent))
+		return 0;
+	describe(a->b, m, &seen);
+	return !placement_hopeless(&seen, a->f->patience_ms);
+}
+
+/* Members to offer an open to, best first, OFFER_CANDIDATES at most. */
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
-			 relay_member_t **out, double *costs, size_t want)
+			 relay_member_t **out, double *costs)
 {
-	size_t n = 0, kept = 0;
-	relay_member_t **list;
-	placement_member_t *seen;
-	uint32_t order[OFFER_CANDIDATES];
-	double found[OFFER_CANDIDATES];
+	relay_group_t *group = relay_group(b, f->service);
+	open_accept_t accept = { b, f, group };
+	uint32_t ranked[PLACEMENT_COMPARED], order[PLACEMENT_COMPARED];
+	placement_member_t seen[PLACEMENT_COMPARED];
+	double found[PLACEMENT_COMPARED];
 	relay_member_t *doubted = doubted_member(b, f);
+	size_t n, kept = 0;
 
-	g_ptr_array_set_size(b->compared, (gint)g_hash_table_size(b->by_agent));
-	g_array_set_size(b->described, g_hash_table_size(b->by_agent));
-	list = (relay_member_t **)b->compared->pdata;
-	seen = (placement_member_t *)(void *)b->described->data;
+	if (!group)
+		return 0;
 	if (doubted) {
 		costs[kept] = 0;
 		out[kept++] = doubted;
 	}
-	list_each(node, &b->members)
-	{
-		relay_member_t *m = list_entry(node, relay_member_t, node);
+	n = relay_group_rank(group, &f->node.key, ranked, PLACEMENT_COMPARED,
+			     acceptable, &accept);
+	for (size_t i = 0; i < n; i++)
+		describe(b, g_ptr_array_index(group->members, ranked[i]),
+			 &seen[i]);
+	n = placement_order(seen, n, order, found, OFFER_CANDIDATES);
+	for (size_t i = 0; i < n && kept < OFFER_CANDIDATES; i++) {
+		relay_member_t *m =
+			g_ptr_array_index(group->members, ranked[order[i]]);
 
-		if (!takes_opens(b, m, f->service) || was_tried(f, m->agent))
+		if (m == doubted)
 			continue;
-		list[n] = m;
-		describe(b, m, &seen[n]);
-		if (!placement_hopeless(&seen[n], f->patience_ms))
-			n++;
-	}
-	if (want > OFFER_CANDIDATES)
-		want = OFFER_CANDIDATES;
-	n = placement_order(seen, n, relay_random(b), order, found, want);
-	for (size_t i = 0; i < n && kept < want; i++) {
 		costs[kept] = found[i];
-		out[kept++] = list[order[i]];
+		out[kept++] = m;
 	}
 	return kept;
 }
@@ -138,7 +154,7 @@
 
 	if (f->offers >= OFFERS_MAX)
 		return false;
-	n = candidates(b, f, to, costs, OFFER_CANDIDATES);
+	n = candidates(b, f, to, costs);
 	if (n == 0)
 		return false;
 	relay_msg_init(&msg, RELAY_OFFER);
@@ -161,6 +177,7 @@
 	f->offered_ms = b->now;
 	to[0]->placed += OPEN_WORK;
 	to[0]->placed_ms = b->now;
+	to[0]->used_ms = b->now;
 	event_log(EVENT_OPEN,
 		  "\"flow\":\"%s\",\"seq\":%u,\"service\":\"%s\","
 		  "\"agent\":\"%s\",\"behind\":%zu,\"offer\":%u,"
@@ -179,16 +196,13 @@
 static const char *refusal_reason(const relay_balancer_t *b,
 				  const relay_flow_t *f)
 {
+	const relay_group_t *group = relay_group(b, f->service);
+
 	if (f->offers)
 		return "refused by all";
-	list_each(node, &b->members)
-	{
-		const relay_member_t *m =
-			list_entry(node, relay_member_t, node);
-
-		if (takes_opens(b, m, f->service))
+	for (guint i = 0; group && i < group->members->len; i++)
+		if (takes_opens(b, g_ptr_array_index(group->members, i)))
 			return "no target would answer in time";
-	}
 	return "no target";
 }
 
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -9,7 +9,7 @@
 #include "relay_agent.h"
 #include "relay_balancer.h"
 
-#define RIG_SENT_MAX 512
+#define RIG_SENT_MAX 4096
 
 typedef enum rig_to {
 	RIG_AGENT,   /* a packet to an agent */
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -92,10 +92,11 @@
 	}
 	rr_clear(r);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
-	ck_assert_uint_eq(r->n, 5);
+	ck_assert_uint_eq(r->n, 1);
 	for (unsigned chain = 1; chain <= 5; chain++) {
 		ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
 		rr_chain_ended(r, AGENT_A, 1, chain);
+		ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 5);
 	}
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
 	rr_free(r);
--- /dev/null
+++ b/test/test_relay_spread.c
@@ -0,0 +1,251 @@
+/*
+ * test_relay_spread - look-ups and placement do not grow with the service
+ */
+
+#include "relay_rig.h"
+#include "runner.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+#define FIRST_HOST 0x0a020001u
+#define FLOWS	   200
+/* Offers and look-ups ask so many agents at first. */
+#define FIRST_CHAIN 8
+/* Hops of a look-up that finds its flow, in the mean over loads. */
+#define MEAN_HOPS 3.0
+
+static const unsigned sizes[] = { 7, 37, 200, 2000 };
+
+/* Each agent tells a load of its own, all below what makes opens wait. */
+static void tell_loads(relay_rig_t *r, unsigned targets)
+{
+	for (unsigned t = 0; t < targets; t++)
+		rr_load(r, FIRST_HOST + t, t % 3, t % 5 / 4.0, 12 + t % 4, 0);
+}
+
+static relay_rig_t *balancer_of(unsigned targets, bool reverse)
+{
+	relay_rig_t *r = rr_balancer();
+	char id[16];
+
+	rr_routes(r, 1);
+	for (unsigned i = 0; i < targets; i++) {
+		unsigned t = reverse ? targets - 1 - i : i;
+
+		snprintf(id, sizeof(id), "t%u", t);
+		rr_entry(r, id, FIRST_HOST + t, 2 + t, ENTRY_READY);
+	}
+	tell_loads(r, targets);
+	rr_clear(r);
+	return r;
+}
+
+/* The agent that an open is offered to first. */
+static uint32_t offered(relay_rig_t *r, unsigned flow)
+{
+	int at;
+
+	rr_from_caller(r, flow, RELAY_SYN, 5, 0, 0);
+	at = rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER);
+	ck_assert_int_ge(at, 0);
+	return r->sent[at].host;
+}
+
+/* How many agents a look-up passes until it is at the holder; 0: the first
+ * chain misses it. */
+static unsigned hops(relay_rig_t *r, unsigned flow, uint32_t holder)
+{
+	unsigned hop = 0;
+	relay_msg_t *msg;
+	int at;
+
+	rr_clear(r);
+	rr_from_caller(r, flow, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(r->n, 1);
+	at = rr_last(r, RIG_MESSAGE, 0, RELAY_LOOKUP);
+	ck_assert_int_ge(at, 0);
+	if (r->sent[at].host == holder)
+		return 1;
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	ck_assert_uint_le(msg->n_candidates + 1, FIRST_CHAIN);
+	for (size_t i = 0; i < msg->n_candidates && !hop; i++)
+		if (msg->candidates[i] == holder)
+			hop = (unsigned)i + 2;
+	relay_msg_free(msg);
+	return hop;
+}
+
+/* A balancer that knows nothing of a flow finds it in its first chain, at any
+ * size of the service and whatever the order in which it heard of targets. */
+START_TEST(flow_is_in_the_first_chain)
+{
+	unsigned targets = sizes[_i], sum = 0, two = 0;
+	relay_rig_t *places = balancer_of(targets, false);
+	relay_rig_t *finds = balancer_of(targets, true);
+
+	for (unsigned i = 0; i < FLOWS; i++) {
+		unsigned n;
+
+		rr_clear(places);
+		tell_loads(places, targets);
+		n = hops(finds, i, offered(places, i));
+		ck_assert_uint_ge(n, 1);
+		sum += n;
+		two += n <= 2;
+	}
+	printf("%4u targets: %.2f hops in the mean, %.2f within two\n", targets,
+	       (double)sum / FLOWS, (double)two / FLOWS);
+	ck_assert_double_le((double)sum / FLOWS, MEAN_HOPS);
+	rr_free(places);
+	rr_free(finds);
+}
+END_TEST
+
+/* Messages of a balancer that looks for a flow that nobody holds: some at a
+ * time, all agents in the end, and no reset before that. */
+START_TEST(unknown_flow_is_asked_of_all)
+{
+	unsigned targets = sizes[_i];
+	unsigned chains = (targets + FIRST_CHAIN - 1) / FIRST_CHAIN;
+	relay_rig_t *r = balancer_of(targets, false);
+	unsigned ended = 0, batch = 1;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	while (ended < chains) {
+		unsigned sent = chains - ended < batch ? chains - ended : batch;
+
+		ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP),
+				  sent);
+		ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+		rr_clear(r);
+		while (sent--)
+			rr_chain_ended(r, FIRST_HOST, 1, ++ended);
+		batch *= 4;
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* A first chain that is broken does not hold the others up. */
+START_TEST(broken_chain_is_not_waited_for)
+{
+	relay_rig_t *r = balancer_of(37, false);
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_clear(r);
+	rr_run(r, 75);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 4);
+	rr_free(r);
+}
+END_TEST
+
+/* An agent that does not answer hellos is asked last and alone, so that no
+ * chain breaks at it. */
+START_TEST(silent_agent_breaks_no_chain)
+{
+	relay_rig_t *r = balancer_of(7, false);
+	uint32_t silent = FIRST_HOST + 3;
+	relay_msg_t *msg;
+	int at;
+
+	rr_run(r, RELAY_TICK_MS);
+	rr_entry(r, "t3", silent, 50, ENTRY_DRAINING); /* says hello */
+	rr_run(r, 150);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	at = rr_last(r, RIG_MESSAGE, 0, RELAY_LOOKUP);
+	ck_assert_int_ge(at, 0);
+	ck_assert_uint_ne(r->sent[at].host, silent);
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	ck_assert_uint_eq(msg->n_candidates, 5);
+	for (size_t i = 0; i < msg->n_candidates; i++)
+		ck_assert_uint_ne(msg->candidates[i], silent);
+	relay_msg_free(msg);
+	rr_chain_ended(r, FIRST_HOST, 1, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, silent, RELAY_LOOKUP), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Hellos go to agents that opens were offered to lately, not to all. */
+START_TEST(hellos_follow_the_opens)
+{
+	relay_rig_t *r = balancer_of(200, false);
+	uint32_t used;
+
+	rr_run(r, 15000);
+	rr_clear(r);
+	used = offered(r, 1);
+	rr_answer(r, used, RELAY_TAKEN, 1, "feeds");
+	rr_clear(r);
+	rr_run(r, 9000);
+	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, used, RELAY_HELLO), 2);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_HELLO),
+			  rr_count(r, RIG_MESSAGE, used, RELAY_HELLO));
+	rr_free(r);
+}
+END_TEST
+
+/* An agent that got no hellos for long is not taken for silent when its entry
+ * goes: its server may hold flows. */
+START_TEST(unused_agent_is_asked_when_it_goes)
+{
+	relay_rig_t *r = balancer_of(2, false);
+
+	rr_run(r, 30000);
+	rr_entry_gone(r, "t0", 90);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_chain_ended(r, FIRST_HOST + 1, 1, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+
+	r = balancer_of(1, false);
+	rr_run(r, 30000);
+	rr_entry_gone(r, "t0", 90);
+	rr_run(r, RELAY_TICK_MS);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, FIRST_HOST, RELAY_LOOKUP),
+			  1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Addresses of targets that are long gone are forgotten. */
+START_TEST(gone_targets_are_forgotten)
+{
+	relay_rig_t *r = balancer_of(3, false);
+
+	rr_entry_gone(r, "t0", 90);
+	rr_run(r, 80000);
+	rr_clear(r);
+	rr_run(r, 20000);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, FIRST_HOST, RELAY_HELLO), 0);
+	rr_entry(r, "t0-again", FIRST_HOST, 91, ENTRY_READY);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, FIRST_HOST, RELAY_HELLO), 1);
+	rr_free(r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay_spread");
+	TCase *tc = tcase_create("groups");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, flow_is_in_the_first_chain, 0,
+			    sizeof(sizes) / sizeof(sizes[0]));
+	tcase_add_loop_test(tc, unknown_flow_is_asked_of_all, 0,
+			    sizeof(sizes) / sizeof(sizes[0]));
+	tcase_add_test(tc, broken_chain_is_not_waited_for);
+	tcase_add_test(tc, silent_agent_breaks_no_chain);
+	tcase_add_test(tc, hellos_follow_the_opens);
+	tcase_add_test(tc, unused_agent_is_asked_when_it_goes);
+	tcase_add_test(tc, gone_targets_are_forgotten);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
