Bound an agent's reports of its load by their number

Cause: an agent told each balancer up to 6.7 times a second; with 60 balancers that were 14.7 KB a second (test), where 3 KB a second is the limit for control. Ruled out: fewer balancers that are told (the others would place blindly). Change: the pause between reports grows with the balancers, 20 ms for each; a report no longer names the service, which nobody read in it. Test: reports_keep_to_their_budget, 14,694 bytes a second before, under 3,000 after. With up to seven balancers nothing changes.

--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -9,6 +9,9 @@
 /* Balancers hear of the load at least and at most this often. */
 #define TELL_MAX_MS 1000
 #define TELL_MIN_MS 150
+/* Pause for each balancer that is told: 50 reports of 50 bytes a second keep
+ * an agent's own messages under 3 KB a second. */
+#define TELL_EACH_MS 20
 /* Change of the load, in slots, that is told before TELL_MAX_MS. */
 #define TELL_CHANGE 0.25
 /* Balancers say hello each 4 s. */
@@ -113,7 +116,6 @@
 	relay_load_fill(a, &load);
 	relay_msg_init(&msg, RELAY_LOAD);
 	msg.load = &load;
-	msg.service = (char *)a->options.service;
 	for (size_t i = 0; i < a->nbalancers; i++) {
 		known_balancer_t *k = &a->balancers[i];
 
@@ -146,8 +148,9 @@
 void relay_load_tick(relay_agent_t *a)
 {
 	double slots = a->slots ? a->slots : 1;
+	uint64_t pause = a->nbalancers * TELL_EACH_MS;
 
-	if (a->now < a->told_ms + TELL_MIN_MS)
+	if (a->now < a->told_ms + (pause > TELL_MIN_MS ? pause : TELL_MIN_MS))
 		return;
 	smooth(a);
 	if (a->now >= a->told_ms + TELL_MAX_MS ||
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -406,6 +406,38 @@
 }
 END_TEST
 
+/* However many balancers there are, and however the load changes, an agent's
+ * reports of it stay under three kilobytes a second, heads of UDP included. */
+START_TEST(reports_keep_to_their_budget)
+{
+	static const unsigned seconds = 10, budget = 3000, heads = 28;
+	relay_rig_t *r = rr_agent(true);
+	size_t bytes = 0;
+
+	for (unsigned flow = 0; flow < 8; flow++)
+		open_flow(r, flow);
+	for (unsigned ms = 0; ms < seconds * 1000; ms += 200) {
+		for (uint32_t i = 0; ms % 4000 == 0 && i < 60; i++)
+			rr_hello(r, BALANCER + i, 2);
+		for (unsigned flow = 0; flow < 8; flow++)
+			rr_from_balancer(r, BALANCER, flow, RELAY_ACK, 6 + ms,
+					 ISN + 1 + ms, 100, 0);
+		rr_clear(r);
+		rr_run(r, 100);
+		for (unsigned flow = 0; flow < 8; flow++)
+			rr_from_server(r, flow, RELAY_ACK, ISN + 1 + ms,
+				       106 + ms, 500);
+		rr_run(r, 100);
+		for (size_t i = 0; i < r->n; i++)
+			if (r->sent[i].to == RIG_MESSAGE)
+				bytes += r->sent[i].len + heads;
+	}
+	ck_assert_uint_gt(bytes, 0);
+	ck_assert_uint_le(bytes / seconds, budget);
+	rr_free(r);
+}
+END_TEST
+
 /* A request whose caller and server fell silent is no load for long. */
 START_TEST(forgotten_request_is_no_load)
 {
@@ -443,6 +475,7 @@
 	tcase_add_test(tc, kept_packet_is_held);
 	tcase_add_test(tc, first_agent_back_takes_no_more_than_it_can);
 	tcase_add_test(tc, load_is_told);
+	tcase_add_test(tc, reports_keep_to_their_budget);
 	tcase_add_test(tc, forgotten_request_is_no_load);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
