Let the callers of a lost server go by and by

Cause: an agent whose server was lost reset all of its flows in one tick. Callers with a request under way asked elsewhere at the same moment, and were refused three times in a row: in the pattern two_lost, failures come in clusters of 10 to 22 at 5.6, 5.7, 6.2, 6.4 and 6.5 s, each with three tries. Ruled out: failures by deadline (all clusters had used up their tries). Change: idle flows are reset at once, those with a request under way over eight ticks, four a tick at least, the longest waiting first.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -19,6 +19,11 @@
 /* A server returns a packet that it does not hold within a few milliseconds:
  * what has not come back by now is held. */
 #define RETURN_MS 50
+/* Ticks over which the callers of a lost server are let go, and how many of
+ * them a tick at least: 160 a second, which ten slots that are half loaded and
+ * answer in 30 ms have to spare. */
+#define LOST_TICKS	8
+#define LOST_TICK_FLOWS 4
 /* A caller acknowledges at most this much beyond what was seen sent. */
 #define ACK_SLACK 76800
 
@@ -492,8 +497,7 @@
 	}
 }
 
-/* Callers of a server that is lost may ask elsewhere before their deadlines. */
-static void reset_flows(relay_agent_t *a)
+static void server_lost(relay_agent_t *a)
 {
 	a->lost = true;
 	event_log(EVENT_SERVER,
@@ -501,13 +505,28 @@
 		  "\"flows\":%zu",
 		  a->unanswered, (unsigned long long)(a->now - a->silent_ms),
 		  flow_index_count(a->flows));
+}
+
+/*
+ * Callers of a server that is lost may ask elsewhere before their deadlines.
+ * Those with a request under way ask at once: they are let go by and by, the
+ * one that has waited longest first, so that the other servers can take them.
+ */
+static void reset_flows(relay_agent_t *a)
+{
+	unsigned paced = a->in_flight / LOST_TICKS;
+
+	if (paced < LOST_TICK_FLOWS)
+		paced = LOST_TICK_FLOWS;
 	list_each_safe(node, after, flow_index_recent(a->flows))
 	{
 		flow_node_t *n = list_entry(node, flow_node_t, recent);
 		aflow_t *f = (aflow_t *)n;
 
-		if (f->phase == AFLOW_OPEN)
-			lost_flow(a, f, "server silent");
+		if (f->phase != AFLOW_OPEN || (f->busy && !paced))
+			continue;
+		paced -= f->busy;
+		lost_flow(a, f, "server silent");
 	}
 }
 
@@ -528,6 +547,8 @@
 	if (!answers_may_wait(a))
 		relay_agent_opening_tick(a);
 	if (!a->lost && !a->late && relay_server_lost(a))
+		server_lost(a);
+	if (a->lost)
 		reset_flows(a);
 	relay_load_tick(a);
 	if (now < a->swept_ms + SWEEP_MS)
