Count answers that come far too soon as failures

Errors take 0 to 2 ms where requests take 8 and more: the servers seemed fast and idle and were given 2.8 times the mean of opens. Median of service times and load were the same for all others; nothing was late. Ruled out: sizes (the first packet of a good answer is anything from 0 to 1,200 bytes); the agent's own history (a server that was slow and has recovered would look hasty to it). Change: a balancer tells the service's typical time (the lower median of those compared) with an open; an agent counts answers within a quarter of it; what is 0.2 more than at the best member counts as failures (x20 of the cost), and a member is taken for at most twice as fast as is typical. Hasty answers move the typical time of a server little. A server that fails from its start beside a majority that fails as well is not told.

--- a/src/counters.h
+++ b/src/counters.h
@@ -73,6 +73,7 @@
 	X(SERVICE_POLLS, "service_polls")                                      \
 	X(REQUESTS, "requests")                                                \
 	X(REQUESTS_FAILED, "requests_failed")                                  \
+	X(REQUESTS_HASTY, "requests_hasty")                                    \
 	X(REQUESTS_ANSWERED, "requests_answered")                              \
 	X(SUSPICIONS, "suspicions")                                            \
 	X(REFUTATIONS, "refutations")                                          \
--- a/src/placement.c
+++ b/src/placement.c
@@ -33,32 +33,68 @@
 /* A request that fails costs its caller this many more: another flow, another
  * queue, and a try less. */
 #define FAILED_COST 20
+/* An answer within this part of the typical time is hasty: hardware of one
+ * service differs by a factor of two or three, a failing server by ten. */
+#define HASTY_PART 0.25
+/* Hasty answers beyond the part that all servers have, until they count as
+ * failures: small and large requests are mixed by chance. */
+#define HASTY_MARGIN 0.2
+/* A member is taken for faster than is typical by this factor at most. */
+#define FASTER_MAX 2.0
 /* Unknown load is taken for half of the slots. */
 #define UNKNOWN_LOAD 0.5
 
+static int by_value(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
 placement_group_t placement_group(const placement_member_t *members, size_t n)
 {
-	placement_group_t g = { SERVICE_DEFAULT_MS, FLOW_WORK_DEFAULT };
-	double service = 0, work = 0, flows = 0;
+	placement_group_t g = { SERVICE_DEFAULT_MS, FLOW_WORK_DEFAULT, 1,
+				false };
+	double services[PLACEMENT_COMPARED];
+	double work = 0, flows = 0;
 	size_t told = 0;
 
+	if (n > PLACEMENT_COMPARED)
+		n = PLACEMENT_COMPARED;
 	for (size_t i = 0; i < n; i++) {
-		if (members[i].service_ms > 0) {
-			service += members[i].service_ms;
-			told++;
-		}
-		if (members[i].known) {
-			work += members[i].work;
-			flows += members[i].flows;
-		}
+		if (members[i].service_ms > 0)
+			services[told++] = members[i].service_ms;
+		if (!members[i].known)
+			continue;
+		work += members[i].work;
+		flows += members[i].flows;
+		if (members[i].hasty < g.hasty)
+			g.hasty = members[i].hasty;
+	}
+	if (told) {
+		qsort(services, told, sizeof(services[0]), by_value);
+		g.service_ms = services[(told - 1) / 2];
+		g.known = true;
 	}
-	if (told)
-		g.service_ms = service / (double)told;
 	if (flows >= FLOWS_ENOUGH)
 		g.flow_work = work / flows;
 	return g;
 }
 
+bool placement_hasty(double took_ms, double typical_ms)
+{
+	return took_ms < typical_ms * HASTY_PART;
+}
+
+/* Part of the requests that an open would fail with. */
+static double failing(const placement_member_t *m, const placement_group_t *g)
+{
+	double hasty = m->hasty - g->hasty - HASTY_MARGIN;
+	double part = m->failed + (hasty > 0 ? hasty / (1 - HASTY_MARGIN) : 0);
+
+	return part < 1 ? part : 1;
+}
+
 /*
  * Long flows bring requests later: the load that a member's flows will bring
  * counts beside the one that is seen, or the member with the least load is
@@ -80,11 +116,13 @@
 	double slots = m->slots ? m->slots : 1;
 	double load, busy;
 
+	if (service * FASTER_MAX < g->service_ms)
+		service = g->service_ms / FASTER_MAX;
 	if (m->cold)
 		service *= COLD_FACTOR;
 	load = m->known ? expected_work(m, service, g) : slots * UNKNOWN_LOAD;
 	busy = (load + m->placed * PLACED_WORK) / slots;
-	return service * (1 + busy * busy) * (1 + m->failed * FAILED_COST) +
+	return service * (1 + busy * busy) * (1 + failing(m, g) * FAILED_COST) +
 	       (m->local ? 0 : OTHER_ZONE_MS);
 }
 
@@ -127,9 +165,9 @@
 }
 
 size_t placement_order(const placement_member_t *members, size_t n,
-		       uint32_t *order, double *costs_out, size_t want)
+		       const placement_group_t *g, uint32_t *order,
+		       double *costs_out, size_t want)
 {
-	placement_group_t g = placement_group(members, n);
 	double costs[PLACEMENT_COMPARED];
 
 	if (n > PLACEMENT_COMPARED)
@@ -137,7 +175,7 @@
 	for (size_t i = 0; i < n; i++) {
 		double rank = (double)i / PLACEMENT_COMPARED;
 		double cost =
-			placement_cost(&members[i], &g) * (1 + SPREAD * rank);
+			placement_cost(&members[i], g) * (1 + SPREAD * rank);
 		size_t j = i;
 
 		for (; j > 0 && costs[j - 1] > cost; j--) {
--- a/src/placement.h
+++ b/src/placement.h
@@ -23,6 +23,7 @@
 	double told_ms_ago;
 	double flows;	   /* open and used lately, as told */
 	double failed;	   /* part of its requests that failed, 0 to 1 */
+	double hasty;	   /* part that was answered far too soon, 0 to 1 */
 	double placed;	   /* opens placed there since, decayed */
 	double service_ms; /* of a request that found a free slot; 0: unknown */
 } placement_member_t;
@@ -31,10 +32,24 @@
 typedef struct placement_group {
 	double service_ms; /* typical service time */
 	double flow_work;  /* requests in flight that an open flow brings */
+	double hasty;	   /* part of hasty answers that all of them have */
+	bool known;	   /* service_ms is: a member told its own */
 } placement_group_t;
 
+/* Members that an open is placed among: the best of a few is nearly as good as
+ * the best of all (Mitzenmacher 2001), and a look-up asks these few first. */
+#define PLACEMENT_COMPARED 8
+
+/* Of up to PLACEMENT_COMPARED members. */
 placement_group_t placement_group(const placement_member_t *members, size_t n);
 
+/*
+ * True when an answer came so much sooner than is typical that it may be an
+ * error. A server that fails is fast and seems idle: without this it would be
+ * given most opens.
+ */
+bool placement_hasty(double took_ms, double typical_ms);
+
 /* Time in which a member would answer, in ms. */
 double placement_cost(const placement_member_t *m, const placement_group_t *g);
 
@@ -64,10 +79,6 @@
  */
 bool placement_hopeless(const placement_member_t *m, double patience_ms);
 
-/* Members that an open is placed among: the best of a few is nearly as good as
- * the best of all (Mitzenmacher 2001), and a look-up asks these few first. */
-#define PLACEMENT_COMPARED 8
-
 /*
  * Writes the positions of up to `want` members, best first, and returns how
  * many; costs go to `costs`. Members are handed in by their rank for the flow,
@@ -75,6 +86,7 @@
  * spreads the opens of balancers that were told the same.
  */
 size_t placement_order(const placement_member_t *members, size_t n,
-		       uint32_t *order, double *costs, size_t want);
+		       const placement_group_t *g, uint32_t *order,
+		       double *costs, size_t want);
 
 #endif
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &ct__relay__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[9] =
 {
   {
     "in_flight",
@@ -375,11 +375,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hasty_percent",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Load, hasty_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__load__field_indices_by_name[] = {
   4,   /* field[4] = down_ms */
   6,   /* field[6] = failed_percent */
   3,   /* field[3] = flows */
+  8,   /* field[8] = hasty_percent */
   0,   /* field[0] = in_flight */
   7,   /* field[7] = quiet_ms */
   2,   /* field[2] = service_us */
@@ -389,7 +402,7 @@
 static const ProtobufCIntRange ct__relay__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ct__relay__load__descriptor =
 {
@@ -399,14 +412,14 @@
   "Ct__Relay__Load",
   "ct.relay",
   sizeof(Ct__Relay__Load),
-  8,
+  9,
   ct__relay__load__field_descriptors,
   ct__relay__load__field_indices_by_name,
   1,  ct__relay__load__number_ranges,
   (ProtobufCMessageInit) ct__relay__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[16] =
 {
   {
     "kind",
@@ -588,6 +601,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "typical_us",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, typical_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -605,11 +630,12 @@
   10,   /* field[10] = slots */
   6,   /* field[6] = sport */
   5,   /* field[5] = src */
+  15,   /* field[15] = typical_us */
 };
 static const ProtobufCIntRange ct__relay__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -619,7 +645,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  15,
+  16,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   1,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -66,10 +66,14 @@
    * longer silent than it should be; 0: it is not
    */
   uint32_t quiet_ms;
+  /*
+   * requests answered far too soon, smoothed
+   */
+  uint32_t hasty_percent;
 };
 #define CT__RELAY__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Relay__Message
@@ -113,10 +117,14 @@
    * which chain of a look-up, from 1
    */
   uint32_t chain;
+  /*
+   * time of a request at the service's servers
+   */
+  uint32_t typical_us;
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -95,6 +95,9 @@
 	bool lost;     /* its flows were reset */
 	double failed; /* part of the requests that it reset, smoothed */
 	uint64_t failed_ms;
+	double group_ms; /* typical time of the service's requests; 0 unknown */
+	double hasty;	 /* part of the answers that came far too soon */
+	uint64_t hasty_ms;
 	uint64_t tick_ms; /* last tick */
 	bool late;	  /* the last tick was late, answers may wait */
 	uint64_t swept_ms;
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -32,9 +32,13 @@
 #define FAILED_PART 0.1
 /* Without requests it is forgotten, so that the server is tried again. */
 #define FAILED_FORGET_MS 4000.0
+/* Part of a hasty answer's time in the typical one: errors say little of how
+ * long requests take, yet a service may truly have become faster. */
+#define HASTY_SERVICE_PART 0.02
 
 static void smooth(relay_agent_t *a);
 static double failed_now(const relay_agent_t *a);
+static double hasty_now(const relay_agent_t *a);
 
 static void smooth(relay_agent_t *a)
 {
@@ -54,6 +58,26 @@
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
 }
 
+/* Learns from an answer how fast the server is, and whether it seems to fail.
+ */
+static void learn(relay_agent_t *a, const aflow_t *f, double took)
+{
+	bool hasty = placement_hasty(took, a->group_ms);
+	double part = hasty ? HASTY_SERVICE_PART : SERVICE_PART;
+
+	a->failed = failed_now(a) * (1 - FAILED_PART);
+	a->failed_ms = a->now;
+	a->hasty = hasty_now(a) * (1 - FAILED_PART) + (hasty ? FAILED_PART : 0);
+	a->hasty_ms = a->now;
+	counter_add(&a->counters, COUNTER_REQUESTS_HASTY, hasty);
+	if (!f->found_free)
+		return;
+	if (a->typical_ms > 0)
+		a->typical_ms += (took - a->typical_ms) * part;
+	else if (!hasty)
+		a->typical_ms = took;
+}
+
 void relay_load_end(relay_agent_t *a, aflow_t *f, bool answered)
 {
 	double took = (double)(a->now - f->asked_ms);
@@ -65,16 +89,15 @@
 	a->in_flight--;
 	if (!answered)
 		return;
-	a->failed = failed_now(a) * (1 - FAILED_PART);
-	a->failed_ms = a->now;
 	counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
 	histogram_add(&a->service_ms, (uint64_t)took);
-	if (!f->found_free)
-		return;
-	a->typical_ms =
-		a->typical_ms > 0
-			? a->typical_ms + (took - a->typical_ms) * SERVICE_PART
-			: took;
+	learn(a, f, took);
+}
+
+static double hasty_now(const relay_agent_t *a)
+{
+	return a->hasty *
+	       exp(-(double)(a->now - a->hasty_ms) / FAILED_FORGET_MS);
 }
 
 static double failed_now(const relay_agent_t *a)
@@ -105,6 +128,7 @@
 	load->stopping = a->stopping;
 	load->quiet_ms = relay_server_quiet(a);
 	load->failed_percent = (uint32_t)(failed_now(a) * 100);
+	load->hasty_percent = (uint32_t)(hasty_now(a) * 100);
 }
 
 void relay_load_tell(relay_agent_t *a)
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -45,6 +45,7 @@
 		msg.n_candidate_ms = offer->n_candidate_ms - 1;
 	}
 	msg.patience_ms = offer->patience_ms;
+	msg.typical_us = offer->typical_us;
 	counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
 	event_log(EVENT_PASSED,
 		  "\"to\":\"%s\",\"in_flight\":%u,\"slots\":%u,\"down\":%s",
@@ -82,6 +83,8 @@
 	counter_add(&a->counters, COUNTER_OPENS, 1);
 	if (msg->slots)
 		a->slots = msg->slots;
+	if (msg->typical_us)
+		a->group_ms = msg->typical_us / 1000.0;
 	f = (aflow_t *)flow_index_find(a->flows, &p.key);
 	if (f && f->caller_isn == p.seq && f->phase == AFLOW_OPEN) {
 		f->balancer = msg->balancer;
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -47,6 +47,7 @@
 	double in_flight;
 	double service_ms;
 	double failed; /* part of its requests, 0 to 1 */
+	double hasty;  /* part answered far too soon, 0 to 1 */
 	double flows;  /* open and used lately */
 	uint32_t down_ms;
 	uint32_t quiet_ms;
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -154,6 +154,7 @@
 	m->service_ms = load->service_us / 1000.0;
 	m->flows = load->flows;
 	m->failed = load->failed_percent / 100.0;
+	m->hasty = load->hasty_percent / 100.0;
 	m->down_ms = load->down_ms;
 	m->quiet_ms = load->quiet_ms;
 	m->stopping = load->stopping;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -26,7 +26,8 @@
 static relay_member_t *doubted_member(relay_balancer_t *b,
 				      const relay_flow_t *f);
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
-			 relay_member_t **out, double *costs);
+			 relay_member_t **out, double *costs,
+			 placement_group_t *typical);
 static int acceptable(const void *ctx, uint32_t position);
 static bool offer(relay_balancer_t *b, relay_flow_t *f);
 static void refuse(relay_balancer_t *b, relay_flow_t *f);
@@ -59,6 +60,7 @@
 	out->told_ms_ago = (double)(b->now - m->told_ms);
 	out->flows = m->flows;
 	out->failed = m->failed;
+	out->hasty = m->hasty;
 	out->service_ms = m->service_ms;
 	out->placed = age < 8 * PLACED_HALF_MS
 			      ? m->placed / (1 << (age / PLACED_HALF_MS))
@@ -106,9 +108,11 @@
 	return !placement_hopeless(&seen, a->f->patience_ms);
 }
 
-/* Members to offer an open to, best first, OFFER_CANDIDATES at most. */
+/* Members to offer an open to, best first, OFFER_CANDIDATES at most, and what
+ * is typical of those compared. */
 static size_t candidates(relay_balancer_t *b, const relay_flow_t *f,
-			 relay_member_t **out, double *costs)
+			 relay_member_t **out, double *costs,
+			 placement_group_t *typical)
 {
 	relay_group_t *group = relay_group(b, f->service);
 	open_accept_t accept = { b, f, group };
@@ -129,7 +133,8 @@
 	for (size_t i = 0; i < n; i++)
 		describe(b, g_ptr_array_index(group->members, ranked[i]),
 			 &seen[i]);
-	n = placement_order(seen, n, order, found, OFFER_CANDIDATES);
+	*typical = placement_group(seen, n);
+	n = placement_order(seen, n, typical, order, found, OFFER_CANDIDATES);
 	for (size_t i = 0; i < n && kept < OFFER_CANDIDATES; i++) {
 		relay_member_t *m =
 			g_ptr_array_index(group->members, ranked[order[i]]);
@@ -149,12 +154,13 @@
 	uint32_t behind[OFFER_CANDIDATES], behind_ms[OFFER_CANDIDATES];
 	double costs[OFFER_CANDIDATES];
 	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
+	placement_group_t typical;
 	relay_msg_t msg;
 	size_t n;
 
 	if (f->offers >= OFFERS_MAX)
 		return false;
-	n = candidates(b, f, to, costs);
+	n = candidates(b, f, to, costs, &typical);
 	if (n == 0)
 		return false;
 	relay_msg_init(&msg, RELAY_OFFER);
@@ -172,6 +178,8 @@
 	msg.n_candidate_ms = n - 1;
 	msg.patience_ms = f->patience_ms;
 	msg.slots = to[0]->slots;
+	if (typical.known)
+		msg.typical_us = (uint32_t)(typical.service_ms * 1000);
 	f->tried[f->ntried++] = to[0]->agent;
 	f->offers++;
 	f->offered_ms = b->now;
@@ -181,11 +189,12 @@
 	event_log(EVENT_OPEN,
 		  "\"flow\":\"%s\",\"seq\":%u,\"service\":\"%s\","
 		  "\"agent\":\"%s\",\"behind\":%zu,\"offer\":%u,"
-		  "\"work\":%.2f,\"service_ms\":%.1f,\"load_age_ms\":%llu,"
+		  "\"work\":%.2f,\"service_ms\":%.1f,\"failed\":%.2f,"
+		  "\"hasty\":%.2f,\"load_age_ms\":%llu,"
 		  "\"version\":%llu",
 		  flow_text(&f->node.key, text), f->seq, f->service,
 		  ipv4_format(to[0]->agent, agent), n - 1, f->offers,
-		  to[0]->work, to[0]->service_ms,
+		  to[0]->work, to[0]->service_ms, to[0]->failed, to[0]->hasty,
 		  (unsigned long long)(b->now - to[0]->told_ms),
 		  (unsigned long long)relay_balancer_version(b));
 	counter_add(&b->counters, COUNTER_MESSAGES_OUT, 1);
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -265,8 +265,9 @@
 	deliver_message(r, host, &msg);
 }
 
-void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
-	      const uint32_t *candidates, size_t n)
+static void offer(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		  uint32_t seq, const uint32_t *candidates, size_t n,
+		  double typical_ms)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	relay_msg_t msg;
@@ -279,9 +280,22 @@
 	msg.candidates = (uint32_t *)candidates;
 	msg.n_candidates = n;
 	msg.patience_ms = 100;
+	msg.typical_us = (uint32_t)(typical_ms * 1000);
 	deliver_message(r, balancer, &msg);
 }
 
+void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
+	      const uint32_t *candidates, size_t n)
+{
+	offer(r, balancer, flow, seq, candidates, n, 0);
+}
+
+void rr_offer_typical(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		      uint32_t seq, double typical_ms)
+{
+	offer(r, balancer, flow, seq, NULL, 0, typical_ms);
+}
+
 void rr_hello(relay_rig_t *r, uint32_t balancer, uint32_t slots)
 {
 	relay_msg_t msg;
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -85,6 +85,9 @@
 /* An open offered to the agent. */
 void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
 	      const uint32_t *candidates, size_t n);
+/* One by a balancer that knows the time of a request at the service. */
+void rr_offer_typical(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		      uint32_t seq, double typical_ms);
 void rr_hello(relay_rig_t *r, uint32_t balancer, uint32_t slots);
 
 /* Position of the last thing sent that fits, or -1. kind 0: any. */
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -373,6 +373,11 @@
 	w->servers[target].factor = factor;
 }
 
+void rw_fail(relay_world_t *w, unsigned target, double part)
+{
+	w->servers[target].failing = part;
+}
+
 static void entry_lapses(relay_world_t *w, event_t *e)
 {
 	if (!w->servers[e->a].up)
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -60,6 +60,8 @@
 void rw_rate(relay_world_t *w, double factor);
 /* Factor on a target's service times. */
 void rw_slow(relay_world_t *w, unsigned target, double factor);
+/* A part of a target's requests is answered with an error, within 1 ms. */
+void rw_fail(relay_world_t *w, unsigned target, double part);
 /* The server dies with its flows, its entry goes 2.3 s later. */
 void rw_crash(relay_world_t *w, unsigned target);
 /* A new server at the same place; cold for 2 s at 1.6 times its times. */
--- a/test/relay_world_callers.c
+++ b/test/relay_world_callers.c
@@ -242,6 +242,10 @@
 		send_data(w, flow);
 		return;
 	}
-	if (p.payload_len && f->request)
+	if (!p.payload_len || !f->request)
+		return;
+	if (f->error)
+		try_failed(w, flow);
+	else
 		answered(w, flow);
 }
--- a/test/relay_world_int.h
+++ b/test/relay_world_int.h
@@ -25,6 +25,7 @@
 #define COLD_MS		2000
 #define COLD_FACTOR	1.6
 #define TRIES		3
+#define ERROR_MS	1
 #define SYN_GIVEN_UP_US 1400000
 
 typedef struct event {
@@ -57,6 +58,7 @@
 	uint32_t isn;
 	uint32_t acked;
 	bool busy_at_server;
+	bool error; /* the server answers with an error */
 } wflow_t;
 
 typedef struct server {
@@ -67,6 +69,7 @@
 	GQueue *waiting; /* of flow numbers */
 	double speed;
 	double factor;
+	double failing;	  /* part of the requests */
 	uint64_t warm_at; /* us */
 } server_t;
 
--- a/test/relay_world_servers.c
+++ b/test/relay_world_servers.c
@@ -37,6 +37,9 @@
 
 	if (w->now < s->warm_at)
 		work *= COLD_FACTOR;
+	w->flows[flow].error = s->failing > 0 && rw_chance(w) < s->failing;
+	if (w->flows[flow].error)
+		work = ERROR_MS;
 	s->busy++;
 	if (w->flows[flow].request) {
 		request_t *r = rw_request_at(w, w->flows[flow].request);
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -260,6 +260,38 @@
 }
 END_TEST
 
+/*
+ * A server that answers a part of its requests much sooner than the service's
+ * servers do is told, and is not taken for a fast one.
+ */
+START_TEST(hasty_answers_are_told)
+{
+	relay_rig_t *r = rr_agent(true);
+	relay_msg_t *msg;
+	int at;
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < 60; i++) {
+		rr_offer_typical(r, BALANCER, i, 5, 50);
+		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		rr_run(r, i % 2 ? 50 : 0);
+		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+	}
+	rr_clear(r);
+	rr_run(r, 1100);
+	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
+	ck_assert_int_ge(at, 0);
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	ck_assert_uint_ge(msg->load->hasty_percent, 30);
+	ck_assert_uint_le(msg->load->hasty_percent, 70);
+	ck_assert_uint_eq(msg->load->failed_percent, 0);
+	ck_assert_uint_ge(msg->load->service_us, 35000);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* One that never answers a part of its requests, though it answers others, is
  * told as well. */
 START_TEST(swallowing_server_is_told)
@@ -469,6 +501,7 @@
 	tcase_add_test(tc, quiet_server_is_tried);
 	tcase_add_test(tc, slow_server_keeps_its_flows);
 	tcase_add_test(tc, failing_server_is_told);
+	tcase_add_test(tc, hasty_answers_are_told);
 	tcase_add_test(tc, swallowing_server_is_told);
 	tcase_add_test(tc, lookup_goes_on);
 	tcase_add_test(tc, dead_server_holds_nothing);
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -88,6 +88,26 @@
 	rw_pass(w, 2000);
 }
 
+/* Three of seven answer each request with an error, at once: they seem idle
+ * and fast. */
+static void failing_servers(relay_world_t *w)
+{
+	for (unsigned i = 1; i < 6; i += 2)
+		rw_fail(w, i, 1);
+	rw_pass(w, 6000);
+	for (unsigned i = 1; i < 6; i += 2)
+		rw_fail(w, i, 0);
+	rw_pass(w, 3000);
+}
+
+/* Half of the requests at two servers. */
+static void partly_failing(relay_world_t *w)
+{
+	rw_fail(w, 2, 0.5);
+	rw_fail(w, 4, 0.5);
+	rw_pass(w, 6000);
+}
+
 static void release(relay_world_t *w)
 {
 	for (unsigned i = 1; i < 4; i++) {
@@ -151,6 +171,8 @@
 	{ "quiet", quiet, 0.99, 0.0, 0 },
 	{ "burst", burst, 0.95, 0.02, 0.01 },
 	{ "slow_minority", slow_minority, 0.93, 0.01, 0.01 },
+	{ "failing_servers", failing_servers, 0.95, 0.05, 0.01 },
+	{ "partly_failing", partly_failing, 0.95, 0.0, 0.01 },
 	{ "release", release, 0.95, 0.0, 0.01 },
 	{ "two_lost", two_lost, 0.93, 0.02, 0.01 },
 	{ "mass_restart", mass_restart, 0.80, 0.02, 0.12 },
