Let ranks weigh more than small differences of load

Cause: a look-up of a restarted balancer passed 2.6 agents at 7 targets and 2.2 to 2.4 in larger groups; within two it found 56 to 66 % of the flows, since the load that was told decided between members that are alike. Change: the last of eight ranks costs half more than the first, not a quarter. Test: flow_is_in_the_first_chain asks for 2 hops in the mean and three quarters within two (failed before: 2.58); now 1.65 hops, .81 to .85 within two at 7, 37, 200 and 2,000 targets.

--- a/src/placement.c
+++ b/src/placement.c
@@ -20,8 +20,10 @@
 /* Way to another availability zone and back, and what its bytes cost, as
  * waiting time that callers would accept instead, in ms. */
 #define OTHER_ZONE_MS 6.0
-/* Costs that differ by less than this part are taken for equal. */
-#define SPREAD 0.25
+/* The last rank of those compared costs this part more: small differences of
+ * load, which change faster than they are told, do not move an open away from
+ * where look-ups ask first. */
+#define SPREAD 0.5
 /* An open goes on when the next candidate answers sooner by this factor: the
  * way there and what is not known of it. */
 #define PASS_FACTOR 1.5
--- a/test/test_relay_spread.c
+++ b/test/test_relay_spread.c
@@ -11,8 +11,10 @@
 #define FLOWS	   200
 /* Offers and look-ups ask so many agents at first. */
 #define FIRST_CHAIN 8
-/* Hops of a look-up that finds its flow, in the mean over loads. */
-#define MEAN_HOPS 3.0
+/* Hops of a look-up that finds its flow, in the mean, and the part of them
+ * that takes two at most: the common case. */
+#define MEAN_HOPS 2.0
+#define TWO_HOPS  0.75
 
 static const unsigned sizes[] = { 7, 37, 200, 2000 };
 
@@ -96,6 +98,7 @@
 	printf("%4u targets: %.2f hops in the mean, %.2f within two\n", targets,
 	       (double)sum / FLOWS, (double)two / FLOWS);
 	ck_assert_double_le((double)sum / FLOWS, MEAN_HOPS);
+	ck_assert_double_ge((double)two / FLOWS, TWO_HOPS);
 	rr_free(places);
 	rr_free(finds);
 }
