--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -12,6 +12,10 @@
 /* Flows that ended are kept for late packets. */
 #define ENDED_MS 5000
 #define SWEEP_MS 500
+/* A request without an answer for so long, or for so many service times, will
+ * have none: no queue of a server is as long. */
+#define UNANSWERED_MS	  800
+#define UNANSWERED_FACTOR 20
 /* A server returns a packet that it does not hold within a few milliseconds:
  * what has not come back by now is held. */
 #define RETURN_MS 50
@@ -39,7 +43,6 @@
 
 	list_remove(&f->opening);
 	list_remove(&f->awaited);
-	list_remove(&f->asked);
 	free(f);
 }
 
@@ -56,7 +59,6 @@
 	a->tag = service_tag(options->service);
 	list_init(&a->opening);
 	list_init(&a->awaited);
-	list_init(&a->asked);
 	a->flows = flow_index_new(options->flows, aflow_release);
 	if (!a->flows) {
 		free(a);
@@ -107,7 +109,6 @@
 	f->node.key = *key;
 	list_init(&f->opening);
 	list_init(&f->awaited);
-	list_init(&f->asked);
 	flow_index_add(a->flows, &f->node, a->now);
 	return f;
 }
@@ -466,6 +467,23 @@
 	}
 }
 
+/* A request that is not answered while others are has been swallowed. */
+static void sweep_unanswered(relay_agent_t *a)
+{
+	uint64_t limit = (uint64_t)(a->typical_ms * UNANSWERED_FACTOR);
+
+	if (limit < UNANSWERED_MS)
+		limit = UNANSWERED_MS;
+	list_each(node, flow_index_recent(a->flows))
+	{
+		flow_node_t *n = list_entry(node, flow_node_t, recent);
+		aflow_t *f = (aflow_t *)n;
+
+		if (f->busy && f->asked_ms + limit <= a->now)
+			relay_load_failed(a, f);
+	}
+}
+
 /* Requests whose callers and servers are both silent are no load. */
 static void sweep(relay_agent_t *a)
 {
@@ -544,7 +562,7 @@
 		return;
 	a->swept_ms = now;
 	if (!relay_server_quiet(a))
-		relay_load_give_up(a);
+		sweep_unanswered(a);
 	sweep(a);
 }
 
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -53,7 +53,6 @@
 	uint8_t syn_len;
 	list_t opening; /* in relay_agent.opening */
 	list_t awaited; /* in relay_agent.awaited */
-	list_t asked;	/* in relay_agent.asked while it is busy */
 } aflow_t;
 
 typedef struct known_balancer {
@@ -72,7 +71,6 @@
 	flow_index_t *flows;
 	list_t opening; /* flows whose open was not answered, oldest first */
 	list_t awaited; /* opens whose first request is on its way */
-	list_t asked;	/* flows whose request has no answer, oldest first */
 	uint32_t nawaited;
 	uint32_t slots; /* of the server, as published; 0 unknown */
 	bool stopping;
@@ -91,7 +89,6 @@
 	uint64_t heard_ms;   /* any packet of the server */
 	uint64_t waiting_ms; /* first packet handed over since; 0: none */
 	bool told_quiet;
-	uint32_t told_hanging;
 	uint64_t silent_ms;  /* first unanswered open since; 0: none */
 	uint32_t unanswered; /* opens since */
 	bool down;
@@ -123,8 +120,6 @@
 bool relay_server_lost(const relay_agent_t *a);
 /* For how long it is silent beyond what it should be, in ms; 0: it is not. */
 uint32_t relay_server_quiet(const relay_agent_t *a);
-/* Gives up requests that have had no answer for too long. */
-void relay_load_give_up(relay_agent_t *a);
 /* The server reset a request instead of answering it. */
 void relay_load_failed(relay_agent_t *a, aflow_t *f);
 
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -28,17 +28,6 @@
  * is quiet: it may be gone, and opens are tried there to find out. */
 #define QUIET_MS     200
 #define QUIET_FACTOR 4
-/* A request without an answer for so long, or for so many service times, will
- * have none: no queue of a server is as long. */
-#define UNANSWERED_MS	  800
-#define UNANSWERED_FACTOR 20
-/* Before that it hangs, when it takes longer than the usual queue of a server
- * would. */
-#define HANGING_MS     200
-#define HANGING_FACTOR 8
-/* One that hangs may be a long one; with so many the next one hangs at even
- * odds. */
-#define HANGING_EVEN 3.0
 /* Part of a new request in the smoothed part of failed ones. */
 #define FAILED_PART 0.1
 /* Without requests it is forgotten, so that the server is tried again. */
@@ -64,7 +53,6 @@
 	smooth(a);
 	f->busy = true;
 	f->asked_ms = a->now;
-	list_append(&a->asked, &f->asked);
 	f->found_free = !a->slots || a->in_flight < a->slots;
 	a->in_flight++;
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
@@ -98,7 +86,6 @@
 		return;
 	smooth(a);
 	f->busy = false;
-	list_remove(&f->asked);
 	a->in_flight--;
 	if (!answered)
 		return;
@@ -119,50 +106,6 @@
 	       exp(-(double)(a->now - a->failed_ms) / FAILED_FORGET_MS);
 }
 
-static uint64_t at_least(uint64_t ms, double service_times)
-{
-	return service_times > (double)ms ? (uint64_t)service_times : ms;
-}
-
-static uint32_t hanging(const relay_agent_t *a)
-{
-	uint64_t limit = at_least(HANGING_MS, a->typical_ms * HANGING_FACTOR);
-	uint32_t n = 0;
-
-	list_each(node, &a->asked)
-	{
-		if (a->now < list_entry(node, aflow_t, asked)->asked_ms + limit)
-			break;
-		n++;
-	}
-	return n;
-}
-
-/* Part of the requests that it seems to fail with, now. */
-static double failing(const relay_agent_t *a)
-{
-	double hang = hanging(a);
-	double failed = failed_now(a);
-
-	hang /= hang + HANGING_EVEN;
-	return hang > failed ? hang : failed;
-}
-
-void relay_load_give_up(relay_agent_t *a)
-{
-	uint64_t limit =
-		at_least(UNANSWERED_MS, a->typical_ms * UNANSWERED_FACTOR);
-
-	list_each_safe(node, after, &a->asked)
-	{
-		aflow_t *f = list_entry(node, aflow_t, asked);
-
-		if (a->now < f->asked_ms + limit)
-			break;
-		relay_load_failed(a, f);
-	}
-}
-
 void relay_load_failed(relay_agent_t *a, aflow_t *f)
 {
 	if (!f->busy)
@@ -184,7 +127,7 @@
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
 	load->quiet_ms = relay_server_quiet(a);
-	load->failed_percent = (uint32_t)(failing(a) * 100);
+	load->failed_percent = (uint32_t)(failed_now(a) * 100);
 	load->hasty_percent = (uint32_t)(hasty_now(a) * 100);
 }
 
@@ -209,7 +152,6 @@
 	a->nbalancers = kept;
 	a->told_ms = a->now;
 	a->told_quiet = load.quiet_ms > 0;
-	a->told_hanging = hanging(a);
 	a->told_work = a->work;
 	a->told_in_flight = a->in_flight;
 }
@@ -237,7 +179,6 @@
 	smooth(a);
 	if (a->now >= a->told_ms + TELL_MAX_MS ||
 	    a->told_quiet != (relay_server_quiet(a) > 0) ||
-	    a->told_hanging != hanging(a) ||
 	    fabs(a->work - a->told_work) >= TELL_CHANGE * slots ||
 	    fabs((double)a->in_flight - a->told_in_flight) >= slots)
 		relay_load_tell(a);
