Do not wait for agents that end after their targets

Ruled out: hosts that did not come back (each was heard of, the last at 39.6 s); the store (entries were gone by 36.6 s at every balancer). Change: an agent whose entry is gone and that says it ends is not asked, and a look-up that has asked an agent goes on without it once it is not to be asked. Tests: gone_and_stopping_is_not_asked, lookup_goes_on_without_those_that_end; both failed before.

--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -372,12 +372,38 @@
 	go_on(b, f);
 }
 
+/* Agents that have gone since they were asked hold nothing. Returns true when
+ * there are any. */
+static bool leave_out_gone(relay_balancer_t *b, relay_lookup_t *l)
+{
+	bool any = false;
+
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
+		const relay_member_t *m = relay_member(b, a->agent);
+
+		if (a->answer == ANSWER_NOT_HELD ||
+		    (m && relay_member_answers(b, m)))
+			continue;
+		a->answer = ANSWER_NOT_HELD;
+		a->tried = true;
+		any = true;
+	}
+	return any;
+}
+
 void relay_lookup_tick(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
-	lookup_asked_t *trial = on_trial(l);
+	lookup_asked_t *trial;
 	bool waiting = false;
 
+	if (leave_out_gone(b, l)) {
+		go_on(b, f);
+		return;
+	}
+	trial = on_trial(l);
+
 	/* The agent knows by now whether its server kept the packet. */
 	if (trial && b->now >= l->asked_ms + RETURN_MS)
 		ask(b, f, trial->agent);
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -192,7 +192,8 @@
 {
 	if (m->state != ENTRY_GONE)
 		return true;
-	if (m->down_ms || m->quiet_ms >= GONE_QUIET_MS)
+	/* An agent is ended after its target has left. */
+	if (m->down_ms || m->quiet_ms >= GONE_QUIET_MS || m->stopping)
 		return false;
 	return b->now < m->gone_ms + GONE_ASKED_MS &&
 	       silent_ms(b, m) < GONE_UNREACHABLE_MS;
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -265,6 +265,18 @@
 	deliver_message(r, host, &msg);
 }
 
+void rr_stopping(relay_rig_t *r, uint32_t host)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+
+	ct__relay__load__init(&load);
+	relay_msg_init(&msg, RELAY_LOAD);
+	load.stopping = true;
+	msg.load = &load;
+	deliver_message(r, host, &msg);
+}
+
 static void offer(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		  uint32_t seq, const uint32_t *candidates, size_t n,
 		  double typical_ms)
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -336,6 +336,52 @@
 }
 END_TEST
 
+/* An agent that ends after its target has left holds nothing: it is not asked,
+ * while one that restarts beside its target is. */
+START_TEST(gone_and_stopping_is_not_asked)
+{
+	relay_rig_t *r = rr_balancer();
+	relay_msg_t *msg;
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_stopping(r, AGENT_A);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	msg = relay_msg_unpack(r->sent[0].buf, r->sent[0].len);
+	ck_assert_uint_eq(msg->n_candidates, 1);
+	relay_msg_free(msg);
+	rr_clear(r);
+	rr_entry_gone(r, "a", 5);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 0);
+	rr_chain_ended(r, AGENT_B, 2, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Nor is it waited for when it was asked before. */
+START_TEST(lookup_goes_on_without_those_that_end)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_run(r, 250); /* the chain is broken */
+	rr_answer(r, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_stopping(r, AGENT_A);
+	rr_entry_gone(r, "a", 5);
+	rr_run(r, RELAY_TICK_MS);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /*
  * A host that is taken away with its target says nothing from then on: look-ups
  * wait for it no longer than some hellos take.
@@ -425,6 +471,8 @@
 	tcase_add_test(tc, leaving_target_keeps_its_flows);
 	tcase_add_test(tc, lost_target_resets_its_flows);
 	tcase_add_test(tc, gone_and_quiet_is_not_asked);
+	tcase_add_test(tc, gone_and_stopping_is_not_asked);
+	tcase_add_test(tc, lookup_goes_on_without_those_that_end);
 	tcase_add_test(tc, host_taken_away_is_not_waited_for);
 	tcase_add_test(tc, lapsed_entries_live_on);
 	tcase_add_test(tc, silent_server_is_tried_now_and_then);
