Ask relays with `cherviltray status` and `metrics`; log servers that seem to fail

Cause: the operators' command line asked only processes that have a key, so the relay's counters needed curl, and its version in force was only in logs. A server that seems to fail changed what its agent tells without a line. An agent logs when its server begins to seem failing by hasty answers (0.4 of them) and when it seems well again (0.1). Ruled out: a key for relays only for this (hosts there can hold no secret). Test: running_relay of test_cli starts the real agent.

--- a/src/cli_ask.c
+++ b/src/cli_ask.c
@@ -1,4 +1,5 @@
 #include "cli_ask.h"
+#include "cli_relay.h"
 #include "dgram.h"
 #include "stream.h"
 #include "version.h"
@@ -69,6 +70,15 @@
 			 const char *summary, const GOptionEntry *entries,
 			 int *argc, char ***argv, settings_t *settings,
 			 int *code)
+{
+	return cli_options_asked(command, arguments, summary, entries, argc,
+				 argv, settings, NULL, code);
+}
+
+int cli_options_asked(const char *command, const char *arguments,
+		      const char *summary, const GOptionEntry *entries,
+		      int *argc, char ***argv, settings_t *settings,
+		      char ***relays, int *code)
 {
 	char *file = NULL;
 	GArray *all = g_array_new(TRUE, FALSE, sizeof(GOptionEntry));
@@ -80,12 +90,22 @@
 	int ret;
 
 	g_array_append_val(all, entry);
+	if (relays) {
+		GOptionEntry relay = cli_relay_option(relays);
+
+		g_array_append_val(all, relay);
+	}
 	for (; entries && entries->long_name; entries++)
 		g_array_append_val(all, *entries);
 	ret = cli_options(command, arguments, summary,
 			  (GOptionEntry *)(void *)all->data, argc, argv, code);
 	g_array_free(all, TRUE);
-	if (ret == 0 && !file) {
+	if (ret == 0 && relays && *relays && file) {
+		*code = cli_usage(command, "--settings or --relay, not both");
+		ret = -1;
+	} else if (ret == 0 && relays && *relays) {
+		memset(settings, 0, sizeof(*settings));
+	} else if (ret == 0 && !file) {
 		*code = cli_usage(command, "--settings is needed");
 		ret = -1;
 	} else if (ret == 0 &&
--- a/src/cli_ask.h
+++ b/src/cli_ask.h
@@ -26,6 +26,15 @@
 			 int *argc, char ***argv, settings_t *settings,
 			 int *code);
 
+/*
+ * The same for a command that may ask relays instead: with --relay, *relays is
+ * their list, freed by the caller, and no settings are read.
+ */
+int cli_options_asked(const char *command, const char *arguments,
+		      const char *summary, const GOptionEntry *entries,
+		      int *argc, char ***argv, settings_t *settings,
+		      char ***relays, int *code);
+
 typedef struct cli_answer {
 	endpoint_t at;
 	bool known;   /* named by another process, not in the settings */
--- a/src/cli_metrics.c
+++ b/src/cli_metrics.c
@@ -1,4 +1,5 @@
 #include "cli_ask.h"
+#include "cli_relay.h"
 #include "counters.h"
 #include "log.h"
 #include <stdio.h>
@@ -34,16 +35,24 @@
 		  "Print one JSON object a process", NULL },
 		{ 0 },
 	};
+	char **relays = NULL;
 	settings_t settings;
 	unsigned silent;
 	GArray *answers;
 	int code;
 
-	if (cli_options_settings("metrics", NULL,
-				 "Prints the counters of every process that "
-				 "are not zero:\nPROCESS COUNTER VALUE.",
-				 entries, &argc, &argv, &settings, &code) < 0)
+	if (cli_options_asked("metrics", NULL,
+			      "Prints the counters of every process that "
+			      "are not zero:\nPROCESS COUNTER VALUE.",
+			      entries, &argc, &argv, &settings, &relays,
+			      &code) < 0)
 		return code;
+	if (relays) {
+		code = json ? cli_usage("metrics", "--json needs --settings")
+			    : cli_relays_metrics(relays);
+		g_strfreev(relays);
+		return code;
+	}
 	if (argc > 1) {
 		settings_clear(&settings);
 		return cli_usage("metrics", "it takes no argument");
--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -1,4 +1,5 @@
 #include "cli_ask.h"
+#include "cli_relay.h"
 #include "log.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -107,17 +108,25 @@
 		  "Take no account of processes that do not answer", NULL },
 		{ 0 },
 	};
+	char **relays = NULL;
 	settings_t settings;
 	gint64 until;
 	unsigned lack;
 	GArray *answers;
 	int code;
 
-	if (cli_options_settings(
+	if (cli_options_asked(
 		    "status", NULL,
 		    "Prints which configuration each process has in force.",
-		    entries, &argc, &argv, &settings, &code) < 0)
+		    entries, &argc, &argv, &settings, &relays, &code) < 0)
 		return code;
+	if (relays) {
+		code = json || wait ? cli_usage("status", "--json and --wait "
+							  "need --settings")
+				    : cli_relays_status(relays);
+		g_strfreev(relays);
+		return code;
+	}
 	if (argc > 1 || wait < 0 || timeout < 0) {
 		settings_clear(&settings);
 		return cli_usage("status", "a wrong argument");
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -131,6 +131,15 @@
 	return true;
 }
 
+static void gauges(relay_process_t *p, GString *out)
+{
+	agent_state_t *s = p->ctx;
+
+	g_string_append_printf(
+		out, "cherviltray_flows %zu\ncherviltray_in_flight %u\n",
+		relay_agent_flows(s->agent), relay_agent_in_flight(s->agent));
+}
+
 static const histogram_t *histogram(relay_process_t *p, const char **name)
 {
 	agent_state_t *s = p->ctx;
@@ -152,5 +161,6 @@
 	.stop = stop,
 	.woke = woke,
 	.ready = ready,
+	.gauges = gauges,
 	.histogram = histogram,
 };
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -92,8 +92,9 @@
 	uint64_t silent_ms;  /* first unanswered open since; 0: none */
 	uint32_t unanswered; /* opens since */
 	bool down;
-	bool lost;     /* its flows were reset */
-	double failed; /* part of the requests that it reset, smoothed */
+	bool lost;	    /* its flows were reset */
+	bool seems_failing; /* by hasty answers, told in the log */
+	double failed;	    /* part of the requests that it reset, smoothed */
 	uint64_t failed_ms;
 	double group_ms; /* typical time of the service's requests; 0 unknown */
 	double hasty;	 /* part of the answers that came far too soon */
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -35,6 +35,10 @@
 /* Part of a hasty answer's time in the typical one: errors say little of how
  * long requests take, yet a service may truly have become faster. */
 #define HASTY_SERVICE_PART 0.02
+/* Parts of hasty answers at which the log says that the server seems to fail,
+ * and no longer: of ten answers four, and one. */
+#define FAILING_FROM 0.4
+#define FAILING_TO   0.1
 
 static void smooth(relay_agent_t *a);
 static double failed_now(const relay_agent_t *a);
@@ -58,6 +62,20 @@
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
 }
 
+static void tell_failing(relay_agent_t *a)
+{
+	bool seems = a->hasty >= (a->seems_failing ? FAILING_TO : FAILING_FROM);
+
+	if (seems == a->seems_failing)
+		return;
+	a->seems_failing = seems;
+	event_log(EVENT_SERVER,
+		  "\"state\":\"%s\",\"hasty\":%.2f,\"service_ms\":%.1f,"
+		  "\"typical_ms\":%.1f",
+		  seems ? "seems to fail" : "seems well", a->hasty,
+		  a->typical_ms, a->group_ms);
+}
+
 /* Learns from an answer how fast the server is, and whether it seems to fail.
  */
 static void learn(relay_agent_t *a, const aflow_t *f, double took)
@@ -70,6 +88,7 @@
 	a->hasty = hasty_now(a) * (1 - FAILED_PART) + (hasty ? FAILED_PART : 0);
 	a->hasty_ms = a->now;
 	counter_add(&a->counters, COUNTER_REQUESTS_HASTY, hasty);
+	tell_failing(a);
 	if (!f->found_free)
 		return;
 	if (a->typical_ms > 0)
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -224,6 +224,16 @@
 	       relay_balancer_version(s->balancer) > 0;
 }
 
+static void gauges(relay_process_t *p, GString *out)
+{
+	balancer_state_t *s = p->ctx;
+
+	g_string_append_printf(
+		out, "cherviltray_version %llu\ncherviltray_flows %zu\n",
+		(unsigned long long)relay_balancer_version(s->balancer),
+		relay_balancer_flows(s->balancer));
+}
+
 static const histogram_t *histogram(relay_process_t *p, const char **name)
 {
 	balancer_state_t *s = p->ctx;
@@ -246,5 +256,6 @@
 	.woke = woke,
 	.ready = ready,
 	.peer = on_peer,
+	.gauges = gauges,
 	.histogram = histogram,
 };
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -104,11 +104,29 @@
 		(unsigned long long)h->total);
 }
 
+static bool is_ready(relay_process_t *p)
+{
+	bool ready = !p->stopping && p->daemon->ready(p);
+
+	if (ready != p->told_ready)
+		event_log(EVENT_READY, "\"ready\":%s,\"stopping\":%s",
+			  ready ? "true" : "false",
+			  p->stopping ? "true" : "false");
+	p->told_ready = ready;
+	return ready;
+}
+
 static int answer_metrics(relay_process_t *p, GString *body)
 {
 	const char *name;
 	const histogram_t *h = p->daemon->histogram(p, &name);
 
+	g_string_append_printf(body,
+			       "cherviltray_info{process=\"%s\",role=\"%s\","
+			       "zone=\"%s\"} 1\ncherviltray_ready %d\n",
+			       p->settings.name, p->daemon->name,
+			       p->settings.zone, is_ready(p));
+	p->daemon->gauges(p, body);
 	for (int i = 0; i < COUNTERS; i++)
 		if (p->counters->values[i])
 			g_string_append_printf(
@@ -119,18 +137,6 @@
 	return 200;
 }
 
-static bool is_ready(relay_process_t *p)
-{
-	bool ready = !p->stopping && p->daemon->ready(p);
-
-	if (ready != p->told_ready)
-		event_log(EVENT_READY, "\"ready\":%s,\"stopping\":%s",
-			  ready ? "true" : "false",
-			  p->stopping ? "true" : "false");
-	p->told_ready = ready;
-	return ready;
-}
-
 static int on_request(void *ctx, const char *path, GString *body)
 {
 	relay_process_t *p = ctx;
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -40,6 +40,8 @@
 	bool (*ready)(relay_process_t *p);
 	/* Answers a peer's request; NULL: none is answered. */
 	int (*peer)(relay_process_t *p, const char *path, GString *body);
+	/* Appends what it holds now to the metrics, "NAME VALUE\n" each. */
+	void (*gauges)(relay_process_t *p, GString *out);
 	/* The histogram that goes with the counters, and its name. */
 	const histogram_t *(*histogram)(relay_process_t *p, const char **name);
 } relay_daemon_t;
--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -9,6 +9,7 @@
 #include <glib/gstdio.h>
 #include <stdio.h>
 #include <string.h>
+#include <signal.h>
 #include <sys/wait.h>
 
 #define GOOD                                                                   \
@@ -232,6 +233,82 @@
 }
 END_TEST
 
+/* Starts a relay's agent with settings of its own, and waits until it says
+ * that it is ready. */
+static GPid start_relay(void)
+{
+	static const char settings[] =
+		"name = \"agent-7\"\nzone = \"z\"\naddress = \"127.0.41.1\"\n"
+		"packets = \"127.0.41.1:7400\"\nready = \"127.0.41.1:7401\"\n"
+		"internal_port = 7402\nmetrics_port = 7403\n"
+		"first_start = true\nmemory_mb = 64\nsilence_ms = 4000\n"
+		"service = \"feeds\"\nserver = \"127.0.41.1:7500\"\n"
+		"server_out = \"127.0.41.1:7501\"\n";
+	char *program = harness_program("cherviltray-relay");
+	char *argv[] = { program, "agent", "relay", NULL };
+	char *out = NULL;
+	GPid pid;
+
+	write_text("relay", settings);
+	ck_assert(g_spawn_async(dir, argv, NULL,
+				G_SPAWN_DO_NOT_REAP_CHILD |
+					G_SPAWN_STDOUT_TO_DEV_NULL,
+				NULL, NULL, &pid, NULL));
+	for (int i = 0; i < 100; i++) {
+		g_free(out);
+		out = NULL;
+		if (run("status --relay 127.0.41.1:7401", &out, NULL) == 0)
+			break;
+		g_usleep(50000);
+	}
+	g_free(out);
+	g_free(program);
+	return pid;
+}
+
+/* The commands ask relays at the address where they serve their metrics. */
+START_TEST(running_relay)
+{
+	GPid pid = start_relay();
+	char *path = g_build_filename(dir, "relay", NULL);
+	char *out = NULL, *err = NULL;
+
+	ck_assert_int_eq(run("status --relay 127.0.41.1:7401", &out, &err), 0);
+	ck_assert_ptr_nonnull(strstr(out, "agent-7"));
+	ck_assert_ptr_nonnull(strstr(out, "yes"));
+	g_free(out);
+	g_free(err);
+	ck_assert_int_eq(run("metrics --relay 127.0.41.1:7403", &out, &err), 0);
+	ck_assert_ptr_nonnull(strstr(out, "agent-7 flows 0\n"));
+	ck_assert_ptr_nonnull(strstr(out, "agent-7 service_ms_count 0\n"));
+	g_free(out);
+	g_free(err);
+	/* One that does not answer is told of, and fails the command. */
+	ck_assert_int_eq(run("status --relay 127.0.41.1:7401 "
+			     "--relay 127.0.41.1:7409",
+			     &out, &err),
+			 1);
+	ck_assert_ptr_nonnull(strstr(out, "agent-7"));
+	ck_assert_ptr_nonnull(strstr(err, "127.0.41.1:7409"));
+	g_free(out);
+	g_free(err);
+	ck_assert_int_eq(run("status --relay nowhere", &out, &err), 2);
+	ck_assert_ptr_nonnull(strstr(err, "\"nowhere\" is no address"));
+	g_free(out);
+	g_free(err);
+	ck_assert_int_eq(
+		run("status --settings s --relay 127.0.41.1:7401", &out, &err),
+		2);
+	g_free(out);
+	g_free(err);
+	kill(pid, SIGTERM);
+	waitpid(pid, NULL, 0);
+	g_spawn_close_pid(pid);
+	g_unlink(path);
+	g_free(path);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("cli");
@@ -245,6 +322,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, running_system);
+	tcase_add_test(tc, running_relay);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
