--- a/bench/report.py
+++ b/bench/report.py
@@ -3,9 +3,10 @@
 
 usage: bench/report.py [REPORT_DIR]
 
-Reads REPORT_DIR/bench/*.json, a JSON object a line, and writes
-REPORT_DIR/report.md and SVG plots (through gnuplot, when it is there). A part
-without its file is named as not run.
+Reads REPORT_DIR/bench/*.json, a JSON object a line, the days in journal/ and
+the one in REPORT_DIR/day.json, and writes REPORT_DIR/report.md and SVG plots
+(through gnuplot, when it is there). A part without its file is named as not
+run.
 """
 
 import json
@@ -13,6 +14,10 @@
 import subprocess
 import sys
 
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
+sys.path.insert(0, os.path.join(ROOT, "platform"))
+import days_report
+
 POLICIES = ["round-robin", "rendezvous", "two-choices", "hunt-declared",
             "hunt-learned", "ranked-hunt-learned"]
 
@@ -125,8 +130,18 @@
 
 def main():
     directory = sys.argv[1] if len(sys.argv) > 1 else "report"
+    journal = os.path.join(ROOT, "journal")
     os.makedirs(directory, exist_ok=True)
+
+    def plot_here(*args):
+        return plot(directory, *args)
+
     parts = [
+        ("Days played: scores", days_report.scores_part(journal, table)),
+        ("Days played: slopes by size",
+         days_report.slopes_part(journal, table, plot_here)),
+        ("One day", days_report.day_part(os.path.join(directory, "day.json"),
+                                         table, plot_here)),
         ("Imbalance over time by policy", policy_part(directory)),
         ("Membership by size of the group", membership_part(directory)),
         ("Broken flows by fault",
