Gather changes of the store for a fifth of the time that they may take

Ruled out: longer watches on quiet times (they end so that a dead connection is noticed in time). Change: the time within which a change has to be in force comes with the settings (apply_ms), and changes are gathered for a fifth of it: 0.6 s at 3 s, 1 s at 5 s. Agents tell of lost and leaving servers sooner than the store. Tests: changes_are_gathered of test_feed; with 400 ms it made 7 calls where 6 are allowed. settings_are_checked knows the default.

--- a/src/feed.c
+++ b/src/feed.c
@@ -20,6 +20,7 @@
 	uint64_t begun_at; /* revision of the first page */
 	char last_key[256];
 	unsigned wait_ms; /* of a watch, in the store */
+	uint64_t gather_ms;
 	uint64_t pause_ms;
 	uint64_t asked_ms;
 	uint64_t answered_ms; /* last good answer */
@@ -153,13 +154,14 @@
 	else
 		page_read(f, &page);
 	if (f->watching && page.items)
-		uv_timer_start(&f->timer, on_pause_over, FEED_GATHER_MS, 0);
+		uv_timer_start(&f->timer, on_pause_over, f->gather_ms, 0);
 	else
 		ask(f);
 }
 
 feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store, uint32_t silence_ms,
-		 const feed_ops_t *ops, void *ctx, counters_t *counters)
+		 uint32_t apply_ms, const feed_ops_t *ops, void *ctx,
+		 counters_t *counters)
 {
 	feed_t *f = calloc(1, sizeof(*f));
 
@@ -174,6 +176,7 @@
 	f->ops = *ops;
 	f->ctx = ctx;
 	f->counters = counters;
+	f->gather_ms = apply_ms / FEED_GATHER_PART;
 	f->wait_ms = FEED_WAIT_MIN_MS;
 	if (silence_ms > FEED_WAIT_MIN_MS + FEED_SPARE_MS + FEED_AGAIN_MS)
 		f->wait_ms = silence_ms - FEED_SPARE_MS - FEED_AGAIN_MS;
--- a/src/feed.h
+++ b/src/feed.h
@@ -24,9 +24,10 @@
 #define FEED_AGAIN_MS 500
 /* A shorter wait would be a poll. */
 #define FEED_WAIT_MIN_MS 500
-/* Changes come in bursts (releases, restarts): the next call gathers them. A
- * tenth of the bound in which a new version has to be in force. */
-#define FEED_GATHER_MS 400
+/* Changes come in bursts (releases, restarts): the next call gathers them for
+ * this part of the time within which a change has to be in force. The rest is
+ * for a store that answers late or is asked again. */
+#define FEED_GATHER_PART 5
 /* A page or a refusal; a slow store takes some hundred ms. */
 #define FEED_READ_MS 1500
 /* Pauses between tries: the first and the longest. A process that has read
@@ -69,10 +70,12 @@
 
 /*
  * NULL without memory. Begins at once. A connection that went silent is
- * noticed and replaced within silence_ms.
+ * noticed and replaced within silence_ms, and changes are read well within
+ * apply_ms.
  */
 feed_t *feed_new(uv_loop_t *loop, const endpoint_t *store, uint32_t silence_ms,
-		 const feed_ops_t *ops, void *ctx, counters_t *counters);
+		 uint32_t apply_ms, const feed_ops_t *ops, void *ctx,
+		 counters_t *counters);
 
 /* Memory goes back when the loop has run. */
 void feed_free(feed_t *f);
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -156,8 +156,8 @@
 	s->sink.sink = &sink;
 	s->sink.ctx = p;
 	s->feed = feed_new(&p->loop, &p->settings.platform,
-			   p->settings.silence_ms, relay_platform.feed,
-			   &s->sink, p->counters);
+			   p->settings.silence_ms, p->settings.apply_ms,
+			   relay_platform.feed, &s->sink, p->counters);
 	if (!s->feed)
 		return err_set(err, ERR_MEMORY, NULL, 0, "free memory",
 			       "no memory to read the platform");
--- a/src/relay_settings.c
+++ b/src/relay_settings.c
@@ -9,6 +9,8 @@
 /* A silent connection to the store is noticed within this time when the
  * settings say nothing of it, in ms. */
 #define SILENCE_DEFAULT_MS 4000
+/* The same for a change to be in force, in ms. */
+#define APPLY_DEFAULT_MS 3000
 
 int relay_settings_load(const char *file, relay_role_t role,
 			relay_settings_t *out, err_t *err)
@@ -20,6 +22,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->silence_ms = SILENCE_DEFAULT_MS;
+	out->apply_ms = APPLY_DEFAULT_MS;
 	out->memory_mb = MEMORY_DEFAULT_MB;
 	if (!g_file_get_contents(file, &text, &len, &gerr)) {
 		err_set(err, ERR_IO, file, 0, "name a settings file", "%s",
@@ -39,7 +42,8 @@
 	       !strcmp(a->service, b->service) && a->address == b->address &&
 	       a->internal_port == b->internal_port &&
 	       a->metrics_port == b->metrics_port &&
-	       a->silence_ms == b->silence_ms && a->memory_mb == b->memory_mb &&
+	       a->silence_ms == b->silence_ms && a->apply_ms == b->apply_ms &&
+	       a->memory_mb == b->memory_mb &&
 	       endpoint_equal(&a->packets, &b->packets) &&
 	       endpoint_equal(&a->ready, &b->ready) &&
 	       endpoint_equal(&a->platform, &b->platform) &&
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -36,6 +36,7 @@
 	size_t npeers;
 	bool first_start;    /* the whole system starts for the first time */
 	uint32_t silence_ms; /* a dead connection is noticed within it */
+	uint32_t apply_ms;   /* a change of the store is in force within it */
 	uint32_t memory_mb;  /* limit of this process */
 } relay_settings_t;
 
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -22,6 +22,8 @@
 #define SOON_MS 800
 /* Silence that the feed is told to notice. */
 #define SILENCE_MS 2000
+/* Time within which it is to know a change: that of the users' first sites. */
+#define APPLY_MS 3000
 
 typedef struct feed_rig {
 	uv_loop_t loop;
@@ -109,8 +111,8 @@
 
 static void begin(feed_rig_t *r)
 {
-	r->feed = feed_new(&r->loop, &r->at, SILENCE_MS, &fleet_feed, &r->ctx,
-			   &r->counters);
+	r->feed = feed_new(&r->loop, &r->at, SILENCE_MS, APPLY_MS, &fleet_feed,
+			   &r->ctx, &r->counters);
 }
 
 static void close_rig(feed_rig_t *r)
@@ -167,6 +169,30 @@
 }
 END_TEST
 
+/* A release changes entries all the time: calls keep to a pace, and each change
+ * is known within the time that the platform gives. */
+START_TEST(changes_are_gathered)
+{
+	feed_rig_t *r = open_rig(17402);
+	unsigned calls, changes = 0;
+	char key[32];
+
+	begin(r);
+	run(r, SOON_MS / 2);
+	calls = fake_store_calls(r->store);
+	for (; changes < 60; changes++) {
+		snprintf(key, sizeof(key), "servers/t%u", changes);
+		fake_store_put(r->store, key, TARGET("10.1.0.2"));
+		run(r, 50);
+	}
+	/* 3 s of changes at one call each 600 ms. */
+	ck_assert_uint_le(fake_store_calls(r->store) - calls, 6);
+	run(r, APPLY_MS / 3);
+	ck_assert_uint_eq(ready_targets(r), changes + 1);
+	close_rig(r);
+}
+END_TEST
+
 /* Each fault ends, and what changed meanwhile is known soon after. */
 START_TEST(faults_end)
 {
@@ -292,6 +318,7 @@
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, pages_then_changes);
+	tcase_add_test(tc, changes_are_gathered);
 	tcase_add_loop_test(tc, faults_end, 0, 6);
 	tcase_add_loop_test(tc, faults_at_the_start, 0, 6);
 	tcase_add_test(tc, silent_connection_is_replaced);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -223,6 +223,7 @@
 			 0);
 	ck_assert_uint_eq(s.npeers, 1);
 	ck_assert_uint_eq(s.silence_ms, 4000);
+	ck_assert_uint_eq(s.apply_ms, 3000);
 	ck_assert_int_lt(load(COMMON, RELAY_ROLE_BALANCER, &s, &err), 0);
 	ck_assert_int_eq(err.kind, ERR_MISSING);
 	ck_assert_int_lt(load(COMMON "platform = \"10.0.0.1:9\"\nspeed = 1\n",
