Split look-ups and agents' loads by their jobs; drop a random number

Cause: two files did two jobs each: which agents a look-up asks beside what becomes of the answers, and how loaded an agent is beside whether its server is well. Since ranks order the members nothing reads the balancer's random number. Change: relay_balancer_chain.c and relay_agent_health.c take one job each; relay_random() and its seed are gone. No decision changes. Test: slow_minority plays twelve seeds, not three.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -369,7 +369,7 @@
 		relay_load_end(a, f, true);
 	/* On a flow that either end has closed a reset says nothing. */
 	if ((p->flags & RELAY_RST) && !f->caller_done && !f->server_done)
-		relay_load_failed(a, f);
+		relay_health_unserved(a, f);
 	if (p->flags & RELAY_FIN)
 		f->server_done = true;
 	end_flow(a, f, p);
@@ -480,7 +480,7 @@
 		aflow_t *f = (aflow_t *)n;
 
 		if (f->busy && f->asked_ms + limit <= a->now)
-			relay_load_failed(a, f);
+			relay_health_unserved(a, f);
 	}
 }
 
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -113,6 +113,8 @@
 void relay_load_tell(relay_agent_t *a);
 void relay_load_tick(relay_agent_t *a);
 void relay_load_balancer(relay_agent_t *a, uint32_t address);
+
+/* relay_agent_health.c: whether the server is there, and serves */
 /* The server sent something. */
 void relay_server_heard(relay_agent_t *a);
 /* An open was not answered. */
@@ -121,8 +123,15 @@
 bool relay_server_lost(const relay_agent_t *a);
 /* For how long it is silent beyond what it should be, in ms; 0: it is not. */
 uint32_t relay_server_quiet(const relay_agent_t *a);
-/* The server reset a request instead of answering it. */
-void relay_load_failed(relay_agent_t *a, aflow_t *f);
+/* The server reset a request, or left it without an answer. */
+void relay_health_unserved(relay_agent_t *a, aflow_t *f);
+/* Learns from an answer how fast the server is, and whether it seems to fail;
+ * took is in ms. */
+void relay_health_answered(relay_agent_t *a, const aflow_t *f, double took);
+/* Parts of its requests, smoothed, that it did not answer, or answered too
+ * soon; both are forgotten while it gets none. */
+double relay_health_failed(const relay_agent_t *a);
+double relay_health_hasty(const relay_agent_t *a);
 
 /* relay_agent_lookup.c: packets of flows that a balancer does not know */
 void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg);
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -4,8 +4,6 @@
 /* The load is smoothed over about a second: long flows bring a request each
  * second or so. */
 #define SMOOTH_MS 1000.0
-/* Part of a new service time in the typical one. */
-#define SERVICE_PART 0.08
 /* Balancers hear of the load at least and at most this often. */
 #define TELL_MAX_MS 1000
 #define TELL_MIN_MS 150
@@ -16,33 +14,7 @@
 #define TELL_CHANGE 0.25
 /* Balancers say hello each 4 s. */
 #define BALANCER_FORGET_MS 10000
-/* Opens without an answer until the server is taken for silent. */
-#define SILENT_OPENS 2
-
-/* A silent server has lost its flows: so many opens were not answered, for so
- * long. A living one answers each within milliseconds, however slow its
- * requests are. */
-#define LOST_OPENS 3
-#define LOST_MS	   500
-/* A server that says nothing for so long, or for so many of its service times,
- * is quiet: it may be gone, and opens are tried there to find out. */
-#define QUIET_MS     200
-#define QUIET_FACTOR 4
-/* Part of a new request in the smoothed part of failed ones. */
-#define FAILED_PART 0.1
-/* Without requests it is forgotten, so that the server is tried again. */
-#define FAILED_FORGET_MS 4000.0
-/* Part of a hasty answer's time in the typical one: errors say little of how
- * long requests take, yet a service may truly have become faster. */
-#define HASTY_SERVICE_PART 0.02
-/* Parts of hasty answers at which the log says that the server seems to fail,
- * and no longer: of ten answers four, and one. */
-#define FAILING_FROM 0.4
-#define FAILING_TO   0.1
-
 static void smooth(relay_agent_t *a);
-static double failed_now(const relay_agent_t *a);
-static double hasty_now(const relay_agent_t *a);
 
 static void smooth(relay_agent_t *a)
 {
@@ -62,41 +34,6 @@
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
 }
 
-static void tell_failing(relay_agent_t *a)
-{
-	bool seems = a->hasty >= (a->seems_failing ? FAILING_TO : FAILING_FROM);
-
-	if (seems == a->seems_failing)
-		return;
-	a->seems_failing = seems;
-	event_log(EVENT_SERVER,
-		  "\"state\":\"%s\",\"hasty\":%.2f,\"service_ms\":%.1f,"
-		  "\"typical_ms\":%.1f",
-		  seems ? "seems to fail" : "seems well", a->hasty,
-		  a->typical_ms, a->group_ms);
-}
-
-/* Learns from an answer how fast the server is, and whether it seems to fail.
- */
-static void learn(relay_agent_t *a, const aflow_t *f, double took)
-{
-	bool hasty = placement_hasty(took, a->group_ms);
-	double part = hasty ? HASTY_SERVICE_PART : SERVICE_PART;
-
-	a->failed = failed_now(a) * (1 - FAILED_PART);
-	a->failed_ms = a->now;
-	a->hasty = hasty_now(a) * (1 - FAILED_PART) + (hasty ? FAILED_PART : 0);
-	a->hasty_ms = a->now;
-	counter_add(&a->counters, COUNTER_REQUESTS_HASTY, hasty);
-	tell_failing(a);
-	if (!f->found_free)
-		return;
-	if (a->typical_ms > 0)
-		a->typical_ms += (took - a->typical_ms) * part;
-	else if (!hasty)
-		a->typical_ms = took;
-}
-
 void relay_load_end(relay_agent_t *a, aflow_t *f, bool answered)
 {
 	double took = (double)(a->now - f->asked_ms);
@@ -110,29 +47,7 @@
 		return;
 	counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
 	histogram_add(&a->service_ms, (uint64_t)took);
-	learn(a, f, took);
-}
-
-static double hasty_now(const relay_agent_t *a)
-{
-	return a->hasty *
-	       exp(-(double)(a->now - a->hasty_ms) / FAILED_FORGET_MS);
-}
-
-static double failed_now(const relay_agent_t *a)
-{
-	return a->failed *
-	       exp(-(double)(a->now - a->failed_ms) / FAILED_FORGET_MS);
-}
-
-void relay_load_failed(relay_agent_t *a, aflow_t *f)
-{
-	if (!f->busy)
-		return;
-	a->failed = failed_now(a) * (1 - FAILED_PART) + FAILED_PART;
-	a->failed_ms = a->now;
-	counter_add(&a->counters, COUNTER_REQUESTS_FAILED, 1);
-	relay_load_end(a, f, false);
+	relay_health_answered(a, f, took);
 }
 
 void relay_load_fill(relay_agent_t *a, relay_load_t *load)
@@ -146,8 +61,8 @@
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
 	load->quiet_ms = relay_server_quiet(a);
-	load->failed_percent = (uint32_t)(failed_now(a) * 100);
-	load->hasty_percent = (uint32_t)(hasty_now(a) * 100);
+	load->failed_percent = (uint32_t)(relay_health_failed(a) * 100);
+	load->hasty_percent = (uint32_t)(relay_health_hasty(a) * 100);
 }
 
 void relay_load_tell(relay_agent_t *a)
@@ -202,50 +117,3 @@
 	    fabs((double)a->in_flight - a->told_in_flight) >= slots)
 		relay_load_tell(a);
 }
-
-uint32_t relay_server_quiet(const relay_agent_t *a)
-{
-	uint64_t limit = (uint64_t)(a->typical_ms * QUIET_FACTOR);
-
-	if (limit < QUIET_MS)
-		limit = QUIET_MS;
-	if (!a->waiting_ms || a->now < a->waiting_ms + limit)
-		return 0;
-	return (uint32_t)(a->now - a->waiting_ms);
-}
-
-void relay_server_heard(relay_agent_t *a)
-{
-	a->heard_ms = a->now;
-	a->waiting_ms = 0;
-	a->silent_ms = 0;
-	a->unanswered = 0;
-	if (!a->down)
-		return;
-	a->down = false;
-	a->lost = false;
-	event_log(EVENT_SERVER, "\"state\":\"answers\"");
-	relay_load_tell(a);
-}
-
-void relay_server_silent(relay_agent_t *a, const aflow_t *f)
-{
-	if (f->opened_ms < a->heard_ms)
-		return;
-	if (!a->silent_ms)
-		a->silent_ms = f->opened_ms;
-	if (++a->unanswered < SILENT_OPENS || a->down)
-		return;
-	a->down = true;
-	counter_add(&a->counters, COUNTER_SERVER_LOST, 1);
-	event_log(EVENT_SERVER,
-		  "\"state\":\"silent\",\"opens\":%u,\"heard_ms_ago\":%llu",
-		  a->unanswered, (unsigned long long)(a->now - a->heard_ms));
-	relay_load_tell(a);
-}
-
-bool relay_server_lost(const relay_agent_t *a)
-{
-	return a->down && a->unanswered >= LOST_OPENS &&
-	       a->now >= a->silent_ms + LOST_MS;
-}
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -12,14 +12,6 @@
 static void on_entry(void *ctx, const target_entry_t *entry);
 static void no_route(relay_balancer_t *b, const relay_packet_t *p);
 
-uint32_t relay_random(relay_balancer_t *b)
-{
-	b->random ^= b->random << 13;
-	b->random ^= b->random >> 17;
-	b->random ^= b->random << 5;
-	return b->random;
-}
-
 static void flow_release(flow_node_t *node)
 {
 	relay_flow_t *f = (relay_flow_t *)node;
@@ -45,7 +37,6 @@
 	b->options = *options;
 	b->ops = *ops;
 	b->ctx = ctx;
-	b->random = options->random_seed | 1;
 	list_init(&b->members);
 	list_init(&b->waiting);
 	b->by_agent = g_hash_table_new(NULL, NULL);
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -38,7 +38,6 @@
 	const char *zone;	   /* own availability zone */
 	const packet_form_t *form; /* of the callers' packets */
 	size_t flows;		   /* greatest number remembered */
-	uint32_t random_seed;	   /* not 0 */
 } relay_balancer_options_t;
 
 /* The operations are copied, ctx is handed back to them. NULL: no memory. */
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -141,8 +141,6 @@
 		.zone = p->settings.zone,
 		.form = relay_platform.form,
 		.flows = (size_t)p->settings.memory_mb * FLOWS_A_MB,
-		.random_seed = p->settings.address ^ (uint32_t)getpid() ^
-			       (uint32_t)uv_hrtime(),
 	};
 	balancer_state_t *s = calloc(1, sizeof(*s));
 
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -142,15 +142,12 @@
 	GHashTable *groups;   /* service, interned -> relay_group_t, owned */
 	flow_index_t *flows;
 	list_t waiting; /* flows that are opening or looked up */
-	uint32_t random;
-	uint64_t now; /* of the call under way */
+	uint64_t now;	/* of the call under way */
 	uint64_t swept_ms;
 	uint64_t tick_ms; /* last tick */
 	bool late;	  /* the last tick was late, answers may wait */
 };
 
-uint32_t relay_random(relay_balancer_t *b);
-
 /* relay_balancer_member.c: agents and what is believed of them */
 relay_member_t *relay_member(relay_balancer_t *b, uint32_t agent);
 void relay_member_entry(relay_balancer_t *b, const target_entry_t *entry);
@@ -189,6 +186,14 @@
 			const relay_msg_t *msg);
 void relay_open_tick(relay_balancer_t *b, relay_flow_t *f);
 
+/* relay_balancer_chain.c: which agents a look-up asks, and in which order */
+/* Lists a service's agents as the flow ranks them, which is where its open was
+ * placed; those that are doubtful, or the others. */
+void relay_chain_list(relay_balancer_t *b, const relay_flow_t *f,
+		      relay_group_t *group, uint32_t not_at, bool doubtful);
+/* Asks on, each time more agents at once. Returns false when all were. */
+bool relay_chain_send(relay_balancer_t *b, relay_lookup_t *l);
+
 /* relay_balancer_lookup.c: flows that are not remembered */
 void relay_lookup_packet(relay_balancer_t *b, const route_t *route,
 			 relay_flow_t *f, const relay_packet_t *p,
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -2,12 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Agents in a chain: each passes the packet to the next, so that a balancer
- * sends few messages. As many as an open is placed among. */
-#define CHAIN_AGENTS PLACEMENT_COMPARED
-/* Chains that go together, from one to the next time: nearly all flows are
- * found in the first chain, and all agents of a large group in a few steps. */
-#define BATCH_GROWTH 4
 /* The next ones go when the others have not come to their end by then: eight
  * agents in a row take a few milliseconds each. */
 #define BATCH_MS 60
@@ -26,12 +20,12 @@
 static void ask(relay_balancer_t *b, relay_flow_t *f, uint32_t agent);
 static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
 		  const relay_packet_t *p, uint32_t not_at);
-static held_packet_t *held_packet(const relay_packet_t *p);
 static void hold(relay_lookup_t *l, const relay_packet_t *p);
 static void release(relay_balancer_t *b, relay_flow_t *f, uint8_t mark);
 static void go_on(relay_balancer_t *b, relay_flow_t *f);
 static lookup_asked_t *asked_of(relay_lookup_t *l, uint32_t agent);
 static void finish(relay_balancer_t *b, relay_flow_t *f, const char *outcome);
+static bool leave_out_gone(relay_balancer_t *b, relay_lookup_t *l);
 
 void relay_lookup_free(relay_lookup_t *l)
 {
@@ -67,97 +61,13 @@
 	b->ops.message(b->ctx, agent, &msg);
 }
 
-typedef struct ask_accept {
-	const relay_balancer_t *b;
-	const relay_group_t *group;
-	uint32_t not_at;
-	bool doubtful;
-} ask_accept_t;
-
-static int to_be_asked(const void *ctx, uint32_t position)
-{
-	const ask_accept_t *a = ctx;
-	const relay_member_t *m =
-		g_ptr_array_index(a->group->members, position);
-
-	return m->agent != a->not_at && relay_member_answers(a->b, m) &&
-	       relay_member_doubtful(a->b, m) == a->doubtful;
-}
-
-/* Lists the agents of a service as the flow ranks them, which is where its
- * open was placed. */
-static void list_agents(relay_balancer_t *b, const relay_flow_t *f,
-			relay_group_t *group, uint32_t not_at, bool doubtful)
-{
-	ask_accept_t accept = { b, group, not_at, doubtful };
-	uint32_t *order = g_new(uint32_t, group->members->len);
-	size_t n = relay_group_rank(group, &f->node.key, order,
-				    group->members->len, to_be_asked, &accept);
-
-	for (size_t i = 0; i < n; i++) {
-		const relay_member_t *m =
-			g_ptr_array_index(group->members, order[i]);
-
-		g_array_append_val(f->lookup->pending, m->agent);
-	}
-	g_free(order);
-}
-
-/* Sends a packet along a chain of agents that were not asked yet. */
-static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
-		       const relay_packet_t *p)
+static held_packet_t *held_packet(const relay_packet_t *p)
 {
-	uint32_t agents[CHAIN_AGENTS];
-	const relay_group_t *group = NULL;
-	bool doubtful = false;
-	relay_msg_t msg;
-	size_t n = 0;
-
-	l->chains++;
-	while (l->next < l->pending->len && n < CHAIN_AGENTS && !doubtful) {
-		lookup_asked_t a = {
-			.agent = g_array_index(l->pending, uint32_t, l->next),
-			.chain = l->chains,
-		};
-		const relay_member_t *m = relay_member(b, a.agent);
-
-		doubtful = m && relay_member_doubtful(b, m);
-		if (n && (!m || m->group != group || doubtful))
-			break;
-		l->next++;
-		if (!m)
-			continue;
-		group = m->group;
-		agents[n++] = a.agent;
-		g_array_append_val(l->asked, a);
-	}
-	if (n == 0)
-		return;
-	relay_msg_init(&msg, RELAY_LOOKUP);
-	msg.service = (char *)relay_member(b, agents[0])->service;
-	msg.balancer = b->options.self;
-	msg.packet.data = p->data;
-	msg.packet.len = p->len;
-	msg.candidates = agents + 1;
-	msg.n_candidates = n - 1;
-	msg.chain = l->chains;
-	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
-	b->ops.message(b->ctx, agents[0], &msg);
-}
+	held_packet_t *h = g_malloc(sizeof(*h) + p->len);
 
-/* Asks on, each time more agents at once. Returns false when all were. */
-static bool send_batch(relay_balancer_t *b, relay_lookup_t *l)
-{
-	relay_packet_t p;
-
-	if (l->next == l->pending->len ||
-	    b->options.form->read(l->packet->data, l->packet->len, &p) < 0)
-		return false;
-	for (unsigned i = 0; i < l->batch && l->next < l->pending->len; i++)
-		send_chain(b, l, &p);
-	l->batch *= BATCH_GROWTH;
-	l->asked_ms = b->now;
-	return true;
+	h->len = p->len;
+	memcpy(h->data, p->data, p->len);
+	return h;
 }
 
 static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
@@ -186,18 +96,10 @@
 				b, g_intern_string(route->shares[i].service));
 
 			if (group)
-				list_agents(b, f, group, not_at, doubtful[d]);
+				relay_chain_list(b, f, group, not_at,
+						 doubtful[d]);
 		}
-	send_batch(b, l);
-}
-
-static held_packet_t *held_packet(const relay_packet_t *p)
-{
-	held_packet_t *h = g_malloc(sizeof(*h) + p->len);
-
-	h->len = p->len;
-	memcpy(h->data, p->data, p->len);
-	return h;
+	relay_chain_send(b, l);
 }
 
 static void hold(relay_lookup_t *l, const relay_packet_t *p)
@@ -260,7 +162,7 @@
 		if (g_array_index(l->asked, lookup_asked_t, i).answer ==
 		    ANSWER_NONE)
 			return;
-	if (send_batch(b, l))
+	if (relay_chain_send(b, l))
 		return;
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_asked_t *a = &g_array_index(l->asked, lookup_asked_t, i);
@@ -409,7 +311,7 @@
 		ask(b, f, trial->agent);
 	if (l->next < l->pending->len) {
 		if (b->now >= l->asked_ms + BATCH_MS)
-			send_batch(b, l);
+			relay_chain_send(b, l);
 		return;
 	}
 	if (b->now < l->asked_ms + (l->rounds ? ASK_AGAIN_MS : CHAIN_MS))
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -19,6 +19,12 @@
 /* One that may have crashed a moment ago more often: three opens decide. */
 #define QUIET_TRIAL_MS 250
 
+typedef struct open_accept {
+	const relay_balancer_t *b;
+	const relay_flow_t *f;
+	const relay_group_t *group;
+} open_accept_t;
+
 static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m);
 static bool was_tried(const relay_flow_t *f, uint32_t agent);
 static void describe(const relay_balancer_t *b, const relay_member_t *m,
@@ -88,12 +94,6 @@
 	return NULL;
 }
 
-typedef struct open_accept {
-	const relay_balancer_t *b;
-	const relay_flow_t *f;
-	const relay_group_t *group;
-} open_accept_t;
-
 /* True for a member that may take the open and would answer it in time. */
 static int acceptable(const void *ctx, uint32_t position)
 {
--- a/src/routes.h
+++ b/src/routes.h
@@ -30,7 +30,7 @@
 	uint32_t aim_ms;       /* latency objective of a request */
 	route_share_t *shares; /* owned */
 	size_t nshares;
-	/* 0 last to 1 first, among the routes of its services; set by
+	/* 0 last to 1 first, among the routes of its first service; set by
 	 * route_table_rank() */
 	double precedence;
 } route_t;
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -264,7 +264,6 @@
 		.zone = zone_name(w, i),
 		.form = &fleet_packet_form,
 		.flows = FLOWS_MAX,
-		.random_seed = (uint32_t)(rw_chance(w) * 1e9) + 1,
 	};
 
 	w->balancers[i] = relay_balancer_new(&options, &ops, new_peer(w, i));
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 #define SEEDS 3
+/* Where the difference to be seen is small: a slow server keeps its flows. */
+#define MANY_SEEDS 12
 
 typedef void (*pattern_fn)(relay_world_t *w);
 
@@ -48,12 +50,13 @@
 	return r;
 }
 
-/* Share of the requests that were answered in time, over SEEDS. */
+/* Share of the requests that were answered in time, over some seeds. */
 static double in_aim(rw_options_t (*make)(rw_choice_t, uint64_t),
-		     rw_choice_t choice, pattern_fn pattern, rw_result_t *sum)
+		     rw_choice_t choice, pattern_fn pattern, uint64_t seeds,
+		     rw_result_t *sum)
 {
 	memset(sum, 0, sizeof(*sum));
-	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+	for (uint64_t seed = 1; seed <= seeds; seed++) {
 		rw_options_t o = make(choice, seed);
 		rw_result_t r = play(&o, pattern);
 
@@ -202,20 +205,26 @@
 	double failed; /* at most this share not at all */
 	double oracle; /* at least this part of what an oracle serves in time */
 	double urgent; /* share of the urgent ones in time */
+	uint64_t seeds;
 } patterns[] = {
-	{ "quiet", quiet, 0.99, 0.0, 0, 0.95, 0.99 },
-	{ "burst", burst, 0.95, 0.02, 0.01, 0.95, 0.95 },
-	{ "great_burst", great_burst, 0.90, 0.02, 0.1, 0.95, 0.95 },
-	{ "slow_minority", slow_minority, 0.93, 0.01, 0.01, 0.99, 0.98 },
-	{ "failing_servers", failing_servers, 0.95, 0.05, 0.01, 0.95, 0.95 },
-	{ "partly_failing", partly_failing, 0.95, 0.0, 0.01, 0.95, 0.95 },
-	{ "release", release, 0.95, 0.0, 0.01, 0.95, 0.95 },
-	{ "two_lost", two_lost, 0.93, 0.02, 0.01, 0.95, 0.95 },
-	{ "mass_restart", mass_restart, 0.80, 0.02, 0.12, 0.95, 0.8 },
-	{ "callers_move", callers_move, 0.95, 0.0, 0.01, 0.95, 0.95 },
-	{ "concentrated", concentrated, 0.70, 0.05, 0.25, 0.95, 0.9 },
-	{ "processes_restart", processes_restart, 0.95, 0.0, 0.01, 0.95, 0.95 },
-	{ "rotation_changes", rotation_changes, 0.97, 0.0, 0.01, 0.95, 0.95 },
+	{ "quiet", quiet, 0.99, 0.0, 0, 0.95, 0.99, SEEDS },
+	{ "burst", burst, 0.95, 0.02, 0.01, 0.95, 0.95, SEEDS },
+	{ "great_burst", great_burst, 0.90, 0.02, 0.1, 0.95, 0.95, SEEDS },
+	{ "slow_minority", slow_minority, 0.93, 0.01, 0.01, 0.99, 0.98,
+	  MANY_SEEDS },
+	{ "failing_servers", failing_servers, 0.95, 0.05, 0.01, 0.95, 0.95,
+	  SEEDS },
+	{ "partly_failing", partly_failing, 0.95, 0.0, 0.01, 0.95, 0.95,
+	  SEEDS },
+	{ "release", release, 0.95, 0.0, 0.01, 0.95, 0.95, SEEDS },
+	{ "two_lost", two_lost, 0.93, 0.02, 0.01, 0.95, 0.95, SEEDS },
+	{ "mass_restart", mass_restart, 0.80, 0.02, 0.12, 0.95, 0.8, SEEDS },
+	{ "callers_move", callers_move, 0.95, 0.0, 0.01, 0.95, 0.95, SEEDS },
+	{ "concentrated", concentrated, 0.70, 0.05, 0.25, 0.95, 0.9, SEEDS },
+	{ "processes_restart", processes_restart, 0.95, 0.0, 0.01, 0.95, 0.95,
+	  SEEDS },
+	{ "rotation_changes", rotation_changes, 0.97, 0.0, 0.01, 0.95, 0.95,
+	  SEEDS },
 };
 
 static void print_result(const char *who, const rw_result_t *r, double in_aim)
@@ -229,10 +238,11 @@
 START_TEST(pattern_is_served)
 {
 	const struct pattern *p = &patterns[_i];
+	uint64_t n = p->seeds;
 	rw_result_t ours, naive, best;
-	double a = in_aim(seven, WORLD_OURS, p->run, &ours);
-	double b = in_aim(seven, WORLD_NAIVE, p->run, &naive);
-	double c = in_aim(seven, WORLD_ORACLE, p->run, &best);
+	double a = in_aim(seven, WORLD_OURS, p->run, n, &ours);
+	double b = in_aim(seven, WORLD_NAIVE, p->run, n, &naive);
+	double c = in_aim(seven, WORLD_ORACLE, p->run, n, &best);
 
 	printf("%s\n", p->name);
 	print_result("ours", &ours, a);
@@ -310,8 +320,8 @@
 	       z->slots, z->work_ms, z->zones);
 	for (unsigned i = 0; i < 2; i++) {
 		rw_result_t ours, best;
-		double a = in_aim(sized, WORLD_OURS, runs[i], &ours);
-		double c = in_aim(sized, WORLD_ORACLE, runs[i], &best);
+		double a = in_aim(sized, WORLD_OURS, runs[i], SEEDS, &ours);
+		double c = in_aim(sized, WORLD_ORACLE, runs[i], SEEDS, &best);
 
 		print_result("ours", &ours, a);
 		print_result("oracle", &best, c);
@@ -352,8 +362,8 @@
 
 	for (unsigned i = 0; i < 3; i++) {
 		rw_result_t ours, best;
-		double a = in_aim(mixed, WORLD_OURS, runs[i], &ours);
-		double c = in_aim(mixed, WORLD_ORACLE, runs[i], &best);
+		double a = in_aim(mixed, WORLD_OURS, runs[i], SEEDS, &ours);
+		double c = in_aim(mixed, WORLD_ORACLE, runs[i], SEEDS, &best);
 
 		print_result("ours", &ours, a);
 		print_result("oracle", &best, c);
