--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -15,6 +15,18 @@
 	rr_from_server(r, flow, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
 }
 
+/* What the agent tells of its load within a span of time. */
+static relay_msg_t *told_after(relay_rig_t *r, uint64_t ms)
+{
+	int at;
+
+	rr_clear(r);
+	rr_run(r, ms);
+	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
+	ck_assert_int_ge(at, 0);
+	return relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+}
+
 /* An open is delivered; the server's answer goes to the caller, and the
  * balancer hears who took it. */
 START_TEST(open_is_taken)
@@ -237,7 +249,6 @@
 {
 	relay_rig_t *r = rr_agent(true);
 	relay_msg_t *msg;
-	int at;
 
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 40; i++) {
@@ -248,11 +259,7 @@
 		else
 			rr_from_server(r, i, RELAY_RST, ISN + 1, 106, 0);
 	}
-	rr_clear(r);
-	rr_run(r, 1100);
-	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
-	ck_assert_int_ge(at, 0);
-	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	msg = told_after(r, 1100);
 	ck_assert_uint_ge(msg->load->failed_percent, 30);
 	ck_assert_uint_le(msg->load->failed_percent, 70);
 	relay_msg_free(msg);
@@ -268,7 +275,6 @@
 {
 	relay_rig_t *r = rr_agent(true);
 	relay_msg_t *msg;
-	int at;
 
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 60; i++) {
@@ -278,11 +284,7 @@
 		rr_run(r, i % 2 ? 50 : 0);
 		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
 	}
-	rr_clear(r);
-	rr_run(r, 1100);
-	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
-	ck_assert_int_ge(at, 0);
-	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	msg = told_after(r, 1100);
 	ck_assert_uint_ge(msg->load->hasty_percent, 30);
 	ck_assert_uint_le(msg->load->hasty_percent, 70);
 	ck_assert_uint_eq(msg->load->failed_percent, 0);
@@ -298,18 +300,13 @@
 {
 	relay_rig_t *r = rr_agent(true);
 	relay_msg_t *msg;
-	int at;
 
 	rr_hello(r, BALANCER, 2);
 	open_flow(r, 1);
 	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
 	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
 	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 501, 0, 0);
-	rr_clear(r);
-	rr_run(r, 2500);
-	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
-	ck_assert_int_ge(at, 0);
-	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	msg = told_after(r, 2500);
 	ck_assert_uint_eq(msg->load->quiet_ms, 0);
 	relay_msg_free(msg);
 	rr_free(r);
@@ -440,18 +437,13 @@
 {
 	relay_rig_t *r = rr_agent(true);
 	relay_msg_t *msg;
-	int at;
 
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 4; i++) {
 		open_flow(r, i);
 		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
 	}
-	rr_clear(r);
-	rr_run(r, 1100);
-	at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_LOAD);
-	ck_assert_int_ge(at, 0);
-	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	msg = told_after(r, 1100);
 	ck_assert_uint_eq(msg->load->in_flight, 4);
 	ck_assert_uint_eq(msg->load->flows, 4);
 	ck_assert_uint_gt(msg->load->work_hundredths, 100);
