Ask members in trouble how they are; forget what was told long ago

Cause, found by reading: since hellos follow the opens, a member that fails or restarts got neither opens nor hellos after 12 s, and kept the share of failures or the word that it stops that it had told last; it would have had no opens from that balancer again. A server that was slow kept its times for as long as it got no requests, and its agent refused opens by them. Change: hellos go on to members in trouble; load that was told over 3 s ago says nothing of failures, times or a restart; an agent's typical time comes back to the service's within seconds without requests. Tests: member_in_trouble_is_asked, old_trouble_is_forgotten (both for a failing server and a stopping agent: no hello, no offer before), slow_times_are_forgotten (150 ms after 15 s before).

--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -17,8 +17,9 @@
 #define QUIET_FACTOR 4
 /* Part of a new request in the smoothed part of failed ones. */
 #define FAILED_PART 0.1
-/* Without requests it is forgotten, so that the server is tried again. */
-#define FAILED_FORGET_MS 4000.0
+/* Without requests what was learned is forgotten, so that the server is tried
+ * again. */
+#define FORGET_MS 4000.0
 /* Part of a hasty answer's time in the typical one: errors say little of how
  * long requests take, yet a service may truly have become faster. */
 #define HASTY_SERVICE_PART 0.02
@@ -29,16 +30,24 @@
 
 static void tell_failing(relay_agent_t *a);
 
+double relay_health_service_ms(const relay_agent_t *a)
+{
+	double age = (double)(a->now - a->typical_at);
+
+	if (a->typical_ms <= 0 || a->group_ms <= 0)
+		return a->typical_ms;
+	return a->group_ms +
+	       (a->typical_ms - a->group_ms) * exp(-age / FORGET_MS);
+}
+
 double relay_health_hasty(const relay_agent_t *a)
 {
-	return a->hasty *
-	       exp(-(double)(a->now - a->hasty_ms) / FAILED_FORGET_MS);
+	return a->hasty * exp(-(double)(a->now - a->hasty_ms) / FORGET_MS);
 }
 
 double relay_health_failed(const relay_agent_t *a)
 {
-	return a->failed *
-	       exp(-(double)(a->now - a->failed_ms) / FAILED_FORGET_MS);
+	return a->failed * exp(-(double)(a->now - a->failed_ms) / FORGET_MS);
 }
 
 static void tell_failing(relay_agent_t *a)
@@ -69,6 +78,8 @@
 	tell_failing(a);
 	if (!f->found_free)
 		return;
+	a->typical_ms = relay_health_service_ms(a);
+	a->typical_at = a->now;
 	if (a->typical_ms > 0)
 		a->typical_ms += (took - a->typical_ms) * part;
 	else if (!hasty)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -81,7 +81,8 @@
 	uint32_t in_flight;
 	double work; /* in_flight, smoothed */
 	uint64_t work_ms;
-	double typical_ms; /* service time; 0 unknown */
+	double typical_ms;   /* service time; 0 unknown */
+	uint64_t typical_at; /* when it was learned */
 	uint64_t told_ms;
 	double told_work;
 	double told_in_flight;
@@ -128,6 +129,9 @@
 /* Learns from an answer how fast the server is, and whether it seems to fail;
  * took is in ms. */
 void relay_health_answered(relay_agent_t *a, const aflow_t *f, double took);
+/* Typical service time in ms, 0 unknown; without requests it comes back to
+ * what is typical of the service. */
+double relay_health_service_ms(const relay_agent_t *a);
 /* Parts of its requests, smoothed, that it did not answer, or answered too
  * soon; both are forgotten while it gets none. */
 double relay_health_failed(const relay_agent_t *a);
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -56,7 +56,7 @@
 	ct__relay__load__init(load);
 	load->in_flight = a->in_flight + a->nawaited;
 	load->work_hundredths = (uint32_t)(a->work * 100);
-	load->service_us = (uint32_t)(a->typical_ms * 1000);
+	load->service_us = (uint32_t)(relay_health_service_ms(a) * 1000);
 	load->flows = a->live;
 	load->down_ms = a->down ? (uint32_t)(a->now - a->silent_ms) + 1 : 0;
 	load->stopping = a->stopping;
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -14,7 +14,7 @@
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
 	double wait = placement_wait(a->in_flight + a->nawaited, a->slots,
-				     a->typical_ms);
+				     relay_health_service_ms(a));
 
 	if (strcmp(msg->service, a->options.service) != 0 || a->stopping)
 		return msg->n_candidates ? ADMIT_PASS : ADMIT_REFUSE;
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -204,6 +204,13 @@
 	return m->hello_ms > m->heard_ms && b->now >= m->hello_ms + DOUBT_MS;
 }
 
+/* It is given no opens, or few: how it is can only be asked. */
+static bool in_trouble(const relay_member_t *m)
+{
+	return m->stopping || m->down_ms || m->quiet_ms || m->failed > 0 ||
+	       m->hasty > 0;
+}
+
 /* Says hello when it is due, so that the agent tells its load. */
 static void keep_in_touch(relay_balancer_t *b, relay_member_t *m)
 {
@@ -212,7 +219,7 @@
 	bool gone = m->state == ENTRY_GONE;
 
 	if (!gone && b->now >= m->used_ms + USED_MS &&
-	    m->heard_ms >= m->hello_ms) {
+	    m->heard_ms >= m->hello_ms && !in_trouble(m)) {
 		m->watched_ms = 0;
 		return;
 	}
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -12,7 +12,8 @@
 #define OPEN_WORK 1.0
 /* What was placed counts half after this time. */
 #define PLACED_HALF_MS 300
-/* Load told longer ago than this is not believed. */
+/* What an agent told longer ago than this is not believed: it tells its load
+ * each second, and a restart takes about one. */
 #define LOAD_OLD_MS 3000
 /* A doubted member is offered an open this often, with others behind it. */
 #define TRIAL_MS 1000
@@ -25,6 +26,7 @@
 	const relay_group_t *group;
 } open_accept_t;
 
+static bool told_lately(const relay_balancer_t *b, const relay_member_t *m);
 static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m);
 static bool was_tried(const relay_flow_t *f, uint32_t agent);
 static void describe(const relay_balancer_t *b, const relay_member_t *m,
@@ -38,10 +40,15 @@
 static bool offer(relay_balancer_t *b, relay_flow_t *f);
 static void refuse(relay_balancer_t *b, relay_flow_t *f);
 
+static bool told_lately(const relay_balancer_t *b, const relay_member_t *m)
+{
+	return m->told_ms && b->now < m->told_ms + LOAD_OLD_MS;
+}
+
 static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m)
 {
-	return m->state == ENTRY_READY && !m->stopping && m->down_ms == 0 &&
-	       m->avoid_until <= b->now;
+	return m->state == ENTRY_READY && m->down_ms == 0 &&
+	       !(m->stopping && told_lately(b, m)) && m->avoid_until <= b->now;
 }
 
 static bool was_tried(const relay_flow_t *f, uint32_t agent)
@@ -58,16 +65,16 @@
 	uint64_t age = b->now - m->placed_ms;
 
 	out->local = m->local;
-	out->known = m->told_ms && b->now < m->told_ms + LOAD_OLD_MS;
+	out->known = told_lately(b, m);
 	out->cold = m->warm_at_ms > b->now;
 	out->slots = m->slots;
 	out->work = m->work;
 	out->in_flight = m->in_flight;
 	out->told_ms_ago = (double)(b->now - m->told_ms);
 	out->flows = m->flows;
-	out->failed = m->failed;
-	out->hasty = m->hasty;
-	out->service_ms = m->service_ms;
+	out->failed = out->known ? m->failed : 0;
+	out->hasty = out->known ? m->hasty : 0;
+	out->service_ms = out->known ? m->service_ms : 0;
 	out->placed = age < 8 * PLACED_HALF_MS
 			      ? m->placed / (1 << (age / PLACED_HALF_MS))
 			      : 0;
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -264,6 +264,18 @@
 	deliver_message(r, host, &msg);
 }
 
+void rr_failing(relay_rig_t *r, uint32_t host, uint32_t percent)
+{
+	relay_load_t load;
+	relay_msg_t msg;
+
+	ct__relay__load__init(&load);
+	relay_msg_init(&msg, RELAY_LOAD);
+	load.failed_percent = percent;
+	msg.load = &load;
+	deliver_message(r, host, &msg);
+}
+
 void rr_stopping(relay_rig_t *r, uint32_t host)
 {
 	relay_load_t load;
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -82,6 +82,8 @@
 	     double service_ms, uint32_t down_ms);
 /* Load of an agent whose server is quiet. */
 void rr_quiet(relay_rig_t *r, uint32_t host, uint32_t quiet_ms);
+/* Load of an agent whose server fails this part of its requests. */
+void rr_failing(relay_rig_t *r, uint32_t host, uint32_t percent);
 /* Load of an agent that is about to end. */
 void rr_stopping(relay_rig_t *r, uint32_t host);
 /* An open offered to the agent. */
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -313,6 +313,33 @@
 }
 END_TEST
 
+/* Times of long ago say little: without requests they come back to what is
+ * typical of the service, or a server that was slow would get no more opens. */
+START_TEST(slow_times_are_forgotten)
+{
+	relay_rig_t *r = rr_agent(true);
+	relay_msg_t *msg;
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < 20; i++) {
+		rr_offer_typical(r, BALANCER, i, 5, 20);
+		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		rr_run(r, 150);
+		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+	}
+	msg = told_after(r, 1100);
+	ck_assert_uint_ge(msg->load->service_us, 80000);
+	relay_msg_free(msg);
+	rr_run(r, 15000);
+	rr_hello(r, BALANCER, 2);
+	msg = told_after(r, 1100);
+	ck_assert_uint_le(msg->load->service_us, 30000);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* One that never answers a part of its requests, though it answers others, is
  * told as well. */
 START_TEST(swallowing_server_is_told)
@@ -519,6 +546,7 @@
 	tcase_add_test(tc, slow_server_keeps_its_flows);
 	tcase_add_test(tc, failing_server_is_told);
 	tcase_add_test(tc, hasty_answers_are_told);
+	tcase_add_test(tc, slow_times_are_forgotten);
 	tcase_add_test(tc, acknowledgement_needs_no_answer);
 	tcase_add_test(tc, swallowing_server_is_told);
 	tcase_add_test(tc, lookup_goes_on);
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -450,6 +450,66 @@
 }
 END_TEST
 
+/* Opens for so long, all taken by B, while A answers no hello; those are
+ * counted behind the first 20 s. */
+static size_t hellos_late(relay_rig_t *r)
+{
+	for (unsigned i = 0; i < 300; i++) {
+		if (i == 200)
+			rr_clear(r);
+		rr_load(r, AGENT_B, 0, 0, 10, 0);
+		rr_from_caller(r, i, RELAY_SYN, 5, 0, 0);
+		rr_answer(r, AGENT_B, RELAY_TAKEN, i, "feeds");
+		rr_run(r, 100);
+	}
+	return rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_HELLO);
+}
+
+/* A server that fails or an agent that stops gets no opens; it is asked how it
+ * is all the same, or nobody would learn that it is well again. */
+START_TEST(member_in_trouble_is_asked)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	if (_i)
+		rr_stopping(r, AGENT_A);
+	else
+		rr_failing(r, AGENT_A, 100);
+	ck_assert_uint_ge(hellos_late(r), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* What was told long ago is no longer believed: the member is tried. */
+START_TEST(old_trouble_is_forgotten)
+{
+	relay_rig_t *r = rr_balancer();
+	size_t offers = 0;
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	if (_i)
+		rr_stopping(r, AGENT_A);
+	else
+		rr_failing(r, AGENT_A, 100);
+	rr_run(r, 5000);
+	for (unsigned i = 0; i < 100; i++) {
+		rr_clear(r);
+		rr_load(r, AGENT_B, 2, 2, 10, 0); /* busy */
+		rr_from_caller(r, i, RELAY_SYN, 5, 0, 0);
+		offers += rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER);
+		rr_answer(r, AGENT_A, RELAY_TAKEN, i, "feeds");
+		rr_run(r, RELAY_TICK_MS);
+	}
+	ck_assert_uint_ge(offers, 2);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_balancer");
@@ -476,6 +536,8 @@
 	tcase_add_test(tc, host_taken_away_is_not_waited_for);
 	tcase_add_test(tc, lapsed_entries_live_on);
 	tcase_add_test(tc, silent_server_is_tried_now_and_then);
+	tcase_add_loop_test(tc, member_in_trouble_is_asked, 0, 2);
+	tcase_add_loop_test(tc, old_trouble_is_forgotten, 0, 2);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
