Free the relays' list when a command's options are wrong

Ruled out: the test (its other cases end with 2, and without the sanitizers this one did). Change: cli_options_asked() frees the list when it fails.

--- a/src/cli_ask.c
+++ b/src/cli_ask.c
@@ -114,6 +114,10 @@
 		*code = cli_fail(command, &err);
 		ret = -1;
 	}
+	if (ret < 0 && relays) {
+		g_strfreev(*relays);
+		*relays = NULL;
+	}
 	g_free(file);
 	return ret;
 }
--- a/src/cli_ask.h
+++ b/src/cli_ask.h
@@ -28,7 +28,7 @@
 
 /*
  * The same for a command that may ask relays instead: with --relay, *relays is
- * their list, freed by the caller, and no settings are read.
+ * their list, freed by the caller when it returns 0, and no settings are read.
  */
 int cli_options_asked(const char *command, const char *arguments,
 		      const char *summary, const GOptionEntry *entries,
