Work precedence out by the service that an open goes to

Cause, found by reading: a route that is split over services took its precedence from the first of them, a special case; at the other service it was ranked by routes that are not there. It was set in a step of its own that could be left out (route_table_rank). Ruled out: a precedence for each share (the same, stored). Change: the table keeps the span of priorities of each service as routes are added; route_precedence() is asked with the service of the open. Test: precedence_is_by_service of test_routes, new; before there was no such function, and a split route had 0 at its second service where 1 is due.

--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -79,7 +79,6 @@
 		  (unsigned long long)version,
 		  (unsigned long long)relay_balancer_version(b),
 		  route_table_count(routes));
-	route_table_rank(routes);
 	route_table_unref(b->routes);
 	b->routes = routes;
 	counter_add(&b->counters, COUNTER_CONFIG_ACCEPTED, 1);
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -263,8 +263,8 @@
 	f->service = g_intern_string(
 		route_service(route, flow_key_hash(&p->key, 0)));
 	f->tag = service_tag(f->service);
-	f->patience_ms =
-		(uint32_t)placement_patience(route->aim_ms, route->precedence);
+	f->patience_ms = (uint32_t)placement_patience(
+		route->aim_ms, route_precedence(b->routes, route, f->service));
 	b->options.form->annotate(p, 0, 0);
 	memcpy(f->syn, p->data, p->len);
 	f->syn_len = (uint8_t)p->len;
--- a/src/routes.c
+++ b/src/routes.c
@@ -10,10 +10,18 @@
 	uint64_t version;
 	uint32_t idle_timeout_ms;
 	GHashTable *routes; /* address and port -> route_t */
+	GHashTable *spans;  /* service -> span_t, names of the routes' shares */
 };
 
+/* The highest and lowest priority of a service's routes. */
+typedef struct span {
+	uint32_t least;
+	uint32_t most;
+} span_t;
+
 static gpointer route_key(uint32_t address, uint16_t port);
 static void route_free(gpointer data);
+static void widen(GHashTable *spans, const char *service, uint32_t priority);
 
 /* Address and port in one pointer-sized number, never 0. */
 static gpointer route_key(uint32_t address, uint16_t port)
@@ -39,6 +47,7 @@
 	t->version = version;
 	t->idle_timeout_ms = idle_timeout_ms;
 	t->routes = g_hash_table_new_full(NULL, NULL, NULL, route_free);
+	t->spans = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	return t;
 }
 
@@ -52,10 +61,24 @@
 {
 	if (!t || --t->refs > 0)
 		return;
+	g_hash_table_destroy(t->spans);
 	g_hash_table_destroy(t->routes);
 	free(t);
 }
 
+static void widen(GHashTable *spans, const char *service, uint32_t priority)
+{
+	span_t *s = g_hash_table_lookup(spans, service);
+
+	if (!s) {
+		s = g_new(span_t, 1);
+		s->least = s->most = priority;
+		g_hash_table_insert(spans, (gpointer)service, s);
+	}
+	s->least = MIN(s->least, priority);
+	s->most = MAX(s->most, priority);
+}
+
 int route_table_add(route_table_t *t, const route_t *route, err_t *err)
 {
 	gpointer key = route_key(route->address, route->port);
@@ -74,54 +97,19 @@
 	copy->shares = g_memdup2(route->shares,
 				 route->nshares * sizeof(*route->shares));
 	g_hash_table_insert(t->routes, key, copy);
+	for (size_t i = 0; i < copy->nshares; i++)
+		widen(t->spans, copy->shares[i].service, copy->priority);
 	return 0;
 }
 
-/* The highest and lowest priority of a service's routes. */
-typedef struct span {
-	uint32_t least;
-	uint32_t most;
-} span_t;
-
-static void widen(GHashTable *spans, const route_t *route)
-{
-	for (size_t i = 0; i < route->nshares; i++) {
-		const char *service = route->shares[i].service;
-		span_t *s = g_hash_table_lookup(spans, service);
-
-		if (!s) {
-			s = g_new(span_t, 1);
-			s->least = s->most = route->priority;
-			g_hash_table_insert(spans, (gpointer)service, s);
-		}
-		s->least = MIN(s->least, route->priority);
-		s->most = MAX(s->most, route->priority);
-	}
-}
-
-void route_table_rank(route_table_t *t)
+double route_precedence(const route_table_t *t, const route_t *route,
+			const char *service)
 {
-	GHashTable *spans =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	GHashTableIter iter;
-	gpointer value;
+	const span_t *s = g_hash_table_lookup(t->spans, service);
 
-	g_hash_table_iter_init(&iter, t->routes);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		widen(spans, value);
-	g_hash_table_iter_init(&iter, t->routes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		route_t *route = value;
-		const span_t *s =
-			g_hash_table_lookup(spans, route->shares[0].service);
-
-		route->precedence =
-			s->most > s->least
-				? (double)(s->most - route->priority) /
-					  (s->most - s->least)
-				: 0;
-	}
-	g_hash_table_destroy(spans);
+	if (!s || s->most == s->least)
+		return 0;
+	return (double)(s->most - route->priority) / (s->most - s->least);
 }
 
 uint64_t route_table_version(const route_table_t *t)
--- a/src/routes.h
+++ b/src/routes.h
@@ -30,9 +30,6 @@
 	uint32_t aim_ms;       /* latency objective of a request */
 	route_share_t *shares; /* owned */
 	size_t nshares;
-	/* 0 last to 1 first, among the routes of its first service; set by
-	 * route_table_rank() */
-	double precedence;
 } route_t;
 
 typedef struct route_table route_table_t;
@@ -47,9 +44,6 @@
  */
 int route_table_add(route_table_t *t, const route_t *route, err_t *err);
 
-/* Sets the precedence of each route, when all were added. */
-void route_table_rank(route_table_t *t);
-
 uint64_t route_table_version(const route_table_t *t);
 uint32_t route_table_idle_timeout_ms(const route_table_t *t);
 size_t route_table_count(const route_table_t *t);
@@ -65,6 +59,11 @@
 /* The service that takes a new flow, by the weights and the flow's hash. */
 const char *route_service(const route_t *route, uint64_t hash);
 
+/* Where a route stands by its priority among the routes of a service: 0 last,
+ * to 1 first. */
+double route_precedence(const route_table_t *t, const route_t *route,
+			const char *service);
+
 /* A service's name in 32 bits, for the margin of packets. */
 uint32_t service_tag(const char *service);
 
--- /dev/null
+++ b/test/test_routes.c
@@ -0,0 +1,63 @@
+/*
+ * test_routes - which routes of a service are refused last
+ */
+
+#include "routes.h"
+#include "runner.h"
+#include <stdio.h>
+#include <string.h>
+
+static void add(route_table_t *t, uint16_t port, uint32_t priority,
+		const char *first, const char *second)
+{
+	route_share_t shares[2] = { { .weight = 9 }, { .weight = 1 } };
+	route_t route = { .name = "r",
+			  .address = 1,
+			  .port = port,
+			  .priority = priority,
+			  .shares = shares,
+			  .nshares = second ? 2 : 1 };
+
+	snprintf(shares[0].service, sizeof(shares[0].service), "%s", first);
+	if (second)
+		snprintf(shares[1].service, sizeof(shares[1].service), "%s",
+			 second);
+	ck_assert_int_eq(route_table_add(t, &route, NULL), 0);
+}
+
+static double precedence(const route_table_t *t, uint16_t port,
+			 const char *service)
+{
+	return route_precedence(t, route_find(t, 1, port), service);
+}
+
+/* A route that is split goes first at one of its services and last at the
+ * other: what counts is the service that an open goes to. */
+START_TEST(precedence_is_by_service)
+{
+	route_table_t *t = route_table_new(1, 1000);
+
+	add(t, 80, 2, "feeds", "maps");
+	add(t, 81, 1, "feeds", NULL);
+	add(t, 82, 4, "maps", NULL);
+	add(t, 83, 3, "maps", NULL);
+	add(t, 84, 7, "alone", NULL);
+	ck_assert_double_eq(precedence(t, 80, "feeds"), 0);
+	ck_assert_double_eq(precedence(t, 81, "feeds"), 1);
+	ck_assert_double_eq(precedence(t, 80, "maps"), 1);
+	ck_assert_double_eq(precedence(t, 82, "maps"), 0);
+	ck_assert_double_eq(precedence(t, 83, "maps"), 0.5);
+	ck_assert_double_eq(precedence(t, 84, "alone"), 0);
+	route_table_unref(t);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("routes");
+	TCase *tc = tcase_create("routes");
+
+	tcase_add_test(tc, precedence_is_by_service);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
