Rank the members once for a look-up

Cause, found by reading: a look-up ranked each service's members twice, for those that answer and for the doubtful ones, and knew in two files how they are listed. Change: relay_chain_list() lists all agents of a route in one ranking and puts the doubtful ones behind. Ruled out: sorting with the doubt in the score (the ranks have to be the same at all balancers). Test: test_relay_spread, as it stood, passes before and after.

--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -11,10 +11,12 @@
 	const relay_balancer_t *b;
 	const relay_group_t *group;
 	uint32_t not_at; /* known not to hold the flow */
-	bool doubtful;
 } ask_accept_t;
 
 static int to_be_asked(const void *ctx, uint32_t position);
+static void list_service(relay_balancer_t *b, const flow_key_t *key,
+			 relay_group_t *group, uint32_t not_at, GArray *list,
+			 GArray *doubtful);
 static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
 		       const relay_packet_t *p);
 
@@ -24,27 +26,49 @@
 	const relay_member_t *m =
 		g_ptr_array_index(a->group->members, position);
 
-	return m->agent != a->not_at && relay_member_answers(a->b, m) &&
-	       relay_member_doubtful(a->b, m) == a->doubtful;
+	return m->agent != a->not_at && relay_member_answers(a->b, m);
 }
 
-void relay_chain_list(relay_balancer_t *b, const relay_flow_t *f,
-		      relay_group_t *group, uint32_t not_at, bool doubtful)
+/* Appends a service's agents as the flow ranks them, which is where its open
+ * was placed; those that are doubtful to a list of their own. */
+static void list_service(relay_balancer_t *b, const flow_key_t *key,
+			 relay_group_t *group, uint32_t not_at, GArray *list,
+			 GArray *doubtful)
 {
-	ask_accept_t accept = { b, group, not_at, doubtful };
+	ask_accept_t accept = { b, group, not_at };
 	uint32_t *order = g_new(uint32_t, group->members->len);
-	size_t n = relay_group_rank(group, &f->node.key, order,
-				    group->members->len, to_be_asked, &accept);
+	size_t n = relay_group_rank(group, key, order, group->members->len,
+				    to_be_asked, &accept);
 
 	for (size_t i = 0; i < n; i++) {
 		const relay_member_t *m =
 			g_ptr_array_index(group->members, order[i]);
 
-		g_array_append_val(f->lookup->pending, m->agent);
+		g_array_append_val(relay_member_doubtful(b, m) ? doubtful
+							       : list,
+				   m->agent);
 	}
 	g_free(order);
 }
 
+GArray *relay_chain_list(relay_balancer_t *b, const route_t *route,
+			 const flow_key_t *key, uint32_t not_at)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GArray *doubtful = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	for (size_t i = 0; i < route->nshares; i++) {
+		relay_group_t *group = relay_group(
+			b, g_intern_string(route->shares[i].service));
+
+		if (group)
+			list_service(b, key, group, not_at, list, doubtful);
+	}
+	g_array_append_vals(list, doubtful->data, doubtful->len);
+	g_array_free(doubtful, TRUE);
+	return list;
+}
+
 /* Sends a packet along a chain of agents that were not asked yet. */
 static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
 		       const relay_packet_t *p)
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -187,10 +187,10 @@
 void relay_open_tick(relay_balancer_t *b, relay_flow_t *f);
 
 /* relay_balancer_chain.c: which agents a look-up asks, and in which order */
-/* Lists a service's agents as the flow ranks them, which is where its open was
- * placed; those that are doubtful, or the others. */
-void relay_chain_list(relay_balancer_t *b, const relay_flow_t *f,
-		      relay_group_t *group, uint32_t not_at, bool doubtful);
+/* The agents that may hold a flow (addresses), by its ranks, doubtful ones
+ * last; freed by the caller. */
+GArray *relay_chain_list(relay_balancer_t *b, const route_t *route,
+			 const flow_key_t *key, uint32_t not_at);
 /* Asks on, each time more agents at once. Returns false when all were. */
 bool relay_chain_send(relay_balancer_t *b, relay_lookup_t *l);
 
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -73,11 +73,10 @@
 static void begin(relay_balancer_t *b, const route_t *route, relay_flow_t *f,
 		  const relay_packet_t *p, uint32_t not_at)
 {
-	static const bool doubtful[] = { false, true };
 	relay_lookup_t *l = g_new0(relay_lookup_t, 1);
 
 	l->asked = g_array_new(FALSE, TRUE, sizeof(lookup_asked_t));
-	l->pending = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	l->pending = relay_chain_list(b, route, &f->node.key, not_at);
 	l->packet = held_packet(p);
 	l->batch = 1;
 	l->started_ms = b->now;
@@ -90,15 +89,6 @@
 
 		g_array_append_val(l->asked, a);
 	}
-	for (size_t d = 0; d < 2; d++)
-		for (size_t i = 0; i < route->nshares; i++) {
-			relay_group_t *group = relay_group(
-				b, g_intern_string(route->shares[i].service));
-
-			if (group)
-				relay_chain_list(b, f, group, not_at,
-						 doubtful[d]);
-		}
 	relay_chain_send(b, l);
 }
 
