Believe what an agent told as a whole, or nothing of it; let placed opens fade

Cause, found by reading: what an agent had told stood in ten fields, and each use had its own rule for when it is too old; a new target at an address inherited the failures, the silence and the stop of the one before (three of ten fields were cleared). Opens that were placed faded when they were read, but not when another was added: a member that tells seldom was taken for busier and busier. Ruled out: clearing the other seven fields too (the next field would be forgotten again). Change: relay_told_t holds what was told; one function gives it or nothing when it is over 3 s old; a new target clears it in one assignment. placed() is the one place where opens fade, and adding goes through it. Tests: new_target_has_no_old_trouble (a failing and a stopping agent before: no offer), placed_opens_fade (before: no offer); both failed before.

--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -30,6 +30,20 @@
 	bool stale;	    /* members changed since ranks were made */
 } relay_group_t;
 
+/* What an agent told of its server and of itself. */
+typedef struct relay_told {
+	uint64_t at_ms; /* 0: nothing yet */
+	double work;
+	double in_flight;
+	double service_ms;
+	double failed; /* part of its requests, 0 to 1 */
+	double hasty;  /* part answered far too soon, 0 to 1 */
+	double flows;  /* open and used lately */
+	uint32_t down_ms;
+	uint32_t quiet_ms;
+	bool stopping;
+} relay_told_t;
+
 /* An agent and the backend server beside it. */
 typedef struct relay_member {
 	uint32_t agent;
@@ -42,17 +56,7 @@
 	uint32_t slots;
 	uint64_t warm_at_ms;
 	uint64_t gone_ms; /* state GONE since */
-	/* as told by the agent */
-	double work;
-	double in_flight;
-	double service_ms;
-	double failed; /* part of its requests, 0 to 1 */
-	double hasty;  /* part answered far too soon, 0 to 1 */
-	double flows;  /* open and used lately */
-	uint32_t down_ms;
-	uint32_t quiet_ms;
-	bool stopping;
-	uint64_t told_ms;  /* load */
+	relay_told_t told;
 	uint64_t heard_ms; /* anything */
 	uint64_t hello_ms; /* last hello sent */
 	/* own doubts */
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -108,9 +108,8 @@
 		g_hash_table_insert(b->by_agent, GUINT_TO_POINTER(m->agent), m);
 	} else if (!same || m->born_ms != e->born_ms) {
 		reset_flows(b, m, "another target at this address");
-		m->down_ms = 0;
-		m->told_ms = 0;
-		m->service_ms = 0;
+		m->told = (relay_told_t){ 0 };
+		m->placed = 0;
 		m->unanswered = 0;
 		m->avoid_until = 0;
 	}
@@ -143,22 +142,24 @@
 	m->avoid_until = 0;
 	if (!load)
 		return;
-	if ((load->down_ms > 0) != (m->down_ms > 0))
+	if ((load->down_ms > 0) != (m->told.down_ms > 0))
 		event_log(EVENT_MEMBER,
 			  "\"agent\":\"%s\",\"state\":\"server %s\","
 			  "\"silent_ms\":%u",
 			  ipv4_format(m->agent, text),
 			  load->down_ms ? "silent" : "answers", load->down_ms);
-	m->in_flight = load->in_flight;
-	m->work = load->work_hundredths / 100.0;
-	m->service_ms = load->service_us / 1000.0;
-	m->flows = load->flows;
-	m->failed = load->failed_percent / 100.0;
-	m->hasty = load->hasty_percent / 100.0;
-	m->down_ms = load->down_ms;
-	m->quiet_ms = load->quiet_ms;
-	m->stopping = load->stopping;
-	m->told_ms = b->now;
+	m->told = (relay_told_t){
+		.at_ms = b->now,
+		.work = load->work_hundredths / 100.0,
+		.in_flight = load->in_flight,
+		.service_ms = load->service_us / 1000.0,
+		.failed = load->failed_percent / 100.0,
+		.hasty = load->hasty_percent / 100.0,
+		.flows = load->flows,
+		.down_ms = load->down_ms,
+		.quiet_ms = load->quiet_ms,
+		.stopping = load->stopping,
+	};
 	if (msg->kind == RELAY_LOAD)
 		m->placed = 0;
 }
@@ -193,7 +194,8 @@
 	if (m->state != ENTRY_GONE)
 		return true;
 	/* An agent is ended after its target has left. */
-	if (m->down_ms || m->quiet_ms >= GONE_QUIET_MS || m->stopping)
+	if (m->told.down_ms || m->told.quiet_ms >= GONE_QUIET_MS ||
+	    m->told.stopping)
 		return false;
 	return b->now < m->gone_ms + GONE_ASKED_MS &&
 	       silent_ms(b, m) < GONE_UNREACHABLE_MS;
@@ -207,8 +209,8 @@
 /* It is given no opens, or few: how it is can only be asked. */
 static bool in_trouble(const relay_member_t *m)
 {
-	return m->stopping || m->down_ms || m->quiet_ms || m->failed > 0 ||
-	       m->hasty > 0;
+	return m->told.stopping || m->told.down_ms || m->told.quiet_ms ||
+	       m->told.failed > 0 || m->told.hasty > 0;
 }
 
 /* Says hello when it is due, so that the agent tells its load. */
@@ -244,7 +246,7 @@
 	keep_in_touch(b, m);
 	if (!gone || m->lost_told_ms)
 		return;
-	if (m->down_ms >= LOST_MS || m->quiet_ms >= LOST_MS ||
+	if (m->told.down_ms >= LOST_MS || m->told.quiet_ms >= LOST_MS ||
 	    silent_ms(b, m) >= UNREACHABLE_MS) {
 		m->lost_told_ms = b->now;
 		reset_flows(b, m, "target gone");
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -1,4 +1,5 @@
 #include "relay_balancer_int.h"
+#include <math.h>
 #include <string.h>
 
 /* An offer without an answer for this long goes to another agent: a round
@@ -12,8 +13,8 @@
 #define OPEN_WORK 1.0
 /* What was placed counts half after this time. */
 #define PLACED_HALF_MS 300
-/* What an agent told longer ago than this is not believed: it tells its load
- * each second, and a restart takes about one. */
+/* What an agent told longer ago than this is not believed, as if it had told
+ * nothing: it tells its load each second, and a restart takes about one. */
 #define LOAD_OLD_MS 3000
 /* A doubted member is offered an open this often, with others behind it. */
 #define TRIAL_MS 1000
@@ -26,7 +27,9 @@
 	const relay_group_t *group;
 } open_accept_t;
 
-static bool told_lately(const relay_balancer_t *b, const relay_member_t *m);
+static const relay_told_t *believed(const relay_balancer_t *b,
+				    const relay_member_t *m);
+static double placed(const relay_balancer_t *b, const relay_member_t *m);
 static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m);
 static bool was_tried(const relay_flow_t *f, uint32_t agent);
 static void describe(const relay_balancer_t *b, const relay_member_t *m,
@@ -40,15 +43,26 @@
 static bool offer(relay_balancer_t *b, relay_flow_t *f);
 static void refuse(relay_balancer_t *b, relay_flow_t *f);
 
-static bool told_lately(const relay_balancer_t *b, const relay_member_t *m)
+static const relay_told_t *believed(const relay_balancer_t *b,
+				    const relay_member_t *m)
 {
-	return m->told_ms && b->now < m->told_ms + LOAD_OLD_MS;
+	static const relay_told_t nothing;
+
+	return b->now < m->told.at_ms + LOAD_OLD_MS ? &m->told : &nothing;
+}
+
+static double placed(const relay_balancer_t *b, const relay_member_t *m)
+{
+	return m->placed *
+	       exp2(-(double)(b->now - m->placed_ms) / PLACED_HALF_MS);
 }
 
 static bool takes_opens(const relay_balancer_t *b, const relay_member_t *m)
 {
-	return m->state == ENTRY_READY && m->down_ms == 0 &&
-	       !(m->stopping && told_lately(b, m)) && m->avoid_until <= b->now;
+	const relay_told_t *told = believed(b, m);
+
+	return m->state == ENTRY_READY && !told->stopping &&
+	       told->down_ms == 0 && m->avoid_until <= b->now;
 }
 
 static bool was_tried(const relay_flow_t *f, uint32_t agent)
@@ -62,22 +76,20 @@
 static void describe(const relay_balancer_t *b, const relay_member_t *m,
 		     placement_member_t *out)
 {
-	uint64_t age = b->now - m->placed_ms;
+	const relay_told_t *told = believed(b, m);
 
 	out->local = m->local;
-	out->known = told_lately(b, m);
+	out->known = told->at_ms != 0;
 	out->cold = m->warm_at_ms > b->now;
 	out->slots = m->slots;
-	out->work = m->work;
-	out->in_flight = m->in_flight;
-	out->told_ms_ago = (double)(b->now - m->told_ms);
-	out->flows = m->flows;
-	out->failed = out->known ? m->failed : 0;
-	out->hasty = out->known ? m->hasty : 0;
-	out->service_ms = out->known ? m->service_ms : 0;
-	out->placed = age < 8 * PLACED_HALF_MS
-			      ? m->placed / (1 << (age / PLACED_HALF_MS))
-			      : 0;
+	out->work = told->work;
+	out->in_flight = told->in_flight;
+	out->told_ms_ago = (double)(b->now - told->at_ms);
+	out->flows = told->flows;
+	out->failed = told->failed;
+	out->hasty = told->hasty;
+	out->service_ms = told->service_ms;
+	out->placed = placed(b, m);
 }
 
 /* A member that seemed silent and may be back: it is tried now and then. */
@@ -88,11 +100,12 @@
 
 	for (guint i = 0; group && i < group->members->len; i++) {
 		relay_member_t *m = g_ptr_array_index(group->members, i);
+		const relay_told_t *told = believed(b, m);
 
-		if (m->state != ENTRY_READY || m->stopping ||
-		    (m->down_ms == 0 && m->quiet_ms == 0) ||
-		    b->now < m->trial_ms +
-				     (m->down_ms ? TRIAL_MS : QUIET_TRIAL_MS) ||
+		if (m->state != ENTRY_READY || told->stopping ||
+		    (told->down_ms == 0 && told->quiet_ms == 0) ||
+		    b->now < m->trial_ms + (told->down_ms ? TRIAL_MS
+							  : QUIET_TRIAL_MS) ||
 		    m->avoid_until > b->now || was_tried(f, m->agent))
 			continue;
 		m->trial_ms = b->now;
@@ -162,6 +175,7 @@
 	double costs[OFFER_CANDIDATES];
 	char text[FLOW_TEXT], agent[ENDPOINT_TEXT];
 	placement_group_t typical;
+	const relay_told_t *told;
 	relay_msg_t msg;
 	size_t n;
 
@@ -190,9 +204,10 @@
 	f->tried[f->ntried++] = to[0]->agent;
 	f->offers++;
 	f->offered_ms = b->now;
-	to[0]->placed += OPEN_WORK;
+	to[0]->placed = placed(b, to[0]) + OPEN_WORK;
 	to[0]->placed_ms = b->now;
 	to[0]->used_ms = b->now;
+	told = believed(b, to[0]);
 	event_log(EVENT_OPEN,
 		  "\"flow\":\"%s\",\"seq\":%u,\"service\":\"%s\","
 		  "\"agent\":\"%s\",\"behind\":%zu,\"offer\":%u,"
@@ -201,8 +216,8 @@
 		  "\"version\":%llu",
 		  flow_text(&f->node.key, text), f->seq, f->service,
 		  ipv4_format(to[0]->agent, agent), n - 1, f->offers,
-		  to[0]->work, to[0]->service_ms, to[0]->failed, to[0]->hasty,
-		  (unsigned long long)(b->now - to[0]->told_ms),
+		  told->work, told->service_ms, told->failed, told->hasty,
+		  (unsigned long long)(b->now - told->at_ms),
 		  (unsigned long long)relay_balancer_version(b));
 	counter_add(&b->counters, COUNTER_MESSAGES_OUT, 1);
 	b->ops.message(b->ctx, to[0]->agent, &msg);
--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -119,6 +119,11 @@
 	{ "status", 2, "", "--settings" },
 	{ "explain 1 2 tcp", 2, "", "--settings" },
 	{ "status --settings none", 1, "", "none: io:" },
+	{ "status --relay 127.0.0.1:1 more", 2, "", "a wrong argument" },
+	{ "status --relay 127.0.0.1:1 --wait 3", 2, "", "--settings" },
+	{ "status --relay 127.0.0.1:1 --ignore-silent", 2, "", "--settings" },
+	{ "metrics --relay 127.0.0.1:1 more", 2, "", "takes no argument" },
+	{ "metrics --relay 127.0.0.1:1 --json", 2, "", "--settings" },
 };
 
 START_TEST(codes_and_texts)
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -510,6 +510,53 @@
 }
 END_TEST
 
+/* A new target at an address has none of the troubles that the agent beside the
+ * old one told. */
+START_TEST(new_target_has_no_old_trouble)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	if (_i == 0)
+		rr_stopping(r, AGENT_A);
+	else if (_i == 1)
+		rr_failing(r, AGENT_A, 100);
+	else
+		rr_load(r, AGENT_A, 50, 50, 100, 0);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_load(r, AGENT_B, 3, 3, 10, 0);
+	rr_entry(r, "a2", AGENT_A, 9, ENTRY_READY);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Opens that were placed some time ago count no more than what is left of them,
+ * also when another one is placed. */
+START_TEST(placed_opens_fade)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_load(r, AGENT_A, 0, 0, 10, 0);
+	rr_load(r, AGENT_B, 3, 3, 10, 0);
+	for (unsigned i = 0; i < 5; i++) {
+		if (i == 3)
+			rr_run(r, 2000);
+		rr_clear(r);
+		rr_from_caller(r, i, RELAY_SYN, 5, 0, 0);
+		rr_answer(r, AGENT_A, RELAY_TAKEN, i, "feeds");
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER), 1);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_balancer");
@@ -538,6 +585,8 @@
 	tcase_add_test(tc, silent_server_is_tried_now_and_then);
 	tcase_add_loop_test(tc, member_in_trouble_is_asked, 0, 2);
 	tcase_add_loop_test(tc, old_trouble_is_forgotten, 0, 2);
+	tcase_add_loop_test(tc, new_target_has_no_old_trouble, 0, 3);
+	tcase_add_test(tc, placed_opens_fade);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
