Take one service time for all limits of an agent

Cause, found by reading: what an agent tells and admits by had come to forget old times, while the limits for a quiet server and for a request without an answer still took the raw ones: a server that was slow 15 s ago was allowed to say nothing for 400 ms where 200 ms is meant. The giving up stood beside the packets. Ruled out: forgetting in each place (there were four). Change: service_times() in relay_agent_health.c, where giving up moves to. Test: slow_times_are_forgotten goes on with a request that is not answered; it failed before (nothing told within 300 ms).

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -12,10 +12,6 @@
 /* Flows that ended are kept for late packets. */
 #define ENDED_MS 5000
 #define SWEEP_MS 500
-/* A request without an answer for so long, or for so many service times, will
- * have none: no queue of a server is as long. */
-#define UNANSWERED_MS	  800
-#define UNANSWERED_FACTOR 20
 /* A server returns a packet that it does not hold within a few milliseconds:
  * what has not come back by now is held. */
 #define RETURN_MS 50
@@ -467,23 +463,6 @@
 	}
 }
 
-/* A request that is not answered while others are has been swallowed. */
-static void sweep_unanswered(relay_agent_t *a)
-{
-	uint64_t limit = (uint64_t)(a->typical_ms * UNANSWERED_FACTOR);
-
-	if (limit < UNANSWERED_MS)
-		limit = UNANSWERED_MS;
-	list_each(node, flow_index_recent(a->flows))
-	{
-		flow_node_t *n = list_entry(node, flow_node_t, recent);
-		aflow_t *f = (aflow_t *)n;
-
-		if (f->busy && f->asked_ms + limit <= a->now)
-			relay_health_unserved(a, f);
-	}
-}
-
 /* Requests whose callers and servers are both silent are no load. */
 static void sweep(relay_agent_t *a)
 {
@@ -562,7 +541,7 @@
 		return;
 	a->swept_ms = now;
 	if (!relay_server_quiet(a))
-		sweep_unanswered(a);
+		relay_health_give_up(a);
 	sweep(a);
 }
 
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -1,6 +1,10 @@
 #include "relay_agent_int.h"
 #include <math.h>
 
+/* A request without an answer for so long, or for so many service times, will
+ * have none: no queue of a server is as long. */
+#define UNANSWERED_MS	  800
+#define UNANSWERED_FACTOR 20
 /* Part of a new service time in the typical one. */
 #define SERVICE_PART 0.08
 /* Opens without an answer until the server is taken for silent. */
@@ -28,6 +32,8 @@
 #define FAILING_FROM 0.4
 #define FAILING_TO   0.1
 
+static uint64_t service_times(const relay_agent_t *a, double factor,
+			      uint64_t at_least);
 static void tell_failing(relay_agent_t *a);
 
 double relay_health_service_ms(const relay_agent_t *a)
@@ -40,6 +46,15 @@
 	       (a->typical_ms - a->group_ms) * exp(-age / FORGET_MS);
 }
 
+/* So many service times in ms, and at least so long. */
+static uint64_t service_times(const relay_agent_t *a, double factor,
+			      uint64_t at_least)
+{
+	double ms = relay_health_service_ms(a) * factor;
+
+	return ms > (double)at_least ? (uint64_t)ms : at_least;
+}
+
 double relay_health_hasty(const relay_agent_t *a)
 {
 	return a->hasty * exp(-(double)(a->now - a->hasty_ms) / FORGET_MS);
@@ -96,12 +111,24 @@
 	relay_load_end(a, f, false);
 }
 
+void relay_health_give_up(relay_agent_t *a)
+{
+	uint64_t limit = service_times(a, UNANSWERED_FACTOR, UNANSWERED_MS);
+
+	list_each(node, flow_index_recent(a->flows))
+	{
+		flow_node_t *n = list_entry(node, flow_node_t, recent);
+		aflow_t *f = (aflow_t *)n;
+
+		if (f->busy && f->asked_ms + limit <= a->now)
+			relay_health_unserved(a, f);
+	}
+}
+
 uint32_t relay_server_quiet(const relay_agent_t *a)
 {
-	uint64_t limit = (uint64_t)(a->typical_ms * QUIET_FACTOR);
+	uint64_t limit = service_times(a, QUIET_FACTOR, QUIET_MS);
 
-	if (limit < QUIET_MS)
-		limit = QUIET_MS;
 	if (!a->waiting_ms || a->now < a->waiting_ms + limit)
 		return 0;
 	return (uint32_t)(a->now - a->waiting_ms);
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -126,6 +126,8 @@
 uint32_t relay_server_quiet(const relay_agent_t *a);
 /* The server reset a request, or left it without an answer. */
 void relay_health_unserved(relay_agent_t *a, aflow_t *f);
+/* A request that is not answered while others are has been swallowed. */
+void relay_health_give_up(relay_agent_t *a);
 /* Learns from an answer how fast the server is, and whether it seems to fail;
  * took is in ms. */
 void relay_health_answered(relay_agent_t *a, const aflow_t *f, double took);
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -336,6 +336,11 @@
 	msg = told_after(r, 1100);
 	ck_assert_uint_le(msg->load->service_us, 30000);
 	relay_msg_free(msg);
+	/* So is for how long such a server may say nothing. */
+	rr_offer_typical(r, BALANCER, 30, 5, 20);
+	msg = told_after(r, 300);
+	ck_assert_uint_gt(msg->load->quiet_ms, 0);
+	relay_msg_free(msg);
 	rr_free(r);
 }
 END_TEST
