Hand the process's sends to balancers and agents as they are

Cause: the relay's two daemons repeated four functions that only handed their arguments on (reported as repeated lines). Ruled out: one table for both daemons (start, end and most entries differ). Change: relay_process_packet() and relay_process_message() take the context of the operations; the four functions go.

--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -3,7 +3,7 @@
  * settings.packets, on_packet() hands it to the agent, which hands it to
  * deliver() and so to the backend server. The server's packets come in at
  * settings.server_out, on_answer() hands them to the agent, which hands them
- * to reply() and so to the caller.
+ * to relay_process_packet() and so to the caller.
  */
 
 #include "event_log.h"
@@ -29,16 +29,6 @@
 	udp_socket_send(s->server, &p->settings.server, buf, len);
 }
 
-static void send_message(void *ctx, uint32_t to, const relay_msg_t *msg)
-{
-	relay_process_message(ctx, to, msg);
-}
-
-static void reply(void *ctx, uint32_t caller, const uint8_t *buf, size_t len)
-{
-	relay_process_packet(ctx, caller, buf, len);
-}
-
 static void on_answer(void *ctx, const endpoint_t *from, uint8_t *buf,
 		      size_t len)
 {
@@ -51,7 +41,8 @@
 
 static int start(relay_process_t *p, err_t *err)
 {
-	static const relay_agent_ops_t ops = { deliver, send_message, reply };
+	static const relay_agent_ops_t ops = { deliver, relay_process_message,
+					       relay_process_packet };
 	static const udp_socket_ops_t server_ops = { .receive = on_answer };
 	relay_agent_options_t options = {
 		.service = p->settings.service,
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -1,8 +1,8 @@
 /*
  * Balancer that relays packets. The way of a packet: it comes in at
  * settings.packets, on_packet() hands it to the balancer, which hands it to
- * send_packet() and so to an agent's host. Answers go from the agent to the
- * caller and do not pass here.
+ * relay_process_packet() and so to an agent's host. Answers go from the agent
+ * to the caller and do not pass here.
  */
 
 #include "event_log.h"
@@ -29,17 +29,6 @@
 	uint64_t peer_revision; /* of the store, as a peer knew it */
 } balancer_state_t;
 
-static void send_packet(void *ctx, uint32_t agent, const uint8_t *buf,
-			size_t len)
-{
-	relay_process_packet(ctx, agent, buf, len);
-}
-
-static void send_message(void *ctx, uint32_t agent, const relay_msg_t *msg)
-{
-	relay_process_message(ctx, agent, msg);
-}
-
 static void sink_routes(void *ctx, route_table_t *routes)
 {
 	relay_process_t *p = ctx;
@@ -131,8 +120,9 @@
 {
 	static const relay_peers_ops_t peers_ops = { peer_state, peers_needed,
 						     known_revision };
-	static const relay_balancer_ops_t ops = { send_packet, send_message,
-						  send_packet };
+	static const relay_balancer_ops_t ops = { relay_process_packet,
+						  relay_process_message,
+						  relay_process_packet };
 	static const relay_sink_t sink = { sink_routes, sink_refused,
 					   sink_directory, sink_now,
 					   sink_reachable };
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -42,17 +42,18 @@
 	return uv_now(&p->loop);
 }
 
-void relay_process_packet(relay_process_t *p, uint32_t host, const uint8_t *buf,
+void relay_process_packet(void *process, uint32_t host, const uint8_t *buf,
 			  size_t len)
 {
+	relay_process_t *p = process;
 	endpoint_t to = { host, p->settings.packets.port };
 
 	udp_socket_send(p->packets, &to, buf, len);
 }
 
-void relay_process_message(relay_process_t *p, uint32_t host,
-			   const relay_msg_t *msg)
+void relay_process_message(void *process, uint32_t host, const relay_msg_t *msg)
 {
+	relay_process_t *p = process;
 	endpoint_t to = { host, p->settings.internal_port };
 	size_t len = relay_msg_pack(msg, udp_socket_reserve(p->messages));
 
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -75,10 +75,13 @@
 
 uint64_t relay_process_now(const relay_process_t *p);
 
-/* Sends a packet to a host's packet port, or a message to its internal one. */
-void relay_process_packet(relay_process_t *p, uint32_t host, const uint8_t *buf,
+/*
+ * Sends a packet to a host's packet port, or a message to its internal one. The
+ * process is handed in as the operations of balancers and agents hand it.
+ */
+void relay_process_packet(void *process, uint32_t host, const uint8_t *buf,
 			  size_t len);
-void relay_process_message(relay_process_t *p, uint32_t host,
+void relay_process_message(void *process, uint32_t host,
 			   const relay_msg_t *msg);
 
 extern const relay_daemon_t relay_balancer_daemon;
