Check the arguments of a command that asks relays; ask them all at once

Both commands repeated how relays are asked and their silence told, and silent ones were waited for one after the other. Change: arguments are checked first for both kinds; print_all() asks and tells for both commands; one loop asks all relays.

--- a/src/cli_metrics.c
+++ b/src/cli_metrics.c
@@ -35,6 +35,7 @@
 		  "Print one JSON object a process", NULL },
 		{ 0 },
 	};
+	const char *wrong = NULL;
 	char **relays = NULL;
 	settings_t settings;
 	unsigned silent;
@@ -47,16 +48,20 @@
 			      entries, &argc, &argv, &settings, &relays,
 			      &code) < 0)
 		return code;
+	if (argc > 1)
+		wrong = "it takes no argument";
+	else if (relays && json)
+		wrong = "--json needs --settings";
+	if (wrong) {
+		settings_clear(&settings);
+		g_strfreev(relays);
+		return cli_usage("metrics", wrong);
+	}
 	if (relays) {
-		code = json ? cli_usage("metrics", "--json needs --settings")
-			    : cli_relays_metrics(relays);
+		code = cli_relays_metrics(relays);
 		g_strfreev(relays);
 		return code;
 	}
-	if (argc > 1) {
-		settings_clear(&settings);
-		return cli_usage("metrics", "it takes no argument");
-	}
 	answers = cli_ask_all(&settings, "metrics", "");
 	for (guint i = 0; i < answers->len; i++) {
 		const cli_answer_t *a =
--- a/src/cli_relay.c
+++ b/src/cli_relay.c
@@ -39,16 +39,57 @@
 	return entry;
 }
 
+/* Asks all at once. */
+typedef struct asker {
+	uv_loop_t loop;
+	guint waiting;
+} asker_t;
+
+typedef struct question {
+	asker_t *asker;
+	cli_relay_t *relay;
+} question_t;
+
 static void on_done(void *ctx, const http_answer_t *answer)
 {
-	cli_relay_t *r = ctx;
+	question_t *q = ctx;
 
 	if (answer->status == 200)
-		r->text = g_strndup(answer->body, answer->len);
+		q->relay->text = g_strndup(answer->body, answer->len);
 	else if (answer->status)
-		r->why = g_strdup_printf("HTTP status %d", answer->status);
+		q->relay->why =
+			g_strdup_printf("HTTP status %d", answer->status);
 	else
-		r->why = g_strdup(answer->error);
+		q->relay->why = g_strdup(answer->error);
+	if (--q->asker->waiting == 0)
+		uv_stop(&q->asker->loop);
+}
+
+static void ask_all(GArray *relays)
+{
+	http_client_t **clients = g_new0(http_client_t *, relays->len);
+	question_t *questions = g_new0(question_t, relays->len);
+	asker_t asker = { .waiting = relays->len };
+
+	uv_loop_init(&asker.loop);
+	for (guint i = 0; i < relays->len; i++) {
+		cli_relay_t *r = &g_array_index(relays, cli_relay_t, i);
+
+		questions[i] = (question_t){ &asker, r };
+		clients[i] = http_client_new(&asker.loop, &r->at);
+		if (clients[i])
+			http_client_get(clients[i], relay_platform.metrics_path,
+					ASK_TIMEOUT_MS, on_done, &questions[i]);
+		else
+			asker.waiting--;
+	}
+	uv_run(&asker.loop, UV_RUN_DEFAULT);
+	for (guint i = 0; i < relays->len; i++)
+		http_client_free(clients[i]);
+	uv_run(&asker.loop, UV_RUN_DEFAULT);
+	uv_loop_close(&asker.loop);
+	g_free(questions);
+	g_free(clients);
 }
 
 GArray *cli_relays_ask(char **addresses, err_t *err)
@@ -66,22 +107,7 @@
 		}
 		g_array_append_val(relays, r);
 	}
-	for (guint i = 0; i < relays->len; i++) {
-		cli_relay_t *r = &g_array_index(relays, cli_relay_t, i);
-		http_client_t *client;
-		uv_loop_t loop;
-
-		uv_loop_init(&loop);
-		client = http_client_new(&loop, &r->at);
-		if (client)
-			http_client_get(client, relay_platform.metrics_path,
-					ASK_TIMEOUT_MS, on_done, r);
-		while (!r->text && !r->why && uv_run(&loop, UV_RUN_ONCE))
-			;
-		http_client_free(client);
-		uv_run(&loop, UV_RUN_DEFAULT);
-		uv_loop_close(&loop);
-	}
+	ask_all(relays);
 	return relays;
 }
 
@@ -120,79 +146,71 @@
 	return g_strndup(at, strcspn(at, "\""));
 }
 
-/* Says which did not answer, and why. Returns the exit code. */
-static int print_silent(const char *command, const GArray *relays)
+/* Asks, prints each answer, and says which did not answer and why. Returns the
+ * exit code. */
+static int print_all(const char *command, char **addresses,
+		     void (*print)(const cli_relay_t *r))
 {
+	err_t err;
+	GArray *relays = cli_relays_ask(addresses, &err);
 	int code = CLI_OK;
 
+	if (!relays)
+		return cli_fail(command, &err);
 	for (guint i = 0; i < relays->len; i++) {
 		const cli_relay_t *r = &g_array_index(relays, cli_relay_t, i);
 		char text[ENDPOINT_TEXT];
 
-		if (r->text)
+		if (r->text) {
+			print(r);
 			continue;
+		}
 		fprintf(stderr, "cherviltray %s: %s: %s\n", command,
 			endpoint_format(&r->at, text),
-			r->why ? r->why : "no answer");
+			r->why ? r->why : "no memory to ask");
 		code = CLI_FAILED;
 	}
+	cli_relays_free(relays);
 	return code;
 }
 
-int cli_relays_metrics(char **addresses)
+static void print_metrics(const cli_relay_t *r)
 {
-	err_t err;
-	GArray *relays = cli_relays_ask(addresses, &err);
-	int code;
+	char *name = cli_relay_label(r, "process");
+	char **lines = g_strsplit(r->text, "\n", -1);
+
+	for (char **line = lines; *line; line++)
+		if (g_str_has_prefix(*line, "cherviltray_"))
+			printf("%s %s\n", name, *line + strlen("cherviltray_"));
+	g_strfreev(lines);
+	g_free(name);
+}
 
-	if (!relays)
-		return cli_fail("metrics", &err);
-	for (guint i = 0; i < relays->len; i++) {
-		const cli_relay_t *r = &g_array_index(relays, cli_relay_t, i);
-		char *name = cli_relay_label(r, "process");
-		char **lines = g_strsplit(r->text ? r->text : "", "\n", -1);
-
-		for (char **line = lines; *line; line++)
-			if (g_str_has_prefix(*line, "cherviltray_"))
-				printf("%s %s\n", name,
-				       *line + strlen("cherviltray_"));
-		g_strfreev(lines);
-		g_free(name);
-	}
-	code = print_silent("metrics", relays);
-	cli_relays_free(relays);
-	return code;
+static void print_status(const cli_relay_t *r)
+{
+	char *name = cli_relay_label(r, "process");
+	char *role = cli_relay_label(r, "role");
+	char *zone = cli_relay_label(r, "zone");
+	char text[ENDPOINT_TEXT];
+
+	printf("%-24s %-9s %-14s %-21s %8lld %-5s %8lld\n", name, role, zone,
+	       endpoint_format(&r->at, text),
+	       cli_relay_number(r, "cherviltray_version"),
+	       cli_relay_number(r, "cherviltray_ready") ? "yes" : "no",
+	       cli_relay_number(r, "cherviltray_flows"));
+	g_free(name);
+	g_free(role);
+	g_free(zone);
 }
 
-int cli_relays_status(char **addresses)
+int cli_relays_metrics(char **addresses)
 {
-	err_t err;
-	GArray *relays = cli_relays_ask(addresses, &err);
-	int code;
+	return print_all("metrics", addresses, print_metrics);
+}
 
-	if (!relays)
-		return cli_fail("status", &err);
+int cli_relays_status(char **addresses)
+{
 	printf("%-24s %-9s %-14s %-21s %8s %-5s %8s\n", "PROCESS", "ROLE",
 	       "ZONE", "ASKED AT", "VERSION", "READY", "FLOWS");
-	for (guint i = 0; i < relays->len; i++) {
-		const cli_relay_t *r = &g_array_index(relays, cli_relay_t, i);
-		char *name = cli_relay_label(r, "process");
-		char *role = cli_relay_label(r, "role");
-		char *zone = cli_relay_label(r, "zone");
-		char text[ENDPOINT_TEXT];
-
-		if (r->text)
-			printf("%-24s %-9s %-14s %-21s %8lld %-5s %8lld\n",
-			       name, role, zone, endpoint_format(&r->at, text),
-			       cli_relay_number(r, "cherviltray_version"),
-			       cli_relay_number(r, "cherviltray_ready") ? "yes"
-									: "no",
-			       cli_relay_number(r, "cherviltray_flows"));
-		g_free(name);
-		g_free(role);
-		g_free(zone);
-	}
-	code = print_silent("status", relays);
-	cli_relays_free(relays);
-	return code;
+	return print_all("status", addresses, print_status);
 }
--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -108,6 +108,7 @@
 		  "Take no account of processes that do not answer", NULL },
 		{ 0 },
 	};
+	const char *wrong = NULL;
 	char **relays = NULL;
 	settings_t settings;
 	gint64 until;
@@ -120,17 +121,20 @@
 		    "Prints which configuration each process has in force.",
 		    entries, &argc, &argv, &settings, &relays, &code) < 0)
 		return code;
+	if (argc > 1 || wait < 0 || timeout < 0)
+		wrong = "a wrong argument";
+	else if (relays && (json || wait || ignore_silent))
+		wrong = "--json, --wait and --ignore-silent need --settings";
+	if (wrong) {
+		settings_clear(&settings);
+		g_strfreev(relays);
+		return cli_usage("status", wrong);
+	}
 	if (relays) {
-		code = json || wait ? cli_usage("status", "--json and --wait "
-							  "need --settings")
-				    : cli_relays_status(relays);
+		code = cli_relays_status(relays);
 		g_strfreev(relays);
 		return code;
 	}
-	if (argc > 1 || wait < 0 || timeout < 0) {
-		settings_clear(&settings);
-		return cli_usage("status", "a wrong argument");
-	}
 	until = g_get_monotonic_time() + timeout * G_TIME_SPAN_SECOND;
 	answers = cli_ask_all(&settings, "status", "");
 	while ((lack = lacking(answers, wait, ignore_silent)) > 0 && wait &&
