Say once how relay tests begin, ask and tell

Cause: twelve tests began with the same two agents, nine and fourteen lines sent the same request and answer, four functions of the rig told a load by the same seven lines (reported as repeated lines). Ruled out: a fixture (tests that begin otherwise stand in the same programs). Change: two_agents(), request(), response(), tell(). No check is changed.

--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -248,44 +248,42 @@
 	deliver_message(r, host, &msg);
 }
 
-void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
-	     double service_ms, uint32_t down_ms)
+/* An agent tells a load; what is not set is 0. */
+static void tell(relay_rig_t *r, uint32_t host, relay_load_t load)
 {
-	relay_load_t load;
+	relay_load_t told;
 	relay_msg_t msg;
 
-	ct__relay__load__init(&load);
+	ct__relay__load__init(&told);
+	load.base = told.base;
 	relay_msg_init(&msg, RELAY_LOAD);
-	load.in_flight = in_flight;
-	load.work_hundredths = (uint32_t)(work * 100);
-	load.service_us = (uint32_t)(service_ms * 1000);
-	load.down_ms = down_ms;
 	msg.load = &load;
 	deliver_message(r, host, &msg);
 }
 
-void rr_failing(relay_rig_t *r, uint32_t host, uint32_t percent)
+void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
+	     double service_ms, uint32_t down_ms)
 {
-	relay_load_t load;
-	relay_msg_t msg;
+	tell(r, host,
+	     (relay_load_t){ .in_flight = in_flight,
+			     .work_hundredths = (uint32_t)(work * 100),
+			     .service_us = (uint32_t)(service_ms * 1000),
+			     .down_ms = down_ms });
+}
 
-	ct__relay__load__init(&load);
-	relay_msg_init(&msg, RELAY_LOAD);
-	load.failed_percent = percent;
-	msg.load = &load;
-	deliver_message(r, host, &msg);
+void rr_failing(relay_rig_t *r, uint32_t host, uint32_t percent)
+{
+	tell(r, host, (relay_load_t){ .failed_percent = percent });
 }
 
 void rr_stopping(relay_rig_t *r, uint32_t host)
 {
-	relay_load_t load;
-	relay_msg_t msg;
+	tell(r, host, (relay_load_t){ .stopping = true });
+}
 
-	ct__relay__load__init(&load);
-	relay_msg_init(&msg, RELAY_LOAD);
-	load.stopping = true;
-	msg.load = &load;
-	deliver_message(r, host, &msg);
+void rr_quiet(relay_rig_t *r, uint32_t host, uint32_t quiet_ms)
+{
+	tell(r, host, (relay_load_t){ .quiet_ms = quiet_ms });
 }
 
 static void offer(relay_rig_t *r, uint32_t balancer, unsigned flow,
@@ -398,15 +396,3 @@
 	msg.chain = 1;
 	deliver_message(r, balancer, &msg);
 }
-
-void rr_quiet(relay_rig_t *r, uint32_t host, uint32_t quiet_ms)
-{
-	relay_load_t load;
-	relay_msg_t msg;
-
-	ct__relay__load__init(&load);
-	relay_msg_init(&msg, RELAY_LOAD);
-	load.quiet_ms = quiet_ms;
-	msg.load = &load;
-	deliver_message(r, host, &msg);
-}
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -15,6 +15,17 @@
 	rr_from_server(r, flow, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
 }
 
+/* The first request of a flow, and its answer. */
+static void request(relay_rig_t *r, unsigned flow)
+{
+	rr_from_balancer(r, BALANCER, flow, RELAY_ACK, 6, ISN + 1, 100, 0);
+}
+
+static void response(relay_rig_t *r, unsigned flow)
+{
+	rr_from_server(r, flow, RELAY_ACK, ISN + 1, 106, 500);
+}
+
 /* What the agent tells of its load within a span of time. */
 static relay_msg_t *told_after(relay_rig_t *r, uint64_t ms)
 {
@@ -85,7 +96,7 @@
 	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
 	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
 			  1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	request(r, 1);
 	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
 	rr_free(r);
 }
@@ -112,8 +123,8 @@
 	relay_rig_t *r = rr_agent(true);
 
 	open_flow(r, 1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
-	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	request(r, 1);
+	response(r, 1);
 	rr_clear(r);
 	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 501, 100, 0);
 	rr_returned(r, 1, RELAY_ACK, 106, ISN + 501, 100);
@@ -152,8 +163,8 @@
 	relay_rig_t *r = rr_agent(true);
 
 	open_flow(r, 1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
-	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	request(r, 1);
+	response(r, 1);
 	rr_run(r, 12000);
 	rr_from_server(r, 1, RELAY_ACK | RELAY_FIN, ISN + 501, 106, 0);
 	rr_run(r, 10000);
@@ -180,8 +191,8 @@
 	relay_rig_t *r = rr_agent(true);
 
 	open_flow(r, 1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
-	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	request(r, 1);
+	response(r, 1);
 	open_flow(r, 2);
 	rr_clear(r);
 	rr_run(r, 100);
@@ -209,7 +220,7 @@
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 12; i++) {
 		open_flow(r, i);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 	}
 	rr_clear(r);
 	rr_run(r, 400);
@@ -230,7 +241,7 @@
 	relay_rig_t *r = rr_agent(true);
 
 	open_flow(r, 1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	request(r, 1);
 	rr_clear(r);
 	rr_run(r, 5000);
 	for (unsigned i = 10; i < 20; i++) {
@@ -253,9 +264,9 @@
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 40; i++) {
 		open_flow(r, i);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 		if (i % 2)
-			rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+			response(r, i);
 		else
 			rr_from_server(r, i, RELAY_RST, ISN + 1, 106, 0);
 	}
@@ -280,9 +291,9 @@
 	for (unsigned i = 0; i < 60; i++) {
 		rr_offer_typical(r, BALANCER, i, 5, 50);
 		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 		rr_run(r, i % 2 ? 50 : 0);
-		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+		response(r, i);
 	}
 	msg = told_after(r, 1100);
 	ck_assert_uint_ge(msg->load->hasty_percent, 30);
@@ -303,8 +314,8 @@
 
 	rr_hello(r, BALANCER, 2);
 	open_flow(r, 1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
-	rr_from_server(r, 1, RELAY_ACK, ISN + 1, 106, 500);
+	request(r, 1);
+	response(r, 1);
 	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 501, 0, 0);
 	msg = told_after(r, 2500);
 	ck_assert_uint_eq(msg->load->quiet_ms, 0);
@@ -324,9 +335,9 @@
 	for (unsigned i = 0; i < 20; i++) {
 		rr_offer_typical(r, BALANCER, i, 5, 20);
 		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 		rr_run(r, 150);
-		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+		response(r, i);
 	}
 	msg = told_after(r, 1100);
 	ck_assert_uint_ge(msg->load->service_us, 80000);
@@ -356,10 +367,10 @@
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 40; i++) {
 		open_flow(r, i);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 		rr_run(r, 25);
 		if (i % 2)
-			rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 500);
+			response(r, i);
 	}
 	rr_clear(r);
 	for (unsigned i = 0; i < 15; i++) {
@@ -457,7 +468,7 @@
 		if (rr_count(r, RIG_SERVER, 0, 0) == 0)
 			continue;
 		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 	}
 	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, OTHER, RELAY_OFFER), 80);
 	rr_free(r);
@@ -473,14 +484,14 @@
 	rr_hello(r, BALANCER, 2);
 	for (unsigned i = 0; i < 4; i++) {
 		open_flow(r, i);
-		rr_from_balancer(r, BALANCER, i, RELAY_ACK, 6, ISN + 1, 100, 0);
+		request(r, i);
 	}
 	msg = told_after(r, 1100);
 	ck_assert_uint_eq(msg->load->in_flight, 4);
 	ck_assert_uint_eq(msg->load->flows, 4);
 	ck_assert_uint_gt(msg->load->work_hundredths, 100);
 	relay_msg_free(msg);
-	rr_from_server(r, 0, RELAY_ACK, ISN + 1, 106, 500);
+	response(r, 0);
 	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 3);
 	rr_free(r);
 }
@@ -525,7 +536,7 @@
 	relay_rig_t *r = rr_agent(true);
 
 	open_flow(r, 1);
-	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	request(r, 1);
 	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 1);
 	rr_run(r, 4000);
 	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 0);
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -9,6 +9,17 @@
 #define AGENT_A 0x0a010009u
 #define AGENT_B 0x0a02000au
 
+/* A balancer with routes that knows the agents A and B. */
+static relay_rig_t *two_agents(void)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	return r;
+}
+
 /*
  * A reading lists entries by id: of two entries at one address the older one
  * may come last, and its removal must not take the newer target out.
@@ -106,13 +117,10 @@
 /* A flow that every agent denies is reset at once, with a seq it can take. */
 START_TEST(nobody_holds_it)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 	relay_packet_t p;
 	int at;
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	rr_run(r, 250);
 	rr_answer(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
@@ -132,11 +140,8 @@
 /* While an agent has not answered a flow is not reset, and is dropped late. */
 START_TEST(silent_agent_is_no_denial)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	rr_run(r, 250);
 	rr_answer(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
@@ -150,14 +155,11 @@
  * not return it holds the flow. */
 START_TEST(unsure_agents_try_in_turn)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 	uint8_t buf[RELAY_PACKET_MAX];
 	relay_msg_t back;
 	uint32_t first, second;
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	rr_run(r, 250); /* the chain is broken */
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
@@ -185,12 +187,9 @@
  * not told "not run", since the silent one's server may have taken it. */
 START_TEST(unanswered_open_moves_on)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 	uint32_t first;
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	first = r->sent[rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER)].host;
 	rr_run(r, 200);
@@ -321,11 +320,8 @@
  * need not be asked: what it held is lost. */
 START_TEST(gone_and_quiet_is_not_asked)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_entry_gone(r, "a", 5);
 	rr_quiet(r, AGENT_A, 600);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
@@ -340,12 +336,9 @@
  * while one that restarts beside its target is. */
 START_TEST(gone_and_stopping_is_not_asked)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 	relay_msg_t *msg;
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_stopping(r, AGENT_A);
 	rr_clear(r);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
@@ -365,11 +358,8 @@
 /* Nor is it waited for when it was asked before. */
 START_TEST(lookup_goes_on_without_those_that_end)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	rr_run(r, 250); /* the chain is broken */
 	rr_answer(r, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
@@ -388,11 +378,8 @@
  */
 START_TEST(host_taken_away_is_not_waited_for)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_load(r, AGENT_A, 0, 0, 10, 0);
 	rr_entry_gone(r, "a", 5);
 	rr_clear(r);
@@ -430,12 +417,9 @@
 /* A silent server gets no opens, but is tried once a second. */
 START_TEST(silent_server_is_tried_now_and_then)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 	size_t tried;
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	for (unsigned i = 0; i < 100; i++) {
 		rr_load(r, AGENT_A, 0, 0, 10, 600);
 		rr_load(r, AGENT_B, 0, 0, 10, 0);
@@ -469,11 +453,8 @@
  * is all the same, or nobody would learn that it is well again. */
 START_TEST(member_in_trouble_is_asked)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	if (_i)
 		rr_stopping(r, AGENT_A);
 	else
@@ -486,12 +467,9 @@
 /* What was told long ago is no longer believed: the member is tried. */
 START_TEST(old_trouble_is_forgotten)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 	size_t offers = 0;
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	if (_i)
 		rr_stopping(r, AGENT_A);
 	else
@@ -538,11 +516,8 @@
  * also when another one is placed. */
 START_TEST(placed_opens_fade)
 {
-	relay_rig_t *r = rr_balancer();
+	relay_rig_t *r = two_agents();
 
-	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
-	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
 	rr_load(r, AGENT_A, 0, 0, 10, 0);
 	rr_load(r, AGENT_B, 3, 3, 10, 0);
 	for (unsigned i = 0; i < 5; i++) {
