--- a/src/placement.h
+++ b/src/placement.h
@@ -4,9 +4,9 @@
 /*
  * placement - where a new flow goes, by what agents told of their load
  *
- * Pure decisions: members are handed in with what is believed of them, a
- * random number is handed in, an order comes out. The cost of a member is the
- * time in which it would answer a typical request.
+ * Pure decisions: members are handed in by their ranks with what is believed of
+ * them, an order comes out. The cost of a member is the time in which it would
+ * answer a typical request.
  */
 
 #include <stdbool.h>
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -8,7 +8,8 @@
  * The balancer classifies a packet by its routes, offers an open to an agent
  * with further candidates behind it, and sends any other packet to the agent
  * that holds the flow. It remembers holders in a bounded index; a flow that it
- * doesn't know is asked for at all agents of the service. It opens no socket
+ * doesn't know is asked for first at the agents among which it would be placed,
+ * then at all others of the service. It opens no socket
  * and reads no clock; times are milliseconds of a monotonic clock.
  */
 
