--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,11 @@
 BUILD = build
 PACKAGES = libuv libprotobuf-c glib-2.0 libsodium libcurl libxxhash json-c
 CPPFLAGS = -Isrc -Iplatform $(shell pkg-config --cflags $(PACKAGES)) $(EXTRA_CPPFLAGS)
+# Programs below target/ are deployed; all other builds have the switches of
+# src/relay_mechanism.h.
+ifneq ($(BUILD),target)
+CPPFLAGS += -DTEST_BUILD
+endif
 WARNINGS = -Wall -Wextra -Wshadow -Wpointer-arith -Wcast-qual -Wundef \
 	-Wformat=2 -Werror
 C_WARNINGS = $(WARNINGS) -Wstrict-prototypes -Wmissing-prototypes \
--- a/src/counters.h
+++ b/src/counters.h
@@ -49,6 +49,7 @@
 	X(SEND_FAILED, "send_failed")                                          \
 	X(CONTROL_MESSAGES_OUT, "control_messages_out")                        \
 	X(CONTROL_BYTES_OUT, "control_bytes_out")                              \
+	X(STORE_RESTORED, "store_restored")                                    \
 	X(OPENS, "opens")                                                      \
 	X(OPENS_ACCEPTED, "opens_accepted")                                    \
 	X(OPENS_PASSED, "opens_passed")                                        \
--- a/src/directory.c
+++ b/src/directory.c
@@ -1,4 +1,5 @@
 #include "directory.h"
+#include "relay_mechanism.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,13 +11,24 @@
  * store may have expired because of the outage. */
 #define RECOVERY_WINDOW_MS 2000
 
+/* Greatest age of a copy from which the store is restored: that of the history
+ * that the store keeps. A directory that has been kept for longer knows all
+ * targets of the copy. */
+#define COPY_AGE_MAX_MS 20000
+
 struct directory {
 	GHashTable *by_id; /* id -> target_entry_t */
 	list_t entries;
+	uint32_t expiry_ms; /* see directory_new() */
 	directory_ops_t ops;
 	void *ctx;
 	uint64_t last_failure_ms; /* last failed request; 0: none */
 	uint64_t recovered_ms;	  /* first answer after that; 0: none yet */
+	uint64_t since_ms;	  /* first entry */
+	uint64_t era;		  /* highest era of any entry or listing */
+	/* The era rose while entries of an earlier one were known, and its
+	 * first listing has not ended. */
+	bool restored;
 };
 
 static void set_state(directory_t *d, uint64_t now, target_entry_t *e,
@@ -24,13 +36,15 @@
 static void mark_missing(directory_t *d, uint64_t now, target_entry_t *e);
 static void delete_entry(directory_t *d, target_entry_t *e);
 
-directory_t *directory_new(const directory_ops_t *ops, void *ctx)
+directory_t *directory_new(uint32_t expiry_ms, const directory_ops_t *ops,
+			   void *ctx)
 {
 	directory_t *d = calloc(1, sizeof(*d));
 
 	if (!d)
 		return NULL;
 	d->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	d->expiry_ms = expiry_ms;
 	d->ops = *ops;
 	d->ctx = ctx;
 	list_init(&d->entries);
@@ -60,9 +74,62 @@
 	e->state = state;
 	e->state_since_ms = now;
 	e->missing_since_ms = 0;
+	e->unconfirmed_since_ms = 0;
 	d->ops.changed(d->ctx, e);
 }
 
+/* Notes the era of an entry or a listing. Returns false for an earlier era:
+ * what was read then is out of date. */
+static bool enter_era(directory_t *d, uint64_t era)
+{
+	if (era < d->era)
+		return false;
+	if (era > d->era) {
+		d->era = era;
+		d->restored = !list_empty(&d->entries);
+	}
+	return true;
+}
+
+/*
+ * True when the entry read is newer than the known one. Between two eras the
+ * revisions tell nothing; the start of the target and the number of its write
+ * do, since its writes are numbered from its start.
+ */
+static bool is_newer(const target_entry_t *entry, const target_entry_t *known)
+{
+	if (entry->revision.era == known->revision.era)
+		return !relay_mechanism_on(RELAY_REVISION_ORDER) ||
+		       store_revision_compare(entry->revision,
+					      known->revision) > 0;
+	if (entry->started_ms != known->started_ms)
+		return entry->started_ms > known->started_ms;
+	return entry->write_number > known->write_number;
+}
+
+/* Keeps a known entry although the restored store lists it differently or as it
+ * is known. A target that is known to be gone may still have left. */
+static void keep_known(uint64_t now, target_entry_t *e,
+		       const target_entry_t *entry)
+{
+	e->revision = entry->revision;
+	e->missing_since_ms = 0;
+	if (entry->state == ENTRY_GONE || e->state != ENTRY_GONE)
+		return;
+	e->unconfirmed_since_ms = now;
+	e->listed_state = entry->state;
+}
+
+/* Adds an entry of a target that was not known. */
+static target_entry_t *add_entry(directory_t *d, const target_entry_t *entry)
+{
+	target_entry_t *e = g_memdup2(entry, sizeof(*entry));
+
+	list_append(&d->entries, &e->node);
+	g_hash_table_insert(d->by_id, e->id, e);
+	return e;
+}
+
 void directory_put(directory_t *d, uint64_t now, const target_entry_t *entry)
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, entry->id);
@@ -70,22 +137,37 @@
 	bool restarted = false;
 	list_t node;
 
+	if (!enter_era(d, entry->revision.era))
+		return;
+	if (list_empty(&d->entries))
+		d->since_ms = now;
+	if (!e && (entry->state == ENTRY_GONE ||
+		   (d->restored && now < d->since_ms + COPY_AGE_MAX_MS))) {
+		e = add_entry(d, entry);
+		e->listed = true;
+		e->state = ENTRY_GONE;
+		e->state_since_ms = now;
+		keep_known(now, e, entry);
+		return;
+	}
 	if (e) {
 		e->listed = true;
-		if (entry->revision <= e->revision)
+		if (!is_newer(entry, e)) {
+			if (entry->revision.era > e->revision.era)
+				keep_known(now, e, entry);
 			return;
+		}
 		old_state = e->state;
 		restarted = e->started_ms != entry->started_ms;
 		node = e->node;
 		*e = *entry;
 		e->node = node;
 	} else {
-		e = g_memdup2(entry, sizeof(*entry));
-		list_append(&d->entries, &e->node);
-		g_hash_table_insert(d->by_id, e->id, e);
+		e = add_entry(d, entry);
 	}
 	e->listed = true;
 	e->missing_since_ms = 0;
+	e->unconfirmed_since_ms = 0;
 	e->warmup_end_ms = now + entry->warmup_ms;
 	e->state_since_ms = now;
 	if (entry->state != old_state || restarted)
@@ -94,49 +176,73 @@
 
 /* Handles an entry that the store no longer lists. During an outage and
  * shortly after it, the entry of a live target may have expired, so a ready
- * target stays ready for DIRECTORY_GRACE_MS. */
+ * target stays ready for DIRECTORY_GRACE_MS; so does any target when the store
+ * was restored from a copy in which its entry may be missing. */
 static void mark_missing(directory_t *d, uint64_t now, target_entry_t *e)
 {
-	bool outage = d->last_failure_ms &&
+	bool outage = relay_mechanism_on(RELAY_OUTAGE_GRACE) &&
+		      d->last_failure_ms &&
 		      (!d->recovered_ms ||
 		       now < d->recovered_ms + RECOVERY_WINDOW_MS);
 
+	e->unconfirmed_since_ms = 0;
 	if (e->state == ENTRY_GONE || e->missing_since_ms)
 		return;
-	if (outage && e->state == ENTRY_READY)
+	if (d->restored || (outage && e->state == ENTRY_READY))
 		e->missing_since_ms = now;
 	else
 		set_state(d, now, e, ENTRY_GONE);
 }
 
 void directory_remove(directory_t *d, uint64_t now, const char *id,
-		      uint64_t revision)
+		      store_revision_t revision)
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
 
-	if (!e || revision <= e->revision)
+	if (!enter_era(d, revision.era) || !e ||
+	    store_revision_compare(revision, e->revision) <= 0)
 		return;
 	e->revision = revision;
 	mark_missing(d, now, e);
 }
 
+void directory_set_missing(directory_t *d, uint64_t now, const char *id,
+			   uint64_t missing_ms)
+{
+	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
+
+	uint64_t since_ms = now > missing_ms ? now - missing_ms : 1;
+
+	if (!e || e->missing_since_ms || e->unconfirmed_since_ms)
+		return;
+	if (e->state != ENTRY_GONE)
+		e->missing_since_ms = since_ms;
+	else if (since_ms < e->state_since_ms)
+		e->state_since_ms = since_ms;
+}
+
 void directory_resync_begin(directory_t *d)
 {
 	list_each(node, &d->entries) list_entry(node, target_entry_t, node)
 		->listed = false;
 }
 
-void directory_resync_end(directory_t *d, uint64_t now, uint64_t revision)
+void directory_resync_end(directory_t *d, uint64_t now,
+			  store_revision_t revision)
 {
+	if (!enter_era(d, revision.era))
+		return;
 	list_each(node, &d->entries)
 	{
 		target_entry_t *e = list_entry(node, target_entry_t, node);
 
-		if (e->listed || revision <= e->revision)
+		if (e->listed ||
+		    store_revision_compare(revision, e->revision) <= 0)
 			continue;
 		e->revision = revision;
 		mark_missing(d, now, e);
 	}
+	d->restored = false;
 }
 
 void directory_store_unreachable(directory_t *d, uint64_t now)
@@ -160,12 +266,20 @@
 		if (e->missing_since_ms &&
 		    now >= e->missing_since_ms + DIRECTORY_GRACE_MS)
 			set_state(d, now, e, ENTRY_GONE);
-		else if (e->state == ENTRY_GONE &&
+		else if (e->unconfirmed_since_ms &&
+			 now >= e->unconfirmed_since_ms + d->expiry_ms)
+			set_state(d, now, e, e->listed_state);
+		else if (e->state == ENTRY_GONE && !e->unconfirmed_since_ms &&
 			 now >= e->state_since_ms + GONE_RETENTION_MS)
 			delete_entry(d, e);
 	}
 }
 
+const target_entry_t *directory_find(const directory_t *d, const char *id)
+{
+	return g_hash_table_lookup(d->by_id, id);
+}
+
 list_t *directory_entries(directory_t *d)
 {
 	return &d->entries;
--- a/src/directory.h
+++ b/src/directory.h
@@ -8,11 +8,23 @@
  * applied only when its revision is higher. A ready entry that goes missing
  * around an outage of the platform's store may have expired although its target
  * is alive: it keeps taking opens for DIRECTORY_GRACE_MS, then counts as gone.
+ *
+ * When the store was restored from an older copy, its first listing in the new
+ * era mixes items of the copy with items written since. Entries that are known
+ * are then compared by what their targets wrote last, so that the copy takes
+ * nothing back. An entry that is known to be gone, or unknown to a directory
+ * younger than the copy may be, may be that of a target that has left: it
+ * counts as gone until the target writes again, or until the entry has outlived
+ * the time after which the store drops the entry of a silent target. An entry
+ * that is missing may have been written after the copy: it keeps its state for
+ * DIRECTORY_GRACE_MS.
+ *
  * The directory owns the entries. Times are milliseconds of a monotonic clock.
  */
 
 #include "endpoint.h"
 #include "list.h"
+#include "store_revision.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -36,15 +48,19 @@
 	endpoint_t address; /* of the target; its agent runs on the same host */
 	uint32_t slots;	    /* requests served at a time */
 	uint32_t warmup_ms; /* remaining warm-up when published */
-	uint64_t started_ms; /* start of the target, Unix time; compared for
-				equality only */
+	uint64_t started_ms;   /* start of the target, Unix time */
+	uint64_t write_number; /* the target's writes since its start */
 	entry_state_t state;
-	uint64_t revision;	   /* of the last change */
+	store_revision_t revision; /* of the last change */
 	uint64_t state_since_ms;   /* last update or state change */
 	uint64_t warmup_end_ms;	   /* end of the warm-up */
 	uint64_t missing_since_ms; /* start of the grace period; 0: none */
-	bool listed;		   /* found by the resync in progress */
-	list_t node;		   /* in directory.entries */
+	/* Start of the time in which a restored entry counts as gone; 0: it is
+	 * not doubted. listed_state is the state that the store lists. */
+	uint64_t unconfirmed_since_ms;
+	entry_state_t listed_state;
+	bool listed; /* found by the resync in progress */
+	list_t node; /* in directory.entries */
 } target_entry_t;
 
 typedef struct directory directory_t;
@@ -55,8 +71,12 @@
 	void (*changed)(void *ctx, const target_entry_t *entry);
 } directory_ops_t;
 
-/* Returns NULL when out of memory. */
-directory_t *directory_new(const directory_ops_t *ops, void *ctx);
+/*
+ * expiry_ms is the time after which the store drops the entry of a silent
+ * target. Returns NULL when out of memory.
+ */
+directory_t *directory_new(uint32_t expiry_ms, const directory_ops_t *ops,
+			   void *ctx);
 void directory_free(directory_t *d);
 
 /* Adds or updates an entry. The caller sets id, revision and the published
@@ -66,7 +86,7 @@
 /* Marks an entry that was deleted from the store at this revision as gone, or
  * as missing when an outage may have made it expire. */
 void directory_remove(directory_t *d, uint64_t now, const char *id,
-		      uint64_t revision);
+		      store_revision_t revision);
 
 /*
  * Resync, a complete listing of the store: call directory_resync_begin(),
@@ -75,16 +95,25 @@
  * that revision.
  */
 void directory_resync_begin(directory_t *d);
-void directory_resync_end(directory_t *d, uint64_t now, uint64_t revision);
+void directory_resync_end(directory_t *d, uint64_t now,
+			  store_revision_t revision);
+
+/* Notes that the store dropped an entry missing_ms ago, as a peer reports. */
+void directory_set_missing(directory_t *d, uint64_t now, const char *id,
+			   uint64_t missing_ms);
 
 /* Notes that a request to the platform's store failed. */
 void directory_store_unreachable(directory_t *d, uint64_t now);
 /* Notes that the store answered. */
 void directory_store_reachable(directory_t *d, uint64_t now);
 
-/* Ends grace periods and frees entries that have been gone for 70 s. */
+/* Ends grace periods and doubts, and frees entries that have been gone for
+ * 70 s. */
 void directory_tick(directory_t *d, uint64_t now);
 
+/* Returns the entry of a target, or NULL. */
+const target_entry_t *directory_find(const directory_t *d, const char *id);
+
 /* Head of the list of entries, linked by `node`. */
 list_t *directory_entries(directory_t *d);
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -26,7 +26,11 @@
 	bool connected;
 	http_parser parser;
 	GString *body;
-	char *path; /* of the pending request, owned; NULL: none */
+	GHashTable *headers;  /* see http_response_t */
+	GString *header_name; /* header in progress */
+	GString *header_value;
+	bool in_value; /* the parser is within the value of a header */
+	char *path;    /* of the pending request, owned; NULL: none */
 	uint64_t timeout_ms;
 	bool keep_alive;
 	bool complete;
@@ -52,10 +56,18 @@
 	http_client_t *c = handle->data;
 
 	g_string_free(c->body, TRUE);
+	g_string_free(c->header_name, TRUE);
+	g_string_free(c->header_value, TRUE);
+	g_hash_table_destroy(c->headers);
 	g_free(c->path);
 	free(c);
 }
 
+static GHashTable *new_headers(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
 static void drop_connection(http_client_t *c)
 {
 	http_connection_t *conn = c->connection;
@@ -70,9 +82,10 @@
 
 static void finish_request(http_client_t *c, int status, const char *error)
 {
-	http_response_t response = { status, error, c->body->str,
-				     c->body->len };
+	http_response_t response = { status, error, c->body->str, c->body->len,
+				     c->headers };
 	GString *body = c->body;
+	GHashTable *headers = c->headers;
 	http_done_fn done = c->done;
 
 	uv_timer_stop(&c->timer);
@@ -81,8 +94,10 @@
 	g_free(c->path);
 	c->path = NULL;
 	c->body = g_string_new(NULL);
+	c->headers = new_headers();
 	done(c->ctx, &response);
 	g_string_free(body, TRUE);
+	g_hash_table_destroy(headers);
 }
 
 static void on_timeout(uv_timer_t *timer)
@@ -104,6 +119,45 @@
 	return 0;
 }
 
+/* Adds the header in progress, if any. */
+static void end_header(http_client_t *c)
+{
+	if (!c->header_name->len)
+		return;
+	g_hash_table_replace(c->headers,
+			     g_ascii_strdown(c->header_name->str, -1),
+			     g_strdup(c->header_value->str));
+	g_string_truncate(c->header_name, 0);
+	g_string_truncate(c->header_value, 0);
+}
+
+/* The parser may pass a name or a value in several parts. */
+static int on_header_name(http_parser *parser, const char *at, size_t len)
+{
+	http_client_t *c = parser->data;
+
+	if (c->in_value)
+		end_header(c);
+	c->in_value = false;
+	g_string_append_len(c->header_name, at, (gssize)len);
+	return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *at, size_t len)
+{
+	http_client_t *c = parser->data;
+
+	c->in_value = true;
+	g_string_append_len(c->header_value, at, (gssize)len);
+	return 0;
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	end_header(parser->data);
+	return 0;
+}
+
 static int on_complete(http_parser *parser)
 {
 	http_client_t *c = parser->data;
@@ -115,6 +169,9 @@
 }
 
 static const http_parser_settings parser_settings = {
+	.on_header_field = on_header_name,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
 	.on_message_complete = on_complete,
 };
@@ -131,6 +188,7 @@
 {
 	http_connection_t *conn = stream->data;
 	http_client_t *c = conn->client;
+	size_t parsed;
 
 	if (!c || len == 0)
 		return;
@@ -144,8 +202,11 @@
 		finish_request(c, 0, uv_strerror((int)len));
 		return;
 	}
-	http_parser_execute(&c->parser, &parser_settings, buf->base,
-			    (size_t)len);
+	parsed = http_parser_execute(&c->parser, &parser_settings, buf->base,
+				     (size_t)len);
+	/* Bytes after the response would be taken for the next one. */
+	if (c->complete && parsed < (size_t)len)
+		c->keep_alive = false;
 	if (c->complete)
 		finish_request(c, (int)c->parser.status_code, NULL);
 	else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
@@ -169,6 +230,10 @@
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	c->complete = false;
+	c->in_value = false;
+	g_string_truncate(c->header_name, 0);
+	g_string_truncate(c->header_value, 0);
+	g_hash_table_remove_all(c->headers);
 	g_free(conn->request);
 	conn->request =
 		g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c->path,
@@ -225,6 +290,9 @@
 	c->loop = loop;
 	c->server = *server;
 	c->body = g_string_new(NULL);
+	c->headers = new_headers();
+	c->header_name = g_string_new(NULL);
+	c->header_value = g_string_new(NULL);
 	uv_timer_init(loop, &c->timer);
 	c->timer.data = c;
 	return c;
@@ -259,6 +327,12 @@
 		open_connection(c);
 }
 
+void http_client_disconnect(http_client_t *c)
+{
+	if (!c->path)
+		drop_connection(c);
+}
+
 void http_client_abort(http_client_t *c, const char *reason)
 {
 	if (c->path)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -11,6 +11,7 @@
  */
 
 #include "endpoint.h"
+#include <glib.h>
 #include <stdbool.h>
 #include <uv.h>
 
@@ -24,6 +25,9 @@
 	const char *error; /* cause of the failure; NULL with a status */
 	const char *body;  /* valid during the callback only */
 	size_t len;	   /* bytes */
+	/* Lower-case names to values, both strings; valid like body. Of a
+	 * repeated header the last one counts. */
+	GHashTable *headers;
 } http_response_t;
 
 typedef void (*http_done_fn)(void *ctx, const http_response_t *response);
@@ -49,6 +53,13 @@
 void http_client_get(http_client_t *c, const char *path, uint64_t timeout_ms,
 		     http_done_fn done, void *ctx);
 
+/*
+ * Closes the connection when no request is pending; the next request opens a
+ * new one. To be called after a response that does not fit its request: it may
+ * be a second copy of an earlier one, after which all others are one behind.
+ */
+void http_client_disconnect(http_client_t *c);
+
 /*
  * Cancels the pending request: done is called with reason as the error, and the
  * connection is closed. Without a request, only closes the connection.
--- a/src/placement.c
+++ b/src/placement.c
@@ -1,4 +1,5 @@
 #include "placement.h"
+#include "relay_mechanism.h"
 #include <stdlib.h>
 
 /* Service time assumed while no member has reported one, in ms. */
@@ -97,7 +98,8 @@
 
 bool placement_too_fast(double elapsed_ms, double typical_ms)
 {
-	return elapsed_ms < typical_ms * TOO_FAST_SHARE;
+	return relay_mechanism_on(RELAY_TOO_FAST) &&
+	       elapsed_ms < typical_ms * TOO_FAST_SHARE;
 }
 
 /* Estimated share of requests that fail at the member, 0 to 1. */
@@ -139,7 +141,7 @@
 
 	if (service * SPEED_RATIO_MAX < g->service_ms)
 		service = g->service_ms / SPEED_RATIO_MAX;
-	if (m->cold)
+	if (m->cold && relay_mechanism_on(RELAY_COLD_TARGETS))
 		service *= COLD_FACTOR;
 	load = m->has_report ? expected_in_flight(m, service, g)
 			     : slots * UNKNOWN_UTILISATION;
@@ -147,7 +149,9 @@
 		(load + m->unreported_opens * UNREPORTED_OPEN_LOAD) / slots;
 	return service * (1 + utilisation * utilisation) *
 		       (1 + failure_probability(m, g) * FAILURE_COST) +
-	       (m->local ? 0 : CROSS_ZONE_PENALTY_MS);
+	       (m->local || !relay_mechanism_on(RELAY_ZONE_PREFERENCE)
+			? 0
+			: CROSS_ZONE_PENALTY_MS);
 }
 
 double placement_response_ms(uint32_t in_flight, uint32_t slots,
@@ -165,6 +169,8 @@
 
 double placement_max_wait(double objective_ms, double relative_priority)
 {
+	if (!relay_mechanism_on(RELAY_PRIORITY))
+		relative_priority = 0;
 	return objective_ms *
 	       (MAX_WAIT_SHARE + PRIORITY_SHARE * relative_priority);
 }
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -832,7 +832,7 @@
   (ProtobufCMessageInit) ct__relay__route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__target__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ct__relay__target__field_descriptors[12] =
 {
   {
     "id",
@@ -942,22 +942,61 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Target, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "write_number",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Target, write_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Target, missing_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__target__field_indices_by_name[] = {
   6,   /* field[6] = born_ms */
+  9,   /* field[9] = era */
   0,   /* field[0] = id */
   3,   /* field[3] = ip */
+  11,   /* field[11] = missing_ms */
   4,   /* field[4] = port */
   8,   /* field[8] = revision */
   1,   /* field[1] = service */
   5,   /* field[5] = slots */
   7,   /* field[7] = state */
+  10,   /* field[10] = write_number */
   2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange ct__relay__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ct__relay__target__descriptor =
 {
@@ -967,14 +1006,14 @@
   "Ct__Relay__Target",
   "ct.relay",
   sizeof(Ct__Relay__Target),
-  9,
+  12,
   ct__relay__target__field_descriptors,
   ct__relay__target__field_indices_by_name,
   1,  ct__relay__target__number_ranges,
   (ProtobufCMessageInit) ct__relay__target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ct__relay__state__field_descriptors[6] =
 {
   {
     "revision",
@@ -1036,8 +1075,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__State, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__state__field_indices_by_name[] = {
+  5,   /* field[5] = era */
   2,   /* field[2] = idle_timeout_ms */
   0,   /* field[0] = revision */
   3,   /* field[3] = routes */
@@ -1047,7 +1099,7 @@
 static const ProtobufCIntRange ct__relay__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ct__relay__state__descriptor =
 {
@@ -1057,7 +1109,7 @@
   "Ct__Relay__State",
   "ct.relay",
   sizeof(Ct__Relay__State),
-  5,
+  6,
   ct__relay__state__field_descriptors,
   ct__relay__state__field_indices_by_name,
   1,  ct__relay__state__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -172,10 +172,22 @@
   uint64_t born_ms;
   uint32_t state;
   uint64_t revision;
+  /*
+   * of the store, to which the revision belongs
+   */
+  uint64_t era;
+  /*
+   * the target's writes since its start
+   */
+  uint64_t write_number;
+  /*
+   * time since the store dropped the entry; 0: listed
+   */
+  uint32_t missing_ms;
 };
 #define CT__RELAY__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__target__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ct__Relay__State
@@ -194,10 +206,14 @@
   Ct__Relay__Route **routes;
   size_t n_targets;
   Ct__Relay__Target **targets;
+  /*
+   * of the store, to which the revision belongs
+   */
+  uint64_t era;
 };
 #define CT__RELAY__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__state__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Ct__Relay__Load methods */
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -280,7 +280,7 @@
 		counter_add(&a->counters, COUNTER_DROP_TRUNCATED, 1);
 		return;
 	}
-	if (p.annotation != a->tag) {
+	if (p.annotation != a->tag && relay_mechanism_on(RELAY_SERVICE_TAG)) {
 		/* A target of another service had the agent's address
 		 * before. */
 		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -12,6 +12,7 @@
 #include "flow_index.h"
 #include "placement.h"
 #include "relay_agent.h"
+#include "relay_mechanism.h"
 #include "routes.h"
 #include <glib.h>
 
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -21,7 +21,8 @@
 		placement_response_ms(a->in_flight + a->nawaiting_request,
 				      a->slots, relay_health_service_ms(a));
 
-	if (strcmp(msg->service, a->options.service) != 0 || a->stopping)
+	if (strcmp(msg->service, a->options.service) != 0 ||
+	    (a->stopping && relay_mechanism_on(RELAY_STOP_REFUSAL)))
 		return msg->n_candidates ? ADMISSION_FORWARD : ADMISSION_REFUSE;
 	/* A stalled server gets one open at a time, which shows whether it
 	 * answers again. */
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -43,7 +43,8 @@
 	b->by_agent = g_hash_table_new(NULL, NULL);
 	b->groups = relay_groups_new();
 	b->flows = flow_index_new(options->max_flows, flow_free);
-	b->directory = directory_new(&directory_ops, b);
+	b->directory =
+		directory_new(options->target_expiry_ms, &directory_ops, b);
 	if (!b->flows || !b->directory) {
 		relay_balancer_free(b);
 		return NULL;
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -40,6 +40,7 @@
 	const char *zone;	       /* the balancer's availability zone */
 	const packet_format_t *format; /* format of the callers' packets */
 	size_t max_flows;	       /* capacity of the flow index */
+	uint32_t target_expiry_ms;     /* see directory_new() */
 } relay_balancer_options_t;
 
 /*
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -7,6 +7,7 @@
 
 #include "event_log.h"
 #include "relay_balancer.h"
+#include "relay_mechanism.h"
 #include "relay_peers.h"
 #include "relay_process.h"
 #include "relay_state.h"
@@ -21,13 +22,16 @@
 #define STOP_DELAY_MS 1800
 /* Capacity of the flow index per MB of the memory limit. */
 #define FLOWS_PER_MB 64
+/* The platform drops the entry of a target after three heartbeat intervals of
+ * silence; one more covers the time until the change is read. */
+#define EXPIRY_HEARTBEATS 4
 
 typedef struct balancer_state {
 	relay_balancer_t *balancer;
 	relay_watcher_ctx_t sink;
-	watcher_t *watcher;
-	relay_peers_t *peers;	/* NULL: no peer is configured */
-	uint64_t peer_revision; /* highest revision in a peer's state */
+	watcher_t *watcher;		/* NULL until the peers were asked */
+	relay_peers_t *peers;		/* NULL: no peer is configured */
+	store_revision_t peer_revision; /* highest in a peer's state */
 } balancer_state_t;
 
 static void sink_routes(void *ctx, route_table_t *routes)
@@ -72,13 +76,17 @@
 		directory_store_unreachable(d, sink_now(ctx));
 }
 
-static uint64_t known_revision(void *ctx)
+static store_revision_t known_revision(void *ctx)
 {
 	relay_process_t *p = ctx;
 	balancer_state_t *s = p->ctx;
-	uint64_t own = watcher_revision(s->watcher);
+	store_revision_t own = { 0 };
 
-	return own > s->peer_revision ? own : s->peer_revision;
+	if (s->watcher)
+		own = watcher_revision(s->watcher);
+	return store_revision_compare(own, s->peer_revision) > 0
+		       ? own
+		       : s->peer_revision;
 }
 
 static bool peers_needed(void *ctx)
@@ -86,42 +94,69 @@
 	relay_process_t *p = ctx;
 	balancer_state_t *s = p->ctx;
 
-	return !watcher_reachable(s->watcher);
+	return !s->watcher || !watcher_reachable(s->watcher);
 }
 
 static bool on_peer_state(void *ctx, const char *bytes, size_t len)
 {
 	relay_process_t *p = ctx;
 	balancer_state_t *s = p->ctx;
-	uint64_t revision = relay_state_apply(s->balancer, relay_process_now(p),
-					      bytes, len);
+	store_revision_t revision = relay_state_apply(
+		s->balancer, relay_process_now(p), bytes, len);
 
-	if (revision > s->peer_revision)
+	if (store_revision_compare(revision, s->peer_revision) > 0)
 		s->peer_revision = revision;
-	return revision > 0;
+	return !store_revision_none(revision);
+}
+
+/* Value of a number in the query of a path; 0 when it is missing. */
+static uint64_t query_number(const char *path, const char *name)
+{
+	const char *at = strstr(path, name);
+
+	return at ? g_ascii_strtoull(at + strlen(name), NULL, 10) : 0;
 }
 
 /* Answers a peer that asks for the state after a revision of the store. */
 static int on_peer_request(relay_process_t *p, const char *path, GString *body)
 {
 	balancer_state_t *s = p->ctx;
-	uint64_t known = known_revision(p);
+	store_revision_t known = known_revision(p), theirs;
 
-	if (!g_str_has_prefix(path, RELAY_STATE_PATH))
+	if (!g_str_has_prefix(path, RELAY_STATE_PREFIX))
 		return 404;
+	theirs.number = query_number(path, "after=");
+	theirs.era = query_number(path, "era=");
 	if (!relay_balancer_route_version(s->balancer) ||
-	    g_ascii_strtoull(path + strlen(RELAY_STATE_PATH), NULL, 10) >=
-		    known)
+	    store_revision_compare(theirs, known) >= 0)
 		return 204;
-	relay_state_pack(s->balancer, known, body);
+	relay_state_pack(s->balancer, relay_process_now(p), known, body);
 	return 200;
 }
 
+/* Starts reading the store, after what a peer has read already. */
+static void open_watcher(void *ctx)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+
+	s->watcher = watcher_new(&p->loop, &p->settings.platform,
+				 p->settings.silence_ms, p->settings.apply_ms,
+				 s->peer_revision, relay_platform.watcher,
+				 &s->sink, p->counters);
+	if (s->watcher)
+		return;
+	event_log(EVENT_STOP, "\"error\":\"out of memory creating the store "
+			      "watcher\"");
+	event_log_flush();
+	abort();
+}
+
 static int start(relay_process_t *p, err_t *err)
 {
-	static const relay_peers_ops_t peers_ops = { on_peer_state,
-						     peers_needed,
-						     known_revision };
+	static const relay_peers_ops_t peers_ops = {
+		on_peer_state, peers_needed, known_revision, open_watcher
+	};
 	static const relay_balancer_ops_t ops = { relay_process_send_packet,
 						  relay_process_send_message,
 						  relay_process_send_packet };
@@ -133,6 +168,8 @@
 		.zone = p->settings.zone,
 		.format = relay_platform.format,
 		.max_flows = (size_t)p->settings.memory_mb * FLOWS_PER_MB,
+		.target_expiry_ms =
+			p->settings.heartbeat_ms * EXPIRY_HEARTBEATS,
 	};
 	balancer_state_t *s = calloc(1, sizeof(*s));
 
@@ -145,13 +182,13 @@
 	p->counters = relay_balancer_counters(s->balancer);
 	s->sink.sink = &sink;
 	s->sink.ctx = p;
-	s->watcher = watcher_new(&p->loop, &p->settings.platform,
-				 p->settings.silence_ms, p->settings.apply_ms,
-				 relay_platform.watcher, &s->sink, p->counters);
-	if (!s->watcher)
-		return err_set(err, ERR_MEMORY, NULL, 0, "free memory",
-			       "out of memory creating the store watcher");
 	s->peers = relay_peers_new(&p->loop, &p->settings, &peers_ops, p);
+	/* At the first start of the system no peer has a state. */
+	if (s->peers && !p->settings.first_start &&
+	    relay_mechanism_on(RELAY_PEERS_FIRST))
+		relay_peers_start(s->peers);
+	else
+		open_watcher(p);
 	return 0;
 }
 
@@ -203,14 +240,16 @@
 
 	(void)now;
 	(void)slept_ms;
-	watcher_resume(s->watcher);
+	if (s->watcher)
+		watcher_resume(s->watcher);
 }
 
 static bool ready(relay_process_t *p)
 {
 	balancer_state_t *s = p->ctx;
 
-	return (watcher_synced(s->watcher) || s->peer_revision) &&
+	return ((s->watcher && watcher_synced(s->watcher)) ||
+		!store_revision_none(s->peer_revision)) &&
 	       relay_balancer_route_version(s->balancer) > 0;
 }
 
@@ -219,9 +258,12 @@
 	balancer_state_t *s = p->ctx;
 
 	g_string_append_printf(
-		out, "cherviltray_version %llu\ncherviltray_flows %zu\n",
+		out,
+		"cherviltray_version %llu\ncherviltray_flows %zu\n"
+		"cherviltray_store_era %llu\n",
 		(unsigned long long)relay_balancer_route_version(s->balancer),
-		relay_balancer_flow_count(s->balancer));
+		relay_balancer_flow_count(s->balancer),
+		(unsigned long long)known_revision(p).era);
 }
 
 static const histogram_t *histogram(relay_process_t *p, const char **name)
--- a/src/relay_balancer_group.c
+++ b/src/relay_balancer_group.c
@@ -63,7 +63,7 @@
 		const relay_member_t *m = g_ptr_array_index(g->members, i);
 		rank_member_t r = { m->agent, m->slots ? m->slots : 1 };
 
-		if (m->local)
+		if (m->local && relay_mechanism_on(RELAY_ZONE_PREFERENCE))
 			r.weight *= LOCAL_WEIGHT;
 		g_array_append_val(g->ranks, r);
 	}
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -10,6 +10,7 @@
 #include "placement.h"
 #include "rank.h"
 #include "relay_balancer.h"
+#include "relay_mechanism.h"
 #include <glib.h>
 
 /* Most offers of one open; then the caller is refused. */
@@ -50,7 +51,6 @@
 	uint32_t agent;	     /* address */
 	const char *service; /* interned */
 	char entry_id[DIRECTORY_NAME_SIZE];
-	uint64_t revision;   /* of the directory entry */
 	uint64_t started_ms; /* start of the target, Unix time, as published */
 	entry_state_t state;
 	bool local;		/* in the balancer's availability zone */
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -88,6 +88,18 @@
 	free(m);
 }
 
+/* True when the entry is that of a target that was at the member's address
+ * before its current one. */
+static bool is_previous_target(const relay_balancer_t *b,
+			       const relay_member_t *m, const target_entry_t *e)
+{
+	const target_entry_t *current =
+		directory_find(b->directory, m->entry_id);
+
+	return current && current != e &&
+	       store_revision_compare(e->revision, current->revision) < 0;
+}
+
 /* A new target at a known address resets the flows of the previous one and
  * discards its load report. */
 void relay_member_update(relay_balancer_t *b, const target_entry_t *e)
@@ -98,12 +110,14 @@
 
 	event_log(EVENT_TARGET,
 		  "\"target\":\"%s\",\"service\":\"%s\",\"agent\":\"%s\","
-		  "\"state\":\"%s\",\"revision\":%llu,\"slots\":%u",
+		  "\"state\":\"%s\",\"era\":%llu,\"revision\":%llu,"
+		  "\"slots\":%u",
 		  e->id, e->service, ipv4_format(e->address.ip, text),
-		  entry_state_name(e->state), (unsigned long long)e->revision,
-		  e->slots);
-	if (m && !same && e->revision < m->revision)
-		return; /* entry of a previous target at this address */
+		  entry_state_name(e->state),
+		  (unsigned long long)e->revision.era,
+		  (unsigned long long)e->revision.number, e->slots);
+	if (m && is_previous_target(b, m, e))
+		return;
 	if (e->state == ENTRY_GONE) {
 		if (same && m->state != ENTRY_GONE) {
 			m->state = ENTRY_GONE;
@@ -126,7 +140,6 @@
 		m->avoided_until_ms = 0;
 	}
 	g_strlcpy(m->entry_id, e->id, sizeof(m->entry_id));
-	m->revision = e->revision;
 	m->service = g_intern_string(e->service);
 	m->started_ms = e->started_ms;
 	m->state = e->state;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -266,7 +266,7 @@
  */
 static void refuse_open(relay_balancer_t *b, relay_flow_t *f)
 {
-	if (f->offer_unanswered)
+	if (f->offer_unanswered && relay_mechanism_on(RELAY_TRUE_REFUSAL))
 		return;
 	counter_add(&b->counters, COUNTER_OPENS_REFUSED, 1);
 	relay_flow_reset(b, f, refusal_reason(b, f));
@@ -321,7 +321,8 @@
 
 	if (!f)
 		return;
-	if (f->phase == PHASE_KNOWN && f->agent && f->agent != from)
+	if (f->phase == PHASE_KNOWN && f->agent && f->agent != from &&
+	    relay_mechanism_on(RELAY_HOLDER_PRECEDENCE))
 		return; /* a second server took the open: the first counts as
 			 * the holder until it returns a packet */
 	if (f->first_offer_ms)
--- a/src/relay_main.c
+++ b/src/relay_main.c
@@ -5,6 +5,7 @@
  * runs both keeps one copy of the code in memory.
  */
 
+#include "relay_mechanism.h"
 #include "relay_process.h"
 #include "version.h"
 #include <stdio.h>
@@ -57,6 +58,7 @@
 	const relay_daemon_t *daemon;
 	const char *file;
 
+	relay_mechanisms_read_environment();
 	if (argc == 2 && !strcmp(argv[1], "--version")) {
 		printf("cherviltray-relay %s\n", CHERVILTRAY_VERSION);
 		return 0;
--- /dev/null
+++ b/src/relay_mechanism.h
@@ -0,0 +1,62 @@
+#ifndef RELAY_MECHANISM_H
+#define RELAY_MECHANISM_H
+
+/*
+ * relay_mechanism - mechanisms of the relay daemons that test builds can
+ * disable
+ *
+ * A build with TEST_BUILD has a switch for each: tests show that a promise
+ * breaks without it, and the soak runs processes without it. In other builds
+ * all mechanisms are enabled and the switches cost nothing.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum relay_mechanism {
+	RELAY_ERA_ORDER,      /* a restored store is listed anew */
+	RELAY_REVISION_ORDER, /* an older entry replaces no newer one */
+	RELAY_SERVICE_TAG,    /* agents return packets of other services */
+	RELAY_OUTAGE_GRACE,   /* entries lapsed in an outage stay a while */
+	RELAY_STOP_REFUSAL,   /* a stopping agent takes no opens */
+	RELAY_PEER_RESYNC,    /* entries that a peer does not list are gone */
+	RELAY_HISTORY_RESYNC, /* lost history is followed by a listing */
+	RELAY_TRUE_REFUSAL,   /* no reset for an open that may have run */
+	RELAY_HOLDER_PRECEDENCE, /* the first server that took an open counts */
+	RELAY_TOO_FAST,		 /* answers that come too fast are failures */
+	RELAY_COLD_TARGETS,	 /* targets are slow during their warm-up */
+	RELAY_ZONE_PREFERENCE,	 /* opens stay in the availability zone */
+	RELAY_PRIORITY,		 /* routes of low priority are refused first */
+	RELAY_PEERS_FIRST,	 /* a start asks peers before the store */
+	RELAY_MECHANISMS,	 /* number of mechanisms */
+} relay_mechanism_t;
+
+#ifdef TEST_BUILD
+
+/* Bit mask of disabled mechanisms, 1 << RELAY_*. */
+extern uint32_t relay_mechanisms_off;
+
+/* Sets the mask from the environment variable RELAY_MECHANISMS_OFF, a decimal
+ * number, if it is set. */
+void relay_mechanisms_read_environment(void);
+
+static inline bool relay_mechanism_on(relay_mechanism_t m)
+{
+	return !(relay_mechanisms_off >> m & 1);
+}
+
+#else
+
+static inline void relay_mechanisms_read_environment(void)
+{
+}
+
+static inline bool relay_mechanism_on(relay_mechanism_t m)
+{
+	(void)m;
+	return true;
+}
+
+#endif
+
+#endif
--- a/src/relay_peers.c
+++ b/src/relay_peers.c
@@ -10,42 +10,74 @@
 	size_t n;
 	size_t next; /* position of the peer for the current or next request */
 	http_client_t *http;
+	bool starting; /* see relay_peers_ops.started */
+	size_t asked;  /* requests since the start */
 	relay_peers_ops_t ops;
 	void *ctx;
 };
 
+static void send_request(relay_peers_t *p);
+
+static void end_start(relay_peers_t *p)
+{
+	if (!p->starting)
+		return;
+	p->starting = false;
+	p->ops.started(p->ctx);
+}
+
 static void on_answer(void *ctx, const http_response_t *answer)
 {
 	relay_peers_t *p = ctx;
 	char text[ENDPOINT_TEXT_SIZE];
 	bool used = answer->status == 200 &&
 		    p->ops.apply_state(p->ctx, answer->body, answer->len);
+	store_revision_t revision = p->ops.revision(p->ctx);
 
-	if (used)
+	if (used) {
 		event_log(EVENT_STORE,
 			  "\"state\":\"read from peer\",\"peer\":\"%s\","
-			  "\"revision\":%llu",
+			  "\"era\":%llu,\"revision\":%llu",
 			  endpoint_format(&p->peers[p->next], text),
-			  (unsigned long long)p->ops.revision(p->ctx));
+			  (unsigned long long)revision.era,
+			  (unsigned long long)revision.number);
+		end_start(p);
+		return;
+	}
 	/* Without a newer state here, another peer may still have one. */
-	if (!used)
-		p->next = (p->next + 1) % p->n;
+	p->next = (p->next + 1) % p->n;
+	if (p->starting && p->asked < p->n)
+		send_request(p);
+	else
+		end_start(p);
 }
 
-static void on_timer(uv_timer_t *timer)
+static void send_request(relay_peers_t *p)
 {
-	relay_peers_t *p = timer->data;
-	char path[64];
+	store_revision_t known = p->ops.revision(p->ctx);
+	char path[96];
 
-	if (!p->ops.needed(p->ctx) || (p->http && http_client_busy(p->http)))
-		return;
 	http_client_free(p->http);
 	p->http = http_client_new(p->loop, &p->peers[p->next]);
 	if (!p->http)
 		return;
-	g_snprintf(path, sizeof(path), RELAY_STATE_PATH "%llu",
-		   (unsigned long long)p->ops.revision(p->ctx));
-	http_client_get(p->http, path, PEERS_TIMEOUT_MS, on_answer, p);
+	p->asked++;
+	g_snprintf(path, sizeof(path), RELAY_STATE_FORMAT,
+		   (unsigned long long)known.number,
+		   (unsigned long long)known.era);
+	http_client_get(p->http, path,
+			p->starting ? PEERS_START_TIMEOUT_MS : PEERS_TIMEOUT_MS,
+			on_answer, p);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	relay_peers_t *p = timer->data;
+
+	end_start(p);
+	if (!p->ops.needed(p->ctx) || (p->http && http_client_busy(p->http)))
+		return;
+	send_request(p);
 }
 
 relay_peers_t *relay_peers_new(uv_loop_t *loop, const relay_settings_t *s,
@@ -68,11 +100,16 @@
 	p->next = (size_t)g_random_int_range(0, (gint32)p->n);
 	uv_timer_init(loop, &p->timer);
 	p->timer.data = p;
-	uv_timer_start(&p->timer, on_timer, PEERS_INTERVAL_MS / 2,
-		       PEERS_INTERVAL_MS);
+	uv_timer_start(&p->timer, on_timer, PEERS_START_MS, PEERS_INTERVAL_MS);
 	return p;
 }
 
+void relay_peers_start(relay_peers_t *p)
+{
+	p->starting = true;
+	send_request(p);
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	free(handle->data);
--- a/src/relay_peers.h
+++ b/src/relay_peers.h
@@ -2,15 +2,18 @@
 #define RELAY_PEERS_H
 
 /*
- * relay_peers - routes and targets from peers while the store is unreachable
+ * relay_peers - routes and targets from peers
  *
  * Requests the state (relay_state.h) from the other balancers named in the
- * settings, one after the other, over HTTP. While the store answers, no
- * requests are sent.
+ * settings, one after the other, over HTTP: once at the start, before the store
+ * is read, and while the store is unreachable. A process that has just started
+ * remembers nothing; a peer may know newer routes than a store that was
+ * restored from a copy, and saves the store the reading of all its items.
  */
 
 #include "http_client.h"
 #include "relay_settings.h"
+#include "store_revision.h"
 
 /* Interval between requests. After a request without a newer state, the next
  * peer is asked. */
@@ -18,6 +21,11 @@
 /* Time-out of a request. Peers, also in other availability zones, answer within
  * some ms. */
 #define PEERS_TIMEOUT_MS 400
+/* Time-out of a request at the start, and the longest time until the start ends
+ * although peers have not answered. Hosts that run answer or refuse the
+ * connection within milliseconds. */
+#define PEERS_START_TIMEOUT_MS 100
+#define PEERS_START_MS	       200
 
 typedef struct relay_peers relay_peers_t;
 
@@ -27,7 +35,9 @@
 	/* True while requests are to be sent. */
 	bool (*needed)(void *ctx);
 	/* Highest revision of the store that is known. */
-	uint64_t (*revision)(void *ctx);
+	store_revision_t (*revision)(void *ctx);
+	/* Called once: a peer's state was applied, or no peer has one. */
+	void (*started)(void *ctx);
 } relay_peers_ops_t;
 
 /* Returns NULL when out of memory or when the settings name no other balancer.
@@ -35,11 +45,18 @@
 relay_peers_t *relay_peers_new(uv_loop_t *loop, const relay_settings_t *s,
 			       const relay_peers_ops_t *ops, void *ctx);
 
+/* Requests the state of each peer until one has one, then calls started(). */
+void relay_peers_start(relay_peers_t *p);
+
 /* The memory is freed on the next run of the loop. */
 void relay_peers_free(relay_peers_t *p);
 
-/* Path of the state at a peer; the highest known revision of the store is
- * appended. A peer that knows no higher one answers with 204. */
-#define RELAY_STATE_PATH "/state?after="
+/*
+ * Path of the state at a peer, for printf(): the number and the era of the
+ * highest known revision of the store. A peer that knows no higher one answers
+ * with 204.
+ */
+#define RELAY_STATE_PREFIX "/state?"
+#define RELAY_STATE_FORMAT RELAY_STATE_PREFIX "after=%llu&era=%llu"
 
 #endif
--- a/src/relay_settings.c
+++ b/src/relay_settings.c
@@ -10,6 +10,8 @@
 #define SILENCE_DEFAULT_MS 4000
 /* Default of apply_ms. */
 #define APPLY_DEFAULT_MS 3000
+/* Default of heartbeat_ms. */
+#define HEARTBEAT_DEFAULT_MS 1000
 
 int relay_settings_load(const char *file, relay_role_t role,
 			relay_settings_t *out, err_t *err)
@@ -22,6 +24,7 @@
 	memset(out, 0, sizeof(*out));
 	out->silence_ms = SILENCE_DEFAULT_MS;
 	out->apply_ms = APPLY_DEFAULT_MS;
+	out->heartbeat_ms = HEARTBEAT_DEFAULT_MS;
 	out->memory_mb = MEMORY_DEFAULT_MB;
 	if (!g_file_get_contents(file, &text, &len, &gerr)) {
 		err_set(err, ERR_IO, file, 0,
@@ -43,6 +46,7 @@
 	       a->internal_port == b->internal_port &&
 	       a->metrics_port == b->metrics_port &&
 	       a->silence_ms == b->silence_ms && a->apply_ms == b->apply_ms &&
+	       a->heartbeat_ms == b->heartbeat_ms &&
 	       a->memory_mb == b->memory_mb &&
 	       endpoint_equal(&a->packets, &b->packets) &&
 	       endpoint_equal(&a->ready, &b->ready) &&
--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -1,5 +1,6 @@
 #include "relay_state.h"
 #include "relay.pb-c.h"
+#include "relay_mechanism.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -49,7 +50,7 @@
 	g_ptr_array_add(parts->list, m);
 }
 
-static void add_target(parts_t *parts, const target_entry_t *e)
+static void add_target(parts_t *parts, uint64_t now, const target_entry_t *e)
 {
 	target_msg_t *m = new_part(parts, sizeof(*m));
 
@@ -62,11 +63,18 @@
 	m->slots = e->slots;
 	m->born_ms = e->started_ms;
 	m->state = e->state;
-	m->revision = e->revision;
+	m->revision = e->revision.number;
+	m->era = e->revision.era;
+	m->write_number = e->write_number;
+	if (e->missing_since_ms)
+		m->missing_ms = (uint32_t)(now - e->missing_since_ms) + 1;
+	else if (e->state == ENTRY_GONE)
+		m->missing_ms = (uint32_t)(now - e->state_since_ms) + 1;
 	g_ptr_array_add(parts->list, m);
 }
 
-void relay_state_pack(relay_balancer_t *b, uint64_t revision, GString *out)
+void relay_state_pack(relay_balancer_t *b, uint64_t now,
+		      store_revision_t revision, GString *out)
 {
 	GPtrArray *owned = g_ptr_array_new_with_free_func(g_free);
 	parts_t routes = { g_ptr_array_new(), owned };
@@ -82,13 +90,11 @@
 	}
 	list_each(node, directory_entries(relay_balancer_directory(b)))
 	{
-		const target_entry_t *e =
-			list_entry(node, target_entry_t, node);
-
-		if (e->state != ENTRY_GONE)
-			add_target(&targets, e);
+		add_target(&targets, now,
+			   list_entry(node, target_entry_t, node));
 	}
-	state.revision = revision;
+	state.revision = revision.number;
+	state.era = revision.era;
 	state.routes = (route_msg_t **)routes.list->pdata;
 	state.n_routes = routes.list->len;
 	state.targets = (target_msg_t **)targets.list->pdata;
@@ -143,36 +149,41 @@
 	target_entry_t e = { .address = { m->ip, (uint16_t)m->port },
 			     .slots = m->slots,
 			     .started_ms = m->born_ms,
-			     .revision = m->revision };
+			     .write_number = m->write_number,
+			     .revision = { m->era, m->revision } };
 
-	if (m->state != ENTRY_READY && m->state != ENTRY_DRAINING)
+	if (m->state > ENTRY_GONE)
 		return;
 	e.state = (entry_state_t)m->state;
 	g_strlcpy(e.id, m->id, sizeof(e.id));
 	g_strlcpy(e.service, m->service, sizeof(e.service));
 	g_strlcpy(e.zone, m->zone, sizeof(e.zone));
 	directory_put(d, now, &e);
+	if (m->missing_ms)
+		directory_set_missing(d, now, e.id, m->missing_ms);
 }
 
-uint64_t relay_state_apply(relay_balancer_t *b, uint64_t now, const char *bytes,
-			   size_t len)
+store_revision_t relay_state_apply(relay_balancer_t *b, uint64_t now,
+				   const char *bytes, size_t len)
 {
 	directory_t *d = relay_balancer_directory(b);
 	state_msg_t *state = NULL;
-	uint64_t revision = 0;
+	store_revision_t revision = { 0 };
 
 	if (len <= RELAY_STATE_MAX)
 		state = ct__relay__state__unpack(NULL, len,
 						 (const uint8_t *)bytes);
 	if (!state)
-		return 0;
+		return revision;
 	if (state->version && state->revision) {
 		read_routes(b, state);
 		directory_resync_begin(d);
 		for (size_t i = 0; i < state->n_targets; i++)
 			read_target(d, now, state->targets[i]);
-		directory_resync_end(d, now, state->revision);
-		revision = state->revision;
+		revision.era = state->era;
+		revision.number = state->revision;
+		if (relay_mechanism_on(RELAY_PEER_RESYNC))
+			directory_resync_end(d, now, revision);
 	}
 	ct__relay__state__free_unpacked(state, NULL);
 	return revision;
--- a/src/toml_reader.cc
+++ b/src/toml_reader.cc
@@ -541,11 +541,11 @@
 	char text[NAME_BYTES];
 	int64_t n = 0;
 
-	r.check_keys(root,
-		     { "name", "zone", "address", "packets", "ready",
-		       "internal_port", "metrics_port", "platform", "service",
-		       "server", "server_out", "first_start", "memory_mb",
-		       "silence_ms", "apply_ms", "control", "peers" });
+	r.check_keys(root, { "name", "zone", "address", "packets", "ready",
+			     "internal_port", "metrics_port", "platform",
+			     "service", "server", "server_out", "first_start",
+			     "memory_mb", "silence_ms", "apply_ms",
+			     "heartbeat_ms", "control", "peers" });
 	r.string(root, "name", true, out->name, sizeof(out->name));
 	r.string(root, "zone", true, out->zone, sizeof(out->zone));
 	r.string(root, "address", true, text, sizeof(text));
@@ -566,6 +566,9 @@
 	n = out->apply_ms;
 	r.integer(root, "apply_ms", false, 200, 600000, &n);
 	out->apply_ms = (uint32_t)n;
+	n = out->heartbeat_ms;
+	r.integer(root, "heartbeat_ms", false, 50, 60000, &n);
+	out->heartbeat_ms = (uint32_t)n;
 	n = out->memory_mb;
 	r.integer(root, "memory_mb", false, 1, 1 << 20, &n);
 	out->memory_mb = (uint32_t)n;
--- a/src/watcher.c
+++ b/src/watcher.c
@@ -1,6 +1,7 @@
 #include "watcher.h"
 #include "event_log.h"
 #include "http_client.h"
+#include "relay_mechanism.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,17 +13,20 @@
 	watcher_ops_t ops;
 	void *ctx;
 	counters_t *counters;
-	bool synced;   /* see watcher_synced() */
-	bool watching; /* the current request is a watch */
-	bool listing;  /* pages are being read */
+	bool synced;	/* see watcher_synced() */
+	bool must_list; /* a watch from `revision` would miss changes */
+	bool watching;	/* the current request is a watch */
+	bool listing;	/* pages are being read */
 	bool reachable;
-	uint64_t revision;	/* the watch reports changes after it */
-	uint64_t list_revision; /* revision of the first page */
+	uint64_t era;		   /* highest that the store has published */
+	store_revision_t revision; /* the watch reports changes after it */
+	store_revision_t list_revision; /* revision of the first page */
 	char last_key[256];
 	unsigned wait_ms; /* time that the store may hold a watch */
 	uint64_t batch_ms;
 	uint64_t backoff_ms;
-	uint64_t last_sent_ms;
+	uint64_t sent_ms;	 /* last request */
+	uint64_t sent_wait_ms;	 /* time that the store may hold it */
 	uint64_t last_answer_ms; /* last valid answer */
 };
 
@@ -35,10 +39,11 @@
 		return;
 	w->reachable = yes;
 	event_log(EVENT_STORE,
-		  "\"state\":\"%s\",\"why\":\"%s\",\"revision\":%llu,"
-		  "\"age_ms\":%llu",
+		  "\"state\":\"%s\",\"why\":\"%s\",\"era\":%llu,"
+		  "\"revision\":%llu,\"age_ms\":%llu",
 		  yes ? "reachable" : "unreachable", reason,
-		  (unsigned long long)w->revision,
+		  (unsigned long long)w->era,
+		  (unsigned long long)w->revision.number,
 		  (unsigned long long)(uv_now(w->loop) - w->last_answer_ms));
 }
 
@@ -52,7 +57,7 @@
 	w->backoff_ms = w->backoff_ms ? w->backoff_ms * 2 : WATCHER_BACKOFF_MS;
 	if (w->backoff_ms > WATCHER_BACKOFF_MAX_MS)
 		w->backoff_ms = WATCHER_BACKOFF_MAX_MS;
-	if (!w->revision)
+	if (store_revision_none(w->revision))
 		w->backoff_ms = WATCHER_BACKOFF_MS;
 	uv_timer_start(&w->timer, on_timer,
 		       w->backoff_ms / 2 + (uint64_t)g_random_int_range(
@@ -67,21 +72,27 @@
 
 	if (http_client_busy(w->http))
 		return;
-	w->watching = w->synced && !w->listing;
+	w->sent_wait_ms = 0;
+	w->watching = !w->must_list;
 	if (w->watching) {
-		path = w->ops.watch_path(w->ctx, w->revision, w->wait_ms);
-		timeout = w->wait_ms + WATCHER_ANSWER_MARGIN_MS;
+		/* After an interruption the answer is wanted at once: the store
+		 * may have been restored meanwhile. */
+		unsigned wait_ms = w->reachable ? w->wait_ms : 0;
+
+		path = w->ops.watch_path(w->ctx, w->revision.number, wait_ms);
+		timeout = wait_ms + WATCHER_ANSWER_MARGIN_MS;
+		w->sent_wait_ms = wait_ms;
 	} else {
 		if (!w->listing) {
 			w->listing = true;
-			w->list_revision = 0;
+			w->list_revision = (store_revision_t){ 0 };
 			w->last_key[0] = '\0';
 			w->ops.resync_begin(w->ctx);
 		}
 		path = w->ops.page_path(w->ctx,
 					w->last_key[0] ? w->last_key : NULL);
 	}
-	w->last_sent_ms = uv_now(w->loop);
+	w->sent_ms = uv_now(w->loop);
 	counter_add(w->counters, COUNTER_PLATFORM_CALLS, 1);
 	http_client_get(w->http, path, timeout, on_answer, w);
 	g_free(path);
@@ -92,19 +103,21 @@
  * are seen. */
 static void page_received(watcher_t *w, const watcher_page_t *page)
 {
-	if (!w->list_revision)
+	if (store_revision_none(w->list_revision))
 		w->list_revision = page->revision;
 	if (page->has_more && page->nitems) {
 		g_strlcpy(w->last_key, page->last_key, sizeof(w->last_key));
 		return;
 	}
-	w->listing = false;
+	w->listing = w->must_list = false;
 	w->synced = true;
 	w->revision = w->list_revision;
 	w->ops.resync_end(w->ctx, w->list_revision);
 	event_log(EVENT_STORE,
-		  "\"state\":\"resync complete\",\"revision\":%llu",
-		  (unsigned long long)w->revision);
+		  "\"state\":\"resync complete\",\"era\":%llu,"
+		  "\"revision\":%llu",
+		  (unsigned long long)w->revision.era,
+		  (unsigned long long)w->revision.number);
 }
 
 static void request_failed(watcher_t *w, const char *reason)
@@ -115,6 +128,63 @@
 	schedule_retry(w);
 }
 
+/* Begins a listing in place of what was requested last. */
+static void list_again(watcher_t *w)
+{
+	w->listing = false;
+	w->must_list = true;
+	send_request(w);
+}
+
+/* Checks the era of an answer. Returns false when the answer must not be
+ * applied; the next request has then been sent or scheduled. */
+static bool check_era(watcher_t *w, const http_response_t *answer)
+{
+	bool first = store_revision_none(w->revision) && !w->era &&
+		     store_revision_none(w->list_revision);
+	char reason[80];
+	uint64_t era;
+	err_t err;
+
+	if (w->ops.read_era(w->ctx, answer, &era, &err) < 0) {
+		request_failed(w, err.what);
+		return false;
+	}
+	if (era == w->era)
+		return true;
+	if (era < w->era) {
+		snprintf(reason, sizeof(reason),
+			 "store answers from era %llu, known is %llu",
+			 (unsigned long long)era, (unsigned long long)w->era);
+		request_failed(w, reason);
+		return false;
+	}
+	w->era = era;
+	if (first)
+		return true;
+	counter_add(w->counters, COUNTER_STORE_RESTORED, 1);
+	event_log(EVENT_STORE,
+		  "\"state\":\"restored from a copy\",\"era\":%llu,"
+		  "\"before\":%llu,\"revision\":%llu",
+		  (unsigned long long)era, (unsigned long long)w->revision.era,
+		  (unsigned long long)w->revision.number);
+	list_again(w);
+	return false;
+}
+
+/*
+ * True for an answer to a watch that cannot be that of the last request: the
+ * store sent an earlier answer twice. It is behind what is known, or has no
+ * changes although the store was to wait for some.
+ */
+static bool is_stale(const watcher_t *w, const watcher_page_t *page)
+{
+	return w->watching &&
+	       (store_revision_compare(page->revision, w->revision) < 0 ||
+		(!page->nitems &&
+		 uv_now(w->loop) < w->sent_ms + w->sent_wait_ms / 2));
+}
+
 static void on_answer(void *ctx, const http_response_t *answer)
 {
 	watcher_t *w = ctx;
@@ -127,35 +197,48 @@
 		request_failed(w, answer->error);
 		return;
 	}
-	result = w->ops.apply(w->ctx, answer->status, answer->body, answer->len,
-			      w->watching, &page, &err);
+	if (relay_mechanism_on(RELAY_ERA_ORDER) && answer->status == 200 &&
+	    !check_era(w, answer))
+		return;
+	page.revision.era = w->era;
+	if (w->listing)
+		g_strlcpy(page.last_key, w->last_key, sizeof(page.last_key));
+	result = w->ops.apply(w->ctx, answer, w->watching, &page, &err);
 	switch (result) {
 	case WATCHER_OK:
 		break;
 	case WATCHER_COMPACTED:
+		if (!relay_mechanism_on(RELAY_HISTORY_RESYNC)) {
+			request_failed(w, "history compacted");
+			return;
+		}
 		event_log(EVENT_STORE,
 			  "\"state\":\"history compacted\",\"revision\":%llu",
-			  (unsigned long long)w->revision);
-		w->synced = w->listing = false;
-		send_request(w);
+			  (unsigned long long)w->revision.number);
+		list_again(w);
 		return;
 	case WATCHER_RETRY:
 		snprintf(reason, sizeof(reason), "status %d", answer->status);
 		request_failed(w, reason);
 		return;
 	case WATCHER_MALFORMED:
+		http_client_disconnect(w->http);
 		request_failed(w, err.what);
 		return;
 	}
+	if (is_stale(w, &page)) {
+		http_client_disconnect(w->http);
+		request_failed(w, "answer belongs to an earlier request");
+		return;
+	}
 	w->backoff_ms = 0;
 	set_reachable(w, true, "answered");
 	w->last_answer_ms = uv_now(w->loop);
 	w->ops.reachable(w->ctx, true);
-	if (w->watching)
-		w->revision = page.revision > w->revision ? page.revision
-							  : w->revision;
-	else
+	if (!w->watching)
 		page_received(w, &page);
+	else if (store_revision_compare(page.revision, w->revision) > 0)
+		w->revision = page.revision;
 	if (w->watching && page.nitems)
 		uv_timer_start(&w->timer, on_timer, w->batch_ms, 0);
 	else
@@ -164,8 +247,8 @@
 
 watcher_t *watcher_new(uv_loop_t *loop, const endpoint_t *store,
 		       uint32_t silence_ms, uint32_t apply_ms,
-		       const watcher_ops_t *ops, void *ctx,
-		       counters_t *counters)
+		       store_revision_t known, const watcher_ops_t *ops,
+		       void *ctx, counters_t *counters)
 {
 	watcher_t *w = calloc(1, sizeof(*w));
 
@@ -180,6 +263,9 @@
 	w->ops = *ops;
 	w->ctx = ctx;
 	w->counters = counters;
+	w->era = known.era;
+	w->revision = known;
+	w->must_list = store_revision_none(known);
 	w->batch_ms = apply_ms / WATCHER_BATCH_DIVISOR;
 	w->wait_ms = WATCHER_WAIT_MIN_MS;
 	if (silence_ms > WATCHER_WAIT_MIN_MS + WATCHER_ANSWER_MARGIN_MS +
@@ -216,7 +302,7 @@
 	return w->reachable;
 }
 
-uint64_t watcher_revision(const watcher_t *w)
+store_revision_t watcher_revision(const watcher_t *w)
 {
 	return w->revision;
 }
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -58,7 +58,8 @@
 	relay_balancer_options_t options = { .self = RIG_BALANCER_ADDRESS,
 					     .zone = RIG_ZONE,
 					     .format = &fleet_packet_format,
-					     .max_flows = 1000 };
+					     .max_flows = 1000,
+					     .target_expiry_ms = 3000 };
 	relay_rig_t *r = rr_new();
 
 	r->balancer = relay_balancer_new(&options, &ops, r);
@@ -113,7 +114,8 @@
 			     .address = { host, 8080 },
 			     .slots = 2,
 			     .state = state,
-			     .revision = revision };
+			     .write_number = revision,
+			     .revision = { .number = revision } };
 
 	snprintf(e.id, sizeof(e.id), "%s", id);
 	directory_put(relay_balancer_directory(r->balancer), r->now, &e);
@@ -122,7 +124,7 @@
 void rr_entry_gone(relay_rig_t *r, const char *id, uint64_t revision)
 {
 	directory_remove(relay_balancer_directory(r->balancer), r->now, id,
-			 revision);
+			 (store_revision_t){ .number = revision });
 }
 
 void rr_advance(relay_rig_t *r, uint64_t ms)
--- a/test/relay_sim.c
+++ b/test/relay_sim.c
@@ -222,7 +222,7 @@
 			     .address = { AGENT_IP + target, 80 },
 			     .slots = sim->opts.slots,
 			     .state = state,
-			     .revision = ++sim->revision };
+			     .revision = { .number = ++sim->revision } };
 
 	g_snprintf(e.id, sizeof(e.id), "t%u-%u", target, s->epoch);
 	g_strlcpy(e.zone, zone_name(sim, target), sizeof(e.zone));
--- a/test/store_stand_in.c
+++ b/test/store_stand_in.c
@@ -1,4 +1,5 @@
 #include "store_stand_in.h"
+#include <arpa/inet.h>
 #include "list.h"
 #include <glib.h>
 #include <http_parser.h>
@@ -7,6 +8,8 @@
 
 #define PAGE_SIZE_DEFAULT 50
 #define READ_BUF_SIZE	  4096
+/* Time after which a response is sent again, in ms. */
+#define REPEAT_MS 5
 
 typedef struct item {
 	char *key;
@@ -18,6 +21,10 @@
 	uv_tcp_t tcp;
 	uv_loop_t *loop;
 	GPtrArray *items; /* item_t, sorted by key, deleted ones included */
+	GPtrArray *copy;  /* item_t; NULL: none */
+	uint64_t copy_revision;
+	uint64_t era;
+	char *era_text; /* value of the header; NULL: no header */
 	uint64_t revision;
 	uint64_t compacted_revision; /* older watches get 410 */
 	store_fault_t fault;
@@ -29,6 +36,8 @@
 typedef struct connection {
 	uv_tcp_t tcp;
 	uv_timer_t watch_timer; /* ends a watch without changes */
+	uv_timer_t repeat_timer;
+	char *repeat; /* response to send again; NULL: none */
 	int open_handles;
 	fake_store_t *store;
 	http_parser parser;
@@ -60,8 +69,10 @@
 {
 	connection_t *c = handle->data;
 
-	if (--c->open_handles == 0)
-		free(c);
+	if (--c->open_handles)
+		return;
+	g_free(c->repeat);
+	free(c);
 }
 
 static void close_connection(connection_t *c, bool reset)
@@ -75,6 +86,7 @@
 	else
 		uv_close((uv_handle_t *)&c->tcp, on_closed);
 	uv_close((uv_handle_t *)&c->watch_timer, on_closed);
+	uv_close((uv_handle_t *)&c->repeat_timer, on_closed);
 }
 
 static void on_written(uv_write_t *write, int status)
@@ -88,17 +100,43 @@
 	free(a);
 }
 
+static void on_repeat(uv_timer_t *timer)
+{
+	connection_t *c = timer->data;
+	response_t *a = calloc(1, sizeof(*a));
+	uv_buf_t buf;
+
+	if (!a)
+		abort();
+	a->write.data = a;
+	a->text = c->repeat;
+	c->repeat = NULL;
+	buf = uv_buf_init(a->text, (unsigned)strlen(a->text));
+	uv_write(&a->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written);
+}
+
+static void repeat_later(connection_t *c, const char *text)
+{
+	c->repeat = g_strdup(text);
+	uv_timer_start(&c->repeat_timer, on_repeat, REPEAT_MS, 0);
+}
+
 static void send_response(connection_t *c, int status, const char *body)
 {
 	response_t *a = calloc(1, sizeof(*a));
+	g_autofree char *era = NULL;
 	uv_buf_t buf;
 
 	if (!a)
 		abort();
 	a->write.data = a;
-	a->text = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
+	if (c->store->era_text)
+		era = g_strdup_printf("STORE-Era: %s\r\n", c->store->era_text);
+	a->text = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n%s"
 				  "Content-Type: application/json\r\n\r\n%s",
-				  status, strlen(body), body);
+				  status, strlen(body), era ? era : "", body);
+	if (c->store->fault == STORE_TWICE && !c->repeat)
+		repeat_later(c, a->text);
 	buf = uv_buf_init(a->text, (unsigned)strlen(a->text));
 	if (c->store->fault == STORE_TRUNCATED) {
 		buf.len /= 2;
@@ -135,7 +173,8 @@
 	g_autoptr(GString) out = g_string_new("{\"events\":[");
 	unsigned n = 0;
 
-	if (c->watch_revision < c->store->compacted_revision) {
+	if (c->watch_revision < c->store->compacted_revision ||
+	    c->watch_revision > c->store->revision) {
 		c->watching = false;
 		send_response(c, 410, "{\"error\":\"gone\"}");
 		return;
@@ -308,7 +347,9 @@
 	uv_timer_init(s->loop, &c->watch_timer);
 	c->tcp.data = c;
 	c->watch_timer.data = c;
-	c->open_handles = 2;
+	uv_timer_init(s->loop, &c->repeat_timer);
+	c->repeat_timer.data = c;
+	c->open_handles = 3;
 	c->store = s;
 	list_append(&s->connections, &c->node);
 	uv_accept(stream, (uv_stream_t *)&c->tcp);
@@ -317,9 +358,10 @@
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
-fake_store_t *fake_store_open(uv_loop_t *loop, const endpoint_t *at)
+fake_store_t *fake_store_open(uv_loop_t *loop, endpoint_t *at)
 {
 	struct sockaddr_in sa = endpoint_sockaddr(at);
+	int len = sizeof(sa);
 	fake_store_t *s = calloc(1, sizeof(*s));
 
 	if (!s)
@@ -328,12 +370,16 @@
 	s->items = g_ptr_array_new_with_free_func(free_item);
 	s->page_size = PAGE_SIZE_DEFAULT;
 	s->revision = 1;
+	s->era = 1;
+	s->era_text = g_strdup("1");
 	list_init(&s->connections);
 	uv_tcp_init(loop, &s->tcp);
 	s->tcp.data = s;
 	if (uv_tcp_bind(&s->tcp, (struct sockaddr *)&sa, 0) < 0 ||
-	    uv_listen((uv_stream_t *)&s->tcp, 8, on_connection) < 0)
+	    uv_listen((uv_stream_t *)&s->tcp, 8, on_connection) < 0 ||
+	    uv_tcp_getsockname(&s->tcp, (struct sockaddr *)&sa, &len) < 0)
 		abort();
+	at->port = ntohs(sa.sin_port);
 	return s;
 }
 
@@ -342,6 +388,9 @@
 	fake_store_t *s = handle->data;
 
 	g_ptr_array_free(s->items, TRUE);
+	if (s->copy)
+		g_ptr_array_free(s->copy, TRUE);
+	g_free(s->era_text);
 	free(s);
 }
 
@@ -383,7 +432,8 @@
 	{
 		connection_t *c = list_entry(node, connection_t, node);
 
-		if (c->watching && !c->stalled && s->fault == STORE_OK)
+		if (c->watching && !c->stalled &&
+		    (s->fault == STORE_OK || s->fault == STORE_TWICE))
 			send_watch_response(c, false);
 	}
 }
@@ -398,6 +448,59 @@
 	set_item(s, key, NULL);
 }
 
+static gpointer copy_item(gconstpointer data, gpointer ctx)
+{
+	const item_t *item = data;
+	item_t *copy = g_new0(item_t, 1);
+
+	(void)ctx;
+	copy->key = g_strdup(item->key);
+	copy->value = g_strdup(item->value);
+	copy->revision = item->revision;
+	return copy;
+}
+
+static GPtrArray *copy_items(GPtrArray *items)
+{
+	GPtrArray *copy = g_ptr_array_copy(items, copy_item, NULL);
+
+	g_ptr_array_set_free_func(copy, free_item);
+	return copy;
+}
+
+void fake_store_copy(fake_store_t *s)
+{
+	if (s->copy)
+		g_ptr_array_free(s->copy, TRUE);
+	s->copy = copy_items(s->items);
+	s->copy_revision = s->revision;
+}
+
+void fake_store_restore(fake_store_t *s, bool cut)
+{
+	g_ptr_array_free(s->items, TRUE);
+	s->items = copy_items(s->copy);
+	s->revision = s->copy_revision;
+	s->era++;
+	g_free(s->era_text);
+	s->era_text = g_strdup_printf("%llu", (unsigned long long)s->era);
+	list_each_safe(node, after, &s->connections)
+	{
+		connection_t *c = list_entry(node, connection_t, node);
+
+		if (cut)
+			close_connection(c, true);
+		else if (c->watching && !c->stalled && s->fault == STORE_OK)
+			send_watch_response(c, true);
+	}
+}
+
+void fake_store_set_era_text(fake_store_t *s, const char *text)
+{
+	g_free(s->era_text);
+	s->era_text = g_strdup(text);
+}
+
 void fake_store_compact(fake_store_t *s)
 {
 	s->compacted_revision = s->revision + 1;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -156,7 +156,9 @@
 				(char)random_byte();
 		table = fleet_read_routes(text, len, &err);
 		route_table_unref(table);
-		fleet_read_target("id", text, len, 1, &entry, &err);
+		fleet_read_target("id", text, len,
+				  (store_revision_t){ .number = 1 }, &entry,
+				  &err);
 	}
 }
 END_TEST
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -13,13 +13,15 @@
 {
 	GString *out = g_string_new(NULL);
 
-	relay_state_pack(r->balancer, revision, out);
+	relay_state_pack(r->balancer, r->now,
+			 (store_revision_t){ .number = revision }, out);
 	return out;
 }
 
 static uint64_t apply_state(const GString *state, relay_rig_t *to)
 {
-	return relay_state_apply(to->balancer, to->now, state->str, state->len);
+	return relay_state_apply(to->balancer, to->now, state->str, state->len)
+		.number;
 }
 
 static bool is_offered_to(relay_rig_t *r, unsigned flow, uint32_t agent)
@@ -71,6 +73,100 @@
 }
 END_TEST
 
+static GString *pack_state_of(relay_rig_t *r, store_revision_t revision)
+{
+	GString *out = g_string_new(NULL);
+
+	relay_state_pack(r->balancer, r->now, revision, out);
+	return out;
+}
+
+static void put_in_era(relay_rig_t *r, const char *id, uint32_t host,
+		       store_revision_t revision, uint64_t write_number,
+		       entry_state_t state)
+{
+	target_entry_t e = { .service = "feeds",
+			     .zone = "here",
+			     .address = { host, 8080 },
+			     .slots = 2,
+			     .write_number = write_number,
+			     .state = state,
+			     .revision = revision };
+
+	g_strlcpy(e.id, id, sizeof(e.id));
+	directory_put(relay_balancer_directory(r->balancer), r->now, &e);
+}
+
+/* The store was restored, and one of two balancers has read it since. The state
+ * of the later era is applied by the other, although its revisions are lower;
+ * that of the earlier era changes nothing. */
+START_TEST(peers_in_different_eras)
+{
+	relay_rig_t *earlier = rr_balancer(), *later = rr_balancer();
+	GString *old_state, *new_state;
+
+	rr_routes(earlier, 7);
+	put_in_era(earlier, "a", AGENT_A, (store_revision_t){ 1, 80 }, 3,
+		   ENTRY_READY);
+	put_in_era(earlier, "b", AGENT_B, (store_revision_t){ 1, 81 }, 3,
+		   ENTRY_READY);
+	rr_routes(later, 6);
+	put_in_era(later, "a", AGENT_A, (store_revision_t){ 2, 20 }, 9,
+		   ENTRY_DRAINING);
+	put_in_era(later, "b", AGENT_B, (store_revision_t){ 2, 21 }, 3,
+		   ENTRY_READY);
+	old_state = pack_state_of(earlier, (store_revision_t){ 1, 90 });
+	new_state = pack_state_of(later, (store_revision_t){ 2, 22 });
+	relay_state_apply(later->balancer, later->now, old_state->str,
+			  old_state->len);
+	relay_state_apply(earlier->balancer, earlier->now, new_state->str,
+			  new_state->len);
+	for (unsigned flow = 1; flow < 5; flow++) {
+		ck_assert(is_offered_to(earlier, flow, AGENT_B));
+		ck_assert(is_offered_to(later, flow, AGENT_B));
+	}
+	/* Routes are ordered by their own versions. */
+	ck_assert_uint_eq(relay_balancer_route_version(earlier->balancer), 7);
+	ck_assert_uint_eq(relay_balancer_route_version(later->balancer), 7);
+	g_string_free(old_state, TRUE);
+	g_string_free(new_state, TRUE);
+	rr_free(earlier);
+	rr_free(later);
+}
+END_TEST
+
+/* A balancer that starts gets the targets that have left, too: a copy of the
+ * store that lists them as ready doesn't bring them back. An entry that the
+ * store has dropped keeps its grace period. */
+START_TEST(state_has_missing_and_gone_targets)
+{
+	relay_rig_t *source = rr_balancer(), *fresh = rr_balancer();
+	directory_t *d;
+	GString *state;
+
+	rr_routes(source, 7);
+	rr_entry(source, "a", AGENT_A, 20, ENTRY_READY);
+	rr_entry(source, "b", AGENT_B, 21, ENTRY_READY);
+	rr_entry_gone(source, "a", 22);
+	directory_store_unreachable(relay_balancer_directory(source->balancer),
+				    source->now);
+	rr_entry_gone(source, "b", 23);
+	state = pack_state(source, 30);
+	apply_state(state, fresh);
+	d = relay_balancer_directory(fresh->balancer);
+	ck_assert_int_eq(directory_find(d, "a")->state, ENTRY_GONE);
+	ck_assert(is_offered_to(fresh, 1, AGENT_B));
+	put_in_era(fresh, "a", AGENT_A, (store_revision_t){ 1, 20 }, 20,
+		   ENTRY_READY);
+	ck_assert(!is_offered_to(fresh, 2, AGENT_A));
+	directory_tick(d, fresh->now + DIRECTORY_GRACE_MS);
+	ck_assert_int_eq(directory_find(d, "b")->state, ENTRY_GONE);
+	g_string_free(state, TRUE);
+	rr_free(source);
+	rr_free(fresh);
+}
+END_TEST
+
 /* The state of a peer without routes has no effect; random bytes are refused.
  */
 START_TEST(empty_or_invalid_state_is_refused)
@@ -103,6 +199,8 @@
 
 	tcase_add_test(tc, state_of_peer_is_applied);
 	tcase_add_test(tc, older_state_changes_nothing);
+	tcase_add_test(tc, peers_in_different_eras);
+	tcase_add_test(tc, state_has_missing_and_gone_targets);
 	tcase_add_test(tc, empty_or_invalid_state_is_refused);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
