--- a/test/soak.py
+++ b/test/soak.py
@@ -19,6 +19,8 @@
           "maps": ("198.18.0.2", 443, "download")}
 SERVICE_OF = {"feeds": "spots", "logs": "spots", "maps": "maps"}
 HEARTBEAT_S = 0.4
+# Copies of the store, one a heartbeat; it is restored from one of these.
+COPIES_MAX = 12
 # Limits that the platform specifies: seconds until a draining server gets no
 # more opens, seconds after a disturbance until a process must be in contact with
 # the others again, and missed heartbeats until the platform deletes a server.
@@ -26,6 +28,9 @@
 SLOTS, QUEUE, SERVICE_TIME_S = 2, 8, 0.012
 # Ratio of requests to be served from RECOVERY_S after the last fault.
 RECOVERY_S, MIN_SERVED_RATIO = 6.0, 0.95
+FAULTS = ["kill", "term", "term", "hup", "pause", "kill-many", "crash", "crash", "drain", "store", "compact", "restore",
+          "routes", "answers-late", "answers-twice", "answers-half", "answers-garbage",
+          "proxy-delay", "proxy-reset", "proxy-stall", "proxy-cut-to", "proxy-cut-from"]
 
 
 def ip(text):
@@ -36,16 +41,22 @@
     return time.monotonic()
 
 
-class Violation(Exception):
-    pass
-
-
 class Store:
     """Simulates the platform's store: paged reads and long-poll watches."""
 
     def __init__(self, soak):
-        self.soak, self.items, self.revision = soak, {}, 1
+        self.soak, self.items, self.revision, self.era = soak, {}, 1, 1
         self.compacted, self.changed, self.fault = 0, asyncio.Event(), None
+        self.answers, self.copies = "whole", []
+
+    def keep_copy(self):
+        self.copies = (self.copies + [(self.revision, dict(self.items))])[-COPIES_MAX:]
+
+    def restore(self, copy):
+        """Goes back to an older copy: revisions are given out again in the next era."""
+        self.revision, self.items = copy[0], dict(copy[1])
+        self.compacted = min(self.compacted, self.revision)
+        self.era, self.copies = self.era + 1, []
 
     def put(self, key, value):
         self.revision += 1
@@ -62,8 +73,17 @@
                 while (await reader.readline()).strip():
                     pass
                 status, body = await self.handle(line.split()[1].decode())
-                data = json.dumps(body).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data)) + data)
+                data = b"[garbage" if self.answers == "garbage" else json.dumps(body).encode()
+                answer = b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n" % (
+                    status, self.era, len(data)) + data
+                if self.answers == "late":
+                    await asyncio.sleep(random.uniform(0.2, 1.2))
+                if self.answers == "half":
+                    writer.write(answer[:len(answer) // 2])
+                    break
+                writer.write(answer)
+                if self.answers == "twice":
+                    asyncio.get_running_loop().call_later(0.02, writer.write, answer)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -81,7 +101,7 @@
                          "has_more": len(matching) > 5, "store_revision": self.revision}
         after, end = int(after), now() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.compacted:
+            if after < self.compacted or after > self.revision:
                 return 410, {}
             events = [self.item(k, v) for k, v in self.items.items() if v[0] > after]
             if events or now() >= end:
@@ -154,7 +174,7 @@
     def __init__(self, soak, kind, address, settings):
         self.soak, self.kind, self.address, self.settings = soak, kind, address, settings
         self.child, self.disturbed_at, self.stopping, self.starts = None, now(), False, 0
-        self.frozen = False
+        self.frozen, self.versions = False, {}
 
     def start(self):
         path = os.path.join(self.soak.dir, self.address + ".toml")
@@ -197,16 +217,19 @@
     def start(self):
         self.epoch += 1
         self.id = "t-%s-%d" % (self.agent.address, self.epoch)
-        self.flows, self.busy, self.waiting = {}, 0, []
+        self.flows, self.busy, self.writes = {}, 0, 0
+        self.born = int(time.time() * 1000)
         self.up, self.draining, self.drained = True, False, None
         self.disturbed_at = now()
         self.publish()
 
     def publish(self):
-        if not self.soak.store.fault:
+        self.writes += 1
+        if self.up and not self.soak.store.fault:
             self.soak.store.put("servers/" + self.id, {
                 "service": self.service, "address": self.agent.address + ":80", "zone": "z", "slots": SLOTS,
-                "version": "v1", "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": 1})
+                "version": "v1", "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": self.writes,
+                "born": self.born})
             if self.draining and not self.drained:
                 self.drained = now()
 
@@ -273,7 +296,7 @@
                 answer = (flow["next"], seq + size, b"done:" + request)
                 flow["next"] += len(answer[2])
                 flow["seen"][seq] = answer
-                self.out(dst, dport, src, sport, ACK, *answer)
+                self.out(dst, dport, src, sport, FIN | ACK if self.draining else ACK, *answer)
         loop.call_later(delay, done)
 
 
@@ -308,7 +331,7 @@
                 flow["event"].set()
         elif size:
             flow["ack"] = max(flow["ack"], seq + size)
-            flow["answer"] = packet[HEADER.size:]
+            flow["answer"], flow["closed"] = packet[HEADER.size:], bool(flags & FIN)
             flow["event"].set()
 
     async def wait(self, flow, seconds):
@@ -322,7 +345,7 @@
     async def open(self, name):
         self.port = 2000 + (self.port - 1999) % 50000
         key = (ip(self.address), self.port, ip(ROUTES[name][0]), ROUTES[name][1])
-        flow = {"key": key, "isn": 0, "ack": 0, "seq": 6, "event": asyncio.Event(), "reset": False, "answer": b"",
+        flow = {"key": key, "isn": 0, "ack": 0, "seq": 6, "event": asyncio.Event(), "reset": False, "answer": b"", "closed": False,
                 "balancer": None, "name": name, "sent": set()}
         self.flows[self.port] = flow
         for copy, pause in enumerate((0.2, 0.4, 0.8)):
@@ -367,7 +390,7 @@
                         break
                     continue
                 served = await self.send_request(flow, request, deadline)
-                if not served or name != "feeds":
+                if not served or name != "feeds" or flow["closed"]:
                     if served:
                         self.send(flow, FIN | ACK, flow["seq"], flow["ack"])
                     self.flows.pop(flow["key"][1], None)
@@ -443,6 +466,9 @@
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(balancer.address, self.port + 1), 0.3)
                 writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                 ok = b" 200 " in await asyncio.wait_for(reader.readline(), 0.3)
+                if ok:
+                    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+                    await self.check_version(balancer, reader)
                 writer.close()
             except (OSError, asyncio.TimeoutError):
                 pass
@@ -450,6 +476,19 @@
             balancer.rotation = ok or (balancer.rotation and failures < 2)
             await asyncio.sleep(0.5)
 
+    async def check_version(self, balancer, reader):
+        """The version of the routes never goes back in one process."""
+        child = balancer.child
+        while line := await asyncio.wait_for(reader.readline(), 0.3):
+            if not line.startswith(b"cherviltray_version "):
+                continue
+            version = int(line.split()[1])
+            known = balancer.versions.get(child.pid, 0)
+            if version < known:
+                self.add_violation("%s went back from version %d to %d" % (balancer.address, known, version))
+            balancer.versions[child.pid] = version
+            return
+
     # Faults, each a coroutine that also ends its fault
     async def run_fault(self, name):
         pick, duration = self.random.choice, self.random.uniform(0.3, 4)
@@ -484,6 +523,8 @@
             server.draining = True
             server.publish()
             await asyncio.sleep(DRAIN_S + duration)
+            while server.busy:
+                await asyncio.sleep(0.05)
             if server.up and server.draining:
                 self.store.put("servers/" + server.id, None)
                 server.up = False
@@ -496,6 +537,12 @@
         elif name == "compact":
             self.store.revision += 1
             self.store.compacted = self.store.revision
+        elif name.startswith("answers-"):
+            self.store.answers = name[8:]
+            await asyncio.sleep(duration)
+            self.store.answers, self.store_fault_ended = "whole", now()
+        elif name == "restore" and self.store.copies:
+            await self.restore_store(pick(self.store.copies), duration / 4)
         elif name == "routes":
             self.configure()
         elif name.startswith("proxy-"):
@@ -504,18 +551,35 @@
             proxy.set("normal")
             self.store_fault_ended = now()
 
+    async def restore_store(self, copy, away):
+        """The store is away and comes back older; then all that is true is written again."""
+        self.store.fault = 503
+        await asyncio.sleep(away)
+        self.store.restore(copy)
+        self.store.fault, self.store_fault_ended = None, now()
+        loop, live = asyncio.get_running_loop(), {"servers/" + s.id for s in self.servers if s.up}
+        for s in self.servers:
+            loop.call_later(self.random.uniform(0, HEARTBEAT_S), s.publish)
+        for key in set(copy[1]) - live - {"op/config"}:
+            loop.call_later(EXPIRY_HEARTBEATS * HEARTBEAT_S, self.expire, key)
+        loop.call_later(self.random.uniform(0, HEARTBEAT_S), self.store.put, "op/config", self.config)
+
+    def expire(self, key):
+        if key not in {"servers/" + s.id for s in self.servers if s.up}:
+            self.store.put(key, None)
+
     def configure(self):
         self.version = getattr(self, "version", 0) + self.random.randint(1, 5)
         routes = [{"name": n, "host": a, "prefix": "/%d/" % p, "route_type": k, "timeout_ms": 2000,
                    "slo_latency_ms": 200, "priority": 1, "service": SERVICE_OF[n]} for n, (a, p, k) in ROUTES.items()]
         for i in range(self.random.randint(0, 20)):
             routes.append(dict(routes[0], name="idle-%d" % i, host="198.18.1.%d" % i))
-        self.store.put("op/config", {"version": self.version, "routes": routes, "services": [],
-                                     "limits": {"idle_timeout_ms": 15000}})
+        self.config = {"version": self.version, "routes": routes, "services": [],
+                       "limits": {"idle_timeout_ms": 15000}}
+        self.store.put("op/config", self.config)
 
     async def inject_faults(self):
-        names = ["kill", "term", "term", "hup", "pause", "kill-many", "crash", "crash", "drain", "store", "compact",
-                 "routes", "proxy-delay", "proxy-reset", "proxy-stall", "proxy-cut-to", "proxy-cut-from"]
+        names = self.options.faults.split(",") if self.options.faults else FAULTS
         running, end = set(), now() + self.options.seconds
         while now() < end:
             task = asyncio.create_task(self.run_fault(self.random.choice(names)))
@@ -526,6 +590,7 @@
             await asyncio.wait(running)
 
     async def heartbeat(self):
+        kept_at = now()
         while not self.ended:
             for p in self.balancers + self.agents:
                 if not p.frozen:
@@ -534,6 +599,9 @@
                 if n > 1:
                     self.add_violation("request %r ran %d times" % (request, n))
                     self.runs[request] = 1
+            if now() - kept_at > HEARTBEAT_S:
+                kept_at = now()
+                self.store.keep_copy()
             await asyncio.sleep(0.1)
 
     async def run(self):
@@ -577,9 +645,15 @@
         recovered_at = now() + RECOVERY_S
         await asyncio.sleep(RECOVERY_S + 4)
         self.ended = True
-        late = [ok for started, ok in self.results if started > recovered_at]
+        late = [ok for started, ok in self.results if started > recovered_at or self.options.all_served]
+        if self.options.all_served and not all(late):
+            self.add_violation("%d of %d requests not served during planned work" % (len(late) - sum(late), len(late)))
         if not late or sum(late) < MIN_SERVED_RATIO * len(late):
             self.add_violation("%d of %d requests served after the last fault" % (sum(late), len(late)))
+        for b in self.balancers:
+            if b.versions.get(b.child.pid) != self.version:
+                self.add_violation("%s has version %s at the end, not %d" % (
+                    b.address, b.versions.get(b.child.pid), self.version))
         for t in tasks:
             t.cancel()
 
@@ -596,6 +670,8 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=8)
+    parser.add_argument("--faults", help="comma-separated faults instead of all")
+    parser.add_argument("--all-served", action="store_true", help="each request must be served")
     parser.add_argument("--keep", help="directory for the logs")
     options = parser.parse_args()
     soak = Soak(options)
