--- /dev/null
+++ b/src/open_queue.c
@@ -0,0 +1,114 @@
+#include "open_queue.h"
+#include "placement.h"
+#include <stddef.h>
+
+/* Shortest limit: with one open waiting, the queue notices when the overload
+ * has ended. */
+#define LIMIT_MIN 1.0
+/* Factor on the limit for each open that waited in vain. */
+#define GIVEN_UP_FACTOR 0.8
+/* Added to the limit for each open that was served. */
+#define SERVED_STEP 1.0
+
+void open_queue_init(open_queue_t *q)
+{
+	list_init(&q->waiting);
+	q->n = 0;
+	open_queue_set_rate(q, 0, 0);
+	q->limit = q->max;
+}
+
+void open_queue_set_rate(open_queue_t *q, uint32_t slots, double service_ms)
+{
+	double before = q->max;
+
+	q->max = OPEN_QUEUE_MS / placement_response_ms(0, slots, service_ms) *
+		 (slots ? slots : 1);
+	if (q->max < LIMIT_MIN)
+		q->max = LIMIT_MIN;
+	/* A queue that was never short stays as long as is allowed. */
+	if (q->limit >= before || q->limit > q->max)
+		q->limit = q->max;
+}
+
+bool open_queue_add(open_queue_t *q, open_wait_t *w)
+{
+	if (q->n >= (unsigned)q->limit)
+		return false;
+	list_append(&q->waiting, &w->node);
+	w->queue = q;
+	q->n++;
+	return true;
+}
+
+void open_wait_cancel(open_wait_t *w)
+{
+	if (!w->queue)
+		return;
+	list_remove(&w->node);
+	w->queue->n--;
+	w->queue = NULL;
+}
+
+static bool in_time(const open_wait_t *w, uint64_t now, double response_ms)
+{
+	return !w->max_wait_ms ||
+	       (double)(now - w->since_ms) + response_ms <= w->max_wait_ms;
+}
+
+open_wait_t *open_queue_next(open_queue_t *q, uint64_t now, double response_ms,
+			     bool slot_free)
+{
+	open_wait_t *best = NULL;
+	bool best_in_time = false;
+
+	list_each(node, &q->waiting)
+	{
+		open_wait_t *w = list_entry(node, open_wait_t, node);
+		bool ok = in_time(w, now, response_ms);
+
+		if (!ok && (!slot_free || best_in_time))
+			continue;
+		if (!best || (ok && !best_in_time) ||
+		    w->priority > best->priority ||
+		    (ok && w->priority == best->priority)) {
+			best = w;
+			best_in_time = ok;
+		}
+	}
+	if (!best)
+		return NULL;
+	open_wait_cancel(best);
+	q->limit += SERVED_STEP;
+	if (q->limit > q->max)
+		q->limit = q->max;
+	return best;
+}
+
+open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now)
+{
+	list_each(node, &q->waiting)
+	{
+		open_wait_t *w = list_entry(node, open_wait_t, node);
+
+		if (now < w->give_up_ms)
+			continue;
+		open_wait_cancel(w);
+		q->limit *= GIVEN_UP_FACTOR;
+		if (q->limit < LIMIT_MIN)
+			q->limit = LIMIT_MIN;
+		return w;
+	}
+	return NULL;
+}
+
+open_wait_t *open_queue_pop(open_queue_t *q)
+{
+	open_wait_t *w;
+
+	if (list_empty(&q->waiting))
+		return NULL;
+	w = list_entry(q->waiting.next, open_wait_t, node);
+	open_wait_cancel(w);
+	return w;
+}
--- a/src/placement.c
+++ b/src/placement.c
@@ -167,6 +167,19 @@
 	return service_ms * (1 + queued / slots);
 }
 
+double placement_queue_ms(const placement_member_t *m,
+			  const placement_aggregate_t *g)
+{
+	double service = m->service_ms > 0 ? m->service_ms : g->service_ms;
+
+	if (m->cold && relay_mechanism_on(RELAY_COLD_TARGETS))
+		service *= COLD_FACTOR;
+	return placement_response_ms(
+		       (uint32_t)(m->in_flight + m->unreported_opens), m->slots,
+		       service) +
+	       (m->local ? 0 : CROSS_ZONE_PENALTY_MS);
+}
+
 double placement_max_wait(double objective_ms, double relative_priority)
 {
 	if (!relay_mechanism_on(RELAY_PRIORITY))
--- a/src/placement.h
+++ b/src/placement.h
@@ -74,6 +74,11 @@
  */
 double placement_max_wait(double objective_ms, double relative_priority);
 
+/* Expected time until a member answers an open that waits there, with a penalty
+ * for another availability zone, in ms. */
+double placement_queue_ms(const placement_member_t *m,
+			  const placement_aggregate_t *g);
+
 typedef enum admission {
 	ADMISSION_ACCEPT,
 	ADMISSION_FORWARD, /* the next candidate would answer sooner */
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -419,7 +419,7 @@
   (ProtobufCMessageInit) ct__relay__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[16] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[18] =
 {
   {
     "kind",
@@ -613,6 +613,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, queue_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority_percent",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, priority_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -626,6 +650,8 @@
   11,   /* field[11] = load */
   2,   /* field[2] = packet */
   12,   /* field[12] = patience_ms */
+  17,   /* field[17] = priority_percent */
+  16,   /* field[16] = queue_ms */
   1,   /* field[1] = service */
   10,   /* field[10] = slots */
   6,   /* field[6] = sport */
@@ -635,7 +661,7 @@
 static const ProtobufCIntRange ct__relay__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -645,7 +671,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  16,
+  18,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   1,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -121,10 +121,18 @@
    * typical service time at the servers of the service
    */
   uint32_t typical_us;
+  /*
+   * longest time that the open may wait at the agent; 0: it must not
+   */
+  uint32_t queue_ms;
+  /*
+   * relative priority of the route, 100: highest
+   */
+  uint32_t priority_percent;
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -46,6 +46,7 @@
 
 	list_remove(&f->opening);
 	list_remove(&f->awaiting_request);
+	open_wait_cancel(&f->wait);
 	free(f);
 }
 
@@ -62,6 +63,7 @@
 	a->tag = service_tag(options->service);
 	list_init(&a->opening);
 	list_init(&a->awaiting_request);
+	open_queue_init(&a->queue);
 	a->flows = flow_index_new(options->max_flows, server_flow_release);
 	if (!a->flows) {
 		free(a);
@@ -288,7 +290,8 @@
 		return;
 	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
-	if (f && !server_flow_matches(f, &p)) {
+	if (f &&
+	    (f->phase == SERVER_FLOW_QUEUED || !server_flow_matches(f, &p))) {
 		give_back(a, from, &p);
 		return;
 	}
@@ -411,6 +414,7 @@
 	f = server_flow_find_or_add(a, &key);
 	if (f)
 		note_server_packet(a, f, &p);
+	relay_agent_serve_queue(a);
 	a->ops.send_reply(a->ctx, p.key.dst, buf, len);
 }
 
@@ -431,7 +435,8 @@
 
 	if (f && f->phase == SERVER_FLOW_VERIFYING)
 		kind = server_kept_packet(a, f) ? RELAY_HELD : RELAY_UNSURE;
-	else if (f && server_flow_matches(f, &p))
+	else if (f && f->phase != SERVER_FLOW_QUEUED &&
+		 server_flow_matches(f, &p))
 		kind = RELAY_HELD;
 	else if (!f && !a->options.knows_all_flows)
 		kind = RELAY_UNSURE;
@@ -560,6 +565,8 @@
 	a->now = now;
 	if (!check_late_tick(a))
 		relay_agent_open_tick(a);
+	relay_agent_serve_queue(a);
+	relay_agent_expire_queue(a);
 	if (!a->flows_lost && !a->late && relay_server_lost_flows(a))
 		note_lost_flows(a);
 	if (a->flows_lost)
@@ -578,4 +585,5 @@
 	a->now = now;
 	a->stopping = true;
 	relay_load_report(a);
+	relay_agent_expire_queue(a);
 }
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -10,6 +10,7 @@
 #include "endpoint.h"
 #include "event_log.h"
 #include "flow_index.h"
+#include "open_queue.h"
 #include "placement.h"
 #include "relay_agent.h"
 #include "relay_mechanism.h"
@@ -23,6 +24,7 @@
 
 typedef enum server_flow_phase {
 	SERVER_FLOW_OPENING, /* open delivered, no answer from the server yet */
+	SERVER_FLOW_QUEUED,  /* the open waits for a slot, not delivered yet */
 	SERVER_FLOW_OPEN,    /* accepted by the server */
 	SERVER_FLOW_VERIFYING, /* the server may hold the flow */
 	SERVER_FLOW_ENDED,     /* closed by both ends, or reset by one */
@@ -54,6 +56,7 @@
 	uint8_t syn[64];      /* the open, to offer it to other agents */
 	uint8_t syn_len;
 	list_t opening;		 /* link in relay_agent.opening */
+	open_wait_t wait;	 /* while in SERVER_FLOW_QUEUED */
 	list_t awaiting_request; /* link in relay_agent.awaiting_request */
 } server_flow_t;
 
@@ -68,13 +71,15 @@
 	void *ctx;
 	counters_t counters;
 	histogram_t service_ms; /* see relay_agent_service_ms() */
+	histogram_t queue_ms;	/* time that served opens were queued */
 	uint32_t tag;		/* tag of the service, see service_tag() */
 	uint64_t now;		/* time of the call in progress, ms */
 	flow_index_t *flows;
 	list_t opening; /* flows in SERVER_FLOW_OPENING, oldest first */
 	list_t awaiting_request; /* flows whose first request is due */
 	uint32_t nawaiting_request;
-	uint32_t slots; /* published slots of the server; 0: unknown */
+	open_queue_t queue; /* of server_flow.wait */
+	uint32_t slots;	    /* published slots of the server; 0: unknown */
 	bool stopping;
 	known_balancer_t balancers[BALANCERS_MAX];
 	size_t nbalancers;
@@ -168,6 +173,11 @@
 			      bool returned);
 /* Ends the waits for answers to opens and for first requests. */
 void relay_agent_open_tick(relay_agent_t *a);
+/* Delivers opens that wait for a slot as far as the server has room. */
+void relay_agent_serve_queue(relay_agent_t *a);
+/* Refuses opens that have waited in vain, or all that wait when no open can be
+ * delivered any more. */
+void relay_agent_expire_queue(relay_agent_t *a);
 
 /* relay_agent.c: flows */
 /* Sets whether the first request of an open is due; it counts as load. */
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -60,7 +60,7 @@
 {
 	update_avg_in_flight(a);
 	ct__relay__load__init(load);
-	load->in_flight = a->in_flight + a->nawaiting_request;
+	load->in_flight = a->in_flight + a->nawaiting_request + a->queue.n;
 	load->work_hundredths = (uint32_t)(a->avg_in_flight * 100);
 	load->service_us = (uint32_t)(relay_health_service_ms(a) * 1000);
 	load->flows = a->active_flows;
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -65,7 +65,7 @@
 	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
 	if (f && f->phase != SERVER_FLOW_VERIFYING &&
-	    server_flow_matches(f, &p)) {
+	    f->phase != SERVER_FLOW_QUEUED && server_flow_matches(f, &p)) {
 		relay_agent_send(a, msg->balancer, RELAY_HELD, &p.key);
 		server_flow_caller_packet(a, f, msg->balancer, &p);
 		return;
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -14,6 +14,9 @@
 static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer);
 static void send_refused(relay_agent_t *a, uint32_t balancer,
 			 const flow_key_t *key);
+static void deliver_open(relay_agent_t *a, server_flow_t *f);
+static bool queue_open(relay_agent_t *a, server_flow_t *f,
+		       const relay_msg_t *msg);
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
@@ -33,6 +36,13 @@
 			       msg->patience_ms);
 }
 
+/* True when an open that is not accepted may wait here. */
+static bool may_queue(const relay_agent_t *a, const relay_msg_t *msg)
+{
+	return msg->queue_ms && !a->stopping && !a->down &&
+	       !strcmp(msg->service, a->options.service);
+}
+
 /* Offers an open to the next candidate. Returns false when none is left. */
 static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer)
 {
@@ -80,6 +90,7 @@
 {
 	relay_packet_t p;
 	server_flow_t *f;
+	admission_t admission;
 	size_t n;
 
 	(void)from;
@@ -101,7 +112,13 @@
 		relay_agent_send(a, msg->balancer, RELAY_TAKEN, &p.key);
 		return;
 	}
-	if (admit(a, msg) != ADMISSION_ACCEPT) {
+	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_QUEUED) {
+		f->balancer = msg->balancer;
+		relay_agent_send(a, msg->balancer, RELAY_QUEUED, &p.key);
+		return;
+	}
+	admission = admit(a, msg);
+	if (admission != ADMISSION_ACCEPT && !may_queue(a, msg)) {
 		if (!forward_offer(a, msg))
 			send_refused(a, msg->balancer, &p.key);
 		return;
@@ -118,7 +135,6 @@
 					       : CANDIDATES_MAX;
 	f->caller_isn = p.seq;
 	f->balancer = msg->balancer;
-	f->opened_ms = a->now;
 	f->ncandidates = n;
 	f->max_wait_ms = msg->patience_ms;
 	if (n)
@@ -126,11 +142,86 @@
 		       n * sizeof(f->candidates[0]));
 	memcpy(f->syn, p.data, p.len);
 	f->syn_len = (uint8_t)p.len;
+	if (admission == ADMISSION_ACCEPT)
+		deliver_open(a, f);
+	else if (!queue_open(a, f, msg))
+		server_flow_remove(a, f);
+}
+
+/* Delivers the open to the server. */
+static void deliver_open(relay_agent_t *a, server_flow_t *f)
+{
+	relay_packet_t p;
+
+	if (a->options.format->read(f->syn, f->syn_len, &p) < 0)
+		return;
+	f->opened_ms = a->now;
 	server_flow_set_phase(a, f, SERVER_FLOW_OPENING);
 	server_flow_await_request(a, f, true);
 	server_flow_deliver(a, f, &p);
 }
 
+/* Puts the open into the queue, or refuses it when the queue is full. */
+static bool queue_open(relay_agent_t *a, server_flow_t *f,
+		       const relay_msg_t *msg)
+{
+	open_queue_set_rate(&a->queue, a->slots, relay_health_service_ms(a));
+	f->wait.since_ms = a->now;
+	f->wait.give_up_ms = a->now + msg->queue_ms;
+	f->wait.max_wait_ms = msg->patience_ms;
+	f->wait.priority = msg->priority_percent;
+	if (!open_queue_add(&a->queue, &f->wait)) {
+		send_refused(a, f->balancer, &f->node.key);
+		return false;
+	}
+	server_flow_set_phase(a, f, SERVER_FLOW_QUEUED);
+	counter_add(&a->counters, COUNTER_OPENS_QUEUED, 1);
+	relay_agent_send(a, f->balancer, RELAY_QUEUED, &f->node.key);
+	return true;
+}
+
+static server_flow_t *flow_of(open_wait_t *w)
+{
+	return list_entry(w, server_flow_t, wait);
+}
+
+void relay_agent_serve_queue(relay_agent_t *a)
+{
+	open_wait_t *w;
+
+	while (a->queue.n) {
+		uint32_t in_flight = a->in_flight + a->nawaiting_request;
+		server_flow_t *f;
+
+		w = open_queue_next(
+			&a->queue, a->now,
+			placement_response_ms(in_flight, a->slots,
+					      relay_health_service_ms(a)),
+			in_flight < a->slots);
+		if (!w)
+			return;
+		f = flow_of(w);
+		histogram_add(&a->queue_ms, a->now - w->since_ms);
+		flow_index_touch(a->flows, &f->node, a->now);
+		deliver_open(a, f);
+	}
+}
+
+void relay_agent_expire_queue(relay_agent_t *a)
+{
+	bool ended = a->stopping || a->down;
+	open_wait_t *w;
+
+	while ((w = ended ? open_queue_pop(&a->queue)
+			  : open_queue_expired(&a->queue, a->now))) {
+		server_flow_t *f = flow_of(w);
+
+		counter_add(&a->counters, COUNTER_OPENS_QUEUED_IN_VAIN, 1);
+		send_refused(a, f->balancer, &f->node.key);
+		server_flow_remove(a, f);
+	}
+}
+
 void relay_agent_forward_open(relay_agent_t *a, server_flow_t *f, bool returned)
 {
 	relay_msg_t offer;
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -294,6 +294,9 @@
 	case RELAY_REFUSED:
 		relay_open_refused(b, from, msg);
 		break;
+	case RELAY_QUEUED:
+		relay_open_queued(b, from, msg);
+		break;
 	case RELAY_HELD:
 	case RELAY_NOT_HELD:
 	case RELAY_UNSURE:
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -127,6 +127,12 @@
 	unsigned ntried;
 	unsigned offers;
 	uint32_t max_wait_ms;  /* see placement_max_wait(); 0: no limit */
+	uint32_t priority;     /* relative priority of the route, percent */
+	uint64_t give_up_ms;   /* the caller's attempt ends soon after */
+	unsigned refusals;     /* offers that all candidates refused */
+	unsigned queue_offers; /* offers to wait at an agent */
+	bool queued;	       /* it waits at the agent that was offered last */
+	bool waiting_target;   /* no target takes opens at the moment */
 	bool offer_unanswered; /* a server may have taken the open unnoticed */
 	uint8_t syn[64];       /* the open, sent with each offer */
 	uint8_t syn_len;
@@ -202,6 +208,8 @@
 		      const relay_msg_t *msg);
 void relay_open_refused(relay_balancer_t *b, uint32_t from,
 			const relay_msg_t *msg);
+void relay_open_queued(relay_balancer_t *b, uint32_t from,
+		       const relay_msg_t *msg);
 /* Checks the time-outs of a flow in PHASE_OPENING. */
 void relay_open_tick(relay_balancer_t *b, relay_flow_t *f);
 
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -9,6 +9,16 @@
 /* Time-out of an open. The caller retransmits its SYN for the last time after
  * 600 ms and gives up after 1.4 s. */
 #define OPEN_TIMEOUT_MS 1500
+/* Age of an open at which it is given up: its caller is told before it gives up
+ * by itself. */
+#define OPEN_GIVE_UP_MS 1300
+/* Offers that all candidates refuse; then the open may wait at an agent. */
+#define REFUSALS_MAX 2
+/* Agents whose queue is tried, and the shortest wait that is worth it. */
+#define QUEUE_OFFERS_MAX 2
+#define QUEUE_MIN_MS	 50
+/* Interval between attempts while no target takes opens. */
+#define TARGET_RETRY_MS 100
 /* Added to a member's unreported_opens for an offer, in opens. */
 #define OPENS_PER_OFFER 1.0
 /* Half-life of unreported_opens, the opens offered since the last load report.
@@ -46,6 +56,11 @@
 				placement_aggregate_t *typical);
 static int may_take_open(const void *ctx, uint32_t position);
 static bool send_offer(relay_balancer_t *b, relay_flow_t *f);
+static bool place_open(relay_balancer_t *b, relay_flow_t *f);
+static void send_offer_to(relay_balancer_t *b, relay_flow_t *f,
+			  relay_member_t **chosen, const double *costs,
+			  size_t n, const placement_aggregate_t *typical,
+			  uint32_t queue_ms);
 static void refuse_open(relay_balancer_t *b, relay_flow_t *f);
 
 static const relay_load_report_t *fresh_report(const relay_balancer_t *b,
@@ -190,12 +205,8 @@
 static bool send_offer(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_member_t *chosen[OFFER_CANDIDATES];
-	uint32_t further[OFFER_CANDIDATES], further_ms[OFFER_CANDIDATES];
 	double costs[OFFER_CANDIDATES];
-	char text[FLOW_TEXT_SIZE], agent[ENDPOINT_TEXT_SIZE];
 	placement_aggregate_t typical;
-	const relay_load_report_t *report;
-	relay_msg_t msg;
 	size_t n;
 
 	if (f->offers >= OFFERS_MAX)
@@ -203,6 +214,120 @@
 	n = select_candidates(b, f, chosen, costs, &typical);
 	if (n == 0)
 		return false;
+	send_offer_to(b, f, chosen, costs, n, &typical, 0);
+	return true;
+}
+
+/* True for a member that takes opens, however long they wait. */
+static int takes_queued_opens(const void *ctx, uint32_t position)
+{
+	const open_filter_t *a = ctx;
+
+	return takes_opens(a->b,
+			   g_ptr_array_index(a->group->members, position));
+}
+
+/* The member of the first ranks that would answer the open first, or NULL. */
+static relay_member_t *shortest_queue(relay_balancer_t *b,
+				      const relay_flow_t *f, double *cost,
+				      placement_aggregate_t *typical)
+{
+	relay_group_t *group = relay_group_find(b, f->service);
+	open_filter_t filter = { b, f, group };
+	uint32_t ranked[PLACEMENT_CHOICES];
+	placement_member_t seen[PLACEMENT_CHOICES];
+	relay_member_t *best = NULL;
+	size_t n;
+
+	if (!group)
+		return NULL;
+	n = relay_group_rank(group, &f->node.key, ranked, PLACEMENT_CHOICES,
+			     takes_queued_opens, &filter);
+	for (size_t i = 0; i < n; i++)
+		fill_placement_member(
+			b, g_ptr_array_index(group->members, ranked[i]),
+			&seen[i]);
+	*typical = placement_aggregate(seen, n);
+	for (size_t i = 0; i < n; i++) {
+		relay_member_t *m =
+			g_ptr_array_index(group->members, ranked[i]);
+		double ms = placement_queue_ms(&seen[i], typical);
+
+		if ((f->queue_offers && was_tried(f, m->agent)) ||
+		    (best && ms >= *cost))
+			continue;
+		best = m;
+		*cost = ms;
+	}
+	return best;
+}
+
+/* True when a target of the service is published as ready. */
+static bool has_ready_target(const relay_balancer_t *b, const relay_flow_t *f)
+{
+	const relay_group_t *group = relay_group_find(b, f->service);
+
+	for (guint i = 0; group && i < group->members->len; i++) {
+		const relay_member_t *m = g_ptr_array_index(group->members, i);
+
+		if (m->state == ENTRY_READY)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Lets an open wait that no agent accepts at once: in the queue of the agent
+ * that is expected to answer first or, while all agents stop, restart or are
+ * silent, here. Returns false when waiting is of no use.
+ */
+static bool wait_for_room(relay_balancer_t *b, relay_flow_t *f)
+{
+	placement_aggregate_t typical;
+	relay_member_t *m;
+	double cost = 0;
+
+	if (b->now + QUEUE_MIN_MS > f->give_up_ms)
+		return false;
+	m = shortest_queue(b, f, &cost, &typical);
+	if (!m) {
+		f->waiting_target = !f->queue_offers && has_ready_target(b, f);
+		f->offered_ms = b->now;
+		return f->waiting_target;
+	}
+	if (f->queue_offers >= QUEUE_OFFERS_MAX ||
+	    f->ntried == sizeof(f->tried) / sizeof(f->tried[0]))
+		return false;
+	f->queue_offers++;
+	send_offer_to(b, f, &m, &cost, 1, &typical,
+		      (uint32_t)(f->give_up_ms - b->now));
+	return true;
+}
+
+/* Offers an open, or lets it wait. Returns false when it is to be refused. */
+static bool place_open(relay_balancer_t *b, relay_flow_t *f)
+{
+	f->waiting_target = false;
+	if (f->refusals < REFUSALS_MAX && !f->queue_offers && send_offer(b, f))
+		return true;
+	return wait_for_room(b, f);
+}
+
+/*
+ * Sends an offer to the first of n members, with the others as further
+ * candidates. queue_ms is the longest time that the open may wait at the agent;
+ * 0: it is to be accepted at once or refused.
+ */
+static void send_offer_to(relay_balancer_t *b, relay_flow_t *f,
+			  relay_member_t **chosen, const double *costs,
+			  size_t n, const placement_aggregate_t *typical,
+			  uint32_t queue_ms)
+{
+	uint32_t further[OFFER_CANDIDATES], further_ms[OFFER_CANDIDATES];
+	char text[FLOW_TEXT_SIZE], agent[ENDPOINT_TEXT_SIZE];
+	const relay_load_report_t *report;
+	relay_msg_t msg;
+
 	relay_msg_init(&msg, RELAY_OFFER);
 	msg.service = (char *)f->service;
 	msg.balancer = b->options.self;
@@ -218,8 +343,10 @@
 	msg.n_candidate_ms = n - 1;
 	msg.patience_ms = f->max_wait_ms;
 	msg.slots = chosen[0]->slots;
-	if (typical.has_service_ms)
-		msg.typical_us = (uint32_t)(typical.service_ms * 1000);
+	if (typical->has_service_ms)
+		msg.typical_us = (uint32_t)(typical->service_ms * 1000);
+	msg.queue_ms = queue_ms;
+	msg.priority_percent = f->priority;
 	f->tried[f->ntried++] = chosen[0]->agent;
 	f->offers++;
 	f->offered_ms = b->now;
@@ -233,16 +360,15 @@
 		  "\"agent\":\"%s\",\"behind\":%zu,\"offer\":%u,"
 		  "\"work\":%.2f,\"service_ms\":%.1f,\"failed\":%.2f,"
 		  "\"hasty\":%.2f,\"load_age_ms\":%llu,"
-		  "\"version\":%llu",
+		  "\"queue_ms\":%u,\"version\":%llu",
 		  flow_key_format(&f->node.key, text), f->seq, f->service,
 		  ipv4_format(chosen[0]->agent, agent), n - 1, f->offers,
 		  report->avg_in_flight, report->service_ms,
 		  report->failure_ratio, report->too_fast_ratio,
-		  (unsigned long long)(b->now - report->reported_ms),
+		  (unsigned long long)(b->now - report->reported_ms), queue_ms,
 		  (unsigned long long)relay_balancer_route_version(b));
 	counter_add(&b->counters, COUNTER_MESSAGES_OUT, 1);
 	b->ops.send_message(b->ctx, chosen[0]->agent, &msg);
-	return true;
 }
 
 static const char *refusal_reason(const relay_balancer_t *b,
@@ -272,18 +398,47 @@
 	relay_flow_reset(b, f, refusal_reason(b, f));
 }
 
+/* Part of the longest wait that is left to an open of an age; 1 when there is
+ * none, since 0 means no limit. */
+static uint32_t remaining_wait_ms(double max_wait_ms, uint32_t age_ms)
+{
+	if (max_wait_ms <= 0)
+		return 0;
+	return max_wait_ms > age_ms + 1 ? (uint32_t)max_wait_ms - age_ms : 1;
+}
+
+/* Repeats the offer of an open that waits at an agent: if the agent has
+ * restarted, it knows nothing of the open. */
+static void resend_queued(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_member_t *m = relay_member_find(b, f->tried[f->ntried - 1]);
+	placement_aggregate_t typical = { 0 };
+	double cost = 0;
+
+	if (!m || b->now + QUEUE_MIN_MS > f->give_up_ms)
+		return;
+	f->ntried--;
+	f->offers--;
+	send_offer_to(b, f, &m, &cost, 1, &typical,
+		      (uint32_t)(f->give_up_ms - b->now));
+}
+
 void relay_open_packet(relay_balancer_t *b, const route_t *route,
 		       relay_packet_t *p)
 {
 	relay_flow_t *f = relay_flow_find(b, &p->key);
+	double priority;
 
 	if (f && f->syn_len && f->seq == p->seq) {
 		/* Retransmitted SYN: the holder answers it again, or the open
 		 * is offered to another agent. */
 		counter_add(&b->counters, COUNTER_OPENS_RETRIED, 1);
-		if (f->phase == PHASE_OPENING && f->ntried) {
+		if (f->phase == PHASE_OPENING && f->queued) {
+			resend_queued(b, f);
+		} else if (f->phase == PHASE_OPENING && f->ntried &&
+			   !f->waiting_target) {
 			f->offer_unanswered = true;
-			if (!send_offer(b, f))
+			if (!place_open(b, f))
 				refuse_open(b, f);
 		} else if (f->phase == PHASE_KNOWN) {
 			relay_flow_send(b, f, p, 0);
@@ -301,14 +456,19 @@
 	f->service = g_intern_string(
 		route_select_service(route, flow_key_hash(&p->key, 0)));
 	f->tag = service_tag(f->service);
-	f->max_wait_ms = (uint32_t)placement_max_wait(
-		route->objective_ms,
-		route_relative_priority(b->routes, route, f->service));
+	priority = route_relative_priority(b->routes, route, f->service);
+	f->priority = (uint32_t)(priority * 100);
+	f->max_wait_ms = remaining_wait_ms(
+		placement_max_wait(route->objective_ms, priority),
+		p->open_age_ms);
+	f->give_up_ms = b->now + OPEN_GIVE_UP_MS;
+	if (p->open_age_ms < OPEN_GIVE_UP_MS)
+		f->give_up_ms -= p->open_age_ms;
 	b->options.format->annotate(p, 0, 0);
 	memcpy(f->syn, p->data, p->len);
 	f->syn_len = (uint8_t)p->len;
 	relay_flow_set_phase(b, f, PHASE_OPENING);
-	if (!send_offer(b, f))
+	if (!place_open(b, f))
 		refuse_open(b, f);
 }
 
@@ -346,10 +506,23 @@
 	if (!was_tried(f, from) &&
 	    f->ntried < sizeof(f->tried) / sizeof(f->tried[0]))
 		f->tried[f->ntried++] = from;
-	if (!send_offer(b, f))
+	f->refusals++;
+	f->queued = false;
+	if (!place_open(b, f))
 		refuse_open(b, f);
 }
 
+void relay_open_queued(relay_balancer_t *b, uint32_t from,
+		       const relay_msg_t *msg)
+{
+	flow_key_t key = relay_msg_key(msg);
+	relay_flow_t *f = relay_flow_find(b, &key);
+
+	if (f && f->phase == PHASE_OPENING && f->ntried &&
+	    f->tried[f->ntried - 1] == from)
+		f->queued = true;
+}
+
 void relay_open_tick(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_member_t *m;
@@ -359,7 +532,14 @@
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
-	if (!f->ntried || b->now < f->offered_ms + OFFER_TIMEOUT_MS)
+	if (f->waiting_target) {
+		if (b->now >= f->offered_ms + TARGET_RETRY_MS &&
+		    !place_open(b, f))
+			refuse_open(b, f);
+		return;
+	}
+	if (!f->ntried || f->queued ||
+	    b->now < f->offered_ms + OFFER_TIMEOUT_MS)
 		return;
 	m = relay_member_find(b, f->tried[f->ntried - 1]);
 	event_log(EVENT_UNANSWERED,
@@ -371,6 +551,6 @@
 	f->offered_ms = b->now;
 	if (m)
 		relay_member_unanswered(b, m);
-	if (!send_offer(b, f))
+	if (!place_open(b, f))
 		refuse_open(b, f);
 }
--- a/src/relay_msg.c
+++ b/src/relay_msg.c
@@ -54,6 +54,7 @@
 	static const char *const names[RELAY_KINDS] = {
 		"none",	  "hello", "load", "offer",    "taken",	 "refused",
 		"lookup", "query", "held", "not-held", "unsure", "given-back",
+		"queued",
 	};
 
 	return kind < RELAY_KINDS ? names[kind] : "unknown";
--- a/src/relay_msg.h
+++ b/src/relay_msg.h
@@ -35,6 +35,7 @@
 	RELAY_UNSURE,	/* from an agent: only its server knows */
 	RELAY_GIVEN_BACK, /* from an agent: a packet of a flow that its server
 			     does not hold */
+	RELAY_QUEUED,	  /* from an agent: the open waits for a slot */
 	RELAY_KINDS,	  /* number of kinds */
 } relay_kind_t;
 
--- a/src/relay_packet.h
+++ b/src/relay_packet.h
@@ -37,6 +37,7 @@
 	uint32_t seq;
 	uint32_t ack;
 	uint16_t payload_len; /* bytes */
+	uint16_t open_age_ms; /* of an open: time since its first copy */
 	uint8_t flags;	      /* RELAY_* */
 	uint8_t mark;	      /* mark of the annotation: RELAY_MARK_* */
 	uint32_t annotation;  /* value of the annotation: service tag, or
