--- a/src/http_client.c
+++ b/src/http_client.c
@@ -32,6 +32,7 @@
 	bool in_value; /* the parser is within the value of a header */
 	char *path;    /* of the pending request, owned; NULL: none */
 	uint64_t timeout_ms;
+	uint64_t connect_timeout_ms;
 	bool keep_alive;
 	bool complete;
 	http_done_fn done;
@@ -267,7 +268,7 @@
 	struct sockaddr_in sa = endpoint_sockaddr(&c->server);
 	http_connection_t *conn = calloc(1, sizeof(*conn));
 
-	uv_timer_start(&c->timer, on_timeout, CONNECT_TIMEOUT_MS, 0);
+	uv_timer_start(&c->timer, on_timeout, c->connect_timeout_ms, 0);
 	if (!conn)
 		return; /* on_timeout() reports the failure */
 	conn->client = c;
@@ -289,6 +290,7 @@
 		return NULL;
 	c->loop = loop;
 	c->server = *server;
+	c->connect_timeout_ms = CONNECT_TIMEOUT_MS;
 	c->body = g_string_new(NULL);
 	c->headers = new_headers();
 	c->header_name = g_string_new(NULL);
@@ -298,6 +300,11 @@
 	return c;
 }
 
+void http_client_set_connect_timeout(http_client_t *c, uint64_t timeout_ms)
+{
+	c->connect_timeout_ms = timeout_ms;
+}
+
 void http_client_free(http_client_t *c)
 {
 	if (!c)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -35,6 +35,9 @@
 /* Returns a client without a connection, or NULL when out of memory. */
 http_client_t *http_client_new(uv_loop_t *loop, const endpoint_t *server);
 
+/* Limits the time for connecting, in ms, from the next connection on. */
+void http_client_set_connect_timeout(http_client_t *c, uint64_t timeout_ms);
+
 /*
  * Closes the connection; a pending request does not call done. The memory is
  * freed by a later iteration of the loop.
--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -2,8 +2,7 @@
 #include "placement.h"
 #include <stddef.h>
 
-/* Shortest limit: with one open waiting, the queue notices when the overload
- * has ended. */
+/* Least late opens allowed: one shows when the overload has ended. */
 #define LIMIT_MIN 1.0
 /* Factor on the limit for each open that waited in vain. */
 #define GIVEN_UP_FACTOR 0.8
@@ -15,7 +14,7 @@
 	list_init(&q->waiting);
 	q->n = 0;
 	open_queue_set_rate(q, 0, 0);
-	q->limit = q->max;
+	q->late_limit = q->max;
 }
 
 void open_queue_set_rate(open_queue_t *q, uint32_t slots, double service_ms)
@@ -26,14 +25,14 @@
 		 (slots ? slots : 1);
 	if (q->max < LIMIT_MIN)
 		q->max = LIMIT_MIN;
-	/* A queue that was never short stays as long as is allowed. */
-	if (q->limit >= before || q->limit > q->max)
-		q->limit = q->max;
+	/* A limit that was never reduced stays at the maximum. */
+	if (q->late_limit >= before || q->late_limit > q->max)
+		q->late_limit = q->max;
 }
 
 bool open_queue_add(open_queue_t *q, open_wait_t *w)
 {
-	if (q->n >= (unsigned)q->limit)
+	if (q->n >= (unsigned)q->max)
 		return false;
 	list_append(&q->waiting, &w->node);
 	w->queue = q;
@@ -79,27 +78,40 @@
 	if (!best)
 		return NULL;
 	open_wait_cancel(best);
-	q->limit += SERVED_STEP;
-	if (q->limit > q->max)
-		q->limit = q->max;
+	if (!best_in_time)
+		q->late_limit += SERVED_STEP;
+	if (q->late_limit > q->max)
+		q->late_limit = q->max;
 	return best;
 }
 
-open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now)
+open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now,
+				double response_ms)
 {
+	open_wait_t *worst = NULL;
+	unsigned late = 0;
+
 	list_each(node, &q->waiting)
 	{
 		open_wait_t *w = list_entry(node, open_wait_t, node);
 
-		if (now < w->give_up_ms)
+		if (now >= w->give_up_ms) {
+			open_wait_cancel(w);
+			q->late_limit *= GIVEN_UP_FACTOR;
+			if (q->late_limit < LIMIT_MIN)
+				q->late_limit = LIMIT_MIN;
+			return w;
+		}
+		if (in_time(w, now, response_ms))
 			continue;
-		open_wait_cancel(w);
-		q->limit *= GIVEN_UP_FACTOR;
-		if (q->limit < LIMIT_MIN)
-			q->limit = LIMIT_MIN;
-		return w;
+		late++;
+		if (!worst || w->priority < worst->priority)
+			worst = w;
 	}
-	return NULL;
+	if (late <= (unsigned)q->late_limit)
+		return NULL;
+	open_wait_cancel(worst);
+	return worst;
 }
 
 open_wait_t *open_queue_pop(open_queue_t *q)
--- a/src/open_queue.h
+++ b/src/open_queue.h
@@ -14,9 +14,11 @@
  * served when a slot is free and no other open waits, the one with the least
  * time left first. Priority goes before age in both.
  *
- * The queue's limit follows what became of the opens in it: it grows with each
- * one that was served and shrinks with each one that was given up. Under a
- * standing overload it is therefore short, and opens are refused at once.
+ * The number of opens that wait although they will be late follows what became
+ * of those before: it grows with each one that was served and shrinks with each
+ * one that waited in vain. When a backlog drains they are served from what is
+ * left over; under a standing overload they are refused as soon as they are
+ * late.
  *
  * No I/O and no clock; times are milliseconds of a monotonic clock. The caller
  * owns the entries.
@@ -31,10 +33,10 @@
 #define OPEN_QUEUE_MS 1000
 
 typedef struct open_queue {
-	list_t waiting; /* of open_wait_t, oldest first */
-	unsigned n;	/* entries in waiting */
-	double limit;	/* greatest n */
-	double max;	/* upper bound of limit */
+	list_t waiting;	   /* of open_wait_t, oldest first */
+	unsigned n;	   /* entries in waiting */
+	double late_limit; /* greatest number of late opens */
+	double max;	   /* greatest n, and upper bound of late_limit */
 } open_queue_t;
 
 typedef struct open_wait {
@@ -68,8 +70,10 @@
 open_wait_t *open_queue_next(open_queue_t *q, uint64_t now, double response_ms,
 			     bool slot_free);
 
-/* Removes and returns an open that has waited in vain, or NULL. */
-open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now);
+/* Removes and returns an open to refuse, or NULL: one that has waited in vain,
+ * or one late open too many, of the lowest priority and the least time left. */
+open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now,
+				double response_ms);
 
 /* Removes and returns any open, or NULL: the server or the agent ends. */
 open_wait_t *open_queue_pop(open_queue_t *q);
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -18,11 +18,16 @@
 static bool queue_open(relay_agent_t *a, server_flow_t *f,
 		       const relay_msg_t *msg);
 
+/* Expected response time of one more request. */
+static double response_ms(const relay_agent_t *a)
+{
+	return placement_response_ms(a->in_flight + a->nawaiting_request,
+				     a->slots, relay_health_service_ms(a));
+}
+
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
 	uint32_t in_flight = a->in_flight + a->nawaiting_request;
-	double response_ms = placement_response_ms(in_flight, a->slots,
-						   relay_health_service_ms(a));
 
 	if (strcmp(msg->service, a->options.service) != 0 ||
 	    (a->stopping && relay_mechanism_on(RELAY_STOP_REFUSAL)))
@@ -31,7 +36,7 @@
 	 * answers again. */
 	if (relay_server_stalled_ms(a) && list_empty(&a->opening))
 		return ADMISSION_ACCEPT;
-	return placement_admit(response_ms, in_flight < a->slots,
+	return placement_admit(response_ms(a), in_flight < a->slots,
 			       msg->n_candidate_ms ? msg->candidate_ms[0] : 0,
 			       msg->patience_ms);
 }
@@ -193,11 +198,8 @@
 		uint32_t in_flight = a->in_flight + a->nawaiting_request;
 		server_flow_t *f;
 
-		w = open_queue_next(
-			&a->queue, a->now,
-			placement_response_ms(in_flight, a->slots,
-					      relay_health_service_ms(a)),
-			in_flight < a->slots);
+		w = open_queue_next(&a->queue, a->now, response_ms(a),
+				    in_flight < a->slots);
 		if (!w)
 			return;
 		f = flow_of(w);
@@ -213,7 +215,8 @@
 	open_wait_t *w;
 
 	while ((w = ended ? open_queue_pop(&a->queue)
-			  : open_queue_expired(&a->queue, a->now))) {
+			  : open_queue_expired(&a->queue, a->now,
+					       response_ms(a)))) {
 		server_flow_t *f = flow_of(w);
 
 		counter_add(&a->counters, COUNTER_OPENS_QUEUED_IN_VAIN, 1);
--- a/src/relay_peers.c
+++ b/src/relay_peers.c
@@ -3,6 +3,13 @@
 #include <glib.h>
 #include <stdlib.h>
 
+/* The request to one peer at the start. */
+typedef struct start_request {
+	struct relay_peers *peers;
+	http_client_t *http; /* NULL: answered */
+	size_t peer;
+} start_request_t;
+
 struct relay_peers {
 	uv_loop_t *loop;
 	uv_timer_t timer;
@@ -10,64 +17,90 @@
 	size_t n;
 	size_t next; /* position of the peer for the current or next request */
 	http_client_t *http;
+	start_request_t start[RELAY_PEERS_MAX];
 	bool starting; /* see relay_peers_ops.started */
-	size_t asked;  /* requests since the start */
 	relay_peers_ops_t ops;
 	void *ctx;
 };
 
-static void send_request(relay_peers_t *p);
-
 static void end_start(relay_peers_t *p)
 {
 	if (!p->starting)
 		return;
 	p->starting = false;
+	for (size_t i = 0; i < p->n; i++) {
+		http_client_free(p->start[i].http);
+		p->start[i].http = NULL;
+	}
 	p->ops.started(p->ctx);
 }
 
-static void on_answer(void *ctx, const http_response_t *answer)
+/* Applies the state in an answer. Returns false when there is none. */
+static bool apply_answer(relay_peers_t *p, size_t peer,
+			 const http_response_t *answer)
 {
-	relay_peers_t *p = ctx;
 	char text[ENDPOINT_TEXT_SIZE];
-	bool used = answer->status == 200 &&
-		    p->ops.apply_state(p->ctx, answer->body, answer->len);
-	store_revision_t revision = p->ops.revision(p->ctx);
-
-	if (used) {
-		event_log(EVENT_STORE,
-			  "\"state\":\"read from peer\",\"peer\":\"%s\","
-			  "\"era\":%llu,\"revision\":%llu",
-			  endpoint_format(&p->peers[p->next], text),
-			  (unsigned long long)revision.era,
-			  (unsigned long long)revision.number);
-		end_start(p);
-		return;
-	}
-	/* Without a newer state here, another peer may still have one. */
-	p->next = (p->next + 1) % p->n;
-	if (p->starting && p->asked < p->n)
-		send_request(p);
-	else
-		end_start(p);
+	store_revision_t revision;
+
+	if (answer->status != 200 ||
+	    !p->ops.apply_state(p->ctx, answer->body, answer->len))
+		return false;
+	revision = p->ops.revision(p->ctx);
+	event_log(EVENT_STORE,
+		  "\"state\":\"read from peer\",\"peer\":\"%s\","
+		  "\"era\":%llu,\"revision\":%llu",
+		  endpoint_format(&p->peers[peer], text),
+		  (unsigned long long)revision.era,
+		  (unsigned long long)revision.number);
+	return true;
 }
 
-static void send_request(relay_peers_t *p)
+static http_client_t *send_request(relay_peers_t *p, size_t peer,
+				   uint64_t connect_ms, uint64_t timeout_ms,
+				   http_done_fn done, void *ctx)
 {
+	http_client_t *http = http_client_new(p->loop, &p->peers[peer]);
 	store_revision_t known = p->ops.revision(p->ctx);
 	char path[96];
 
-	http_client_free(p->http);
-	p->http = http_client_new(p->loop, &p->peers[p->next]);
-	if (!p->http)
-		return;
-	p->asked++;
+	if (!http)
+		return NULL;
 	g_snprintf(path, sizeof(path), RELAY_STATE_FORMAT,
 		   (unsigned long long)known.number,
 		   (unsigned long long)known.era);
-	http_client_get(p->http, path,
-			p->starting ? PEERS_START_TIMEOUT_MS : PEERS_TIMEOUT_MS,
-			on_answer, p);
+	http_client_set_connect_timeout(http, connect_ms);
+	http_client_get(http, path, timeout_ms, done, ctx);
+	return http;
+}
+
+static void on_answer(void *ctx, const http_response_t *answer)
+{
+	relay_peers_t *p = ctx;
+
+	/* Without a newer state here, another peer may still have one. */
+	if (!apply_answer(p, p->next, answer))
+		p->next = (p->next + 1) % p->n;
+}
+
+/* True while a request of the start is not answered. */
+static bool start_pending(const relay_peers_t *p)
+{
+	for (size_t i = 0; i < p->n; i++)
+		if (p->start[i].http)
+			return true;
+	return false;
+}
+
+static void on_start_answer(void *ctx, const http_response_t *answer)
+{
+	start_request_t *r = ctx;
+	relay_peers_t *p = r->peers;
+	bool used = p->starting && apply_answer(p, r->peer, answer);
+
+	http_client_free(r->http);
+	r->http = NULL;
+	if (used || !start_pending(p))
+		end_start(p);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -77,7 +110,9 @@
 	end_start(p);
 	if (!p->ops.needed(p->ctx) || (p->http && http_client_busy(p->http)))
 		return;
-	send_request(p);
+	http_client_free(p->http);
+	p->http = send_request(p, p->next, PEERS_TIMEOUT_MS, PEERS_TIMEOUT_MS,
+			       on_answer, p);
 }
 
 relay_peers_t *relay_peers_new(uv_loop_t *loop, const relay_settings_t *s,
@@ -107,7 +142,12 @@
 void relay_peers_start(relay_peers_t *p)
 {
 	p->starting = true;
-	send_request(p);
+	for (size_t i = 0; i < p->n; i++) {
+		p->start[i] = (start_request_t){ .peers = p, .peer = i };
+		p->start[i].http = send_request(p, i, PEERS_START_CONNECT_MS,
+						PEERS_START_TIMEOUT_MS,
+						on_start_answer, &p->start[i]);
+	}
 }
 
 static void on_closed(uv_handle_t *handle)
@@ -120,6 +160,8 @@
 	if (!p)
 		return;
 	http_client_free(p->http);
+	for (size_t i = 0; i < p->n; i++)
+		http_client_free(p->start[i].http);
 	uv_timer_stop(&p->timer);
 	uv_close((uv_handle_t *)&p->timer, on_closed);
 }
--- a/src/relay_peers.h
+++ b/src/relay_peers.h
@@ -5,9 +5,9 @@
  * relay_peers - routes and targets from peers
  *
  * Requests the state (relay_state.h) from the other balancers named in the
- * settings, one after the other, over HTTP: once at the start, before the store
- * is read, and while the store is unreachable. A process that has just started
- * remembers nothing; a peer may know newer routes than a store that was
+ * settings over HTTP: of all at the start, before the store is read, and of one
+ * after the other while the store is unreachable. A process that has just
+ * started remembers nothing; a peer may know newer routes than a store that was
  * restored from a copy, and saves the store the reading of all its items.
  */
 
@@ -21,9 +21,11 @@
 /* Time-out of a request. Peers, also in other availability zones, answer within
  * some ms. */
 #define PEERS_TIMEOUT_MS 400
-/* Time-out of a request at the start, and the longest time until the start ends
- * although peers have not answered. Hosts that run answer or refuse the
- * connection within milliseconds. */
+/* Time-outs at the start, of connecting to a peer and of a request, and the
+ * longest time until the start ends although peers have not answered. Hosts
+ * that run accept or refuse a connection within a round trip of a few
+ * milliseconds; hosts without power do neither. */
+#define PEERS_START_CONNECT_MS 10
 #define PEERS_START_TIMEOUT_MS 100
 #define PEERS_START_MS	       200
 
@@ -45,7 +47,8 @@
 relay_peers_t *relay_peers_new(uv_loop_t *loop, const relay_settings_t *s,
 			       const relay_peers_ops_t *ops, void *ctx);
 
-/* Requests the state of each peer until one has one, then calls started(). */
+/* Requests the state of all peers at once; calls started() when one was applied
+ * or none has one. */
 void relay_peers_start(relay_peers_t *p);
 
 /* The memory is freed on the next run of the loop. */
