--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,17 @@
 	src/placement.c src/rank.c src/routes.c src/toml_text.c \
 	src/udp_socket.c
 RELAY_OBJ = $(RELAY_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
+# All libraries but the C library are linked statically: loading them takes two
+# thirds of the start, which on a host with 0.03 of a core is 60 ms of a return
+# from a power loss.
+ifeq ($(SANITIZE),)
+RELAY_LIBS = -Wl,-Bstatic -l:libuv_a.a -lprotobuf-c -lglib-2.0 -lpcre2-8 \
+	-lxxhash -ljson-c -lhttp_parser -lstdc++ -Wl,-Bdynamic -lm
+RELAY_LDFLAGS = -no-pie -static-libgcc
+else
 RELAY_LIBS = $(shell pkg-config --libs $(RELAY_PACKAGES)) -lhttp_parser \
 	-lstdc++ -lm
+endif
 
 # Sources of the library: all except those of single programs.
 PROGRAM_SRC = $(wildcard src/*_main.c src/*_daemon.c src/cli_*.c)
@@ -56,8 +65,8 @@
 
 $(BUILD)/cherviltray-relay: $(RELAY_OBJ)
 	@echo LD $@
-	@$(CC) $(LDFLAGS) -Wl,--gc-sections -o $@ $(filter %.o,$^) \
-		$(RELAY_LIBS)
+	@$(CC) $(LDFLAGS) $(RELAY_LDFLAGS) -Wl,--gc-sections -o $@ \
+		$(filter %.o,$^) $(RELAY_LIBS)
 
 $(BUILD)/src/%.pb-c.o: C_WARNINGS = -Wno-error
 
