--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -10,6 +10,10 @@
  * request follows after a round trip to the caller. */
 #define FIRST_REQUEST_MS 60
 
+/* Average utilisation of the server up to which late opens are served: what is
+ * left over belongs to opens and open flows that are answered in time. */
+#define LATE_UTILISATION_MAX 0.8
+
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
 static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer);
 static void send_refused(relay_agent_t *a, uint32_t balancer,
@@ -198,8 +202,11 @@
 		uint32_t in_flight = a->in_flight + a->nawaiting_request;
 		server_flow_t *f;
 
-		w = open_queue_next(&a->queue, a->now, response_ms(a),
-				    in_flight < a->slots);
+		w = open_queue_next(
+			&a->queue, a->now, response_ms(a),
+			in_flight < a->slots &&
+				a->avg_in_flight <
+					a->slots * LATE_UTILISATION_MAX);
 		if (!w)
 			return;
 		f = flow_of(w);
