--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -49,14 +49,15 @@
 	w->queue = NULL;
 }
 
-static bool in_time(const open_wait_t *w, uint64_t now, double response_ms)
+/* True for an open that may be delivered to a server without a free slot. */
+static bool fits(const open_wait_t *w, uint64_t now, double response_ms)
 {
 	return !w->max_wait_ms ||
 	       (double)(now - w->since_ms) + response_ms <= w->max_wait_ms;
 }
 
 open_wait_t *open_queue_next(open_queue_t *q, uint64_t now, double response_ms,
-			     bool slot_free)
+			     bool slot_free, bool late_allowed)
 {
 	open_wait_t *best = NULL;
 	bool best_in_time = false;
@@ -64,15 +65,16 @@
 	list_each(node, &q->waiting)
 	{
 		open_wait_t *w = list_entry(node, open_wait_t, node);
-		bool ok = in_time(w, now, response_ms);
+		bool in_time = now < w->late_ms;
 
-		if (!ok && (!slot_free || best_in_time))
+		if (in_time ? !slot_free && !fits(w, now, response_ms)
+			    : !late_allowed || best_in_time)
 			continue;
-		if (!best || (ok && !best_in_time) ||
+		if (!best || (in_time && !best_in_time) ||
 		    w->priority > best->priority ||
-		    (ok && w->priority == best->priority)) {
+		    (in_time && w->priority == best->priority)) {
 			best = w;
-			best_in_time = ok;
+			best_in_time = in_time;
 		}
 	}
 	if (!best)
@@ -85,8 +87,7 @@
 	return best;
 }
 
-open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now,
-				double response_ms)
+open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now)
 {
 	open_wait_t *worst = NULL;
 	unsigned late = 0;
@@ -102,7 +103,7 @@
 				q->late_limit = LIMIT_MIN;
 			return w;
 		}
-		if (in_time(w, now, response_ms))
+		if (now < w->late_ms)
 			continue;
 		late++;
 		if (!worst || w->priority < worst->priority)
--- a/src/open_queue.h
+++ b/src/open_queue.h
@@ -41,12 +41,16 @@
 
 typedef struct open_wait {
 	list_t node;
-	open_queue_t *queue;  /* NULL: it does not wait */
-	uint64_t since_ms;    /* when it was added */
-	uint64_t give_up_ms;  /* when the caller must be told */
-	uint32_t max_wait_ms; /* longest expected response, from since_ms on,
-				 that counts as in time; 0: no limit */
-	uint32_t priority;    /* higher is served first */
+	open_queue_t *queue; /* NULL: it does not wait */
+	uint64_t since_ms;   /* when it was added */
+	uint64_t give_up_ms; /* when the caller must be told */
+	/* Longest expected response, from since_ms on, at which it is served
+	 * without a free slot; 0: no limit. */
+	uint32_t max_wait_ms;
+	/* From then on it can't be answered within its objective; UINT64_MAX:
+	 * it has none. */
+	uint64_t late_ms;
+	uint32_t priority; /* higher is served first */
 } open_wait_t;
 
 void open_queue_init(open_queue_t *q);
@@ -65,15 +69,15 @@
 
 /*
  * Removes and returns the next open to serve, or NULL. response_ms is the
- * server's expected response time for one more request.
+ * server's expected response time for one more request, slot_free whether it
+ * would run at once, late_allowed whether there is room for a late open, too.
  */
 open_wait_t *open_queue_next(open_queue_t *q, uint64_t now, double response_ms,
-			     bool slot_free);
+			     bool slot_free, bool late_allowed);
 
 /* Removes and returns an open to refuse, or NULL: one that has waited in vain,
  * or one late open too many, of the lowest priority and the least time left. */
-open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now,
-				double response_ms);
+open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now);
 
 /* Removes and returns any open, or NULL: the server or the agent ends. */
 open_wait_t *open_queue_pop(open_queue_t *q);
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -419,7 +419,7 @@
   (ProtobufCMessageInit) ct__relay__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[19] =
 {
   {
     "kind",
@@ -637,6 +637,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "objective_ms",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -648,6 +660,7 @@
   7,   /* field[7] = dst */
   0,   /* field[0] = kind */
   11,   /* field[11] = load */
+  18,   /* field[18] = objective_ms */
   2,   /* field[2] = packet */
   12,   /* field[12] = patience_ms */
   17,   /* field[17] = priority_percent */
@@ -661,7 +674,7 @@
 static const ProtobufCIntRange ct__relay__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -671,7 +684,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  18,
+  19,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   1,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -125,6 +125,10 @@
    * longest time that the open may wait at the agent; 0: it must not
    */
   uint32_t queue_ms;
+  /*
+   * latency objective less the age of the open; 0: none
+   */
+  uint32_t objective_ms;
   /*
    * relative priority of the route, 100: highest
    */
@@ -132,7 +136,7 @@
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -14,6 +14,10 @@
  * left over belongs to opens and open flows that are answered in time. */
 #define LATE_UTILISATION_MAX 0.8
 
+/* Part of an objective that waiting and serving may take; the rest covers the
+ * ways to the caller and the spread of service times. */
+#define OBJECTIVE_SHARE 0.85
+
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
 static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer);
 static void send_refused(relay_agent_t *a, uint32_t balancer,
@@ -170,6 +174,18 @@
 	server_flow_deliver(a, f, &p);
 }
 
+/* Time from which an open with this objective left would be answered late. */
+static uint64_t late_ms(const relay_agent_t *a, uint32_t objective_ms)
+{
+	double left =
+		objective_ms * OBJECTIVE_SHARE -
+		placement_response_ms(0, a->slots, relay_health_service_ms(a));
+
+	if (!objective_ms)
+		return UINT64_MAX;
+	return left > 0 ? a->now + (uint64_t)left : a->now;
+}
+
 /* Puts the open into the queue, or refuses it when the queue is full. */
 static bool queue_open(relay_agent_t *a, server_flow_t *f,
 		       const relay_msg_t *msg)
@@ -178,6 +194,7 @@
 	f->wait.since_ms = a->now;
 	f->wait.give_up_ms = a->now + msg->queue_ms;
 	f->wait.max_wait_ms = msg->patience_ms;
+	f->wait.late_ms = late_ms(a, msg->objective_ms);
 	f->wait.priority = msg->priority_percent;
 	if (!open_queue_add(&a->queue, &f->wait)) {
 		send_refused(a, f->balancer, &f->node.key);
@@ -194,19 +211,22 @@
 	return list_entry(w, server_flow_t, wait);
 }
 
+/* True while the server has capacity left over for late opens. */
+static bool late_allowed(const relay_agent_t *a)
+{
+	return a->avg_in_flight < a->slots * LATE_UTILISATION_MAX;
+}
+
 void relay_agent_serve_queue(relay_agent_t *a)
 {
 	open_wait_t *w;
 
 	while (a->queue.n) {
-		uint32_t in_flight = a->in_flight + a->nawaiting_request;
+		bool slot_free = a->in_flight + a->nawaiting_request < a->slots;
 		server_flow_t *f;
 
-		w = open_queue_next(
-			&a->queue, a->now, response_ms(a),
-			in_flight < a->slots &&
-				a->avg_in_flight <
-					a->slots * LATE_UTILISATION_MAX);
+		w = open_queue_next(&a->queue, a->now, response_ms(a),
+				    slot_free, slot_free && late_allowed(a));
 		if (!w)
 			return;
 		f = flow_of(w);
@@ -222,8 +242,7 @@
 	open_wait_t *w;
 
 	while ((w = ended ? open_queue_pop(&a->queue)
-			  : open_queue_expired(&a->queue, a->now,
-					       response_ms(a)))) {
+			  : open_queue_expired(&a->queue, a->now))) {
 		server_flow_t *f = flow_of(w);
 
 		counter_add(&a->counters, COUNTER_OPENS_QUEUED_IN_VAIN, 1);
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -127,6 +127,7 @@
 	unsigned ntried;
 	unsigned offers;
 	uint32_t max_wait_ms;  /* see placement_max_wait(); 0: no limit */
+	uint32_t objective_ms; /* left of the objective; 0: none */
 	uint32_t priority;     /* relative priority of the route, percent */
 	uint64_t give_up_ms;   /* the caller's attempt ends soon after */
 	unsigned refusals;     /* offers that all candidates refused */
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -13,7 +13,7 @@
  * by itself. */
 #define OPEN_GIVE_UP_MS 1300
 /* Offers that all candidates refuse; then the open may wait at an agent. */
-#define REFUSALS_MAX 2
+#define REFUSALS_MAX 1
 /* Agents whose queue is tried, and the shortest wait that is worth it. */
 #define QUEUE_OFFERS_MAX 2
 #define QUEUE_MIN_MS	 50
@@ -347,6 +347,7 @@
 		msg.typical_us = (uint32_t)(typical->service_ms * 1000);
 	msg.queue_ms = queue_ms;
 	msg.priority_percent = f->priority;
+	msg.objective_ms = f->objective_ms;
 	f->tried[f->ntried++] = chosen[0]->agent;
 	f->offers++;
 	f->offered_ms = b->now;
@@ -458,6 +459,8 @@
 	f->tag = service_tag(f->service);
 	priority = route_relative_priority(b->routes, route, f->service);
 	f->priority = (uint32_t)(priority * 100);
+	f->objective_ms =
+		remaining_wait_ms(route->objective_ms, p->open_age_ms);
 	f->max_wait_ms = remaining_wait_ms(
 		placement_max_wait(route->objective_ms, priority),
 		p->open_age_ms);
