Let opens wait at agents while a backlog drains

Change: an open that all candidates refused, or that no target would answer in time, is offered once more to the agent that would answer it first, which may queue it (open_queue.[ch], message "queued"). In the queue opens that can still be answered in time go first, by priority, then the newest; late ones get what is left below .8 utilisation, and their number follows what became of those before, so that a standing overload refuses them as soon as they are late. A given-up open is refused 100 ms before its caller's try ends; it was not delivered, so "not run" is true. A stopping agent refuses what waits, and the balancer offers it elsewhere.

--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -4,8 +4,10 @@
 
 /* Least late opens allowed: one shows when the overload has ended. */
 #define LIMIT_MIN 1.0
-/* Factor on the limit for each open that waited in vain. */
-#define GIVEN_UP_FACTOR 0.8
+/* Factor on the limit when opens waited in vain, and the shortest time between
+ * two reductions, in ms. */
+#define GIVEN_UP_FACTOR	      0.8
+#define REDUCTION_INTERVAL_MS 100
 /* Added to the limit for each open that was served. */
 #define SERVED_STEP 1.0
 
@@ -13,6 +15,7 @@
 {
 	list_init(&q->waiting);
 	q->n = 0;
+	q->reduced_ms = 0;
 	open_queue_set_rate(q, 0, 0);
 	q->late_limit = q->max;
 }
@@ -87,6 +90,16 @@
 	return best;
 }
 
+static void reduce_late_limit(open_queue_t *q, uint64_t now)
+{
+	if (now < q->reduced_ms + REDUCTION_INTERVAL_MS)
+		return;
+	q->reduced_ms = now;
+	q->late_limit *= GIVEN_UP_FACTOR;
+	if (q->late_limit < LIMIT_MIN)
+		q->late_limit = LIMIT_MIN;
+}
+
 open_wait_t *open_queue_expired(open_queue_t *q, uint64_t now)
 {
 	open_wait_t *worst = NULL;
@@ -98,9 +111,7 @@
 
 		if (now >= w->give_up_ms) {
 			open_wait_cancel(w);
-			q->late_limit *= GIVEN_UP_FACTOR;
-			if (q->late_limit < LIMIT_MIN)
-				q->late_limit = LIMIT_MIN;
+			reduce_late_limit(q, now);
 			return w;
 		}
 		if (now < w->late_ms)
@@ -109,9 +120,10 @@
 		if (!worst || w->priority < worst->priority)
 			worst = w;
 	}
-	if (late <= (unsigned)q->late_limit)
+	if (!worst || late <= (unsigned)q->late_limit)
 		return NULL;
 	open_wait_cancel(worst);
+	reduce_late_limit(q, now);
 	return worst;
 }
 
--- a/src/open_queue.h
+++ b/src/open_queue.h
@@ -33,10 +33,11 @@
 #define OPEN_QUEUE_MS 1000
 
 typedef struct open_queue {
-	list_t waiting;	   /* of open_wait_t, oldest first */
-	unsigned n;	   /* entries in waiting */
-	double late_limit; /* greatest number of late opens */
-	double max;	   /* greatest n, and upper bound of late_limit */
+	list_t waiting;	     /* of open_wait_t, oldest first */
+	unsigned n;	     /* entries in waiting */
+	double late_limit;   /* greatest number of late opens */
+	double max;	     /* greatest n, and upper bound of late_limit */
+	uint64_t reduced_ms; /* last reduction of late_limit */
 } open_queue_t;
 
 typedef struct open_wait {
@@ -44,12 +45,12 @@
 	open_queue_t *queue; /* NULL: it does not wait */
 	uint64_t since_ms;   /* when it was added */
 	uint64_t give_up_ms; /* when the caller must be told */
-	/* Longest expected response, from since_ms on, at which it is served
-	 * without a free slot; 0: no limit. */
-	uint32_t max_wait_ms;
 	/* From then on it can't be answered within its objective; UINT64_MAX:
 	 * it has none. */
 	uint64_t late_ms;
+	/* Longest expected response, from since_ms on, at which it is served
+	 * without a free slot; 0: no limit. */
+	uint32_t max_wait_ms;
 	uint32_t priority; /* higher is served first */
 } open_wait_t;
 
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -125,6 +125,12 @@
 		relay_agent_send(a, msg->balancer, RELAY_TAKEN, &p.key);
 		return;
 	}
+	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPENING) {
+		/* Delivered already: it can't be refused any more. */
+		f->balancer = msg->balancer;
+		server_flow_deliver(a, f, &p);
+		return;
+	}
 	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_QUEUED) {
 		f->balancer = msg->balancer;
 		relay_agent_send(a, msg->balancer, RELAY_QUEUED, &p.key);
--- a/src/relay_msg.c
+++ b/src/relay_msg.c
@@ -52,9 +52,9 @@
 const char *relay_kind_name(uint32_t kind)
 {
 	static const char *const names[RELAY_KINDS] = {
-		"none",	  "hello", "load", "offer",    "taken",	 "refused",
-		"lookup", "query", "held", "not-held", "unsure", "given-back",
-		"queued",
+		"none",	   "hello",	 "load",   "offer", "taken",
+		"refused", "lookup",	 "query",  "held",  "not-held",
+		"unsure",  "given-back", "queued",
 	};
 
 	return kind < RELAY_KINDS ? names[kind] : "unknown";
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -105,6 +105,10 @@
  * service. */
 void rr_offer_typical(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		      uint32_t seq, double typical_ms);
+/* Offers an open that may wait for queue_ms, with a latency objective of 200
+ * ms, of which the server may take 100 when no slot is free. */
+void rr_offer_queue(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		    uint32_t seq, uint32_t queue_ms);
 /* Passes a hello to the agent, with the slots of its server. */
 void rr_hello(relay_rig_t *r, uint32_t balancer, uint32_t slots);
 
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -493,6 +493,100 @@
 }
 END_TEST
 
+/* Gives the server as many requests as it can answer within 100 ms. */
+#define BUSY_REQUESTS 10
+
+static relay_rig_t *busy_agent(void)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	rr_hello(r, BALANCER, 2);
+	for (unsigned i = 0; i < BUSY_REQUESTS; i++) {
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+		request(r, i);
+	}
+	rr_clear(r);
+	return r;
+}
+
+/* An open that no agent accepts at once waits; it is delivered when a slot is
+ * free, once, although the balancer offers it twice. */
+START_TEST(queued_open_gets_free_slot)
+{
+	relay_rig_t *r = busy_agent();
+
+	rr_offer_queue(r, BALANCER, 50, 5, 1300);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_QUEUED), 1);
+	rr_offer_queue(r, BALANCER, 50, 5, 1300);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_QUEUED), 2);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	for (unsigned i = 0; i < BUSY_REQUESTS; i++)
+		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 50);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_from_server(r, 50, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_TAKEN), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* An open that waits in vain, or whose agent stops, is refused; nothing of it
+ * was delivered. */
+START_TEST(queued_open_is_refused_undelivered)
+{
+	relay_rig_t *r = busy_agent();
+
+	rr_offer_queue(r, BALANCER, 50, 5, 300);
+	if (_i)
+		relay_agent_stop(r->agent, r->now);
+	else
+		rr_advance(r, 350);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_advance(r, 1000);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* A copy of an open that was delivered and not answered yet is delivered again:
+ * the server may accept it, so that a refusal would be untrue. */
+START_TEST(delivered_open_is_not_refused)
+{
+	relay_rig_t *r = busy_agent();
+
+	for (unsigned i = 0; i < BUSY_REQUESTS; i++)
+		rr_from_server(r, i, RELAY_ACK, ISN + 1, 106, 50);
+	rr_offer(r, BALANCER, 50, 5, NULL, 0);
+	for (unsigned i = 0; i < BUSY_REQUESTS; i++)
+		request(r, i);
+	rr_clear(r);
+	rr_offer_queue(r, BALANCER, 50, 5, 300);
+	rr_offer(r, BALANCER, 50, 5, NULL, 0);
+	rr_advance(r, 400);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_REFUSED), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* The server holds no flow whose open waits. */
+START_TEST(queued_open_is_not_held)
+{
+	relay_rig_t *r = busy_agent();
+
+	rr_offer_queue(r, BALANCER, 50, 5, 1300);
+	rr_flow_message(r, BALANCER, RELAY_QUERY, 50, "feeds");
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, BALANCER, RELAY_NOT_HELD), 0);
+	rr_lookup(r, BALANCER, 50, 7, NULL, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 0);
+	rr_from_balancer(r, BALANCER, 50, RELAY_ACK, 6, 7, 10, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 /* A load report has the requests in flight and the active flows. */
 START_TEST(load_is_reported)
 {
@@ -589,6 +683,10 @@
 	tcase_add_test(tc, dead_server_holds_nothing);
 	tcase_add_test(tc, kept_packet_is_held);
 	tcase_add_test(tc, first_restarted_agent_limits_opens);
+	tcase_add_test(tc, queued_open_gets_free_slot);
+	tcase_add_loop_test(tc, queued_open_is_refused_undelivered, 0, 2);
+	tcase_add_test(tc, delivered_open_is_not_refused);
+	tcase_add_test(tc, queued_open_is_not_held);
 	tcase_add_test(tc, load_is_reported);
 	tcase_add_test(tc, load_reports_stay_within_budget);
 	tcase_add_test(tc, idle_request_is_not_counted);
