--- a/src/placement.h
+++ b/src/placement.h
@@ -74,6 +74,11 @@
  */
 double placement_max_wait(double objective_ms, double relative_priority);
 
+/* Expected time until a member answers an open that waits there, with a penalty
+ * for another availability zone, in ms. */
+double placement_queue_ms(const placement_member_t *m,
+			  const placement_aggregate_t *g);
+
 typedef enum admission {
 	ADMISSION_ACCEPT,
 	ADMISSION_FORWARD, /* the next candidate would answer sooner */
@@ -82,10 +87,12 @@
 
 /*
  * Decides what an agent does with an open that its server would answer in
- * response_ms. next_ms is the expected response time of the next candidate (0:
- * there is none), max_wait_ms the result of placement_max_wait().
+ * response_ms. A server with a free slot accepts it however slow it is, unless
+ * the next candidate is much faster: nothing would be gained by waiting.
+ * next_ms is the expected response time of the next candidate (0: there is
+ * none), max_wait_ms the result of placement_max_wait().
  */
-admission_t placement_admit(double response_ms, double next_ms,
+admission_t placement_admit(double response_ms, bool slot_free, double next_ms,
 			    double max_wait_ms);
 
 /*
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -419,7 +419,7 @@
   (ProtobufCMessageInit) ct__relay__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[16] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[19] =
 {
   {
     "kind",
@@ -613,6 +613,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, queue_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority_percent",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, priority_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_ms",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -624,8 +660,11 @@
   7,   /* field[7] = dst */
   0,   /* field[0] = kind */
   11,   /* field[11] = load */
+  18,   /* field[18] = objective_ms */
   2,   /* field[2] = packet */
   12,   /* field[12] = patience_ms */
+  17,   /* field[17] = priority_percent */
+  16,   /* field[16] = queue_ms */
   1,   /* field[1] = service */
   10,   /* field[10] = slots */
   6,   /* field[6] = sport */
@@ -635,7 +674,7 @@
 static const ProtobufCIntRange ct__relay__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -645,7 +684,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  16,
+  19,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   1,  ct__relay__message__number_ranges,
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -10,16 +10,32 @@
  * request follows after a round trip to the caller. */
 #define FIRST_REQUEST_MS 60
 
+/* Average utilisation of the server up to which late opens are served: what is
+ * left over belongs to opens and open flows that are answered in time. */
+#define LATE_UTILISATION_MAX 0.8
+
+/* Part of an objective that waiting and serving may take; the rest covers the
+ * ways to the caller and the spread of service times. */
+#define OBJECTIVE_SHARE 0.85
+
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
 static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer);
 static void send_refused(relay_agent_t *a, uint32_t balancer,
 			 const flow_key_t *key);
+static void deliver_open(relay_agent_t *a, server_flow_t *f);
+static bool queue_open(relay_agent_t *a, server_flow_t *f,
+		       const relay_msg_t *msg);
+
+/* Expected response time of one more request. */
+static double response_ms(const relay_agent_t *a)
+{
+	return placement_response_ms(a->in_flight + a->nawaiting_request,
+				     a->slots, relay_health_service_ms(a));
+}
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg)
 {
-	double response_ms =
-		placement_response_ms(a->in_flight + a->nawaiting_request,
-				      a->slots, relay_health_service_ms(a));
+	uint32_t in_flight = a->in_flight + a->nawaiting_request;
 
 	if (strcmp(msg->service, a->options.service) != 0 ||
 	    (a->stopping && relay_mechanism_on(RELAY_STOP_REFUSAL)))
@@ -28,11 +44,18 @@
 	 * answers again. */
 	if (relay_server_stalled_ms(a) && list_empty(&a->opening))
 		return ADMISSION_ACCEPT;
-	return placement_admit(response_ms,
+	return placement_admit(response_ms(a), in_flight < a->slots,
 			       msg->n_candidate_ms ? msg->candidate_ms[0] : 0,
 			       msg->patience_ms);
 }
 
+/* True when an open that is not accepted may wait here. */
+static bool may_queue(const relay_agent_t *a, const relay_msg_t *msg)
+{
+	return msg->queue_ms && !a->stopping && !a->down &&
+	       !strcmp(msg->service, a->options.service);
+}
+
 /* Offers an open to the next candidate. Returns false when none is left. */
 static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer)
 {
@@ -80,6 +103,7 @@
 {
 	relay_packet_t p;
 	server_flow_t *f;
+	admission_t admission;
 	size_t n;
 
 	(void)from;
@@ -101,7 +125,19 @@
 		relay_agent_send(a, msg->balancer, RELAY_TAKEN, &p.key);
 		return;
 	}
-	if (admit(a, msg) != ADMISSION_ACCEPT) {
+	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPENING) {
+		/* Delivered already: it can't be refused any more. */
+		f->balancer = msg->balancer;
+		server_flow_deliver(a, f, &p);
+		return;
+	}
+	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_QUEUED) {
+		f->balancer = msg->balancer;
+		relay_agent_send(a, msg->balancer, RELAY_QUEUED, &p.key);
+		return;
+	}
+	admission = admit(a, msg);
+	if (admission != ADMISSION_ACCEPT && !may_queue(a, msg)) {
 		if (!forward_offer(a, msg))
 			send_refused(a, msg->balancer, &p.key);
 		return;
@@ -118,7 +154,6 @@
 					       : CANDIDATES_MAX;
 	f->caller_isn = p.seq;
 	f->balancer = msg->balancer;
-	f->opened_ms = a->now;
 	f->ncandidates = n;
 	f->max_wait_ms = msg->patience_ms;
 	if (n)
@@ -126,11 +161,102 @@
 		       n * sizeof(f->candidates[0]));
 	memcpy(f->syn, p.data, p.len);
 	f->syn_len = (uint8_t)p.len;
+	if (admission == ADMISSION_ACCEPT)
+		deliver_open(a, f);
+	else if (!queue_open(a, f, msg))
+		server_flow_remove(a, f);
+}
+
+/* Delivers the open to the server. */
+static void deliver_open(relay_agent_t *a, server_flow_t *f)
+{
+	relay_packet_t p;
+
+	if (a->options.format->read(f->syn, f->syn_len, &p) < 0)
+		return;
+	f->opened_ms = a->now;
 	server_flow_set_phase(a, f, SERVER_FLOW_OPENING);
 	server_flow_await_request(a, f, true);
 	server_flow_deliver(a, f, &p);
 }
 
+/* Time from which an open with this objective left would be answered late. */
+static uint64_t late_ms(const relay_agent_t *a, uint32_t objective_ms)
+{
+	double left =
+		objective_ms * OBJECTIVE_SHARE -
+		placement_response_ms(0, a->slots, relay_health_service_ms(a));
+
+	if (!objective_ms)
+		return UINT64_MAX;
+	return left > 0 ? a->now + (uint64_t)left : a->now;
+}
+
+/* Puts the open into the queue, or refuses it when the queue is full. */
+static bool queue_open(relay_agent_t *a, server_flow_t *f,
+		       const relay_msg_t *msg)
+{
+	open_queue_set_rate(&a->queue, a->slots, relay_health_service_ms(a));
+	f->wait.since_ms = a->now;
+	f->wait.give_up_ms = a->now + msg->queue_ms;
+	f->wait.max_wait_ms = msg->patience_ms;
+	f->wait.late_ms = late_ms(a, msg->objective_ms);
+	f->wait.priority = msg->priority_percent;
+	if (!open_queue_add(&a->queue, &f->wait)) {
+		send_refused(a, f->balancer, &f->node.key);
+		return false;
+	}
+	server_flow_set_phase(a, f, SERVER_FLOW_QUEUED);
+	counter_add(&a->counters, COUNTER_OPENS_QUEUED, 1);
+	relay_agent_send(a, f->balancer, RELAY_QUEUED, &f->node.key);
+	return true;
+}
+
+static server_flow_t *flow_of(open_wait_t *w)
+{
+	return list_entry(w, server_flow_t, wait);
+}
+
+/* True while the server has capacity left over for late opens. */
+static bool late_allowed(const relay_agent_t *a)
+{
+	return a->avg_in_flight < a->slots * LATE_UTILISATION_MAX;
+}
+
+void relay_agent_serve_queue(relay_agent_t *a)
+{
+	open_wait_t *w;
+
+	while (a->queue.n) {
+		bool slot_free = a->in_flight + a->nawaiting_request < a->slots;
+		server_flow_t *f;
+
+		w = open_queue_next(&a->queue, a->now, response_ms(a),
+				    slot_free, slot_free && late_allowed(a));
+		if (!w)
+			return;
+		f = flow_of(w);
+		histogram_add(&a->queue_ms, a->now - w->since_ms);
+		flow_index_touch(a->flows, &f->node, a->now);
+		deliver_open(a, f);
+	}
+}
+
+void relay_agent_expire_queue(relay_agent_t *a)
+{
+	bool ended = a->stopping || a->down;
+	open_wait_t *w;
+
+	while ((w = ended ? open_queue_pop(&a->queue)
+			  : open_queue_expired(&a->queue, a->now))) {
+		server_flow_t *f = flow_of(w);
+
+		counter_add(&a->counters, COUNTER_OPENS_QUEUED_IN_VAIN, 1);
+		send_refused(a, f->balancer, &f->node.key);
+		server_flow_remove(a, f);
+	}
+}
+
 void relay_agent_forward_open(relay_agent_t *a, server_flow_t *f, bool returned)
 {
 	relay_msg_t offer;
