Log and measure the opens that wait; report loads to any number of balancers

Cause: an operator saw refusals only, not what waits; an agent dropped the 65th balancer that said hello without a word. Change: event queued, with the queue's length and its limit for late opens, also on refused; gauges cherviltray_queued and cherviltray_late_limit, histogram cherviltray_queue_ms; the agent's list of balancers grows as needed (reports_reach_all_balancers of test_relay_agent fails before: 64 of 300).

--- a/src/event_log.c
+++ b/src/event_log.c
@@ -14,10 +14,10 @@
 #define LINE_SIZE 700
 
 static const char *const names[NEVENTS] = {
-	"start",  "stop",    "reload",	   "ready",  "store",
-	"routes", "target",  "member",	   "open",   "taken",
-	"passed", "refused", "unanswered", "lookup", "given-back",
-	"reset",  "message", "server",	   "wake",
+	"start",      "stop",	 "reload",  "ready",	  "store",
+	"routes",     "target",	 "member",  "open",	  "taken",
+	"passed",     "refused", "queued",  "unanswered", "lookup",
+	"given-back", "reset",	 "message", "server",	  "wake",
 };
 
 static const char *process_name = "cherviltray";
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -64,8 +64,10 @@
 	list_init(&a->opening);
 	list_init(&a->awaiting_request);
 	open_queue_init(&a->queue);
+	a->balancers = g_array_new(FALSE, FALSE, sizeof(known_balancer_t));
 	a->flows = flow_index_new(options->max_flows, server_flow_release);
 	if (!a->flows) {
+		g_array_free(a->balancers, TRUE);
 		free(a);
 		return NULL;
 	}
@@ -77,6 +79,7 @@
 	if (!a)
 		return;
 	flow_index_free(a->flows);
+	g_array_free(a->balancers, TRUE);
 	free(a);
 }
 
@@ -100,6 +103,16 @@
 	return &a->service_ms;
 }
 
+const histogram_t *relay_agent_queue_ms(const relay_agent_t *a)
+{
+	return &a->queue_ms;
+}
+
+const open_queue_t *relay_agent_queue(const relay_agent_t *a)
+{
+	return &a->queue;
+}
+
 server_flow_t *server_flow_find_or_add(relay_agent_t *a, const flow_key_t *key)
 {
 	server_flow_t *f = (server_flow_t *)flow_index_find(a->flows, key);
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -17,6 +17,7 @@
 
 #include "counters.h"
 #include "histogram.h"
+#include "open_queue.h"
 #include "relay_msg.h"
 #include "relay_packet.h"
 #include <stdbool.h>
@@ -83,6 +84,12 @@
  * of its answer. */
 const histogram_t *relay_agent_service_ms(const relay_agent_t *a);
 
+/* Times in ms that opens waited in the queue until they were delivered. */
+const histogram_t *relay_agent_queue_ms(const relay_agent_t *a);
+
+/* The queue of opens that wait for a slot, owned by the agent. */
+const open_queue_t *relay_agent_queue(const relay_agent_t *a);
+
 /* Interval between calls of relay_agent_tick(). */
 #define RELAY_AGENT_TICK_MS 25
 
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -131,17 +131,29 @@
 	agent_state_t *s = p->ctx;
 
 	g_string_append_printf(
-		out, "cherviltray_flows %zu\ncherviltray_in_flight %u\n",
+		out,
+		"cherviltray_flows %zu\ncherviltray_in_flight %u\n"
+		"cherviltray_queued %u\ncherviltray_late_limit %u\n",
 		relay_agent_flow_count(s->agent),
-		relay_agent_in_flight(s->agent));
+		relay_agent_in_flight(s->agent), relay_agent_queue(s->agent)->n,
+		(unsigned)relay_agent_queue(s->agent)->late_limit);
 }
 
-static const histogram_t *histogram(relay_process_t *p, const char **name)
+static const histogram_t *histogram(relay_process_t *p, unsigned i,
+				    const char **name)
 {
 	agent_state_t *s = p->ctx;
 
-	*name = "cherviltray_service_ms";
-	return relay_agent_service_ms(s->agent);
+	switch (i) {
+	case 0:
+		*name = "cherviltray_service_ms";
+		return relay_agent_service_ms(s->agent);
+	case 1:
+		*name = "cherviltray_queue_ms";
+		return relay_agent_queue_ms(s->agent);
+	default:
+		return NULL;
+	}
 }
 
 const relay_daemon_t relay_agent_daemon = {
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -19,8 +19,6 @@
 
 /* Most candidates kept for an open or a look-up. */
 #define CANDIDATES_MAX 16
-/* Most balancers that receive load reports. */
-#define BALANCERS_MAX 64
 
 typedef enum server_flow_phase {
 	SERVER_FLOW_OPENING, /* open delivered, no answer from the server yet */
@@ -81,8 +79,7 @@
 	open_queue_t queue; /* of server_flow.wait */
 	uint32_t slots;	    /* published slots of the server; 0: unknown */
 	bool stopping;
-	known_balancer_t balancers[BALANCERS_MAX];
-	size_t nbalancers;
+	GArray *balancers; /* of known_balancer_t, which get load reports */
 	/* load */
 	uint32_t active_flows;		 /* flows with `active` set */
 	uint32_t in_flight;		 /* requests without an answer */
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -18,6 +18,8 @@
  * hello every 4 s. */
 #define BALANCER_EXPIRY_MS 10000
 
+#define balancer_at(a, i) g_array_index((a)->balancers, known_balancer_t, i)
+
 static void update_avg_in_flight(relay_agent_t *a);
 
 static void update_avg_in_flight(relay_agent_t *a)
@@ -76,22 +78,21 @@
 {
 	relay_load_t load;
 	relay_msg_t msg;
-	size_t kept = 0;
+	guint kept = 0;
 
 	relay_load_fill(a, &load);
 	relay_msg_init(&msg, RELAY_LOAD);
 	msg.load = &load;
-	for (size_t i = 0; i < a->nbalancers; i++) {
-		known_balancer_t *balancer = &a->balancers[i];
+	for (guint i = 0; i < a->balancers->len; i++) {
+		known_balancer_t balancer = balancer_at(a, i);
 
-		if (a->now >= balancer->last_heard_ms + BALANCER_EXPIRY_MS)
+		if (a->now >= balancer.last_heard_ms + BALANCER_EXPIRY_MS)
 			continue;
-		a->balancers[kept++] = *balancer;
+		balancer_at(a, kept++) = balancer;
 		counter_add(&a->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
-		a->ops.send_message(a->ctx, a->balancers[kept - 1].address,
-				    &msg);
+		a->ops.send_message(a->ctx, balancer.address, &msg);
 	}
-	a->nbalancers = kept;
+	g_array_set_size(a->balancers, kept);
 	a->reported_ms = a->now;
 	a->reported_stalled = load.quiet_ms > 0;
 	a->reported_avg_in_flight = a->avg_in_flight;
@@ -100,21 +101,20 @@
 
 void relay_load_add_balancer(relay_agent_t *a, uint32_t address)
 {
-	for (size_t i = 0; i < a->nbalancers; i++)
-		if (a->balancers[i].address == address) {
-			a->balancers[i].last_heard_ms = a->now;
+	known_balancer_t balancer = { address, a->now };
+
+	for (guint i = 0; i < a->balancers->len; i++)
+		if (balancer_at(a, i).address == address) {
+			balancer_at(a, i) = balancer;
 			return;
 		}
-	if (a->nbalancers == BALANCERS_MAX)
-		return;
-	a->balancers[a->nbalancers].address = address;
-	a->balancers[a->nbalancers++].last_heard_ms = a->now;
+	g_array_append_val(a->balancers, balancer);
 }
 
 void relay_load_tick(relay_agent_t *a)
 {
 	double slots = a->slots ? a->slots : 1;
-	uint64_t interval_ms = a->nbalancers * REPORT_BALANCER_MS;
+	uint64_t interval_ms = a->balancers->len * REPORT_BALANCER_MS;
 
 	if (a->now < a->reported_ms + (interval_ms > REPORT_MIN_INTERVAL_MS
 					       ? interval_ms
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -93,8 +93,9 @@
 	counter_add(&a->counters, COUNTER_OPENS_REFUSED, 1);
 	event_log(EVENT_REFUSED,
 		  "\"flow\":\"%s\",\"in_flight\":%u,\"slots\":%u,"
-		  "\"stopping\":%s",
+		  "\"queued\":%u,\"late_limit\":%u,\"stopping\":%s",
 		  flow_key_format(key, text), a->in_flight, a->slots,
+		  a->queue.n, (unsigned)a->queue.late_limit,
 		  a->stopping ? "true" : "false");
 	relay_agent_send(a, balancer, RELAY_REFUSED, key);
 }
@@ -196,6 +197,8 @@
 static bool queue_open(relay_agent_t *a, server_flow_t *f,
 		       const relay_msg_t *msg)
 {
+	char text[FLOW_TEXT_SIZE];
+
 	open_queue_set_rate(&a->queue, a->slots, relay_health_service_ms(a));
 	f->wait.since_ms = a->now;
 	f->wait.give_up_ms = a->now + msg->queue_ms;
@@ -208,6 +211,13 @@
 	}
 	server_flow_set_phase(a, f, SERVER_FLOW_QUEUED);
 	counter_add(&a->counters, COUNTER_OPENS_QUEUED, 1);
+	event_log(EVENT_QUEUED,
+		  "\"flow\":\"%s\",\"in_flight\":%u,\"slots\":%u,"
+		  "\"queued\":%u,\"late_limit\":%u,\"objective_ms\":%u,"
+		  "\"within_ms\":%u",
+		  flow_key_format(&f->node.key, text), a->in_flight, a->slots,
+		  a->queue.n, (unsigned)a->queue.late_limit, msg->objective_ms,
+		  msg->queue_ms);
 	relay_agent_send(a, f->balancer, RELAY_QUEUED, &f->node.key);
 	return true;
 }
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -266,10 +266,13 @@
 		(unsigned long long)known_revision(p).era);
 }
 
-static const histogram_t *histogram(relay_process_t *p, const char **name)
+static const histogram_t *histogram(relay_process_t *p, unsigned i,
+				    const char **name)
 {
 	balancer_state_t *s = p->ctx;
 
+	if (i > 0)
+		return NULL;
 	*name = "cherviltray_open_ms";
 	return relay_balancer_open_ms(s->balancer);
 }
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -123,7 +123,7 @@
 static int answer_metrics(relay_process_t *p, GString *body)
 {
 	const char *name;
-	const histogram_t *h = p->daemon->histogram(p, &name);
+	const histogram_t *h;
 
 	g_string_append_printf(body,
 			       "cherviltray_info{process=\"%s\",role=\"%s\","
@@ -137,7 +137,8 @@
 				body, "cherviltray_%s %llu\n",
 				counter_name((counter_t)i),
 				(unsigned long long)p->counters->values[i]);
-	add_histogram(body, name, h);
+	for (unsigned i = 0; (h = p->daemon->histogram(p, i, &name)); i++)
+		add_histogram(body, name, h);
 	return 200;
 }
 
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -51,8 +51,10 @@
 			    GString *body);
 	/* Appends the daemon's gauges to the metrics, "NAME VALUE\n" each. */
 	void (*gauges)(relay_process_t *p, GString *out);
-	/* Returns the daemon's histogram, and its metric name in *name. */
-	const histogram_t *(*histogram)(relay_process_t *p, const char **name);
+	/* Returns the daemon's i-th histogram, and its metric name in *name;
+	 * NULL: it has fewer. */
+	const histogram_t *(*histogram)(relay_process_t *p, unsigned i,
+					const char **name);
 } relay_daemon_t;
 
 struct relay_process {
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -571,6 +571,22 @@
 }
 END_TEST
 
+/* Each balancer that said hello gets a load report, however many there are. */
+START_TEST(reports_reach_all_balancers)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	for (uint32_t i = 0; i < 300; i++)
+		rr_hello(r, BALANCER + i, 2);
+	rr_clear(r);
+	relay_agent_stop(r->agent, r->now);
+	for (uint32_t i = 0; i < 300; i++)
+		ck_assert_int_ge(
+			rr_last(r, RIG_MESSAGE, BALANCER + i, RELAY_LOAD), 0);
+	rr_free(r);
+}
+END_TEST
+
 /* The server holds no flow whose open waits. */
 START_TEST(queued_open_is_not_held)
 {
@@ -686,6 +702,7 @@
 	tcase_add_test(tc, queued_open_gets_free_slot);
 	tcase_add_loop_test(tc, queued_open_is_refused_undelivered, 0, 2);
 	tcase_add_test(tc, delivered_open_is_not_refused);
+	tcase_add_test(tc, reports_reach_all_balancers);
 	tcase_add_test(tc, queued_open_is_not_held);
 	tcase_add_test(tc, load_is_reported);
 	tcase_add_test(tc, load_reports_stay_within_budget);
