--- a/Makefile
+++ b/Makefile
@@ -178,6 +178,8 @@
 	$(MAKE) BUILD=build/sanitized SANITIZE="$(SANITIZE_FLAGS)" \
 		build/sanitized/cherviltray-relay
 	test/run_soak build/sanitized/cherviltray-relay 8 2 1 2 $(SOAK_KEPT)
+	SOAK_OPTIONS="--faults term,hup,routes,drain --all-served" \
+		test/run_soak build/sanitized/cherviltray-relay 8 2 3 4
 
 # Benches, which write one JSON object per line, and the report made from them.
 SEED = 1
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -127,6 +127,72 @@
 }
 END_TEST
 
+/* Passes the message or packet in buf to both daemons. */
+static void deliver_anything(relay_rig_t *balancer, relay_rig_t *agent,
+			     uint8_t *buf, size_t len)
+{
+	relay_msg_t *msg = relay_msg_unpack(buf, len);
+
+	if (msg) {
+		relay_balancer_handle_message(balancer->balancer, balancer->now,
+					      0x0a010009u, msg);
+		relay_agent_handle_message(agent->agent, agent->now, 1, msg);
+		relay_msg_free(msg);
+	}
+	relay_balancer_handle_packet(balancer->balancer, balancer->now, buf,
+				     len);
+	relay_agent_handle_packet(agent->agent, agent->now, 1, buf, len);
+	relay_agent_handle_server_packet(agent->agent, agent->now, buf, len);
+}
+
+/* Messages and packets that the daemons sent themselves, with some bytes
+ * changed, cut off or repeated, crash neither of them. */
+START_TEST(mutated_traffic)
+{
+	relay_rig_t *balancer = rr_balancer(), *agent = rr_agent(false);
+	static rig_sent_t samples[64];
+	uint8_t buf[RELAY_MSG_MAX];
+	size_t n = 0;
+
+	rr_routes(balancer, 1);
+	rr_entry(balancer, "a", 0x0a010009u, 2, ENTRY_READY);
+	rr_entry(balancer, "b", 0x0a01000au, 3, ENTRY_READY);
+	rr_hello(agent, RIG_BALANCER_ADDRESS, 2);
+	for (unsigned i = 0; i < 8; i++) {
+		rr_from_caller(balancer, i, RELAY_SYN, 5, 0, 0);
+		rr_from_caller(balancer, 100 + i, RELAY_ACK, 6, 9, 30);
+		rr_offer_queue(agent, RIG_BALANCER_ADDRESS, i, 5, 1300);
+		rr_from_server(agent, i, RELAY_SYN | RELAY_ACK, 7000, 6, 0);
+		rr_lookup(agent, RIG_BALANCER_ADDRESS, 200 + i, 7, NULL, 0);
+	}
+	for (size_t i = 0; i < balancer->nsent && n < 32; i++)
+		samples[n++] = balancer->sent[i];
+	for (size_t i = 0; i < agent->nsent && n < 64; i++)
+		samples[n++] = agent->sent[i];
+	ck_assert_uint_ge(n, 40);
+	for (unsigned i = 0; i < 40000; i++) {
+		const rig_sent_t *s = &samples[i % n];
+		size_t len = s->len;
+
+		memcpy(buf, s->buf, len);
+		for (unsigned j = 0; j < i % 4 && len; j++)
+			buf[(random_byte() * 256u + random_byte()) % len] =
+				random_byte();
+		if (i % 7 == 0)
+			len = len * random_byte() / 256;
+		deliver_anything(balancer, agent, buf, len);
+		rr_clear(balancer);
+		rr_clear(agent);
+		if (i % 50 == 0) {
+			rr_advance(balancer, 50);
+			rr_advance(agent, 50);
+		}
+	}
+	rr_free(balancer);
+	rr_free(agent);
+}
+END_TEST
+
 /* Items with randomly changed bytes are parsed or rejected without a crash. */
 START_TEST(corrupted_items)
 {
@@ -266,6 +332,7 @@
 	tcase_add_test(tc, example_packet);
 	tcase_add_test(tc, packet_length_and_returned_flag);
 	tcase_add_test(tc, random_packets);
+	tcase_add_test(tc, mutated_traffic);
 	tcase_add_test(tc, corrupted_items);
 	tcase_add_test(tc, parse_routes);
 	tcase_add_test(tc, validate_settings);
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -315,6 +315,33 @@
 }
 END_TEST
 
+/* A caller uses its port again within a second: the new open is offered anew,
+ * and its packets go to the new holder, also after late messages about the flow
+ * before. */
+START_TEST(port_is_used_again)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_FIN | RELAY_ACK, 6, 9, 0);
+	rr_advance(r, 300);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_SYN, 700, 0, 0);
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, 0, RELAY_OFFER), 0);
+	rr_flow_message(r, AGENT_B, RELAY_TAKEN, 1, "feeds");
+	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 701, 33, 10);
+	ck_assert_int_ge(rr_last(r, RIG_AGENT, AGENT_B, 0), 0);
+	ck_assert_int_lt(rr_last(r, RIG_AGENT, AGENT_A, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 /* A first copy of an open that comes late has less time left: its objective is
  * shortened by the time at which callers send that copy. */
 START_TEST(late_copy_has_less_time)
@@ -649,6 +676,7 @@
 	tcase_add_test(tc, queued_open_stays_at_its_agent);
 	tcase_add_loop_test(tc, open_waits_for_restarting_agent, 0, 2);
 	tcase_add_test(tc, late_copy_has_less_time);
+	tcase_add_test(tc, port_is_used_again);
 	tcase_add_test(tc, lower_route_version_is_refused);
 	tcase_add_test(tc, replaced_target_loses_its_flows);
 	tcase_add_test(tc, leaving_target_keeps_its_flows);
