Wait for targets whose entries expired in an outage that was not seen

The last one that knew the targets ended at 10.9 s; the others listed the store at 11.5 s without targets, which registered again from 11.9 s on. Until then 1,735 opens were reset with "no target takes opens", and 18 open flows with "no agent holds the flow", although their servers lived. Change: for the grace period after its first listing a balancer lets opens of a service without targets wait, and doesn't reset flows that no known agent could be asked about (expired_entries_come_back, which fails before; service_without_targets_is_refused for the time after). Open: with a part of the targets back, a flow of another one is reset as before.

--- a/src/directory.c
+++ b/src/directory.c
@@ -25,6 +25,7 @@
 	uint64_t last_failure_ms; /* last failed request; 0: none */
 	uint64_t recovered_ms;	  /* first answer after that; 0: none yet */
 	uint64_t since_ms;	  /* first entry */
+	uint64_t first_listed_ms; /* end of the first listing; 0: none yet */
 	uint64_t era;		  /* highest era of any entry or listing */
 	/* The era rose while entries of an earlier one were known, and its
 	 * first listing has not ended. */
@@ -232,6 +233,8 @@
 {
 	if (!enter_era(d, revision.era))
 		return;
+	if (!d->first_listed_ms)
+		d->first_listed_ms = now ? now : 1;
 	list_each(node, &d->entries)
 	{
 		target_entry_t *e = list_entry(node, target_entry_t, node);
@@ -275,6 +278,12 @@
 	}
 }
 
+bool directory_settling(const directory_t *d, uint64_t now)
+{
+	return d->first_listed_ms &&
+	       now < d->first_listed_ms + DIRECTORY_GRACE_MS;
+}
+
 const target_entry_t *directory_find(const directory_t *d, const char *id)
 {
 	return g_hash_table_lookup(d->by_id, id);
--- a/src/directory.h
+++ b/src/directory.h
@@ -111,6 +111,12 @@
  * 70 s. */
 void directory_tick(directory_t *d, uint64_t now);
 
+/*
+ * True for DIRECTORY_GRACE_MS after the first listing: entries of live targets
+ * may have expired in an outage that this process did not see, and be missing.
+ */
+bool directory_settling(const directory_t *d, uint64_t now);
+
 /* Returns the entry of a target, or NULL. */
 const target_entry_t *directory_find(const directory_t *d, const char *id);
 
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -184,6 +184,12 @@
 		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
 		    ANSWER_UNSURE)
 			return; /* its server may still hold the flow */
+	if (!l->asked->len && directory_settling(b->directory, b->now)) {
+		/* An agent that is not known yet may hold the flow. */
+		log_lookup(b, f, "no target is known yet");
+		flow_index_remove(b->flows, &f->node);
+		return;
+	}
 	counter_add(&b->counters, COUNTER_LOOKUPS_UNKNOWN, 1);
 	log_lookup(b, f, "no agent holds the flow");
 	relay_flow_reset(b, f, "no agent holds the flow");
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -279,7 +279,8 @@
 /*
  * Lets an open wait that no agent accepts at once: in the queue of the agent
  * that is expected to answer first or, while all agents stop, restart or are
- * silent, here. Returns false when waiting is of no use.
+ * silent, or the targets are not all known yet, here. Returns false when
+ * waiting is of no use.
  */
 static bool wait_for_room(relay_balancer_t *b, relay_flow_t *f)
 {
@@ -291,7 +292,9 @@
 		return false;
 	m = shortest_queue(b, f, &cost, &typical);
 	if (!m) {
-		f->waiting_target = !f->queue_offers && has_ready_target(b, f);
+		f->waiting_target = !f->queue_offers &&
+				    (has_ready_target(b, f) ||
+				     directory_settling(b->directory, b->now));
 		f->offered_ms = b->now;
 		return f->waiting_target;
 	}
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -342,6 +342,47 @@
 }
 END_TEST
 
+/* A balancer started in an outage of the store in which all entries expired.
+ * The targets live and register again: until then opens wait, and flows that
+ * one of them may hold are not reset. */
+START_TEST(expired_entries_come_back)
+{
+	relay_rig_t *r = rr_balancer();
+	directory_t *d = relay_balancer_directory(r->balancer);
+
+	rr_routes(r, 1);
+	directory_resync_begin(d);
+	directory_resync_end(d, r->now, (store_revision_t){ .number = 9 });
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 9, 10);
+	rr_advance(r, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_entry(r, "a", AGENT_A, 10, ENTRY_READY);
+	rr_advance(r, 200);
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, AGENT_A, RELAY_OFFER), 0);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 9, 10);
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* A service without targets: its opens are refused at once when the entries of
+ * living targets must be back. */
+START_TEST(service_without_targets_is_refused)
+{
+	relay_rig_t *r = rr_balancer();
+	directory_t *d = relay_balancer_directory(r->balancer);
+
+	rr_routes(r, 1);
+	directory_resync_begin(d);
+	directory_resync_end(d, r->now, (store_revision_t){ .number = 9 });
+	rr_advance(r, DIRECTORY_GRACE_MS);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* A first copy of an open that comes late has less time left: its objective is
  * shortened by the time at which callers send that copy. */
 START_TEST(late_copy_has_less_time)
@@ -677,6 +718,8 @@
 	tcase_add_loop_test(tc, open_waits_for_restarting_agent, 0, 2);
 	tcase_add_test(tc, late_copy_has_less_time);
 	tcase_add_test(tc, port_is_used_again);
+	tcase_add_test(tc, expired_entries_come_back);
+	tcase_add_test(tc, service_without_targets_is_refused);
 	tcase_add_test(tc, lower_route_version_is_refused);
 	tcase_add_test(tc, replaced_target_loses_its_flows);
 	tcase_add_test(tc, leaving_target_keeps_its_flows);
