Test that a start asks peers before it reads the store

The switch RELAY_PEERS_FIRST had no test. It is now in relay_peers_start(), and test_relay_peers shows on a loop of its own that a peer's state is applied before the start goes on, not so without the mechanism, and that peers that refuse, have no state or are silent delay a start by no more than PEERS_START_MS.

--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -7,7 +7,6 @@
 
 #include "event_log.h"
 #include "relay_balancer.h"
-#include "relay_mechanism.h"
 #include "relay_peers.h"
 #include "relay_process.h"
 #include "relay_state.h"
@@ -184,8 +183,7 @@
 	s->sink.ctx = p;
 	s->peers = relay_peers_new(&p->loop, &p->settings, &peers_ops, p);
 	/* At the first start of the system no peer has a state. */
-	if (s->peers && !p->settings.first_start &&
-	    relay_mechanism_on(RELAY_PEERS_FIRST))
+	if (s->peers && !p->settings.first_start)
 		relay_peers_start(s->peers);
 	else
 		open_watcher(p);
--- a/src/relay_peers.c
+++ b/src/relay_peers.c
@@ -1,5 +1,6 @@
 #include "relay_peers.h"
 #include "event_log.h"
+#include "relay_mechanism.h"
 #include <glib.h>
 #include <stdlib.h>
 
@@ -141,6 +142,10 @@
 
 void relay_peers_start(relay_peers_t *p)
 {
+	if (!relay_mechanism_on(RELAY_PEERS_FIRST)) {
+		p->ops.started(p->ctx);
+		return;
+	}
 	p->starting = true;
 	for (size_t i = 0; i < p->n; i++) {
 		p->start[i] = (start_request_t){ .peers = p, .peer = i };
--- /dev/null
+++ b/test/test_relay_peers.c
@@ -0,0 +1,201 @@
+/*
+ * test_relay_peers - a start asks peers before the store is read
+ */
+
+#include "http_server.h"
+#include "relay_mechanism.h"
+#include "relay_peers.h"
+#include "runner.h"
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* How a stand-in for a peer behaves. */
+typedef enum peer_kind {
+	PEER_HAS_STATE,
+	PEER_HAS_NONE,	/* status 204 */
+	PEER_IS_SILENT, /* accepts connections, answers nothing */
+	PEER_REFUSES,	/* no listener */
+} peer_kind_t;
+
+#define PEERS 3
+
+typedef struct peers_rig {
+	uv_loop_t loop;
+	uv_timer_t timer;
+	http_server_t *servers[PEERS];
+	int sockets[PEERS]; /* of silent peers; -1: none */
+	relay_peers_t *peers;
+	unsigned applied, started;
+	unsigned
+		applied_at_start; /* states applied when started() was called */
+} peers_rig_t;
+
+static int answer_state(void *ctx, const char *path, GString *body)
+{
+	(void)ctx;
+	ck_assert(g_str_has_prefix(path, RELAY_STATE_PREFIX));
+	g_string_append(body, "state");
+	return 200;
+}
+
+static int answer_none(void *ctx, const char *path, GString *body)
+{
+	(void)ctx;
+	(void)path;
+	(void)body;
+	return 204;
+}
+
+static bool apply_state(void *ctx, const char *bytes, size_t len)
+{
+	peers_rig_t *r = ctx;
+
+	r->applied += len == 5 && !memcmp(bytes, "state", 5);
+	return true;
+}
+
+static bool needed(void *ctx)
+{
+	(void)ctx;
+	return false;
+}
+
+static store_revision_t revision(void *ctx)
+{
+	(void)ctx;
+	return (store_revision_t){ 0 };
+}
+
+static void started(void *ctx)
+{
+	peers_rig_t *r = ctx;
+
+	r->started++;
+	r->applied_at_start = r->applied;
+}
+
+/* Listens on a port of the kernel's choice and returns the socket. */
+static int listen_anywhere(endpoint_t *at)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(at->ip);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sa, len), 0);
+	ck_assert_int_eq(listen(fd, 4), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&sa, &len), 0);
+	at->port = ntohs(sa.sin_port);
+	return fd;
+}
+
+static void open_peer(peers_rig_t *r, size_t i, peer_kind_t kind,
+		      endpoint_t *at)
+{
+	err_t err;
+
+	at->ip = 0x7f000001;
+	r->sockets[i] = listen_anywhere(at);
+	if (kind == PEER_IS_SILENT)
+		return;
+	close(r->sockets[i]);
+	r->sockets[i] = -1;
+	if (kind == PEER_REFUSES)
+		return;
+	r->servers[i] = http_server_open(
+		&r->loop, at,
+		kind == PEER_HAS_STATE ? answer_state : answer_none, r, &err);
+	ck_assert_ptr_nonnull(r->servers[i]);
+}
+
+static peers_rig_t *open_rig(const peer_kind_t *kinds)
+{
+	static const relay_peers_ops_t ops = { apply_state, needed, revision,
+					       started };
+	peers_rig_t *r = calloc(1, sizeof(*r));
+	relay_settings_t s = { .address = 0x0a000001, .npeers = PEERS };
+
+	ck_assert_ptr_nonnull(r);
+	uv_loop_init(&r->loop);
+	uv_timer_init(&r->loop, &r->timer);
+	for (size_t i = 0; i < PEERS; i++)
+		open_peer(r, i, kinds[i], &s.peers[i]);
+	r->peers = relay_peers_new(&r->loop, &s, &ops, r);
+	relay_peers_start(r->peers);
+	return r;
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	uv_stop(timer->loop);
+}
+
+static void run(peers_rig_t *r, uint64_t ms)
+{
+	uv_timer_start(&r->timer, on_timer, ms, 0);
+	uv_run(&r->loop, UV_RUN_DEFAULT);
+}
+
+static void close_rig(peers_rig_t *r)
+{
+	relay_peers_free(r->peers);
+	for (size_t i = 0; i < PEERS; i++) {
+		http_server_close(r->servers[i]);
+		if (r->sockets[i] >= 0)
+			close(r->sockets[i]);
+	}
+	uv_close((uv_handle_t *)&r->timer, NULL);
+	uv_run(&r->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&r->loop);
+	free(r);
+}
+
+/* The state of the only peer that has one is applied before the start goes on;
+ * without RELAY_PEERS_FIRST the store would be read before. */
+START_TEST(state_is_applied_before_the_store_is_read)
+{
+	static const peer_kind_t kinds[] = { PEER_REFUSES, PEER_HAS_NONE,
+					     PEER_HAS_STATE };
+	peers_rig_t *r;
+
+	relay_mechanisms_off = _i ? 1U << RELAY_PEERS_FIRST : 0;
+	r = open_rig(kinds);
+	run(r, 2 * PEERS_START_MS);
+	ck_assert_uint_eq(r->started, 1);
+	ck_assert_uint_eq(r->applied_at_start, _i ? 0 : 1);
+	close_rig(r);
+}
+END_TEST
+
+/* Without a peer that has a state the start goes on at once, and with one that
+ * is silent within PEERS_START_MS. */
+START_TEST(start_does_not_wait_for_peers_without_state)
+{
+	static const peer_kind_t kinds[][PEERS] = {
+		{ PEER_REFUSES, PEER_REFUSES, PEER_REFUSES },
+		{ PEER_HAS_NONE, PEER_REFUSES, PEER_HAS_NONE },
+		{ PEER_HAS_NONE, PEER_IS_SILENT, PEER_REFUSES },
+	};
+	peers_rig_t *r = open_rig(kinds[_i]);
+
+	run(r, _i == 2 ? PEERS_START_MS + 50 : PEERS_START_TIMEOUT_MS - 20);
+	ck_assert_uint_eq(r->started, 1);
+	ck_assert_uint_eq(r->applied, 0);
+	close_rig(r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay_peers");
+	TCase *tc = tcase_create("start");
+
+	tcase_add_loop_test(tc, state_is_applied_before_the_store_is_read, 0,
+			    2);
+	tcase_add_loop_test(tc, start_does_not_wait_for_peers_without_state, 0,
+			    3);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
