Keep the rate of the load command on a busy host, trace the known red tests

Cause, test_matrix_process: `cherviltray load` added RATE times the nominal tick on each tick. libuv does not repeat the ticks that a busy host misses, so that fewer than 15 logs a second were sent; nothing was lost. It now opens what fell due since the last tick.

Cause, test_udp_socket: fixed addresses.

The stand-in now restores before the tenth request, and the wait for the listing ends with it. What is asserted is unchanged.

--- a/src/cli_load.c
+++ b/src/cli_load.c
@@ -55,7 +55,7 @@
 	load_t *l = timer->data;
 	uint64_t now = uv_now(&l->loop);
 
-	if (now < l->open_until_ms) {
+	if (l->opened_until_ms < l->open_until_ms) {
 		load_jobs_open(l, now);
 		balance_sampler_tick(l->sampler, now);
 	}
@@ -213,6 +213,7 @@
 	if (!l->caller || !l->socket)
 		goto out;
 	l->started_ms = uv_now(&l->loop);
+	l->opened_until_ms = l->started_ms;
 	l->open_until_ms =
 		l->started_ms + (uint64_t)o->seconds * LOAD_MS_PER_SECOND;
 	l->deadline_ms = l->open_until_ms +
--- a/src/cli_load.h
+++ b/src/cli_load.h
@@ -66,8 +66,9 @@
 	uint32_t feed_s;      /* duration of a feed */
 	uint32_t interval_ms; /* between two chunks of a feed */
 	uint64_t started_ms;
-	uint64_t open_until_ms; /* no opens after this time */
-	uint64_t deadline_ms;	/* the run ends even with flows open */
+	uint64_t open_until_ms;	  /* no opens fall due after this time */
+	uint64_t opened_until_ms; /* opens due by then were counted */
+	uint64_t deadline_ms;	  /* the run ends even with flows open */
 	uint64_t next_progress_ms;
 	bool quiet;
 	balance_sampler_t *sampler; /* NULL without --settings */
@@ -77,8 +78,9 @@
 int load_job_parse(load_t *l, const char *text, err_t *err);
 
 /*
- * Opens the flows due; to be called every LOAD_TICK_MS. Flows over the limit
- * per job and tick stay due.
+ * Opens the flows that fell due since the last call, however long ago it was;
+ * to be called every LOAD_TICK_MS. Flows over the limit per job and tick stay
+ * due.
  */
 void load_jobs_open(load_t *l, uint64_t now);
 void load_jobs_clear(load_t *l);
--- a/src/cli_load_job.c
+++ b/src/cli_load_job.c
@@ -150,10 +150,15 @@
 
 void load_jobs_open(load_t *l, uint64_t now)
 {
+	uint64_t until = now < l->open_until_ms ? now : l->open_until_ms;
+	uint64_t elapsed_ms = until - l->opened_until_ms;
+
+	l->opened_until_ms = until;
 	for (size_t i = 0; i < l->njobs; i++) {
 		load_job_t *j = &l->jobs[i];
 
-		j->opens_due += j->rate * LOAD_TICK_MS / LOAD_MS_PER_SECOND;
+		j->opens_due +=
+			j->rate * (double)elapsed_ms / LOAD_MS_PER_SECOND;
 		for (int n = 0; j->opens_due >= 1 && n < OPENS_PER_TICK_MAX;
 		     n++) {
 			open_flow(l, j, now);
--- a/test/store_stand_in.c
+++ b/test/store_stand_in.c
@@ -30,6 +30,9 @@
 	store_fault_t fault;
 	unsigned page_size;
 	unsigned nrequests;
+	unsigned hook_request;	 /* before this request, 0: none, */
+	void (*hook)(void *ctx); /* the hook is called */
+	void *hook_ctx;
 	list_t connections;
 };
 
@@ -307,7 +310,8 @@
 	connection_t *c = parser->data;
 
 	c->path_len = 0;
-	c->store->nrequests++;
+	if (++c->store->nrequests == c->store->hook_request)
+		c->store->hook(c->store->hook_ctx);
 	handle_request(c);
 	return 0;
 }
@@ -527,6 +531,14 @@
 	s->page_size = items;
 }
 
+void fake_store_before_request(fake_store_t *s, unsigned number,
+			       void (*hook)(void *ctx), void *ctx)
+{
+	s->hook_request = number;
+	s->hook = hook;
+	s->hook_ctx = ctx;
+}
+
 unsigned fake_store_request_count(const fake_store_t *s)
 {
 	return s->nrequests;
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -164,6 +164,38 @@
 }
 END_TEST
 
+/* A load generator that gets no processor time for a while opens the flows that
+ * fell due meanwhile. */
+START_TEST(rate_is_kept_after_a_pause)
+{
+	harness_options_t options = { .config_file = "examples/agency.toml",
+				      .balancers = 1,
+				      .seed = 5 };
+	harness_t *h = harness_start(&options);
+	const char *args[] = { "--job",	    "check-in,spot,check-in,10",
+			       "--seconds", "3",
+			       "--json",    NULL };
+	pid_t load;
+	char *text;
+
+	ck_assert_ptr_nonnull(h);
+	load = harness_start_load(h, "load.out", args);
+	for (unsigned i = 0; i < TIMEOUT_MS / 50; i++) {
+		if (harness_counter(h, &h->balancers[0], "opens") >= 2)
+			break;
+		harness_sleep_ms(50);
+	}
+	kill(load, SIGSTOP);
+	harness_sleep_ms(1500);
+	kill(load, SIGCONT);
+	ck_assert_int_eq(harness_wait_pid(load, TIMEOUT_MS), 0);
+	text = read_output(h);
+	ck_assert_int_ge(number_after(text, "\"check-in\"", "\"opened\":"), 29);
+	g_free(text);
+	harness_stop(h);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("load");
@@ -174,6 +206,7 @@
 			    G_N_ELEMENTS(usage_cases));
 	tcase_add_test(tc, json_report_counts_flows);
 	tcase_add_test(tc, flows_of_killed_servers_count_as_broken);
+	tcase_add_test(tc, rate_is_kept_after_a_pause);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -21,6 +21,9 @@
  * rig, with a margin for a tick. */
 #define EXPIRY_MS 3200
 
+/* Limit of a listing of 40 pages on a busy host; else it takes 20 ms. */
+#define LISTING_MAX_MS 20000
+
 #define BORN 1700000000000ULL
 
 static watcher_rig_t *open_settled(void)
@@ -90,7 +93,17 @@
 }
 END_TEST
 
-/* The era rises between two pages: the listing begins again. */
+/* Restores the copy, after which one more target drains. */
+static void restore_and_drain(void *ctx)
+{
+	watcher_rig_t *r = ctx;
+
+	fake_store_restore(r->store, false);
+	wr_put_target(r, "t01", "10.1.0.2", "draining", BORN, 2);
+}
+
+/* The era rises between two pages: the listing begins again. Each page takes a
+ * request, and the restore comes before the tenth, however slow the host is. */
 START_TEST(era_rises_between_pages)
 {
 	watcher_rig_t *r = wr_open(SILENCE_MS, APPLY_MS);
@@ -103,12 +116,13 @@
 	fake_store_copy(r->store);
 	wr_put_target(r, "t00", "10.1.0.2", "draining", BORN, 2);
 	fake_store_set_page_size(r->store, 1);
+	fake_store_before_request(r->store, 10, restore_and_drain, r);
 	wr_start(r);
-	while (fake_store_request_count(r->store) < 10)
-		wr_run(r, 1);
-	fake_store_restore(r->store, false);
-	wr_put_target(r, "t01", "10.1.0.2", "draining", BORN, 2);
-	wr_run(r, SETTLE_MS);
+	for (unsigned ms = 0; ms < LISTING_MAX_MS; ms += 10) {
+		if (watcher_synced(r->watcher))
+			break;
+		wr_run(r, 10);
+	}
 	ck_assert(watcher_synced(r->watcher));
 	ck_assert_uint_eq(watcher_revision(r->watcher).era, 2);
 	ck_assert_int_eq(wr_state(r, "t01"), ENTRY_DRAINING);
--- a/test/test_udp_socket.c
+++ b/test/test_udp_socket.c
@@ -9,10 +9,13 @@
 #include "../src/udp_socket.h"
 #include "runner.h"
 #include <string.h>
+#include <unistd.h>
 
 #define SINKS	  3
 #define DATAGRAMS 300
 #define NET	  0x7f5c0000 /* 127.92.0.0 */
+#define SUBNETS	  256
+#define PORT	  7000
 
 typedef struct sink {
 	udp_socket_t *socket;
@@ -24,6 +27,7 @@
 static uv_loop_t loop;
 static sink_t sinks[SINKS];
 static unsigned refusals;
+static uint32_t subnet; /* its addresses are used by this process only */
 
 static size_t datagram_len(unsigned i)
 {
@@ -75,19 +79,42 @@
 	uv_close((uv_handle_t *)&timer, NULL);
 }
 
+/*
+ * Opens the sending socket at host 1 of the first free subnet below NET, so
+ * that other copies of this test use other addresses. It is connected to
+ * peer_host of that subnet; 0: it is not connected.
+ */
+static udp_socket_t *open_sender(unsigned peer_host,
+				 const udp_socket_ops_t *ops)
+{
+	for (unsigned i = 0; i < SUBNETS; i++) {
+		endpoint_t local = { 0, PORT }, peer = { 0, PORT };
+		udp_socket_t *out;
+		err_t err;
+
+		subnet = NET | ((unsigned)getpid() + i) % SUBNETS << 8;
+		local.ip = subnet + 1;
+		peer.ip = subnet + peer_host;
+		out = udp_socket_open(&loop, &local, peer_host ? &peer : NULL,
+				      ops, NULL, &err);
+		if (out)
+			return out;
+	}
+	return NULL;
+}
+
 START_TEST(batches_keep_length_order_and_address)
 {
 	static const udp_socket_ops_t ops = { .receive = on_receive };
-	endpoint_t local = { NET + 1, 7000 };
 	udp_socket_t *out;
 	uint8_t bytes[UDP_DATAGRAM_MAX];
 	err_t err;
 
 	uv_loop_init(&loop);
-	out = udp_socket_open(&loop, &local, NULL, &ops, NULL, &err);
+	out = open_sender(0, &ops);
 	ck_assert_ptr_nonnull(out);
 	for (unsigned i = 0; i < SINKS; i++) {
-		endpoint_t ep = { NET + 10 + i, 7000 };
+		endpoint_t ep = { subnet + 10 + i, PORT };
 
 		sinks[i].socket = udp_socket_open(&loop, &ep, NULL, &ops,
 						  &sinks[i], &err);
@@ -95,7 +122,8 @@
 	}
 	for (unsigned i = 0; i < DATAGRAMS; i++) {
 		sink_t *sink = &sinks[i * 7 / 3 % SINKS];
-		endpoint_t to = { NET + 10 + (uint32_t)(sink - sinks), 7000 };
+		endpoint_t to = { subnet + 10 + (uint32_t)(sink - sinks),
+				  PORT };
 
 		for (size_t j = 0; j < datagram_len(i); j++)
 			bytes[j] = (uint8_t)(i + j);
@@ -123,14 +151,16 @@
 {
 	static const udp_socket_ops_t ops = { .receive = on_receive,
 					      .refused = on_refused };
-	endpoint_t local = { NET + 2, 7000 }, peer = { NET + 20, 7000 };
+	endpoint_t peer;
 	uint8_t bytes[UDP_DATAGRAM_MAX];
 	udp_socket_t *out;
 	err_t err;
 
 	memset(sinks, 0, sizeof(sinks));
 	uv_loop_init(&loop);
-	out = udp_socket_open(&loop, &local, &peer, &ops, NULL, &err);
+	out = open_sender(20, &ops);
+	ck_assert_ptr_nonnull(out);
+	peer = (endpoint_t){ subnet + 20, PORT };
 	udp_socket_send(out, &peer, bytes, 10);
 	udp_socket_flush(out);
 	sinks[0].socket =
