Remove the measurement of busy servers; serve late opens from each free slot

Hypothesis: the utilisation of .8 up to which late opens were served leaves slots free while callers of a return run out of tries. Kept, since it is less code and serves callers.

--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -60,7 +60,7 @@
 }
 
 open_wait_t *open_queue_next(open_queue_t *q, uint64_t now, double response_ms,
-			     bool slot_free, bool late_allowed)
+			     bool slot_free)
 {
 	open_wait_t *best = NULL;
 	bool best_in_time = false;
@@ -71,7 +71,7 @@
 		bool in_time = now < w->late_ms;
 
 		if (in_time ? !slot_free && !fits(w, now, response_ms)
-			    : !late_allowed || best_in_time)
+			    : !slot_free || best_in_time)
 			continue;
 		if (!best || (in_time && !best_in_time) ||
 		    w->priority > best->priority ||
--- a/src/open_queue.h
+++ b/src/open_queue.h
@@ -71,10 +71,10 @@
 /*
  * Removes and returns the next open to serve, or NULL. response_ms is the
  * server's expected response time for one more request, slot_free whether it
- * would run at once, late_allowed whether there is room for a late open, too.
+ * would run at once; a late open is served only then.
  */
 open_wait_t *open_queue_next(open_queue_t *q, uint64_t now, double response_ms,
-			     bool slot_free, bool late_allowed);
+			     bool slot_free);
 
 /* Removes and returns an open to refuse, or NULL: one that has waited in vain,
  * or one late open too many, of the lowest priority and the least time left. */
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -20,8 +20,6 @@
  * failed: opens are delivered to find out. */
 #define STALLED_MS     200
 #define STALLED_FACTOR 4
-/* Weight of a service time measured from several answers of a busy server. */
-#define BUSY_SERVICE_WEIGHT 0.25
 /* Weight of a new request in the ratios of failed and too fast requests. */
 #define RATIO_WEIGHT 0.1
 /* Time constant with which the averages decay while the server gets no
@@ -147,7 +145,6 @@
 {
 	bool too_fast = placement_too_fast(took_ms, a->group_service_ms);
 	double weight = too_fast ? TOO_FAST_SERVICE_WEIGHT : SERVICE_WEIGHT;
-	double busy_ms = 0;
 
 	a->failure_ratio = relay_health_failure_ratio(a) * (1 - RATIO_WEIGHT);
 	a->failure_updated_ms = a->now;
@@ -166,15 +163,8 @@
 				     .slots = a->slots,
 			     });
 	note_pace(a);
-	if (too_fast)
-		busy_server_end(&a->busy, a->in_flight, a->slots);
-	else
-		busy_ms = busy_server_answer(&a->busy, a->now, took_ms,
-					     a->in_flight, a->slots);
 	if (f->found_free_slot)
 		note_service_ms(a, took_ms, weight, !too_fast);
-	if (busy_ms > 0)
-		note_service_ms(a, busy_ms, BUSY_SERVICE_WEIGHT, true);
 }
 
 void relay_health_request_failed(relay_agent_t *a, server_flow_t *f)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -7,7 +7,6 @@
  * "Server" is the backend server of the agent.
  */
 
-#include "busy_server.h"
 #include "endpoint.h"
 #include "event_log.h"
 #include "flow_index.h"
@@ -102,7 +101,6 @@
 	double avg_in_flight;		 /* exponential average of in_flight */
 	uint64_t avg_updated_ms;	 /* last change of avg_in_flight */
 	double avg_service_ms;		 /* average service time; 0: unknown */
-	busy_server_t busy;		 /* while all slots are in use */
 	uint64_t avg_service_updated_ms; /* last change of avg_service_ms */
 	uint64_t reported_ms; /* last load report, with these values: */
 	double reported_avg_in_flight;
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -38,7 +38,6 @@
 	f->request_pending = true;
 	f->request_started_ms = a->now;
 	f->found_free_slot = !a->slots || a->in_flight < a->slots;
-	busy_server_request(&a->busy, a->now, a->in_flight, a->slots);
 	a->in_flight++;
 	counter_add(&a->counters, COUNTER_REQUESTS, 1);
 }
@@ -82,10 +81,8 @@
 	update_avg_in_flight(a);
 	f->request_pending = false;
 	a->in_flight--;
-	if (!answered) {
-		busy_server_end(&a->busy, a->in_flight, a->slots);
+	if (!answered)
 		return;
-	}
 	counter_add(&a->counters, COUNTER_REQUESTS_ANSWERED, 1);
 	histogram_add(&a->service_ms, (uint64_t)took_ms);
 	relay_health_request_answered(a, f, took_ms);
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -10,10 +10,6 @@
  * request follows after a round trip to the caller. */
 #define FIRST_REQUEST_MS 60
 
-/* Average utilisation of the server up to which late opens are served: what is
- * left over belongs to opens and open flows that are answered in time. */
-#define LATE_UTILISATION_MAX 0.8
-
 /* Part of an objective that waiting and serving may take; the rest covers the
  * ways to the caller and the spread of service times. */
 #define OBJECTIVE_SHARE 0.85
@@ -245,12 +241,6 @@
 	return list_entry(w, server_flow_t, wait);
 }
 
-/* True while the server has capacity left over for late opens. */
-static bool late_allowed(const relay_agent_t *a)
-{
-	return a->avg_in_flight < a->slots * LATE_UTILISATION_MAX;
-}
-
 void relay_agent_serve_queue(relay_agent_t *a)
 {
 	open_wait_t *w;
@@ -260,7 +250,7 @@
 		server_flow_t *f;
 
 		w = open_queue_next(&a->queue, a->now, response_ms(a),
-				    slot_free, slot_free && late_allowed(a));
+				    slot_free);
 		if (!w)
 			return;
 		f = flow_of(w);
