Let the limit of late opens fall more slowly

Cause: the limit of late opens that wait fell by 20 % in each 100 ms in which one had waited in vain, to nearly none within two seconds. In a burst of 3 to 5 s callers were then refused at once and used up their tries; their next attempts can't be told from new requests and took slots from these. Hypothesis: the limit should fall over the time that callers wait, not faster. It falls by 8 % now; late_limit_follows_outcomes still holds (at most two wait after 5 s of overload; with 5 % ten would). Tried besides: 5 %, and no limit at all.

--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -6,7 +6,7 @@
 #define LIMIT_MIN 1.0
 /* Factor on the limit when opens waited in vain, and the shortest time between
  * two reductions, in ms. */
-#define GIVEN_UP_FACTOR	      0.8
+#define GIVEN_UP_FACTOR	      0.92
 #define REDUCTION_INTERVAL_MS 100
 /* Added to the limit for each open that was served. */
 #define SERVED_STEP 1.0
