--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -1,5 +1,6 @@
 #include "open_queue.h"
 #include "placement.h"
+#include "relay_mechanism.h"
 #include <stddef.h>
 
 /* Least late opens allowed: one shows when the overload has ended. */
@@ -73,6 +74,8 @@
 		if (in_time ? !slot_free && !fits(w, now, response_ms)
 			    : !slot_free || best_in_time)
 			continue;
+		if (best && !relay_mechanism_on(RELAY_QUEUE_ORDER))
+			break;
 		if (!best || (in_time && !best_in_time) ||
 		    w->priority > best->priority ||
 		    (in_time && w->priority == best->priority)) {
@@ -92,7 +95,8 @@
 
 static void reduce_late_limit(open_queue_t *q, uint64_t now)
 {
-	if (now < q->reduced_ms + REDUCTION_INTERVAL_MS)
+	if (now < q->reduced_ms + REDUCTION_INTERVAL_MS ||
+	    !relay_mechanism_on(RELAY_LATE_LIMIT))
 		return;
 	q->reduced_ms = now;
 	q->late_limit *= GIVEN_UP_FACTOR;
--- a/src/placement.c
+++ b/src/placement.c
@@ -232,7 +232,9 @@
 	if (n > PLACEMENT_CHOICES)
 		n = PLACEMENT_CHOICES;
 	for (size_t i = 0; i < n; i++) {
-		double rank = (double)i / PLACEMENT_CHOICES;
+		double rank = relay_mechanism_on(RELAY_RANK_PENALTY)
+				      ? (double)i / PLACEMENT_CHOICES
+				      : 0;
 		double cost = placement_cost(&members[i], g) *
 			      (1 + RANK_PENALTY * rank);
 		size_t j = i;
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -276,7 +276,8 @@
 		f->caller_next = end;
 		f->caller_next_known = true;
 		server_flow_await_request(a, f, false);
-		if (f->phase == SERVER_FLOW_VERIFYING)
+		if (f->phase == SERVER_FLOW_VERIFYING &&
+		    relay_mechanism_on(RELAY_RETURNED_LOAD))
 			relay_load_request_unverified(a, f);
 		else if (!f->request_pending)
 			relay_load_request_started(a, f);
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -54,7 +54,8 @@
 /* True when an open that is not accepted may wait here. */
 static bool may_queue(const relay_agent_t *a, const relay_msg_t *msg)
 {
-	return msg->queue_ms && !a->stopping && !a->evacuated && !a->down &&
+	return msg->queue_ms && relay_mechanism_on(RELAY_OPEN_QUEUE) &&
+	       !a->stopping && !a->evacuated && !a->down &&
 	       !relay_agent_flows_full(a) &&
 	       !strcmp(msg->service, a->options.service);
 }
@@ -121,7 +122,7 @@
 	relay_agent_note_limits(a, msg);
 	if (msg->slots)
 		a->slots = msg->slots;
-	if (msg->typical_us)
+	if (msg->typical_us && relay_mechanism_on(RELAY_TYPICAL_TIME))
 		a->group_service_ms = msg->typical_us / 1000.0;
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
 	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPEN) {
--- a/src/relay_agent_stop.c
+++ b/src/relay_agent_stop.c
@@ -28,7 +28,8 @@
 	uint32_t *hashes;
 	size_t n = 0;
 
-	if (!a->stopping || !a->options.knows_all_flows)
+	if (!a->stopping || !a->options.knows_all_flows ||
+	    !relay_mechanism_on(RELAY_STOP_LISTS))
 		return NULL;
 	hashes = g_new(uint32_t, LISTED_FLOWS_MAX);
 	list_each(node, flow_index_lru(a->flows))
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -279,7 +279,8 @@
 		counter_add(&b->counters, COUNTER_DROP_TRUNCATED, 1);
 		return;
 	}
-	if (!b->routes && !relay_packet_opens(&p)) {
+	if (!b->routes && (!relay_packet_opens(&p) ||
+			   !relay_mechanism_on(RELAY_EARLY_OPENS))) {
 		counter_add(&b->counters, COUNTER_DROP_NO_CONFIG, 1);
 		return;
 	}
--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -124,6 +124,9 @@
 	while (l->next == l->pending->len && l->scope != SCOPE_ALL) {
 		if (l->scope == SCOPE_FORMER && knows_former_services(b))
 			break;
+		if (l->scope == SCOPE_PRESENT &&
+		    !relay_mechanism_on(RELAY_ROUTE_HISTORY))
+			break;
 		l->scope++;
 		g_ptr_array_set_size(services, 0);
 		if (l->scope == SCOPE_PRESENT)
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -80,6 +80,8 @@
 {
 	uint64_t unix_ms = b->ops.unix_ms ? b->ops.unix_ms(b->ctx) : 0;
 
+	if (!relay_mechanism_on(RELAY_START_TIMES))
+		started_ms = 0;
 	list_each_safe(node, after, flow_index_lru(b->flows))
 	{
 		flow_node_t *n = list_entry(node, flow_node_t, lru);
--- a/src/relay_mechanism.h
+++ b/src/relay_mechanism.h
@@ -29,7 +29,17 @@
 	RELAY_PRIORITY,		 /* routes of low priority are refused first */
 	RELAY_PEERS_FIRST,	 /* a start asks peers before the store */
 	RELAY_PACE,		 /* a pace after starts and faults */
-	RELAY_MECHANISMS,	 /* number of mechanisms */
+	RELAY_OPEN_QUEUE,	 /* opens wait at agents */
+	RELAY_LATE_LIMIT,	 /* late opens that waited in vain bound more */
+	RELAY_QUEUE_ORDER,	 /* in time first, by priority, newest first */
+	RELAY_TYPICAL_TIME,	 /* offers tell the typical service time */
+	RELAY_RETURNED_LOAD,	 /* returned requests are no load */
+	RELAY_RANK_PENALTY,	 /* a better rank makes up for some load */
+	RELAY_EARLY_OPENS,	 /* opens wait for the first routes */
+	RELAY_STOP_LISTS,	 /* stopping agents list their flows */
+	RELAY_START_TIMES,   /* a server started before its flows keeps them */
+	RELAY_ROUTE_HISTORY, /* look-ups ask former services, too */
+	RELAY_MECHANISMS,    /* number of mechanisms */
 } relay_mechanism_t;
 
 #ifdef TEST_BUILD
