--- a/test/store_stand_in.h
+++ b/test/store_stand_in.h
@@ -60,7 +60,8 @@
 /* Sets the maximum number of items in a page. */
 void fake_store_set_page_size(fake_store_t *s, unsigned items);
 
-/* Calls hook before the request of this number, 1 for the first, is answered. */
+/* Calls hook before the request of this number, 1 for the first, is answered.
+ */
 void fake_store_before_request(fake_store_t *s, unsigned number,
 			       void (*hook)(void *ctx), void *ctx);
 
