--- a/test/test_load.c
+++ b/test/test_load.c
@@ -99,6 +99,16 @@
 	return at ? strtol(at + strlen(key), NULL, 10) : -1;
 }
 
+/* Waits until the first balancer has got n opens. */
+static void wait_for_opens(harness_t *h, int64_t n)
+{
+	for (unsigned i = 0; i < TIMEOUT_MS / 50; i++) {
+		if (harness_counter(h, &h->balancers[0], "opens") >= n)
+			break;
+		harness_sleep_ms(50);
+	}
+}
+
 START_TEST(json_report_counts_flows)
 {
 	harness_options_t options = { .config_file = "examples/agency.toml",
@@ -149,11 +159,7 @@
 
 	ck_assert_ptr_nonnull(h);
 	load = harness_start_load(h, "load.out", args);
-	for (unsigned i = 0; i < TIMEOUT_MS / 50; i++) {
-		if (harness_counter(h, &h->balancers[0], "opens") >= 10)
-			break;
-		harness_sleep_ms(50);
-	}
+	wait_for_opens(h, 10);
 	for (unsigned i = 0; i < h->nagents; i++)
 		harness_signal(&h->servers[i], SIGKILL);
 	ck_assert_int_eq(harness_wait_pid(load, TIMEOUT_MS), 1);
@@ -180,11 +186,7 @@
 
 	ck_assert_ptr_nonnull(h);
 	load = harness_start_load(h, "load.out", args);
-	for (unsigned i = 0; i < TIMEOUT_MS / 50; i++) {
-		if (harness_counter(h, &h->balancers[0], "opens") >= 2)
-			break;
-		harness_sleep_ms(50);
-	}
+	wait_for_opens(h, 2);
 	kill(load, SIGSTOP);
 	harness_sleep_ms(1500);
 	kill(load, SIGCONT);
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -463,18 +463,24 @@
 #define DARK_MS	 1300
 #define AFTER_MS 4000
 
-/* All hosts lose power; counted is what is asked after their return. */
-static void return_of_nine(relay_sim_t *sim)
+/* The first n targets and all balancers lose power and start again. */
+static void lose_power(relay_sim_t *sim, unsigned n)
 {
-	for (unsigned i = 0; i < 9; i++)
+	for (unsigned i = 0; i < n; i++)
 		rsim_crash(sim, i);
 	rsim_run(sim, DARK_MS);
 	for (unsigned i = 0; i < 6; i++)
 		rsim_restart_balancer(sim, i);
-	for (unsigned i = 0; i < 9; i++) {
+	for (unsigned i = 0; i < n; i++) {
 		rsim_restart_agent(sim, i);
 		rsim_start(sim, i);
 	}
+}
+
+/* Counted is what is asked after the return. */
+static void return_of_nine(relay_sim_t *sim)
+{
+	lose_power(sim, 9);
 	rsim_reset_counts(sim);
 	rsim_run(sim, AFTER_MS);
 }
@@ -521,9 +527,8 @@
 }
 END_TEST
 
-/* The objective is so much longer than the work that servers of which nearly
- * all are faster or slower than the typical one hold more requests than their
- * queues have room for. */
+/* An objective of eight times the work, at servers of uneven speed with short
+ * queues: agents may accept more than the queues have room for. */
 static rsim_options_t short_queues(rsim_policy_t policy, uint64_t seed)
 {
 	rsim_options_t o = seven_targets(policy, seed + 70);
@@ -554,19 +559,12 @@
 	great_burst(sim);
 }
 
+/* Counted is what is asked in the dark, too. */
 static void return_of_thirteen(relay_sim_t *sim)
 {
 	set_uneven_speeds(sim);
 	rsim_set_rate(sim, 0.8);
-	for (unsigned i = 0; i < 13; i++)
-		rsim_crash(sim, i);
-	rsim_run(sim, DARK_MS);
-	for (unsigned i = 0; i < 6; i++)
-		rsim_restart_balancer(sim, i);
-	for (unsigned i = 0; i < 13; i++) {
-		rsim_restart_agent(sim, i);
-		rsim_start(sim, i);
-	}
+	lose_power(sim, 13);
 	rsim_run(sim, AFTER_MS);
 }
 
