Say what the switch of the late limit disables

Cause: read as a newcomer, the comment 'late opens that waited in vain bound more' did not name its subject.

--- a/src/relay_mechanism.h
+++ b/src/relay_mechanism.h
@@ -30,7 +30,7 @@
 	RELAY_PEERS_FIRST,	 /* a start asks peers before the store */
 	RELAY_PACE,		 /* a pace after starts and faults */
 	RELAY_OPEN_QUEUE,	 /* opens wait at agents */
-	RELAY_LATE_LIMIT,	 /* late opens that waited in vain bound more */
+	RELAY_LATE_LIMIT,	 /* vain waits lower the limit of late opens */
 	RELAY_QUEUE_ORDER,	 /* in time first, by priority, newest first */
 	RELAY_TYPICAL_TIME,	 /* offers tell the typical service time */
 	RELAY_RETURNED_LOAD,	 /* returned requests are no load */
