Pass over unknown settings keys, which newer builds may have

Cause: a settings file with one key that a build does not know stopped it (unknown-key, exit 1). With the next key of platform/settings.template all processes of the older build would fail to start, and so would a rollback. Ruled out: a list of keys to ignore, which later builds would have to know. Change: the relay's processes pass over unknown keys and name them in the lines of start and reload (bounded, other characters than those of bare keys replaced); `cherviltray-relay check` stays strict. The settings of the product's own daemons are written by hand and stay strict. Test: test_fleet unknown_keys_are_passed_over; the case that expected the refusal at load now expects it of the check, with the same kind and line.

--- a/src/relay_main.c
+++ b/src/relay_main.c
@@ -37,14 +37,15 @@
 	return NULL;
 }
 
-/* Checks a settings file as the daemon would at its start. */
+/* Checks a settings file as the daemon would at its start; an unknown key,
+ * which the daemon passes over, is an error here. */
 static int check_settings(const relay_daemon_t *daemon, const char *file)
 {
 	relay_settings_t settings;
 	char text[900];
 	err_t err;
 
-	if (relay_settings_load(file, daemon->role, &settings, &err) < 0) {
+	if (relay_settings_check(file, daemon->role, &settings, &err) < 0) {
 		fprintf(stderr, "%s\n", err_format(&err, text, sizeof(text)));
 		return 1;
 	}
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -179,10 +179,13 @@
 			  why, err_format(&err, text, sizeof(text)));
 		return;
 	}
-	event_log(EVENT_RELOAD, "\"why\":\"%s\",\"outcome\":\"%s\"", why,
+	event_log(EVENT_RELOAD,
+		  "\"why\":\"%s\",\"outcome\":\"%s\",\"unknown_keys\":\"%s\"",
+		  why,
 		  relay_settings_equal(&s, &p->settings)
 			  ? "no change for this process"
-			  : "restart required");
+			  : "restart required",
+		  s.unknown_keys);
 }
 
 static void check_settings(relay_process_t *p)
@@ -333,9 +336,10 @@
 	p.tick.data = p.term.data = p.interrupt.data = p.hangup.data = &p;
 	event_log(EVENT_START,
 		  "\"program\":\"%s\",\"version\":\"%s\",\"zone\":\"%s\","
-		  "\"first_start\":%s",
+		  "\"first_start\":%s,\"unknown_keys\":\"%s\"",
 		  daemon->name, CHERVILTRAY_VERSION, p.settings.zone,
-		  p.settings.first_start ? "true" : "false");
+		  p.settings.first_start ? "true" : "false",
+		  p.settings.unknown_keys);
 	if (open_all(&p, &err) < 0) {
 		event_log(EVENT_STOP, "\"error\":\"%.400s\"",
 			  err_format(&err, text, sizeof(text)));
--- a/src/relay_settings.c
+++ b/src/relay_settings.c
@@ -13,8 +13,8 @@
 /* Default of heartbeat_ms. */
 #define HEARTBEAT_DEFAULT_MS 1000
 
-int relay_settings_load(const char *file, relay_role_t role,
-			relay_settings_t *out, err_t *err)
+static int load(const char *file, relay_role_t role, bool strict,
+		relay_settings_t *out, err_t *err)
 {
 	GError *gerr = NULL;
 	char *text;
@@ -33,12 +33,24 @@
 		g_error_free(gerr);
 		return -1;
 	}
-	ret = toml_read_relay_settings(file, text, len,
-				       role == RELAY_ROLE_AGENT, out, err);
+	ret = toml_read_relay_settings(
+		file, text, len, role == RELAY_ROLE_AGENT, strict, out, err);
 	g_free(text);
 	return ret;
 }
 
+int relay_settings_load(const char *file, relay_role_t role,
+			relay_settings_t *out, err_t *err)
+{
+	return load(file, role, false, out, err);
+}
+
+int relay_settings_check(const char *file, relay_role_t role,
+			 relay_settings_t *out, err_t *err)
+{
+	return load(file, role, true, out, err);
+}
+
 bool relay_settings_equal(const relay_settings_t *a, const relay_settings_t *b)
 {
 	return !strcmp(a->name, b->name) && !strcmp(a->zone, b->zone) &&
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -4,9 +4,11 @@
 /*
  * relay_settings - settings of a process that relays packets
  *
- * They are read from a small TOML file. An unknown key, a missing key or a
- * value of the wrong type is an error that names the line and the remedy. The
- * structure is owned by the caller and holds no allocated memory.
+ * They are read from a small TOML file. A missing key or a value of the wrong
+ * type is an error that names the line and the remedy. A process passes over
+ * unknown keys and logs their names: while a system is upgraded or rolled back,
+ * builds read settings files that were written for newer ones. The structure is
+ * owned by the caller and holds no allocated memory.
  */
 
 #include "endpoint.h"
@@ -19,6 +21,8 @@
 #define RELAY_NAME_SIZE 64
 /* Most peers that are asked; further ones in the settings are ignored. */
 #define RELAY_PEERS_MAX 8
+/* Bytes of the list of unknown keys, with the terminating NUL. */
+#define RELAY_UNKNOWN_KEYS_SIZE 128
 
 typedef struct relay_settings {
 	char name[RELAY_NAME_SIZE]; /* name of the process, for logs */
@@ -45,6 +49,9 @@
 	uint32_t warmup_slack;
 	uint32_t heartbeat_ms; /* interval at which targets report */
 	uint32_t memory_mb;    /* memory limit of the process */
+	/* Names of keys that were passed over, separated by spaces; cut where
+	 * the room ends */
+	char unknown_keys[RELAY_UNKNOWN_KEYS_SIZE];
 } relay_settings_t;
 
 typedef enum relay_role {
@@ -52,8 +59,8 @@
 	RELAY_ROLE_AGENT,
 } relay_role_t;
 
-/* Returns true when a and b are equal, apart from first_start, control
- * and peers. */
+/* Returns true when a and b are equal, apart from first_start, control,
+ * peers and unknown keys. */
 bool relay_settings_equal(const relay_settings_t *a, const relay_settings_t *b);
 
 /* Reads and checks a settings file. The role selects the required keys. Returns
@@ -61,4 +68,8 @@
 int relay_settings_load(const char *file, relay_role_t role,
 			relay_settings_t *out, err_t *err);
 
+/* Like relay_settings_load(), but an unknown key is an error. */
+int relay_settings_check(const char *file, relay_role_t role,
+			 relay_settings_t *out, err_t *err);
+
 #endif
