--- a/Makefile
+++ b/Makefile
@@ -119,14 +119,16 @@
 packages:
 	test/install_packages
 
-# Checks format, lint, manual pages and docs/PROOF.md, then runs a short soak
-# and all tests.
+# Checks format, lint, manual pages, docs/PROOF.md and the numbers on the wire,
+# then runs short soaks, of an upgrade too, and all tests.
 check:
 	$(MAKE) packages
 	$(MAKE) check-format
 	$(MAKE) check-lint
 	$(MAKE) check-man
 	$(MAKE) check-proof
+	$(MAKE) check-numbers
+	$(MAKE) check-upgrade
 	$(MAKE) check-soak
 	$(MAKE) check-tests
 
@@ -156,6 +158,15 @@
 check-proof:
 	test/check_proof
 
+# Checks that messages keep the meaning of their numbers.
+check-numbers:
+	test/check_numbers
+
+# Checks the build in service and this one with each other's settings, then runs
+# a short soak in which one replaces the other.
+check-upgrade: $(BUILD)/cherviltray-relay
+	test/check_upgrade $(BUILD)/cherviltray-relay
+
 # The tests run from a second build with both sanitizers.
 SANITIZED = $(patsubst test/%.c,build/sanitized/%,$(wildcard test/test_*.c))
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-sanitize-recover=all
@@ -172,8 +183,10 @@
 SOAK_JOBS = 4
 SOAK_KEPT = $(shell sed -n 's/^\([0-9][0-9]*\).*/\1/p' test/soak_seeds)
 
+# OLD=PROGRAM replaces that build, one process after the other, during each run.
 soak: $(BUILD)/cherviltray-relay
-	test/run_soak $(BUILD)/cherviltray-relay $(SOAK_S) $(SOAK_JOBS) $(SEEDS)
+	SOAK_OPTIONS="$(if $(OLD),--old $(OLD))" test/run_soak \
+		$(BUILD)/cherviltray-relay $(SOAK_S) $(SOAK_JOBS) $(SEEDS)
 
 # Runs a short soak of the sanitized build with fixed seeds.
 check-soak:
@@ -232,7 +245,7 @@
 	rm -rf $(BUILD)
 
 .PHONY: bench capacity bench-policy bench-membership bench-matrix report
-.PHONY: soak check-soak demo all everything packages check check-format check-lint check-man \
+.PHONY: soak check-soak check-numbers check-upgrade demo all everything packages check check-format check-lint check-man \
 	check-proof check-tests format proto clean
 .SECONDARY:
 
--- a/test/soak.py
+++ b/test/soak.py
@@ -7,7 +7,7 @@
 backend servers. The packets that callers and backend servers receive are
 checked. The seed determines the series of faults.
 
-usage: soak.py PROGRAM [--seconds N] [--seed N] [--hosts N] [--keep DIR]
+usage: soak.py PROGRAM [--old PROGRAM] [--seconds N] [--seed N] [--hosts N] [--keep DIR]
 Exits with 0 when no check failed.
 """
 import argparse, asyncio, base64, json, os, random, shutil, signal, struct
@@ -176,7 +176,7 @@
         self.soak, self.kind, self.address, self.settings = soak, kind, address, settings
         self.zone = zone
         self.child, self.disturbed_at, self.stopping, self.starts = None, now(), False, 0
-        self.frozen, self.versions = False, {}
+        self.frozen, self.versions, self.program = False, {}, soak.programs[0]
 
     def start(self):
         path = os.path.join(self.soak.dir, self.address + ".toml")
@@ -184,7 +184,7 @@
         with open(path, "w") as f:
             f.write(self.settings + "first_start = %s\n" % first)
         log = open(os.path.join(self.soak.dir, self.address + ".log"), "ab")
-        self.child = subprocess.Popen([self.soak.program, self.kind, path], stdout=log, stderr=log)
+        self.child = subprocess.Popen([self.program, self.kind, path], stdout=log, stderr=log)
         self.starts += 1
         self.stopping, self.disturbed_at, self.frozen = False, now(), False
 
@@ -404,7 +404,7 @@
 
 class Soak:
     def __init__(self, options):
-        self.program, self.options = os.path.abspath(options.program), options
+        self.programs, self.options = [os.path.abspath(p) for p in (options.old, options.program) if p], options
         self.random, self.net = random.Random(options.seed), os.getpid() % 200 + 1
         self.port = 20000 + os.getpid() % 2000 * 10
         self.dir = options.keep or tempfile.mkdtemp(prefix="soak-")
@@ -617,6 +617,20 @@
         if running:
             await asyncio.wait(running)
 
+    async def upgrade(self):
+        """Replaces the build of one process after the other: half of them, back, then all."""
+        order = self.balancers + self.agents
+        random.Random(self.options.seed).shuffle(order)
+        half, (old, new) = order[:len(order) // 2], self.programs
+        steps = [(p, new) for p in half] + [(p, old) for p in half] + [(p, new) for p in order]
+        for process, program in steps:
+            self.write_log("upgrade %s to %s" % (process.address, program))
+            while process.frozen:
+                await asyncio.sleep(0.05)
+            process.program, process.stopping = program, True
+            process.signal(signal.SIGTERM)
+            await asyncio.sleep(self.options.seconds / len(steps))
+
     async def heartbeat(self):
         kept_at = now()
         while not self.ended:
@@ -670,6 +684,8 @@
             await loop.create_datagram_endpoint(lambda c=caller: c, local_addr=(caller.address, self.port))
             for name, pause in (("feeds", 0.4), ("logs", 1.0), ("maps", 1.0)):
                 tasks.append(asyncio.create_task(caller.run_requests(name, pause)))
+        if len(self.programs) > 1:
+            tasks.append(asyncio.create_task(self.upgrade()))
         await self.inject_faults()
         recovered_at = now() + RECOVERY_S
         await asyncio.sleep(RECOVERY_S + 4)
@@ -679,6 +695,9 @@
             self.add_violation("%d of %d requests not served during planned work" % (len(late) - sum(late), len(late)))
         if not late or sum(late) < MIN_SERVED_RATIO * len(late):
             self.add_violation("%d of %d requests served after the last fault" % (sum(late), len(late)))
+        for p in self.balancers + self.agents:
+            if p.child.args[0] != self.programs[-1]:
+                self.add_violation("%s still runs %s at the end" % (p.address, p.child.args[0]))
         for b in self.balancers:
             if b.versions.get(b.child.pid) != self.version:
                 self.add_violation("%s has version %s at the end, not %d" % (
@@ -700,6 +719,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=8)
     parser.add_argument("--faults", help="comma-separated faults instead of all")
+    parser.add_argument("--old", help="a build that is in service and is replaced by PROGRAM during the run")
     parser.add_argument("--all-served", action="store_true", help="each request must be served")
     parser.add_argument("--keep", help="directory for the logs")
     options = parser.parse_args()
