--- a/test/test_open_queue.c
+++ b/test/test_open_queue.c
@@ -98,6 +98,33 @@
 }
 END_TEST
 
+static long expired(uint64_t now)
+{
+	open_wait_t *w = open_queue_expired(&queue, now);
+
+	return w ? w - waits : -1;
+}
+
+/* Of more late opens than may wait, those of the lowest priority are refused
+ * first, and of these the oldest. */
+START_TEST(lowest_priority_is_refused_first)
+{
+	new_queue();
+	add(0, 0, 10, 2);
+	add(1, 1, 10, 0);
+	add(2, 2, 10, 1);
+	add(3, 3, 10, 0);
+	add(4, 4, 500, 0);
+	queue.late_limit = 1;
+	ck_assert_int_eq(expired(20), 1);
+	ck_assert_int_eq(expired(20), 3);
+	ck_assert_int_eq(expired(20), 2);
+	ck_assert_int_eq(expired(20), -1);
+	ck_assert_ptr_nonnull(waits[0].queue);
+	ck_assert_ptr_nonnull(waits[4].queue);
+}
+END_TEST
+
 /* A full queue takes no more; an open in time is never refused for late ones.
  */
 START_TEST(full_queue)
@@ -127,6 +154,7 @@
 	tcase_add_test(tc, order);
 	tcase_add_test(tc, no_slot_free);
 	tcase_add_test(tc, late_limit_follows_outcomes);
+	tcase_add_test(tc, lowest_priority_is_refused_first);
 	tcase_add_test(tc, full_queue);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
