Send requests around a cut between zones, or refuse them at once

The balancer went on sending to an agent that it could not reach. Ruled out: load (no window shows any), look-ups (the holders were known), lost answers (the servers ran the requests only after the cut). Change: zone_path decides, without I/O, when a zone is cut off and when detours are in vain; relay_balancer_detour sends packets for a silent agent through an agent of a third zone, as a look-up that all builds pass on, and resets requests that may run twice when no way is left. A cut zone gets no opens, look-ups don't wait for it, and a silent agent stays suspect between hellos. RELAY_DETOURS switches it off in test builds.

--- a/src/counters.h
+++ b/src/counters.h
@@ -67,6 +67,7 @@
 	X(LOOKUPS_UNKNOWN, "lookups_unknown")                                  \
 	X(LOOKUPS_WIDENED, "lookups_widened")                                  \
 	X(LOOKUPS_SILENT, "lookups_silent")                                    \
+	X(DETOURS, "detours")                                                  \
 	X(FLOWS_OPENED, "flows_opened")                                        \
 	X(FLOWS_CLOSED, "flows_closed")                                        \
 	X(FLOWS_ADOPTED, "flows_adopted")                                      \
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -46,6 +46,7 @@
 	list_init(&b->waiting);
 	b->by_agent = g_hash_table_new(NULL, NULL);
 	b->groups = relay_groups_new();
+	b->zones = relay_zones_new();
 	b->flows = flow_index_new(options->max_flows, flow_free);
 	b->history = route_history_new(FLOW_LIFETIME_MS);
 	b->directory =
@@ -79,6 +80,7 @@
 	}
 	g_hash_table_destroy(b->by_agent);
 	g_hash_table_destroy(b->groups);
+	g_hash_table_destroy(b->zones);
 	route_table_unref(b->routes);
 	route_history_free(b->history);
 	free(b);
@@ -263,6 +265,8 @@
 		relay_lookup_packet(b, f, p, 0);
 		return;
 	}
+	if (!relay_detour_packet(b, route, f, p))
+		return;
 	relay_flow_send(b, f, p, 0);
 	if (p->flags & (RELAY_FIN | RELAY_RST))
 		relay_flow_set_phase(b, f, PHASE_CLOSING);
@@ -410,6 +414,7 @@
 			relay_lookup_tick(b, f);
 	}
 	relay_members_tick(b);
+	relay_zones_tick(b);
 }
 
 void relay_balancer_tick(relay_balancer_t *b, uint64_t now)
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -13,6 +13,7 @@
 #include "relay_balancer.h"
 #include "relay_mechanism.h"
 #include "route_history.h"
+#include "zone_path.h"
 #include <glib.h>
 
 /* Most offers of one open; then the caller is refused. */
@@ -72,11 +73,12 @@
 	/* Flows that the server of a stopping agent may hold, as
 	 * holder_list_hash(); NULL: unknown, or the agent does not stop. */
 	GArray *held;
-	uint64_t last_heard_ms;	    /* last message from the agent */
-	uint64_t last_hello_ms;	    /* last hello to the agent */
-	uint32_t unanswered_offers; /* consecutive offers without an answer */
-	uint64_t avoided_until_ms;  /* no opens are offered before this time */
-	uint64_t last_probe_ms;	    /* last probe, see PROBE_INTERVAL_MS */
+	uint64_t last_heard_ms;	      /* last message from the agent */
+	uint64_t last_hello_ms;	      /* last hello to the agent */
+	uint64_t unanswered_since_ms; /* first hello since then; 0: none */
+	uint32_t unanswered_offers;   /* consecutive offers without an answer */
+	uint64_t avoided_until_ms; /* no opens are offered before this time */
+	uint64_t last_probe_ms;	   /* last probe, see PROBE_INTERVAL_MS */
 	uint64_t flows_reset_ms; /* reset of the lost server's flows; 0: none */
 	double unreported_opens; /* opens offered since the report; decays */
 	uint64_t unreported_opens_ms; /* last change of unreported_opens */
@@ -125,6 +127,7 @@
 	uint64_t last_sent_ms; /* last chain, query or verification */
 	unsigned query_rounds; /* rounds of queries sent */
 	GArray *asked;	       /* of lookup_agent_t */
+	bool lost_zone;	       /* agents of one were not waited for */
 	lookup_scope_t scope;
 	unsigned generation; /* of the balancer when the look-up began */
 	GPtrArray *services; /* interned; those whose agents are in pending */
@@ -146,6 +149,12 @@
 	uint64_t held_ms;    /* when the agent said that its server holds it */
 	uint32_t seq;	     /* sequence number of the SYN */
 	uint32_t ack;	     /* the caller's last acknowledgement */
+	uint32_t data_seq;   /* of the caller's last packet with data */
+	bool sent_data;	     /* data_seq is set */
+	/* First detour of a request that may still be answered, and the
+	 * caller's acknowledgement then; 0: none. */
+	uint64_t detoured_ms;
+	uint32_t detoured_ack;
 	uint64_t first_offer_ms;
 	uint64_t offered_ms; /* last offer, or its time-out */
 	/* Agents that received an offer or refused it as a candidate. */
@@ -180,6 +189,7 @@
 	list_t members;
 	GHashTable *by_agent; /* address -> relay_member_t */
 	GHashTable *groups;   /* service, interned -> relay_group_t, owned */
+	GHashTable *zones;    /* zone, interned -> its state, owned */
 	unsigned generation;  /* counts changes of routes and targets */
 	flow_index_t *flows;
 	early_opens_t *early; /* opens that wait for the routes */
@@ -208,9 +218,13 @@
 bool relay_member_may_hold_flows(const relay_balancer_t *b,
 				 const relay_member_t *m);
 
+/* True when the agent has not answered a hello in time, nor sent anything
+ * since. */
+bool relay_member_unreached(const relay_balancer_t *b, const relay_member_t *m);
+
 /*
- * True when the last hello was not answered in time, or the agent stops and has
- * listed its flows. Look-ups ask a suspect member in a chain without others,
+ * True for an unreached member, or when the agent stops and has listed its
+ * flows. Look-ups ask a suspect member in a chain without others,
  * which it would delay.
  */
 bool relay_member_suspect(const relay_balancer_t *b, const relay_member_t *m);
@@ -324,6 +338,25 @@
 void relay_lookup_found(relay_balancer_t *b, relay_flow_t *f);
 void relay_lookup_free(relay_lookup_t *l);
 
+/* relay_balancer_detour.c: availability zones that are cut off */
+GHashTable *relay_zones_new(void);
+/* Finds out which zones are cut off. */
+void relay_zones_tick(relay_balancer_t *b);
+/* True when the member's zone is cut off: it gets no opens. */
+bool relay_zone_cut(const relay_balancer_t *b, const relay_member_t *m);
+/* True when no request of the flow can be answered by the member, as its zone
+ * can't be reached by any way. */
+bool relay_zone_lost(const relay_balancer_t *b, const relay_flow_t *f,
+		     const relay_member_t *holder);
+/*
+ * Handles a caller's packet for the holder of a known flow before it is sent:
+ * sends it a second way while the holder's agent is unreached, or resets the
+ * flow when its request can't be answered there and may run elsewhere. Returns
+ * false when the flow was reset.
+ */
+bool relay_detour_packet(relay_balancer_t *b, const route_t *route,
+			 relay_flow_t *f, const relay_packet_t *p);
+
 /* relay_balancer.c */
 /* Finds or adds a flow. Returns NULL when out of memory. */
 relay_flow_t *relay_flow_get(relay_balancer_t *b, const flow_key_t *key);
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -190,6 +190,7 @@
 static void advance_lookup(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
+	const char *outcome;
 
 	for (guint i = 0; i < l->asked->len; i++)
 		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
@@ -226,8 +227,10 @@
 		return;
 	}
 	counter_add(&b->counters, COUNTER_LOOKUPS_UNKNOWN, 1);
-	log_lookup(b, f, "no agent holds the flow");
-	relay_flow_reset(b, f, "no agent holds the flow");
+	outcome = l->lost_zone ? "no agent that is reached holds the flow"
+			       : "no agent holds the flow";
+	log_lookup(b, f, outcome);
+	relay_flow_reset(b, f, outcome);
 }
 
 void relay_lookup_packet(relay_balancer_t *b, relay_flow_t *f,
@@ -314,8 +317,26 @@
 	advance_lookup(b, f);
 }
 
-/* Records that the agents that were asked and have gone since do not hold the
- * flow. Returns true if there are any. */
+/* True when an agent that has not answered need not be waited for: it holds no
+ * flow any more, or is in a zone that is lost while the request may run twice.
+ */
+static bool need_not_answer(const relay_balancer_t *b, const relay_flow_t *f,
+			    const relay_member_t *m)
+{
+	const route_t *route =
+		route_find(b->routes, f->node.key.dst, f->node.key.dport);
+
+	if (!relay_member_may_hold_flows(b, m) ||
+	    relay_member_left_without(b, m, &f->node.key))
+		return true;
+	if (!route || !route->idempotent || !relay_zone_lost(b, f, m))
+		return false;
+	f->lookup->lost_zone = true;
+	return true;
+}
+
+/* Records that the agents that were asked and are gone or lost since do not
+ * hold the flow. Returns true if there are any. */
 static bool mark_gone_not_held(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
@@ -326,8 +347,7 @@
 		const relay_member_t *m = relay_member_find(b, a->agent);
 
 		if (a->answer == ANSWER_NOT_HELD ||
-		    (m && relay_member_may_hold_flows(b, m) &&
-		     !relay_member_left_without(b, m, &f->node.key)))
+		    (m && !need_not_answer(b, f, m)))
 			continue;
 		a->answer = ANSWER_NOT_HELD;
 		a->tried = true;
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -68,6 +68,8 @@
 	relay_limits_tell_warmup(b, m, &msg);
 	relay_limits_tell_flows(b, m, &msg);
 	m->last_hello_ms = b->now;
+	if (!m->unanswered_since_ms)
+		m->unanswered_since_ms = b->now;
 	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
 	b->ops.send_message(b->ctx, m->agent, &msg);
 }
@@ -179,6 +181,7 @@
 	char text[ENDPOINT_TEXT_SIZE];
 
 	m->last_heard_ms = b->now;
+	m->unanswered_since_ms = 0;
 	m->unanswered_offers = 0;
 	if (m->avoided_until_ms > b->now)
 		event_log(EVENT_MEMBER,
@@ -266,10 +269,15 @@
 	       silent_ms(b, m) < GONE_UNREACHABLE_MS;
 }
 
+bool relay_member_unreached(const relay_balancer_t *b, const relay_member_t *m)
+{
+	return m->unanswered_since_ms &&
+	       b->now >= m->unanswered_since_ms + SUSPECT_MS;
+}
+
 bool relay_member_suspect(const relay_balancer_t *b, const relay_member_t *m)
 {
-	return m->held || (m->last_hello_ms > m->last_heard_ms &&
-			   b->now >= m->last_hello_ms + SUSPECT_MS);
+	return m->held || relay_member_unreached(b, m);
 }
 
 /* True for a member that gets few or no opens: only hellos show when it has
--- a/src/relay_mechanism.h
+++ b/src/relay_mechanism.h
@@ -39,6 +39,7 @@
 	RELAY_STOP_LISTS,	 /* stopping agents list their flows */
 	RELAY_START_TIMES,   /* a server started before its flows keeps them */
 	RELAY_ROUTE_HISTORY, /* look-ups ask former services, too */
+	RELAY_DETOURS,	     /* detours and resets for zones that are cut off */
 	RELAY_MECHANISMS,    /* number of mechanisms */
 } relay_mechanism_t;
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -5,7 +5,7 @@
 
 #include "../src/directory.h"
 #include "runner.h"
-#include <string.h>
+#include <glib.h>
 
 #define EXPIRY_MS 1000
 #define ADDRESS                                                                \
@@ -41,8 +41,8 @@
 			     .write_number = number,
 			     .revision = { era, number } };
 
-	strcpy(e.id, id);
-	strcpy(e.service, "s");
+	g_strlcpy(e.id, id, sizeof(e.id));
+	g_strlcpy(e.service, "s", sizeof(e.service));
 	directory_put(d, now, &e);
 }
 
--- a/test/test_moved_routes.c
+++ b/test/test_moved_routes.c
@@ -34,6 +34,16 @@
 	rr_route_to(r, version, &share, 1);
 }
 
+/* All agents report their load, as running ones do at least each second. */
+static void report_loads(relay_rig_t *r)
+{
+	static const uint32_t hosts[] = { FEEDS, DESK, HALL };
+
+	for (size_t i = 0; i < sizeof(hosts) / sizeof(hosts[0]); i++)
+		for (uint32_t t = 0; t < TARGETS; t++)
+			rr_load(r, hosts[i] + t, 0, 0, 10, 0);
+}
+
 /* A balancer that has just started, and knows all targets but no routes. */
 static relay_rig_t *fresh_balancer(void)
 {
@@ -309,6 +319,7 @@
 
 	route_to(r, 1, "feeds");
 	rr_advance(r, 70100);
+	report_loads(r);
 	add_targets(r, "feeds", FEEDS);
 	route_to(r, 2, "desk");
 	if (!answers)
@@ -335,6 +346,7 @@
 
 	route_to(r, 1, "desk");
 	rr_advance(r, 70100);
+	report_loads(r);
 	directory_resync_begin(d);
 	route_to(r, 3, "desk");
 	directory_resync_end(d, r->now, (store_revision_t){ .number = 1 });
