Let balancers without routes find others through agents

Ruled out: the store (busy until 27.9 s), load, peers that note who asks them (they are three, and may be beyond a cut). Mended with it: a peer's older state marked an entry missing that a newer one had shown as written again; it was gone 2.2 s later and its flows were reset. directory_set_missing() compares revisions.

--- a/src/directory.c
+++ b/src/directory.c
@@ -212,13 +212,14 @@
 }
 
 void directory_set_missing(directory_t *d, uint64_t now, const char *id,
-			   uint64_t missing_ms)
+			   store_revision_t revision, uint64_t missing_ms)
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
 
 	uint64_t since_ms = now > missing_ms ? now - missing_ms : 1;
 
-	if (!e || e->missing_since_ms || e->unconfirmed_since_ms)
+	if (!e || e->missing_since_ms || e->unconfirmed_since_ms ||
+	    store_revision_compare(revision, e->revision) < 0)
 		return;
 	if (e->state != ENTRY_GONE)
 		e->missing_since_ms = since_ms;
--- a/src/directory.h
+++ b/src/directory.h
@@ -101,9 +101,10 @@
 /* True from directory_resync_begin() to directory_resync_end(). */
 bool directory_listing(const directory_t *d);
 
-/* Notes that the store dropped an entry missing_ms ago, as a peer reports. */
+/* Notes that the store dropped an entry missing_ms ago, at this revision, as a
+ * peer reports; without effect on an entry that has changed since. */
 void directory_set_missing(directory_t *d, uint64_t now, const char *id,
-			   uint64_t missing_ms);
+			   store_revision_t revision, uint64_t missing_ms);
 
 /* Notes that a request to the platform's store failed. */
 void directory_store_unreachable(directory_t *d, uint64_t now);
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -698,7 +698,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[25] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[27] =
 {
   {
     "kind",
@@ -1000,10 +1000,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks_balancers",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, asks_balancers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "balancers",
+    38,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Relay__Message, n_balancers),
+    offsetof(Ct__Relay__Message, balancers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
+  25,   /* field[25] = asks_balancers */
   4,   /* field[4] = balancer */
+  26,   /* field[26] = balancers */
   13,   /* field[13] = candidate_ms */
   3,   /* field[3] = candidates */
   14,   /* field[14] = chain */
@@ -1032,7 +1058,7 @@
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 25 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1042,7 +1068,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  25,
+  27,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -209,10 +209,19 @@
    * it holds no others
    */
   protobuf_c_boolean held_flows_complete;
+  /*
+   * in a hello: the balancer has just started and knows no routes
+   */
+  protobuf_c_boolean asks_balancers;
+  /*
+   * the answer: balancers that the agent heard from, the last one first
+   */
+  size_t n_balancers;
+  uint32_t *balancers;
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -490,6 +490,10 @@
 	relay_msg_t answer;
 	uint32_t *flows;
 
+	if (msg->asks_balancers) {
+		relay_load_tell_balancers(a, from);
+		return;
+	}
 	relay_load_add_balancer(a, from);
 	relay_agent_evacuation(a, from, msg->evacuation);
 	relay_agent_note_limits(a, msg);
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -154,6 +154,8 @@
 void relay_load_tick(relay_agent_t *a);
 /* Notes a hello from a balancer. */
 void relay_load_add_balancer(relay_agent_t *a, uint32_t address);
+/* Tells a balancer that has just started which others the agent knows. */
+void relay_load_tell_balancers(relay_agent_t *a, uint32_t to);
 
 /* relay_agent_stop.c: what the balancers know while the agent is away */
 /*
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -18,6 +18,9 @@
  * hello every 4 s. */
 #define BALANCER_EXPIRY_MS 10000
 
+/* Most balancers that are named to another one. */
+#define BALANCERS_TOLD_MAX 4
+
 #define balancer_at(a, i) g_array_index((a)->balancers, known_balancer_t, i)
 
 static void update_avg_in_flight(relay_agent_t *a);
@@ -156,6 +159,37 @@
 	g_array_append_val(a->balancers, balancer);
 }
 
+/* Orders the balancers heard from last first. */
+static gint compare_last_heard(gconstpointer x, gconstpointer y)
+{
+	const known_balancer_t *a = x, *b = y;
+
+	return (a->last_heard_ms < b->last_heard_ms) -
+	       (a->last_heard_ms > b->last_heard_ms);
+}
+
+void relay_load_tell_balancers(relay_agent_t *a, uint32_t to)
+{
+	uint32_t told[BALANCERS_TOLD_MAX];
+	relay_msg_t answer;
+	size_t n = 0;
+
+	g_array_sort(a->balancers, compare_last_heard);
+	for (guint i = 0; i < a->balancers->len && n < BALANCERS_TOLD_MAX;
+	     i++) {
+		const known_balancer_t *balancer = &balancer_at(a, i);
+
+		if (balancer->address != to &&
+		    a->now < balancer->last_heard_ms + BALANCER_EXPIRY_MS)
+			told[n++] = balancer->address;
+	}
+	relay_msg_init(&answer, RELAY_LOAD);
+	answer.balancers = told;
+	answer.n_balancers = n;
+	counter_add(&a->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	a->ops.send_message(a->ctx, to, &answer);
+}
+
 void relay_load_tick(relay_agent_t *a)
 {
 	double slots = a->slots ? a->slots : 1;
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -358,6 +358,8 @@
 	counter_add(&b->counters, COUNTER_MESSAGES_IN, 1);
 	if (m)
 		relay_member_on_message(b, m, msg);
+	if (!b->routes)
+		relay_learn_message(b, from, msg);
 	switch (msg->kind) {
 	case RELAY_TAKEN:
 		relay_open_taken(b, from, msg);
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -39,6 +39,9 @@
 			   size_t len);
 	/* Returns the Unix time in ms. NULL: unknown. */
 	uint64_t (*unix_ms)(void *ctx);
+	/* Asks the balancer on a host for its routes and targets. NULL: it
+	 * can't be asked. */
+	void (*ask_balancer)(void *ctx, uint32_t host);
 } relay_balancer_ops_t;
 
 typedef struct relay_balancer_options {
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -172,6 +172,16 @@
 	return (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / 1000000;
 }
 
+static void ask_balancer(void *ctx, uint32_t host)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+	endpoint_t peer = { host, p->settings.control.port };
+
+	if (s->peers && peer.port)
+		relay_peers_ask(s->peers, &peer);
+}
+
 static int start(relay_process_t *p, err_t *err)
 {
 	static const relay_peers_ops_t peers_ops = {
@@ -180,7 +190,7 @@
 	static const relay_balancer_ops_t ops = { relay_process_send_packet,
 						  relay_process_send_message,
 						  relay_process_send_packet,
-						  unix_ms };
+						  unix_ms, ask_balancer };
 	static const relay_sink_t sink = { sink_routes,	   sink_refused,
 					   sink_directory, sink_evacuations,
 					   sink_now,	   sink_reachable };
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -192,9 +192,10 @@
 	GHashTable *zones;    /* zone, interned -> its state, owned */
 	unsigned generation;  /* counts changes of routes and targets */
 	flow_index_t *flows;
-	early_opens_t *early; /* opens that wait for the routes */
-	list_t waiting;	      /* flows in PHASE_OPENING or PHASE_LOOKUP */
-	uint64_t now;	      /* time passed to the current call */
+	early_opens_t *early;	 /* opens that wait for the routes */
+	list_t waiting;		 /* flows in PHASE_OPENING or PHASE_LOOKUP */
+	uint64_t now;		 /* time passed to the current call */
+	uint64_t asked_agent_ms; /* see relay_learn_message() */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
 	bool late; /* the last tick was late: unread answers are likely */
@@ -357,6 +358,12 @@
 bool relay_detour_packet(relay_balancer_t *b, const route_t *route,
 			 relay_flow_t *f, const relay_packet_t *p);
 
+/* relay_balancer_learn.c: a balancer that knows no routes yet */
+/* Handles any message from an agent: asks it for other balancers, or these for
+ * their routes and targets. */
+void relay_learn_message(relay_balancer_t *b, uint32_t from,
+			 const relay_msg_t *msg);
+
 /* relay_balancer.c */
 /* Finds or adds a flow. Returns NULL when out of memory. */
 relay_flow_t *relay_flow_get(relay_balancer_t *b, const flow_key_t *key);
--- a/src/relay_peers.c
+++ b/src/relay_peers.c
@@ -4,12 +4,15 @@
 #include <glib.h>
 #include <stdlib.h>
 
-/* The request to one peer at the start. */
-typedef struct start_request {
+/* One of several requests at a time. */
+typedef struct peer_request {
 	struct relay_peers *peers;
-	http_client_t *http; /* NULL: answered */
-	size_t peer;
-} start_request_t;
+	http_client_t *http; /* NULL: answered, or not in use */
+	endpoint_t peer;
+} peer_request_t;
+
+/* Most balancers besides the peers that are asked at a time. */
+#define ASKED_MAX 8
 
 struct relay_peers {
 	uv_loop_t *loop;
@@ -18,8 +21,9 @@
 	size_t n;
 	size_t next; /* position of the peer for the current or next request */
 	http_client_t *http;
-	start_request_t start[RELAY_PEERS_MAX];
-	bool starting; /* see relay_peers_ops.started */
+	peer_request_t start[RELAY_PEERS_MAX]; /* to all peers at the start */
+	bool starting;			       /* see relay_peers_ops.started */
+	peer_request_t asked[ASKED_MAX];       /* see relay_peers_ask() */
 	relay_peers_ops_t ops;
 	void *ctx;
 };
@@ -37,7 +41,7 @@
 }
 
 /* Applies the state in an answer. Returns false when there is none. */
-static bool apply_answer(relay_peers_t *p, size_t peer,
+static bool apply_answer(relay_peers_t *p, const endpoint_t *peer,
 			 const http_response_t *answer)
 {
 	char text[ENDPOINT_TEXT_SIZE];
@@ -50,17 +54,16 @@
 	event_log(EVENT_STORE,
 		  "\"state\":\"read from peer\",\"peer\":\"%s\","
 		  "\"era\":%llu,\"revision\":%llu",
-		  endpoint_format(&p->peers[peer], text),
-		  (unsigned long long)revision.era,
+		  endpoint_format(peer, text), (unsigned long long)revision.era,
 		  (unsigned long long)revision.number);
 	return true;
 }
 
-static http_client_t *send_request(relay_peers_t *p, size_t peer,
+static http_client_t *send_request(relay_peers_t *p, const endpoint_t *peer,
 				   uint64_t connect_ms, uint64_t timeout_ms,
 				   http_done_fn done, void *ctx)
 {
-	http_client_t *http = http_client_new(p->loop, &p->peers[peer]);
+	http_client_t *http = http_client_new(p->loop, peer);
 	store_revision_t known = p->ops.revision(p->ctx);
 	char path[96];
 
@@ -79,7 +82,7 @@
 	relay_peers_t *p = ctx;
 
 	/* Without a newer state here, another peer may still have one. */
-	if (!apply_answer(p, p->next, answer))
+	if (!apply_answer(p, &p->peers[p->next], answer))
 		p->next = (p->next + 1) % p->n;
 }
 
@@ -94,9 +97,9 @@
 
 static void on_start_answer(void *ctx, const http_response_t *answer)
 {
-	start_request_t *r = ctx;
+	peer_request_t *r = ctx;
 	relay_peers_t *p = r->peers;
-	bool used = p->starting && apply_answer(p, r->peer, answer);
+	bool used = p->starting && apply_answer(p, &r->peer, answer);
 
 	http_client_free(r->http);
 	r->http = NULL;
@@ -112,8 +115,8 @@
 	if (!p->ops.needed(p->ctx) || (p->http && http_client_busy(p->http)))
 		return;
 	http_client_free(p->http);
-	p->http = send_request(p, p->next, PEERS_TIMEOUT_MS, PEERS_TIMEOUT_MS,
-			       on_answer, p);
+	p->http = send_request(p, &p->peers[p->next], PEERS_TIMEOUT_MS,
+			       PEERS_TIMEOUT_MS, on_answer, p);
 }
 
 relay_peers_t *relay_peers_new(uv_loop_t *loop, const relay_settings_t *s,
@@ -148,13 +151,42 @@
 	}
 	p->starting = true;
 	for (size_t i = 0; i < p->n; i++) {
-		p->start[i] = (start_request_t){ .peers = p, .peer = i };
-		p->start[i].http = send_request(p, i, PEERS_START_CONNECT_MS,
-						PEERS_START_TIMEOUT_MS,
-						on_start_answer, &p->start[i]);
+		p->start[i] =
+			(peer_request_t){ .peers = p, .peer = p->peers[i] };
+		p->start[i].http = send_request(
+			p, &p->peers[i], PEERS_START_CONNECT_MS,
+			PEERS_START_TIMEOUT_MS, on_start_answer, &p->start[i]);
 	}
 }
 
+static void on_asked_answer(void *ctx, const http_response_t *answer)
+{
+	peer_request_t *r = ctx;
+
+	if (apply_answer(r->peers, &r->peer, answer))
+		end_start(r->peers);
+	http_client_free(r->http);
+	r->http = NULL;
+}
+
+void relay_peers_ask(relay_peers_t *p, const endpoint_t *peer)
+{
+	peer_request_t *idle = NULL;
+
+	for (size_t i = 0; i < ASKED_MAX; i++) {
+		if (!p->asked[i].http)
+			idle = &p->asked[i];
+		else if (endpoint_equal(&p->asked[i].peer, peer))
+			return;
+	}
+	if (!idle)
+		return;
+	*idle = (peer_request_t){ .peers = p, .peer = *peer };
+	idle->http =
+		send_request(p, &idle->peer, PEERS_START_CONNECT_MS,
+			     PEERS_START_TIMEOUT_MS, on_asked_answer, idle);
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	free(handle->data);
@@ -167,6 +199,8 @@
 	http_client_free(p->http);
 	for (size_t i = 0; i < p->n; i++)
 		http_client_free(p->start[i].http);
+	for (size_t i = 0; i < ASKED_MAX; i++)
+		http_client_free(p->asked[i].http);
 	uv_timer_stop(&p->timer);
 	uv_close((uv_handle_t *)&p->timer, on_closed);
 }
--- a/src/relay_peers.h
+++ b/src/relay_peers.h
@@ -51,6 +51,10 @@
  * or none has one. */
 void relay_peers_start(relay_peers_t *p);
 
+/* Requests the state of another balancer, unless as many requests are under way
+ * as there may be. */
+void relay_peers_ask(relay_peers_t *p, const endpoint_t *peer);
+
 /* The memory is freed on the next run of the loop. */
 void relay_peers_free(relay_peers_t *p);
 
--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -260,7 +260,7 @@
 	g_strlcpy(e.zone, m->zone, sizeof(e.zone));
 	directory_put(d, now, &e);
 	if (m->missing_ms)
-		directory_set_missing(d, now, e.id, m->missing_ms);
+		directory_set_missing(d, now, e.id, e.revision, m->missing_ms);
 }
 
 /* A peer of an earlier version tells nothing of evacuations. */
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -16,7 +16,8 @@
 	s->to = to;
 	s->host = host;
 	s->len = len;
-	memcpy(s->buf, buf, len);
+	if (len)
+		memcpy(s->buf, buf, len);
 }
 
 static void to_agent(void *ctx, uint32_t host, const uint8_t *buf, size_t len)
@@ -41,6 +42,11 @@
 	record(ctx, RIG_MESSAGE, host, buf, relay_msg_pack(msg, buf));
 }
 
+static void ask_balancer(void *ctx, uint32_t host)
+{
+	record(ctx, RIG_PEER, host, NULL, 0);
+}
+
 static uint64_t rig_unix_ms(void *ctx)
 {
 	const relay_rig_t *r = ctx;
@@ -66,7 +72,8 @@
 relay_rig_t *rr_new_balancer(double warmup_overage, uint32_t warmup_slack)
 {
 	static const relay_balancer_ops_t ops = { to_agent, to_process,
-						  to_caller, rig_unix_ms };
+						  to_caller, rig_unix_ms,
+						  ask_balancer };
 	relay_balancer_options_t options = { .self = RIG_BALANCER_ADDRESS,
 					     .zone = RIG_ZONE,
 					     .format = &fleet_packet_format,
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -17,6 +17,7 @@
 	RIG_MESSAGE, /* a message to a balancer or an agent */
 	RIG_CALLER,  /* a packet to a caller */
 	RIG_SERVER,  /* a packet to the backend server */
+	RIG_PEER,    /* a question to a balancer for its state */
 } rig_dest_t;
 
 typedef struct rig_sent {
--- a/test/test_relay_peers.c
+++ b/test/test_relay_peers.c
@@ -28,6 +28,9 @@
 	int sockets[PEERS]; /* of silent peers; -1: none */
 	relay_peers_t *peers;
 	unsigned applied, started;
+	endpoint_t extra; /* of a balancer that the settings do not name */
+	http_server_t *extra_server;
+	unsigned extra_requests;
 	unsigned
 		applied_at_start; /* states applied when started() was called */
 } peers_rig_t;
@@ -187,6 +190,39 @@
 }
 END_TEST
 
+static int answer_extra(void *ctx, const char *path, GString *body)
+{
+	peers_rig_t *r = ctx;
+
+	r->extra_requests++;
+	return answer_state(ctx, path, body);
+}
+
+/* Another balancer that an agent has named is asked when no peer of the
+ * settings knows anything; the start goes on with its state. */
+START_TEST(named_balancer_is_asked)
+{
+	static const peer_kind_t kinds[] = { PEER_REFUSES, PEER_HAS_NONE,
+					     PEER_IS_SILENT };
+	peers_rig_t *r = open_rig(kinds);
+	err_t err;
+
+	r->extra.ip = 0x7f000001;
+	close(listen_anywhere(&r->extra));
+	r->extra_server =
+		http_server_open(&r->loop, &r->extra, answer_extra, r, &err);
+	ck_assert_ptr_nonnull(r->extra_server);
+	relay_peers_ask(r->peers, &r->extra);
+	relay_peers_ask(r->peers, &r->extra);
+	run(r, PEERS_START_MS / 2);
+	ck_assert_uint_eq(r->extra_requests, 1);
+	ck_assert_uint_eq(r->started, 1);
+	ck_assert_uint_eq(r->applied_at_start, 1);
+	http_server_close(r->extra_server);
+	close_rig(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_peers");
@@ -196,6 +232,7 @@
 			    2);
 	tcase_add_loop_test(tc, start_does_not_wait_for_peers_without_state, 0,
 			    3);
+	tcase_add_test(tc, named_balancer_is_asked);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -167,6 +167,39 @@
 }
 END_TEST
 
+/*
+ * A balancer that asks several others applies an older state after a newer one:
+ * an entry that was missing then and has been written again stays.
+ */
+START_TEST(entry_missing_in_an_older_state_stays)
+{
+	relay_rig_t *behind = rr_balancer(), *ahead = rr_balancer();
+	relay_rig_t *fresh = rr_balancer();
+	directory_t *d = relay_balancer_directory(behind->balancer);
+	GString *older, *newer;
+
+	rr_routes(behind, 7);
+	rr_entry(behind, "a", AGENT_A, 20, ENTRY_READY);
+	directory_store_unreachable(d, behind->now);
+	rr_entry_gone(behind, "a", 23);
+	older = pack_state(behind, 25);
+	rr_routes(ahead, 7);
+	rr_entry(ahead, "a", AGENT_A, 27, ENTRY_READY);
+	newer = pack_state(ahead, 30);
+
+	apply_state(newer, fresh);
+	apply_state(older, fresh);
+	d = relay_balancer_directory(fresh->balancer);
+	directory_tick(d, fresh->now + DIRECTORY_GRACE_MS);
+	ck_assert_int_eq(directory_find(d, "a")->state, ENTRY_READY);
+	g_string_free(older, TRUE);
+	g_string_free(newer, TRUE);
+	rr_free(behind);
+	rr_free(ahead);
+	rr_free(fresh);
+}
+END_TEST
+
 /* The state of a peer without routes has no effect; random bytes are refused.
  */
 START_TEST(empty_or_invalid_state_is_refused)
@@ -201,6 +234,7 @@
 	tcase_add_test(tc, older_state_changes_nothing);
 	tcase_add_test(tc, peers_in_different_eras);
 	tcase_add_test(tc, state_has_missing_and_gone_targets);
+	tcase_add_test(tc, entry_missing_in_an_older_state_stays);
 	tcase_add_test(tc, empty_or_invalid_state_is_refused);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
