--- a/src/relay_balancer_detour.c
+++ b/src/relay_balancer_detour.c
@@ -22,28 +22,26 @@
 /* A detour that has brought no answer after this time was in vain. */
 #define VAIN_MS 350
 
-typedef struct zone_state {
+/* Interval between samples of the members. */
+#define SAMPLE_INTERVAL_MS 100
+
+struct zone_state {
 	zone_path_t path;
 	uint64_t heard_ms; /* last message of an agent of the zone */
-	/* Of the current tick: */
+	/* Of the current sample: */
 	zone_sample_t sample;
 	unsigned asked;		/* agents that have not answered a hello yet */
 	uint64_t unanswered_ms; /* last hello to one of the silent agents */
-} zone_state_t;
+};
 
 GHashTable *relay_zones_new(void)
 {
 	return g_hash_table_new_full(NULL, NULL, NULL, g_free);
 }
 
-static zone_state_t *find_zone(const relay_balancer_t *b, const char *zone)
-{
-	return g_hash_table_lookup(b->zones, zone);
-}
-
-static zone_state_t *get_zone(relay_balancer_t *b, const char *zone)
+zone_state_t *relay_zone_find(relay_balancer_t *b, const char *zone)
 {
-	zone_state_t *z = find_zone(b, zone);
+	zone_state_t *z = g_hash_table_lookup(b->zones, zone);
 
 	if (!z) {
 		z = g_new0(zone_state_t, 1);
@@ -54,7 +52,7 @@
 
 static void sample_member(relay_balancer_t *b, const relay_member_t *m)
 {
-	zone_state_t *z = get_zone(b, m->zone);
+	zone_state_t *z = m->zone_state;
 
 	if (z->heard_ms < m->last_heard_ms)
 		z->heard_ms = m->last_heard_ms;
@@ -76,7 +74,7 @@
 	list_each(node, &b->members)
 	{
 		relay_member_t *m = list_entry(node, relay_member_t, node);
-		zone_state_t *z = find_zone(b, m->zone);
+		zone_state_t *z = m->zone_state;
 
 		if (!z->sample.silent || z->heard_ms >= z->unanswered_ms ||
 		    z->asked >= PROBES_MAX || m->state == ENTRY_GONE ||
@@ -110,6 +108,9 @@
 	GHashTableIter iter;
 	gpointer name, value;
 
+	if (b->now < b->zones_sampled_ms + SAMPLE_INTERVAL_MS)
+		return;
+	b->zones_sampled_ms = b->now;
 	list_each(node, &b->members)
 		sample_member(b, list_entry(node, relay_member_t, node));
 	probe_zones(b);
@@ -134,11 +135,9 @@
 	}
 }
 
-bool relay_zone_cut(const relay_balancer_t *b, const relay_member_t *m)
+bool relay_zone_cut(const relay_member_t *m)
 {
-	const zone_state_t *z = find_zone(b, m->zone);
-
-	return z && z->path.cut && relay_mechanism_on(RELAY_DETOURS);
+	return m->zone_state->path.cut && relay_mechanism_on(RELAY_DETOURS);
 }
 
 /* True when the agent can pass a packet on to a holder in another zone. */
@@ -200,15 +199,14 @@
 			 const relay_packet_t *p, const relay_member_t *holder,
 			 bool repeated)
 {
-	zone_state_t *z = find_zone(b, holder->zone);
 	bool answered =
 		(p->flags & RELAY_ACK) && seq_diff(p->ack, f->detoured_ack) > 0;
 
-	if (!z || !f->detoured_ms ||
+	if (!f->detoured_ms ||
 	    (!answered && (!repeated || b->now < f->detoured_ms + VAIN_MS)))
 		return;
 	f->detoured_ms = 0;
-	zone_path_note_detour(&z->path, answered);
+	zone_path_note_detour(&holder->zone_state->path, answered);
 }
 
 /* Notes the packet. True when the caller has sent the same data before. */
@@ -226,10 +224,9 @@
 bool relay_zone_lost(const relay_balancer_t *b, const relay_flow_t *f,
 		     const relay_member_t *holder)
 {
-	const zone_state_t *z = find_zone(b, holder->zone);
-
-	return z && !holder->local && relay_mechanism_on(RELAY_DETOURS) &&
-	       zone_path_lost(&z->path, find_third(b, f, holder) != NULL);
+	return !holder->local && relay_mechanism_on(RELAY_DETOURS) &&
+	       zone_path_lost(&holder->zone_state->path,
+			      find_third(b, f, holder) != NULL);
 }
 
 bool relay_detour_packet(relay_balancer_t *b, const route_t *route,
@@ -242,7 +239,7 @@
 	if (!holder || holder->local || !relay_mechanism_on(RELAY_DETOURS))
 		return true;
 	judge_detour(b, f, p, holder, repeated);
-	if (!relay_member_unreached(b, holder) && !relay_zone_cut(b, holder)) {
+	if (!relay_member_unreached(b, holder) && !relay_zone_cut(holder)) {
 		if (repeated && !holder->unanswered_since_ms &&
 		    b->now >= holder->last_heard_ms + REACHED_MS)
 			relay_member_hello(b, holder);
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -53,6 +53,9 @@
 	bool no_server;	       /* none has run since the agent started */
 } relay_load_report_t;
 
+/* How a balancer reaches a zone, see relay_balancer_detour.c. */
+typedef struct zone_state zone_state_t;
+
 /* An agent and the backend server beside it. */
 typedef struct relay_member {
 	uint32_t agent;	     /* address */
@@ -60,11 +63,12 @@
 	char entry_id[DIRECTORY_NAME_SIZE];
 	uint64_t started_ms; /* start of the target, Unix time, as published */
 	entry_state_t state;
-	const char *zone;	/* availability zone, interned */
-	bool local;		/* in the balancer's availability zone */
-	bool evacuated;		/* the zone takes no opens */
-	uint32_t slots;		/* requests that the server runs at a time */
-	uint64_t warmup_end_ms; /* end of the target's warm-up */
+	const char *zone;	  /* availability zone, interned */
+	zone_state_t *zone_state; /* of that zone, not owned */
+	bool local;		  /* in the balancer's availability zone */
+	bool evacuated;		  /* the zone takes no opens */
+	uint32_t slots;		  /* requests that the server runs at a time */
+	uint64_t warmup_end_ms;	  /* end of the target's warm-up */
 	/* End of the time for which a target of a zone that was taken back is
 	 * taken to be cold. */
 	uint64_t assumed_warmup_end_ms;
@@ -192,10 +196,11 @@
 	GHashTable *zones;    /* zone, interned -> its state, owned */
 	unsigned generation;  /* counts changes of routes and targets */
 	flow_index_t *flows;
-	early_opens_t *early;	 /* opens that wait for the routes */
-	list_t waiting;		 /* flows in PHASE_OPENING or PHASE_LOOKUP */
-	uint64_t now;		 /* time passed to the current call */
-	uint64_t asked_agent_ms; /* see relay_learn_message() */
+	early_opens_t *early;	   /* opens that wait for the routes */
+	list_t waiting;		   /* flows in PHASE_OPENING or PHASE_LOOKUP */
+	uint64_t now;		   /* time passed to the current call */
+	uint64_t zones_sampled_ms; /* see relay_zones_tick() */
+	uint64_t asked_agent_ms;   /* see relay_learn_message() */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
 	bool late; /* the last tick was late: unread answers are likely */
@@ -341,10 +346,12 @@
 
 /* relay_balancer_detour.c: availability zones that are cut off */
 GHashTable *relay_zones_new(void);
+/* The state of a zone, an interned string; owned by the balancer. */
+zone_state_t *relay_zone_find(relay_balancer_t *b, const char *zone);
 /* Finds out which zones are cut off. */
 void relay_zones_tick(relay_balancer_t *b);
 /* True when the member's zone is cut off: it gets no opens. */
-bool relay_zone_cut(const relay_balancer_t *b, const relay_member_t *m);
+bool relay_zone_cut(const relay_member_t *m);
 /* True when no request of the flow can be answered by the member, as its zone
  * can't be reached by any way. */
 bool relay_zone_lost(const relay_balancer_t *b, const relay_flow_t *f,
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -164,6 +164,7 @@
 	m->started_ms = e->started_ms;
 	m->state = e->state;
 	m->zone = g_intern_string(e->zone);
+	m->zone_state = relay_zone_find(b, m->zone);
 	m->local = !strcmp(e->zone, b->options.zone);
 	relay_evacuation_update(b, m);
 	m->slots = e->slots;
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -90,7 +90,7 @@
 
 	return m->state == ENTRY_READY && !m->evacuated && !report->evacuated &&
 	       !report->stopping && report->down_ms == 0 &&
-	       m->avoided_until_ms <= b->now && !relay_zone_cut(b, m);
+	       m->avoided_until_ms <= b->now && !relay_zone_cut(m);
 }
 
 static bool was_tried(const relay_flow_t *f, uint32_t agent)
