Decide once a sample whether a third zone is reached

Cause: found by reading: during a look-up each silent agent was judged by a search of all members for a third zone, hashed, at each tick; a return with hundreds of look-ups would have paid for it on hosts of .03 of a core, also without any cut. Change: the sample of the zones notes whether one besides the balancer's own is reached; a zone that is not cut off ends the question first.

--- a/src/relay_balancer_detour.c
+++ b/src/relay_balancer_detour.c
@@ -21,12 +21,12 @@
 #define PROBES_MAX 8
 /* A detour that has brought no answer after this time was in vain. */
 #define VAIN_MS 350
-
 /* Interval between samples of the members. */
 #define SAMPLE_INTERVAL_MS 100
 
 struct zone_state {
 	zone_path_t path;
+	bool local;	   /* the balancer's own zone */
 	uint64_t heard_ms; /* last message of an agent of the zone */
 	/* Of the current sample: */
 	zone_sample_t sample;
@@ -54,6 +54,7 @@
 {
 	zone_state_t *z = m->zone_state;
 
+	z->local = m->local;
 	if (z->heard_ms < m->last_heard_ms)
 		z->heard_ms = m->last_heard_ms;
 	if (m->local || m->state == ENTRY_GONE)
@@ -103,6 +104,24 @@
 	return heard_ms;
 }
 
+/* True when a zone is reached besides the balancer's own: its agents can pass
+ * packets on. */
+static bool reaches_third(relay_balancer_t *b)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->zones);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const zone_state_t *z = value;
+
+		if (!z->local && !z->path.cut &&
+		    b->now < z->heard_ms + HEARD_MS)
+			return true;
+	}
+	return false;
+}
+
 void relay_zones_tick(relay_balancer_t *b)
 {
 	GHashTableIter iter;
@@ -133,6 +152,7 @@
 		z->asked = 0;
 		z->unanswered_ms = 0;
 	}
+	b->reaches_third = reaches_third(b);
 }
 
 bool relay_zone_cut(const relay_member_t *m)
@@ -162,9 +182,12 @@
 	{
 		const relay_member_t *m =
 			list_entry(node, relay_member_t, node);
-		uint64_t rank = flow_key_hash(&f->node.key, m->agent);
+		uint64_t rank;
 
-		if (!may_pass_on(b, m, holder) || (best && rank <= best_rank))
+		if (!may_pass_on(b, m, holder))
+			continue;
+		rank = flow_key_hash(&f->node.key, m->agent);
+		if (best && rank <= best_rank)
 			continue;
 		best = m;
 		best_rank = rank;
@@ -221,12 +244,10 @@
 	return repeated;
 }
 
-bool relay_zone_lost(const relay_balancer_t *b, const relay_flow_t *f,
-		     const relay_member_t *holder)
+bool relay_zone_lost(const relay_balancer_t *b, const relay_member_t *holder)
 {
-	return !holder->local && relay_mechanism_on(RELAY_DETOURS) &&
-	       zone_path_lost(&holder->zone_state->path,
-			      find_third(b, f, holder) != NULL);
+	return relay_zone_cut(holder) &&
+	       zone_path_lost(&holder->zone_state->path, b->reaches_third);
 }
 
 bool relay_detour_packet(relay_balancer_t *b, const route_t *route,
@@ -245,8 +266,7 @@
 			relay_member_hello(b, holder);
 		return true;
 	}
-	if (route->idempotent && p->payload_len &&
-	    relay_zone_lost(b, f, holder)) {
+	if (route->idempotent && p->payload_len && relay_zone_lost(b, holder)) {
 		relay_flow_reset(b, f, "zone is cut off");
 		return false;
 	}
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -196,9 +196,10 @@
 	GHashTable *zones;    /* zone, interned -> its state, owned */
 	unsigned generation;  /* counts changes of routes and targets */
 	flow_index_t *flows;
-	early_opens_t *early;	   /* opens that wait for the routes */
-	list_t waiting;		   /* flows in PHASE_OPENING or PHASE_LOOKUP */
-	uint64_t now;		   /* time passed to the current call */
+	early_opens_t *early; /* opens that wait for the routes */
+	list_t waiting;	      /* flows in PHASE_OPENING or PHASE_LOOKUP */
+	uint64_t now;	      /* time passed to the current call */
+	bool reaches_third;   /* agents of other zones can pass packets on */
 	uint64_t zones_sampled_ms; /* see relay_zones_tick() */
 	uint64_t asked_agent_ms;   /* see relay_learn_message() */
 	uint64_t last_sweep_ms;
@@ -352,10 +353,9 @@
 void relay_zones_tick(relay_balancer_t *b);
 /* True when the member's zone is cut off: it gets no opens. */
 bool relay_zone_cut(const relay_member_t *m);
-/* True when no request of the flow can be answered by the member, as its zone
- * can't be reached by any way. */
-bool relay_zone_lost(const relay_balancer_t *b, const relay_flow_t *f,
-		     const relay_member_t *holder);
+/* True when no request can be answered by the member, as its zone can't be
+ * reached by any way. */
+bool relay_zone_lost(const relay_balancer_t *b, const relay_member_t *holder);
 /*
  * Handles a caller's packet for the holder of a known flow before it is sent:
  * sends it a second way while the holder's agent is unreached, or resets the
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -323,13 +323,15 @@
 static bool need_not_answer(const relay_balancer_t *b, const relay_flow_t *f,
 			    const relay_member_t *m)
 {
-	const route_t *route =
-		route_find(b->routes, f->node.key.dst, f->node.key.dport);
+	const route_t *route;
 
 	if (!relay_member_may_hold_flows(b, m) ||
 	    relay_member_left_without(b, m, &f->node.key))
 		return true;
-	if (!route || !route->idempotent || !relay_zone_lost(b, f, m))
+	if (!relay_zone_lost(b, m))
+		return false;
+	route = route_find(b->routes, f->node.key.dst, f->node.key.dport);
+	if (!route || !route->idempotent)
 		return false;
 	f->lookup->lost_zone = true;
 	return true;
