--- a/src/placement.c
+++ b/src/placement.c
@@ -17,8 +17,6 @@
 #define IN_FLIGHT_WEIGHT     0.2
 /* Requests in flight that an open adds until the next load report counts it. */
 #define UNREPORTED_OPEN_LOAD 0.5
-/* Factor on the service time of a target during its warm-up. */
-#define COLD_FACTOR 1.6
 /* Cost of a round trip to another availability zone and of its traffic, as
  * the waiting time that callers would accept instead, in ms. */
 #define CROSS_ZONE_PENALTY_MS 6.0
@@ -137,13 +135,10 @@
 {
 	double service = m->service_ms > 0 ? m->service_ms : g->service_ms;
 	double slots = m->slots ? m->slots : 1;
-	bool cold = m->cold && !(m->paced_slots && m->service_ms > 0);
 	double load, utilisation;
 
 	if (service * SPEED_RATIO_MAX < g->service_ms)
 		service = g->service_ms / SPEED_RATIO_MAX;
-	if (cold && relay_mechanism_on(RELAY_COLD_TARGETS))
-		service *= COLD_FACTOR;
 	if (m->paced_slots && m->paced_slots < slots)
 		slots = m->paced_slots;
 	load = m->has_report ? expected_in_flight(m, service, g)
@@ -175,9 +170,6 @@
 {
 	double service = m->service_ms > 0 ? m->service_ms : g->service_ms;
 
-	if (m->cold && !(m->paced_slots && m->service_ms > 0) &&
-	    relay_mechanism_on(RELAY_COLD_TARGETS))
-		service *= COLD_FACTOR;
 	return placement_response_ms(
 		       (uint32_t)(m->in_flight + m->unreported_opens), m->slots,
 		       service) +
--- a/src/placement.h
+++ b/src/placement.h
@@ -17,7 +17,6 @@
 typedef struct placement_member {
 	bool local;	      /* in the balancer's availability zone */
 	bool has_report;      /* a recent load report exists */
-	bool cold;	      /* in its warm-up period */
 	uint32_t slots;	      /* requests served at a time */
 	uint32_t paced_slots; /* requests that the pace allows; 0: no pace */
 	double avg_in_flight; /* smoothed, as reported */
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -109,7 +109,6 @@
 
 	out->local = m->local;
 	out->has_report = report->reported_ms != 0;
-	out->cold = relay_limits_warmup_left(b, m) > 0;
 	out->slots = m->slots;
 	out->avg_in_flight = report->avg_in_flight;
 	out->in_flight = report->in_flight;
--- a/src/relay_mechanism.h
+++ b/src/relay_mechanism.h
@@ -24,7 +24,6 @@
 	RELAY_TRUE_REFUSAL,   /* no reset for an open that may have run */
 	RELAY_HOLDER_PRECEDENCE, /* the first server that took an open counts */
 	RELAY_TOO_FAST,		 /* answers that come too fast are failures */
-	RELAY_COLD_TARGETS,	 /* targets are slow during their warm-up */
 	RELAY_ZONE_PREFERENCE,	 /* opens stay in the availability zone */
 	RELAY_PRIORITY,		 /* routes of low priority are refused first */
 	RELAY_PEERS_FIRST,	 /* a start asks peers before the store */
