--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,7 +46,7 @@
     for m in rig.machines:
         if m.kind == "agent":
             await m.restart(0.2)
-    while rig.now() < rig.machines[-1].disturbed + 4.3:  # all machines are in touch again
+    while rig.now() < rig.machines[-1].disturbances[-1] + 4.3:  # all machines are in touch again
         await asyncio.sleep(0.02)
     if rig.trouble:
         stopping = asyncio.create_task(rig.machines[0].restart())
