Log what shows an agent that its server holds a flow

The logs did not tell whether the agent had the flow as an open without an answer, as one that its server kept without returning the packet, or as accepted by an earlier incarnation of the server.

The line "held" has the flow's phase, whether the server accepted the open and whether it has sent anything since.

--- a/src/event_log.c
+++ b/src/event_log.c
@@ -14,10 +14,10 @@
 #define LINE_SIZE 700
 
 static const char *const names[NEVENTS] = {
-	"start",  "stop",	"reload", "ready",	"store",  "routes",
-	"target", "member",	"open",	  "taken",	"passed", "refused",
-	"queued", "unanswered", "lookup", "given-back", "reset",  "message",
-	"server", "wake",	"zone",
+	"start",   "stop",	 "reload", "ready", "store",	  "routes",
+	"target",  "member",	 "open",   "taken", "passed",	  "refused",
+	"queued",  "unanswered", "lookup", "held",  "given-back", "reset",
+	"message", "server",	 "wake",   "zone",
 };
 
 static const char *process_name = "cherviltray";
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -418,7 +418,7 @@
 		relay_load_request_kept(a, f);
 		server_pace_warm(&a->pace);
 		server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
-		relay_agent_send(a, f->balancer, RELAY_HELD, &f->node.key);
+		relay_agent_send_held(a, f->balancer, f);
 	}
 	if (!f->server_isn_known || seq_diff(end, f->server_next) > 0)
 		f->server_next = end;
@@ -479,9 +479,12 @@
 		kind = RELAY_HELD;
 	else if (!f && !a->options.knows_all_flows)
 		kind = RELAY_UNSURE;
-	if (kind == RELAY_HELD)
-		f->balancer = from;
-	relay_agent_send(a, from, kind, &key);
+	if (kind != RELAY_HELD) {
+		relay_agent_send(a, from, kind, &key);
+		return;
+	}
+	f->balancer = from;
+	relay_agent_send_held(a, from, f);
 }
 
 static void on_hello(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -197,6 +197,9 @@
 /* relay_agent_lookup.c: packets of flows that a balancer does not know */
 /* Handles RELAY_LOOKUP. */
 void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg);
+/* Tells a balancer that the server holds the flow, and logs what shows it. */
+void relay_agent_send_held(relay_agent_t *a, uint32_t to,
+			   const server_flow_t *f);
 /* Forwards the look-up of a packet that the server returned. */
 void relay_agent_forward_lookup(relay_agent_t *a, const server_flow_t *f,
 				const relay_packet_t *p);
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -7,6 +7,23 @@
 static void forward_lookup(relay_agent_t *a, const relay_msg_t *lookup,
 			   const flow_key_t *key);
 
+void relay_agent_send_held(relay_agent_t *a, uint32_t to,
+			   const server_flow_t *f)
+{
+	static const char *const phases[] = { "opening", "queued", "open",
+					      "verifying", "ended" };
+	char text[FLOW_TEXT_SIZE], balancer[ENDPOINT_TEXT_SIZE];
+
+	event_log(EVENT_HELD,
+		  "\"flow\":\"%s\",\"to\":\"%s\",\"phase\":\"%s\","
+		  "\"accepted\":%s,\"confirmed\":%s",
+		  flow_key_format(&f->node.key, text),
+		  ipv4_format(to, balancer), phases[f->phase],
+		  f->server_isn_known ? "true" : "false",
+		  f->confirmed ? "true" : "false");
+	relay_agent_send(a, to, RELAY_HELD, &f->node.key);
+}
+
 /*
  * Sends the look-up to the next agent of its chain. The last agent reports to
  * the balancer that no server of the chain holds the flow.
@@ -66,7 +83,7 @@
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
 	if (f && f->phase != SERVER_FLOW_VERIFYING &&
 	    f->phase != SERVER_FLOW_QUEUED && server_flow_matches(f, &p)) {
-		relay_agent_send(a, msg->balancer, RELAY_HELD, &p.key);
+		relay_agent_send_held(a, msg->balancer, f);
 		server_flow_caller_packet(a, f, msg->balancer, &p);
 		return;
 	}
