Don't claim a flow whose open the server never answered

Cause: an agent keeps an open that its server has not answered, in case the answer is late. relay_agent_lookup(), on_query() and relay_agent_handle_packet() took each flow without a known initial sequence number of the server for a flow of the server, this one included.

Evidence: all flows that were reset have a line "held" of the crashed server's agent with phase opening and accepted false. Ruled out by the same lines: a packet that was kept and not returned (phase verifying), and a flow that the server had accepted before its crash (accepted true).

One function, relay_agent_holding(), now decides for all three. What a server sends passes its agent before it reaches the caller: without a SYN-ACK seen, the caller's acknowledgement is of another server, unless an earlier process of the agent passed the SYN-ACK on. Then only the server knows, for an open that waits for a slot, too: a queued copy made a restarted agent say "not held". A flow that is verified leaves the queue and the list of opens.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -22,9 +22,6 @@
  * take in addition. */
 #define RESET_TICKS	     8
 #define RESET_TICK_MIN_FLOWS 4
-/* A caller acknowledges at most this many bytes beyond what the agent has seen
- * the server send. */
-#define ACK_SLACK 76800
 
 static void server_flow_release(flow_node_t *node);
 static void give_back(relay_agent_t *a, uint32_t balancer,
@@ -176,6 +173,8 @@
 void server_flow_set_phase(relay_agent_t *a, server_flow_t *f,
 			   server_flow_phase_t phase)
 {
+	if (f->phase == SERVER_FLOW_QUEUED)
+		open_wait_cancel(&f->wait);
 	f->phase = phase;
 	set_active(a, f, phase == SERVER_FLOW_OPEN);
 	list_remove(&f->opening);
@@ -183,6 +182,12 @@
 		list_append(&a->opening, &f->opening);
 }
 
+void server_flow_verify(relay_agent_t *a, server_flow_t *f)
+{
+	if (f->phase != SERVER_FLOW_VERIFYING)
+		server_flow_set_phase(a, f, SERVER_FLOW_VERIFYING);
+}
+
 /* Bare acknowledgements and resets get no answer. */
 static bool wants_answer(const relay_packet_t *p)
 {
@@ -218,18 +223,6 @@
 	a->ops.send_message(a->ctx, to, &msg);
 }
 
-/* A copy of the same SYN may have been accepted by another server, which uses
- * other sequence numbers. */
-bool server_flow_matches(const server_flow_t *f, const relay_packet_t *p)
-{
-	uint32_t sent;
-
-	if (!f->server_isn_known || !(p->flags & RELAY_ACK))
-		return true;
-	sent = f->server_next - f->server_isn;
-	return p->ack - f->server_isn <= sent + ACK_SLACK;
-}
-
 /* Sends a packet of a flow that the server does not hold back to the balancer.
  * A reset needs no further delivery. */
 static void give_back(relay_agent_t *a, uint32_t balancer,
@@ -301,6 +294,7 @@
 			       uint8_t *buf, size_t len)
 {
 	relay_packet_t p;
+	flow_holding_t holding;
 	server_flow_t *f;
 
 	a->now = now;
@@ -317,23 +311,23 @@
 		return;
 	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
-	if (f &&
-	    (f->phase == SERVER_FLOW_QUEUED || !server_flow_matches(f, &p))) {
-		give_back(a, from, &p);
+	if (relay_packet_opens(&p)) {
+		/* Opens arrive as offers; this is a late copy of one. */
+		if (f && f->phase != SERVER_FLOW_QUEUED)
+			server_flow_caller_packet(a, f, from, &p);
 		return;
 	}
-	if (!f && relay_packet_opens(&p))
-		return; /* late copy of an open: opens arrive as offers */
-	if (!f && a->options.knows_all_flows && !(p.mark & RELAY_MARK_VERIFY)) {
+	holding = relay_agent_holding(a, f, &p);
+	if (holding == FLOW_NOT_HELD && (f || !(p.mark & RELAY_MARK_VERIFY))) {
 		give_back(a, from, &p);
 		return;
 	}
-	if (!f) {
+	if (!f)
 		f = server_flow_find_or_add(a, &p.key);
-		if (!f)
-			return;
-		f->phase = SERVER_FLOW_VERIFYING;
-	}
+	if (!f)
+		return;
+	if (holding != FLOW_HELD)
+		server_flow_verify(a, f);
 	server_flow_caller_packet(a, f, from, &p);
 }
 
@@ -409,6 +403,10 @@
 			relay_agent_send(a, f->balancer, RELAY_TAKEN,
 					 &f->node.key);
 		}
+		if (f->phase == SERVER_FLOW_VERIFYING) {
+			relay_load_request_kept(a, f);
+			server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
+		}
 		return;
 	}
 	f->confirmed = true;
@@ -470,21 +468,18 @@
 	flow_key_t key = relay_msg_key(msg);
 	server_flow_t *f = (server_flow_t *)flow_index_find(a->flows, &key);
 	relay_packet_t p = { .flags = RELAY_ACK, .ack = msg->ack };
-	relay_kind_t kind = RELAY_NOT_HELD;
-
-	if (f && f->phase == SERVER_FLOW_VERIFYING)
-		kind = server_kept_packet(a, f) ? RELAY_HELD : RELAY_UNSURE;
-	else if (f && f->phase != SERVER_FLOW_QUEUED &&
-		 server_flow_matches(f, &p))
-		kind = RELAY_HELD;
-	else if (!f && !a->options.knows_all_flows)
-		kind = RELAY_UNSURE;
-	if (kind != RELAY_HELD) {
-		relay_agent_send(a, from, kind, &key);
+	flow_holding_t holding = relay_agent_holding(a, f, &p);
+
+	if (holding == FLOW_HELD ||
+	    (holding == FLOW_UNSURE && f && f->phase == SERVER_FLOW_VERIFYING &&
+	     server_kept_packet(a, f))) {
+		f->balancer = from;
+		relay_agent_send_held(a, from, f);
 		return;
 	}
-	f->balancer = from;
-	relay_agent_send_held(a, from, f);
+	relay_agent_send(a, from,
+			 holding == FLOW_UNSURE ? RELAY_UNSURE : RELAY_NOT_HELD,
+			 &key);
 }
 
 static void on_hello(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -197,6 +197,24 @@
 /* relay_agent_lookup.c: packets of flows that a balancer does not know */
 /* Handles RELAY_LOOKUP. */
 void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg);
+/* Whether the server holds a flow, as far as the agent knows. */
+typedef enum flow_holding {
+	FLOW_HELD,
+	FLOW_NOT_HELD,
+	FLOW_UNSURE, /* only the server knows */
+} flow_holding_t;
+
+/*
+ * Returns whether the server holds the flow of a caller's packet that follows
+ * the open; f is NULL for an unknown flow. The caller acknowledges the number
+ * of the server that it uses, and what servers send passes their agents: a
+ * server that has not answered the open is not that server, unless it answered
+ * through an earlier process of the agent. A copy of the same open may have
+ * been accepted by another server, which uses other numbers.
+ */
+flow_holding_t relay_agent_holding(const relay_agent_t *a,
+				   const server_flow_t *f,
+				   const relay_packet_t *p);
 /* Tells a balancer that the server holds the flow, and logs what shows it. */
 void relay_agent_send_held(relay_agent_t *a, uint32_t to,
 			   const server_flow_t *f);
@@ -249,12 +267,11 @@
 void server_flow_remove(relay_agent_t *a, server_flow_t *f);
 void server_flow_set_phase(relay_agent_t *a, server_flow_t *f,
 			   server_flow_phase_t phase);
+/* Notes that only the server knows whether it holds the flow. */
+void server_flow_verify(relay_agent_t *a, server_flow_t *f);
 void server_flow_deliver(relay_agent_t *a, server_flow_t *f, relay_packet_t *p);
 /* Delivers a caller's packet of a flow that the server holds or may hold. */
 void server_flow_caller_packet(relay_agent_t *a, server_flow_t *f,
 			       uint32_t balancer, relay_packet_t *p);
-/* Returns false when the packet acknowledges sequence numbers that the server
- * did not use: another server accepted a copy of the same SYN. */
-bool server_flow_matches(const server_flow_t *f, const relay_packet_t *p);
 
 #endif
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -3,10 +3,34 @@
 
 /* A server that has been stalled for this time is taken to hold no flow. */
 #define SERVER_DEAD_MS 500
+/* A caller acknowledges at most this many bytes beyond what the agent has seen
+ * the server send. */
+#define ACK_SLACK 76800
 
 static void forward_lookup(relay_agent_t *a, const relay_msg_t *lookup,
 			   const flow_key_t *key);
 
+/* Number of the server's bytes, its SYN included, that it was seen to send. */
+static uint32_t server_sent(const server_flow_t *f)
+{
+	return f->server_next - f->server_isn;
+}
+
+flow_holding_t relay_agent_holding(const relay_agent_t *a,
+				   const server_flow_t *f,
+				   const relay_packet_t *p)
+{
+	if (f && f->server_isn_known && (p->flags & RELAY_ACK))
+		return p->ack - f->server_isn <= server_sent(f) + ACK_SLACK
+			       ? FLOW_HELD
+			       : FLOW_NOT_HELD;
+	if (f && (f->server_isn_known || f->confirmed))
+		return FLOW_HELD;
+	if (f && f->phase == SERVER_FLOW_VERIFYING)
+		return FLOW_UNSURE;
+	return a->options.knows_all_flows ? FLOW_NOT_HELD : FLOW_UNSURE;
+}
+
 void relay_agent_send_held(relay_agent_t *a, uint32_t to,
 			   const server_flow_t *f)
 {
@@ -59,7 +83,7 @@
 
 	if (!f)
 		return;
-	f->phase = SERVER_FLOW_VERIFYING;
+	server_flow_verify(a, f);
 	f->chain = msg->chain;
 	f->ncandidates = msg->n_candidates;
 	if (msg->n_candidates)
@@ -72,6 +96,7 @@
 void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg)
 {
 	relay_packet_t p;
+	flow_holding_t holding;
 	server_flow_t *f;
 
 	if (a->options.format->read(msg->packet.data, msg->packet.len, &p) <
@@ -81,15 +106,14 @@
 		return;
 	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
-	if (f && f->phase != SERVER_FLOW_VERIFYING &&
-	    f->phase != SERVER_FLOW_QUEUED && server_flow_matches(f, &p)) {
+	holding = relay_agent_holding(a, f, &p);
+	if (holding == FLOW_HELD) {
 		relay_agent_send_held(a, msg->balancer, f);
 		server_flow_caller_packet(a, f, msg->balancer, &p);
 		return;
 	}
-	if (strcmp(msg->service, a->options.service) != 0 ||
-	    a->options.knows_all_flows ||
-	    (f && f->phase != SERVER_FLOW_VERIFYING) || a->down ||
+	if (holding == FLOW_NOT_HELD ||
+	    strcmp(msg->service, a->options.service) != 0 || a->down ||
 	    relay_server_stalled_ms(a) >= SERVER_DEAD_MS) {
 		forward_lookup(a, msg, &p.key);
 		return;
