Read the store before a flow is reset for lack of a route or a holder

Cause: a balancer that knew no route for a packet's address and port reset the flow, although it is always up to 0.6 s behind the store, the time between two batches of changes, and a restarted one is behind at other moments. A look-up had the same fault: it ended with a reset when no known agent held the flow, while a target or a service of the route might have been written meanwhile.

Ruled out: a dropped route (none is), a lost holder (no "reset" and no "lookup" line). A restarted balancer that takes an older state from a peer is one way to be behind, the batch another; one mend serves both.

relay_balancer_read.c: such a reset needs an answer of the store to a request that was sent after the packet came, or after the look-up began; the store's answers are linearizable. The packet is held, the look-up stays, and the watcher sends a watch that doesn't wait, at most each 100 ms. While the store does not answer, nothing that may be open is reset.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 RELAY_SRC = $(wildcard src/relay*.c src/http_*.c platform/*.c) \
 	src/counters.c src/directory.c src/early_opens.c \
 	src/endpoint.c src/err.c src/evacuation.c src/event_log.c \
-	src/flow_index.c src/holder_evidence.c src/open_queue.c \
+	src/flow_index.c src/held_packets.c src/holder_evidence.c src/open_queue.c \
 	src/packet.c src/placement.c src/rank.c src/route_history.c \
 	src/routes.c src/server_pace.c src/toml_text.c src/udp_socket.c \
 	src/warmup_limit.c src/watcher.c src/zone_path.c
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -340,6 +340,16 @@
 		drop_connection(c);
 }
 
+void http_client_cancel(http_client_t *c)
+{
+	if (!c->path)
+		return;
+	uv_timer_stop(&c->timer);
+	drop_connection(c);
+	g_free(c->path);
+	c->path = NULL;
+}
+
 void http_client_abort(http_client_t *c, const char *reason)
 {
 	if (c->path)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -63,6 +63,10 @@
  */
 void http_client_disconnect(http_client_t *c);
 
+/* Forgets the pending request, if any, without a call of done, and closes its
+ * connection. */
+void http_client_cancel(http_client_t *c);
+
 /*
  * Cancels the pending request: done is called with reason as the error, and the
  * connection is closed. Without a request, only closes the connection.
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -9,13 +9,14 @@
 #define FLOW_LIFETIME_MS 70000
 /* Most opens that are kept until the routes are known. */
 #define EARLY_OPENS_MAX 1000
+/* Most packets that are held until their route is known. */
+#define HELD_PACKETS_MAX 64
 /* Interval at which idle flows are removed. Closed flows stay until they are
  * idle, so that late packets still reach the agent. */
 #define SWEEP_INTERVAL_MS 1000
 
 static void flow_free(flow_node_t *node);
 static void on_entry(void *ctx, const target_entry_t *entry);
-static void reset_unrouted(relay_balancer_t *b, const relay_packet_t *p);
 
 static void flow_free(flow_node_t *node)
 {
@@ -53,8 +54,9 @@
 		directory_new(options->target_expiry_ms, &directory_ops, b);
 	b->evacuations = evacuations_new(relay_evacuation_changed, b);
 	b->early = early_opens_new(EARLY_OPENS_MAX);
+	b->held = held_packets_new(HELD_PACKETS_MAX);
 	if (!b->flows || !b->directory || !b->evacuations || !b->history ||
-	    !b->early) {
+	    !b->early || !b->held) {
 		relay_balancer_free(b);
 		return NULL;
 	}
@@ -69,6 +71,7 @@
 		return;
 	flow_index_free(b->flows);
 	early_opens_free(b->early);
+	held_packets_free(b->held);
 	directory_free(b->directory);
 	evacuations_free(b->evacuations);
 	list_each_safe(node, after, &b->members)
@@ -108,6 +111,7 @@
 	b->routes = routes;
 	b->generation++;
 	counter_add(&b->counters, COUNTER_CONFIG_ACCEPTED, 1);
+	relay_routes_changed(b);
 }
 
 uint64_t relay_balancer_route_version(const relay_balancer_t *b)
@@ -220,39 +224,18 @@
 	b->ops.send_packet(b->ctx, f->agent, p->data, p->len);
 }
 
-/* Answers a packet with a reset because its address and port have no route, or
- * no longer. */
-static void reset_unrouted(relay_balancer_t *b, const relay_packet_t *p)
-{
-	relay_flow_t *f = relay_flow_find(b, &p->key);
-	uint8_t buf[RELAY_PACKET_MAX];
-	char text[FLOW_TEXT_SIZE];
-
-	counter_add(&b->counters, COUNTER_DROP_NO_SERVICE, 1);
-	if (f)
-		flow_index_remove(b->flows, &f->node);
-	if (p->flags & RELAY_RST)
-		return;
-	event_log(EVENT_REFUSED,
-		  "\"flow\":\"%s\",\"seq\":%u,\"why\":\"no route\","
-		  "\"version\":%llu",
-		  flow_key_format(&p->key, text), p->seq,
-		  (unsigned long long)relay_balancer_route_version(b));
-	b->ops.send_reply(b->ctx, p->key.src, buf,
-			  b->options.format->build_reset(&p->key, p->ack, buf));
-}
-
-/* Handles a packet while routes are known. */
-static void handle_routed(relay_balancer_t *b, relay_packet_t *p)
+void relay_handle_routed(relay_balancer_t *b, relay_packet_t *p,
+			 uint64_t arrived_ms)
 {
 	const route_t *route = route_find(b->routes, p->key.dst, p->key.dport);
 	relay_flow_t *f;
 
 	if (!route) {
-		reset_unrouted(b, p);
+		relay_unrouted_packet(b, p, arrived_ms);
 		return;
 	}
 	if (relay_packet_opens(p)) {
+		p->open_age_ms += (uint16_t)(b->now - arrived_ms);
 		relay_open_packet(b, route, p);
 		return;
 	}
@@ -293,7 +276,7 @@
 		early_opens_add(b->early, now, &p.key, buf, len);
 		return;
 	}
-	handle_routed(b, &p);
+	relay_handle_routed(b, &p, now);
 }
 
 /* Handles the opens that arrived before the routes. */
@@ -313,7 +296,7 @@
 			continue;
 		p.open_age_ms += (uint16_t)waited_ms;
 		n++;
-		handle_routed(b, &p);
+		relay_handle_routed(b, &p, b->now);
 	}
 	event_log(EVENT_ROUTES, "\"early_opens\":%u", n);
 }
@@ -424,6 +407,7 @@
 	b->now = now;
 	if (!skip_late_tick(b))
 		check_timeouts(b);
+	relay_read_tick(b);
 	if (!early_opens_empty(b->early) && b->routes &&
 	    !list_empty(&b->members))
 		handle_early_opens(b);
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -42,6 +42,12 @@
 	/* Asks the balancer on a host for its routes and targets. NULL: it
 	 * can't be asked. */
 	void (*ask_balancer)(void *ctx, uint32_t host);
+	/* Reads at once what the store has written; then
+	 * relay_balancer_store_read() is called. NULL: the routes and targets
+	 * are always the newest. */
+	void (*read_store)(void *ctx);
+	/* True while the store reports each change at once. NULL: never. */
+	bool (*store_watched)(void *ctx);
 } relay_balancer_ops_t;
 
 typedef struct relay_balancer_options {
@@ -88,6 +94,13 @@
  */
 evacuations_t *relay_balancer_evacuations(relay_balancer_t *b);
 
+/*
+ * To be called when all that the store had written when it was asked, at
+ * asked_ms, has been applied.
+ */
+void relay_balancer_store_read(relay_balancer_t *b, uint64_t now,
+			       uint64_t asked_ms);
+
 /* Handles a packet from a caller and overwrites its annotation. */
 void relay_balancer_handle_packet(relay_balancer_t *b, uint64_t now,
 				  uint8_t *buf, size_t len);
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -73,6 +73,14 @@
 	return relay_process_now(ctx);
 }
 
+static void sink_read(void *ctx, uint64_t asked_ms)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+
+	relay_balancer_store_read(s->balancer, relay_process_now(p), asked_ms);
+}
+
 static void sink_reachable(void *ctx, bool yes)
 {
 	directory_t *d = sink_directory(ctx);
@@ -182,6 +190,23 @@
 		relay_peers_ask(s->peers, &peer);
 }
 
+static void read_store(void *ctx)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+
+	if (s->watcher)
+		watcher_read(s->watcher);
+}
+
+static bool store_watched(void *ctx)
+{
+	relay_process_t *p = ctx;
+	balancer_state_t *s = p->ctx;
+
+	return s->watcher && watcher_waits(s->watcher);
+}
+
 static int start(relay_process_t *p, err_t *err)
 {
 	static const relay_peers_ops_t peers_ops = {
@@ -190,10 +215,14 @@
 	static const relay_balancer_ops_t ops = { relay_process_send_packet,
 						  relay_process_send_message,
 						  relay_process_send_packet,
-						  unix_ms, ask_balancer };
+						  unix_ms,
+						  ask_balancer,
+						  read_store,
+						  store_watched };
 	static const relay_sink_t sink = { sink_routes,	   sink_refused,
 					   sink_directory, sink_evacuations,
-					   sink_now,	   sink_reachable };
+					   sink_now,	   sink_read,
+					   sink_reachable };
 	relay_balancer_options_t options = {
 		.self = p->settings.address,
 		.zone = p->settings.zone,
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -8,6 +8,7 @@
 #include "early_opens.h"
 #include "event_log.h"
 #include "flow_index.h"
+#include "held_packets.h"
 #include "placement.h"
 #include "rank.h"
 #include "relay_balancer.h"
@@ -132,6 +133,7 @@
 	unsigned query_rounds; /* rounds of queries sent */
 	GArray *asked;	       /* of lookup_agent_t */
 	bool lost_zone;	       /* agents of one were not waited for */
+	bool awaits_read;      /* of the store; all agents have answered */
 	lookup_scope_t scope;
 	unsigned generation; /* of the balancer when the look-up began */
 	GPtrArray *services; /* interned; those whose agents are in pending */
@@ -197,9 +199,13 @@
 	unsigned generation;  /* counts changes of routes and targets */
 	flow_index_t *flows;
 	early_opens_t *early; /* opens that wait for the routes */
-	list_t waiting;	      /* flows in PHASE_OPENING or PHASE_LOOKUP */
-	uint64_t now;	      /* time passed to the current call */
-	bool reaches_third;   /* agents of other zones can pass packets on */
+	held_packets_t *held; /* packets without a route */
+	uint64_t read_ms;     /* what the store had written by then is known */
+	uint64_t read_wanted_ms; /* what it had by then is to be read */
+	uint64_t read_asked_ms;	 /* last request for it */
+	list_t waiting;		 /* flows in PHASE_OPENING or PHASE_LOOKUP */
+	uint64_t now;		 /* time passed to the current call */
+	bool reaches_third;	 /* agents of other zones can pass packets on */
 	uint64_t zones_sampled_ms; /* see relay_zones_tick() */
 	uint64_t asked_agent_ms;   /* see relay_learn_message() */
 	uint64_t last_sweep_ms;
@@ -313,6 +319,21 @@
 /* Checks the time-outs of a flow in PHASE_OPENING. */
 void relay_open_tick(relay_balancer_t *b, relay_flow_t *f);
 
+/* relay_balancer_read.c: packets and look-ups that wait for the store */
+/*
+ * True when all that the store had written by a time is known: a route or
+ * target that is not known was not in force then. Otherwise the store is read
+ * soon.
+ */
+bool relay_read_since(relay_balancer_t *b, uint64_t since_ms);
+/* Handles a packet that arrived at a time and has no route. */
+void relay_unrouted_packet(relay_balancer_t *b, const relay_packet_t *p,
+			   uint64_t arrived_ms);
+/* Handles the held packets by new routes. */
+void relay_routes_changed(relay_balancer_t *b);
+/* Asks for a reading of the store if one is due. */
+void relay_read_tick(relay_balancer_t *b);
+
 /* relay_balancer_chain.c: which agents a look-up asks, and in which order */
 /*
  * Once all pending agents are asked, appends those of the next scope that has
@@ -339,6 +360,8 @@
 /* Handles an agent's answer to a chain or query. */
 void relay_lookup_answer(relay_balancer_t *b, uint32_t from,
 			 const relay_msg_t *msg);
+/* Continues a look-up that waited for the store. */
+void relay_lookup_store_read(relay_balancer_t *b, relay_flow_t *f);
 /* Checks the time-outs of a flow in PHASE_LOOKUP. */
 void relay_lookup_tick(relay_balancer_t *b, relay_flow_t *f);
 /* Ends a look-up whose holder was found; sends it the queued packets. */
@@ -372,6 +395,9 @@
 			 const relay_msg_t *msg);
 
 /* relay_balancer.c */
+/* Handles a packet that arrived at a time, while routes are known. */
+void relay_handle_routed(relay_balancer_t *b, relay_packet_t *p,
+			 uint64_t arrived_ms);
 /* Finds or adds a flow. Returns NULL when out of memory. */
 relay_flow_t *relay_flow_get(relay_balancer_t *b, const flow_key_t *key);
 relay_flow_t *relay_flow_find(relay_balancer_t *b, const flow_key_t *key);
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -226,6 +226,11 @@
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
+	/* Another balancer may have opened the flow at a target, or on a route,
+	 * that has not been read yet. */
+	l->awaits_read = !relay_read_since(b, l->started_ms);
+	if (l->awaits_read)
+		return;
 	counter_add(&b->counters, COUNTER_LOOKUPS_UNKNOWN, 1);
 	outcome = l->lost_zone ? "no agent that is reached holds the flow"
 			       : "no agent holds the flow";
@@ -259,6 +264,12 @@
 		advance_lookup(b, f);
 }
 
+void relay_lookup_store_read(relay_balancer_t *b, relay_flow_t *f)
+{
+	f->lookup->awaits_read = false;
+	advance_lookup(b, f);
+}
+
 void relay_lookup_found(relay_balancer_t *b, relay_flow_t *f)
 {
 	log_lookup(b, f, "held");
@@ -380,7 +391,9 @@
 	if (b->now >= l->started_ms + LOOKUP_MAX_MS) {
 		counter_add(&b->counters, COUNTER_LOOKUPS_SILENT, 1);
 		f->agent = 0;
-		log_lookup(b, f, "agents did not answer");
+		log_lookup(b, f,
+			   l->awaits_read ? "store did not answer"
+					  : "agents did not answer");
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
--- a/src/relay_platform.h
+++ b/src/relay_platform.h
@@ -26,6 +26,9 @@
 	evacuations_t *(*evacuations)(void *ctx);
 	/* Returns the time in ms of a monotonic clock. */
 	uint64_t (*now)(void *ctx);
+	/* Reports that all that the store had written when it was asked, at
+	 * asked_ms, has been passed on. */
+	void (*read)(void *ctx, uint64_t asked_ms);
 	/* Reports whether the store answers. */
 	void (*reachable)(void *ctx, bool yes);
 } relay_sink_t;
--- a/src/watcher.c
+++ b/src/watcher.c
@@ -18,14 +18,16 @@
 	bool watching;	/* the current request is a watch */
 	bool listing;	/* pages are being read */
 	bool reachable;
-	uint64_t era;		   /* highest that the store has published */
-	store_revision_t revision; /* the watch reports changes after it */
+	bool at_once; /* the next watch does not wait for changes */
+	uint64_t era; /* highest that the store has published */
+	store_revision_t revision;	/* the watch reports changes after it */
 	store_revision_t list_revision; /* revision of the first page */
 	char last_key[256];
 	unsigned wait_ms; /* time that the store may hold a watch */
 	uint64_t batch_ms;
 	uint64_t backoff_ms;
 	uint64_t sent_ms;	 /* last request */
+	uint64_t listed_ms;	 /* begin of the last listing */
 	uint64_t sent_wait_ms;	 /* time that the store may hold it */
 	uint64_t last_answer_ms; /* last valid answer */
 };
@@ -77,7 +79,9 @@
 	if (w->watching) {
 		/* After an interruption the answer is wanted at once: the store
 		 * may have been restored meanwhile. */
-		unsigned wait_ms = w->reachable ? w->wait_ms : 0;
+		unsigned wait_ms = w->reachable && !w->at_once ? w->wait_ms : 0;
+
+		w->at_once = false;
 
 		path = w->ops.watch_path(w->ctx, w->revision.number, wait_ms);
 		timeout = wait_ms + WATCHER_ANSWER_MARGIN_MS;
@@ -87,6 +91,7 @@
 			w->listing = true;
 			w->list_revision = (store_revision_t){ 0 };
 			w->last_key[0] = '\0';
+			w->listed_ms = uv_now(w->loop);
 			w->ops.resync_begin(w->ctx);
 		}
 		path = w->ops.page_path(w->ctx,
@@ -113,6 +118,7 @@
 	w->synced = true;
 	w->revision = w->list_revision;
 	w->ops.resync_end(w->ctx, w->list_revision);
+	w->ops.read(w->ctx, w->listed_ms);
 	event_log(EVENT_STORE,
 		  "\"state\":\"resync complete\",\"era\":%llu,"
 		  "\"revision\":%llu",
@@ -185,6 +191,13 @@
 		 uv_now(w->loop) < w->sent_ms + w->sent_wait_ms / 2));
 }
 
+static void watch_answered(watcher_t *w, const watcher_page_t *page)
+{
+	if (store_revision_compare(page->revision, w->revision) > 0)
+		w->revision = page->revision;
+	w->ops.read(w->ctx, w->sent_ms);
+}
+
 static void on_answer(void *ctx, const http_response_t *answer)
 {
 	watcher_t *w = ctx;
@@ -237,8 +250,8 @@
 	w->ops.reachable(w->ctx, true);
 	if (!w->watching)
 		page_received(w, &page);
-	else if (store_revision_compare(page.revision, w->revision) > 0)
-		w->revision = page.revision;
+	else
+		watch_answered(w, &page);
 	if (w->watching && page.nitems)
 		uv_timer_start(&w->timer, on_timer, w->batch_ms, 0);
 	else
@@ -307,6 +320,21 @@
 	return w->revision;
 }
 
+bool watcher_waits(const watcher_t *w)
+{
+	return http_client_busy(w->http) && w->watching && w->sent_wait_ms;
+}
+
+void watcher_read(watcher_t *w)
+{
+	if (!w->reachable || (http_client_busy(w->http) && !watcher_waits(w)))
+		return;
+	http_client_cancel(w->http);
+	uv_timer_stop(&w->timer);
+	w->at_once = true;
+	send_request(w);
+}
+
 void watcher_resume(watcher_t *w)
 {
 	uv_timer_stop(&w->timer);
--- a/src/watcher.h
+++ b/src/watcher.h
@@ -83,6 +83,9 @@
 	 * revision at which it began. */
 	void (*resync_begin)(void *ctx);
 	void (*resync_end)(void *ctx, store_revision_t revision);
+	/* Called when all that the store had written when it was asked, at
+	 * asked_ms of the loop's time, has been applied. */
+	void (*read)(void *ctx, uint64_t asked_ms);
 	/* Called for each answer (yes) and each failed request (no). */
 	void (*reachable)(void *ctx, bool yes);
 } watcher_ops_t;
@@ -107,6 +110,16 @@
 /* True when the last request was answered. */
 bool watcher_reachable(const watcher_t *w);
 
+/* True while a watch waits at the store for the next change. */
+bool watcher_waits(const watcher_t *w);
+
+/*
+ * Reads at once what the store has written, unless a request that it answers at
+ * once is under way or the store does not answer. Not to be called by an
+ * operation of watcher_ops_t.
+ */
+void watcher_read(watcher_t *w);
+
 /* Revision of the store up to which changes were applied; none before the first
  * resync. */
 store_revision_t watcher_revision(const watcher_t *w);
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -47,6 +47,18 @@
 	record(ctx, RIG_PEER, host, NULL, 0);
 }
 
+static void read_store(void *ctx)
+{
+	record(ctx, RIG_STORE, 0, NULL, 0);
+}
+
+static bool store_watched(void *ctx)
+{
+	const relay_rig_t *r = ctx;
+
+	return r->store_watched;
+}
+
 static uint64_t rig_unix_ms(void *ctx)
 {
 	const relay_rig_t *r = ctx;
@@ -64,16 +76,9 @@
 	return r;
 }
 
-relay_rig_t *rr_balancer(void)
-{
-	return rr_new_balancer(0, 0);
-}
-
-relay_rig_t *rr_new_balancer(double warmup_overage, uint32_t warmup_slack)
+static relay_rig_t *new_balancer(const relay_balancer_ops_t *ops,
+				 double warmup_overage, uint32_t warmup_slack)
 {
-	static const relay_balancer_ops_t ops = { to_agent, to_process,
-						  to_caller, rig_unix_ms,
-						  ask_balancer };
 	relay_balancer_options_t options = { .self = RIG_BALANCER_ADDRESS,
 					     .zone = RIG_ZONE,
 					     .format = &fleet_packet_format,
@@ -83,11 +88,41 @@
 					     .warmup_slack = warmup_slack };
 	relay_rig_t *r = rr_new();
 
-	r->balancer = relay_balancer_new(&options, &ops, r);
+	r->balancer = relay_balancer_new(&options, ops, r);
 	relay_balancer_tick(r->balancer, r->now);
 	return r;
 }
 
+relay_rig_t *rr_new_balancer(double warmup_overage, uint32_t warmup_slack)
+{
+	static const relay_balancer_ops_t ops = { to_agent,	to_process,
+						  to_caller,	rig_unix_ms,
+						  ask_balancer, NULL,
+						  NULL };
+
+	return new_balancer(&ops, warmup_overage, warmup_slack);
+}
+
+relay_rig_t *rr_balancer(void)
+{
+	return rr_new_balancer(0, 0);
+}
+
+relay_rig_t *rr_reading_balancer(void)
+{
+	static const relay_balancer_ops_t ops = { to_agent,	to_process,
+						  to_caller,	rig_unix_ms,
+						  ask_balancer, read_store,
+						  store_watched };
+
+	return new_balancer(&ops, 0, 0);
+}
+
+void rr_store_read(relay_rig_t *r)
+{
+	relay_balancer_store_read(r->balancer, r->now, r->now);
+}
+
 relay_rig_t *rr_agent(bool knows_all_flows)
 {
 	static const relay_agent_ops_t ops = { to_server, to_process,
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -18,6 +18,7 @@
 	RIG_CALLER,  /* a packet to a caller */
 	RIG_SERVER,  /* a packet to the backend server */
 	RIG_PEER,    /* a question to a balancer for its state */
+	RIG_STORE,   /* a request to read the store */
 } rig_dest_t;
 
 typedef struct rig_sent {
@@ -32,6 +33,7 @@
 	relay_agent_t *agent;	    /* NULL when a balancer is tested */
 	uint64_t now;		    /* ms */
 	uint64_t unix_at_0;	    /* Unix time at now 0, ms; 0: no clock */
+	bool store_watched;	    /* the store reports changes at once */
 	rig_sent_t sent[RIG_SENT_MAX];
 	size_t nsent;
 } relay_rig_t;
@@ -49,9 +51,14 @@
 relay_rig_t *rr_balancer(void);
 /* Like rr_balancer(), with a bound on the opens of cold servers. */
 relay_rig_t *rr_new_balancer(double warmup_overage, uint32_t warmup_slack);
+/* Like rr_balancer(), with a store that others write. */
+relay_rig_t *rr_reading_balancer(void);
 relay_rig_t *rr_agent(bool knows_all_flows);
 void rr_free(relay_rig_t *r);
 
+/* Notes that the store was read, as far as it is written now. */
+void rr_store_read(relay_rig_t *r);
+
 /* Sets the routes of a version: RIG_SERVICE_ADDRESS:RIG_SERVICE_PORT leads to
  * the service "feeds". */
 void rr_routes(relay_rig_t *r, uint64_t version);
--- a/test/relay_sim.c
+++ b/test/relay_sim.c
@@ -267,8 +267,9 @@
 
 static void new_balancer(relay_sim_t *sim, unsigned i)
 {
-	static const relay_balancer_ops_t ops = { send_packet, balancer_message,
-						  reply, NULL, NULL };
+	static const relay_balancer_ops_t ops = {
+		send_packet, balancer_message, reply, NULL, NULL, NULL, NULL
+	};
 	relay_balancer_options_t options = {
 		.self = BALANCER_IP + i,
 		.zone = zone_name(sim, i),
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -68,6 +68,40 @@
 }
 END_TEST
 
+/* Guards against resets by routes that are out of date: what a balancer must
+ * know is read at once, whether the watcher waits for a batch or for changes.
+ */
+START_TEST(read_at_once_waits_for_nothing)
+{
+	watcher_rig_t *r = wr_open(10000, 10000);
+	uint64_t before;
+
+	wr_start(r);
+	wr_run(r, 50);
+	fake_store_put(r->store, "op/config", ROUTES_V(4));
+	wr_run(r, 50);
+	ck_assert_uint_eq(wr_version(r), 4);
+	/* The next request is due in 2 s. */
+	fake_store_put(r->store, "op/config", ROUTES_V(5));
+	before = uv_now(&r->loop);
+	watcher_read(r->watcher);
+	wr_run(r, 50);
+	ck_assert_uint_eq(wr_version(r), 5);
+	ck_assert_uint_ge(r->read_ms, before);
+	wr_run(r, 2500);
+	/* A watch waits at the store. */
+	before = uv_now(&r->loop);
+	watcher_read(r->watcher);
+	wr_run(r, 50);
+	ck_assert_uint_ge(r->read_ms, before);
+	fake_store_put(r->store, "op/config", ROUTES_V(6));
+	wr_run(r, 50);
+	ck_assert_uint_eq(wr_version(r), 6);
+	ck_assert_uint_eq(r->counters.values[COUNTER_PLATFORM_FAILURES], 0);
+	wr_close(r);
+}
+END_TEST
+
 /* The watcher recovers from each fault and then learns what changed
  * meanwhile. */
 START_TEST(recovers_from_fault)
@@ -229,6 +263,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, pages_then_changes);
 	tcase_add_test(tc, changes_are_batched);
+	tcase_add_test(tc, read_at_once_waits_for_nothing);
 	tcase_add_loop_test(tc, recovers_from_fault, 0, 6);
 	tcase_add_loop_test(tc, recovers_from_fault_at_start, 0, 6);
 	tcase_add_test(tc, second_copy_of_answer_is_not_used);
--- a/test/watcher_rig.c
+++ b/test/watcher_rig.c
@@ -47,6 +47,13 @@
 	return uv_now(&r->loop);
 }
 
+static void sink_read(void *ctx, uint64_t asked_ms)
+{
+	watcher_rig_t *r = ctx;
+
+	r->read_ms = asked_ms;
+}
+
 static void sink_reachable(void *ctx, bool yes)
 {
 	watcher_rig_t *r = ctx;
@@ -83,7 +90,8 @@
 {
 	static const relay_sink_t sink = { sink_routes,	   sink_refused,
 					   sink_directory, sink_evacuations,
-					   sink_now,	   sink_reachable };
+					   sink_now,	   sink_read,
+					   sink_reachable };
 	watcher_rig_t *r = calloc(1, sizeof(*r));
 
 	ck_assert_ptr_nonnull(r);
--- a/test/watcher_rig.h
+++ b/test/watcher_rig.h
@@ -32,6 +32,7 @@
 	relay_watcher_ctx_t ctx;
 	watcher_t *watcher;
 	store_revision_t known; /* at the start of the watcher */
+	uint64_t read_ms;	/* what was written by then is applied */
 	unsigned refused;	/* items that the adapter refused */
 } watcher_rig_t;
 
