Try unsure agents around one that does not answer in a look-up

Cause: a look-up gave its packet to one unsure agent and asked that one each 100 ms until the packet came back. An agent beside a dead server never sends it back. Agents forgot at once what their servers had returned, so that all were unsure again after a chain that had not ended.

Ruled out: packets lost on the way to the holder (its target gets none at all), and an agent that says "held" without cause (no such line).

Agents remember for 5 s what was returned, an agent with a silent server says that it is unsure and passes the packet on, and a chain that does not end is followed by one of those that have not tried the packet, the one where it probably ended last. A detour no longer ends at a restarted agent that is to pass it on.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -698,7 +698,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[27] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[28] =
 {
   {
     "kind",
@@ -1024,6 +1024,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -1039,6 +1051,7 @@
   19,   /* field[19] = evacuation */
   23,   /* field[23] = held_flows */
   24,   /* field[24] = held_flows_complete */
+  27,   /* field[27] = kept */
   0,   /* field[0] = kind */
   11,   /* field[11] = load */
   22,   /* field[22] = max_flows */
@@ -1058,7 +1071,7 @@
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1068,7 +1081,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  27,
+  28,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -218,10 +218,14 @@
    */
   size_t n_balancers;
   uint32_t *balancers;
+  /*
+   * of an unsure agent: its server got a packet of the flow, has sent others since, and has not returned it
+   */
+  protobuf_c_boolean kept;
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -24,8 +24,6 @@
 #define RESET_TICK_MIN_FLOWS 4
 
 static void server_flow_release(flow_node_t *node);
-static void give_back(relay_agent_t *a, uint32_t balancer,
-		      const relay_packet_t *p);
 static void packet_returned(relay_agent_t *a, relay_packet_t *p);
 static void reset_flow(relay_agent_t *a, server_flow_t *f, const char *why);
 static void on_query(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
@@ -162,11 +160,16 @@
 	}
 }
 
-void server_flow_remove(relay_agent_t *a, server_flow_t *f)
+void server_flow_end_load(relay_agent_t *a, server_flow_t *f)
 {
 	server_flow_await_request(a, f, false);
 	relay_load_request_ended(a, f, false);
 	set_active(a, f, false);
+}
+
+void server_flow_remove(relay_agent_t *a, server_flow_t *f)
+{
+	server_flow_end_load(a, f);
 	flow_index_remove(a->flows, &f->node);
 }
 
@@ -206,27 +209,32 @@
 	a->ops.deliver(a->ctx, p->data, p->len);
 }
 
-void relay_agent_send(relay_agent_t *a, uint32_t to, relay_kind_t kind,
-		      const flow_key_t *key)
+void relay_agent_answer(relay_agent_t *a, uint32_t to, relay_msg_t *msg,
+			const flow_key_t *key)
 {
 	relay_load_t load;
-	relay_msg_t msg;
 
 	if (!to)
 		return; /* a flow from before the start of the agent */
 	relay_load_fill(a, &load);
-	relay_msg_init(&msg, kind);
-	relay_msg_set_key(&msg, key);
-	msg.service = (char *)a->options.service;
-	msg.load = &load;
+	relay_msg_set_key(msg, key);
+	msg->service = (char *)a->options.service;
+	msg->load = &load;
 	counter_add(&a->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
-	a->ops.send_message(a->ctx, to, &msg);
+	a->ops.send_message(a->ctx, to, msg);
+}
+
+void relay_agent_send(relay_agent_t *a, uint32_t to, relay_kind_t kind,
+		      const flow_key_t *key)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, kind);
+	relay_agent_answer(a, to, &msg, key);
 }
 
-/* Sends a packet of a flow that the server does not hold back to the balancer.
- * A reset needs no further delivery. */
-static void give_back(relay_agent_t *a, uint32_t balancer,
-		      const relay_packet_t *p)
+void relay_agent_give_back(relay_agent_t *a, uint32_t balancer,
+			   const relay_packet_t *p)
 {
 	relay_load_t load;
 	relay_msg_t msg;
@@ -307,7 +315,7 @@
 		/* A target of another service had the agent's address
 		 * before. */
 		counter_add(&a->counters, COUNTER_DROP_WRONG_SERVICE, 1);
-		give_back(a, from, &p);
+		relay_agent_give_back(a, from, &p);
 		return;
 	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
@@ -319,7 +327,7 @@
 	}
 	holding = relay_agent_holding(a, f, &p);
 	if (holding == FLOW_NOT_HELD && (f || !(p.mark & RELAY_MARK_VERIFY))) {
-		give_back(a, from, &p);
+		relay_agent_give_back(a, from, &p);
 		return;
 	}
 	if (!f)
@@ -368,14 +376,7 @@
 	if (f && f->phase == SERVER_FLOW_ENDED)
 		return;
 	a->options.format->annotate(p, 0, 0);
-	if (f && f->chain) {
-		relay_agent_forward_lookup(a, f, p);
-		server_flow_remove(a, f);
-		return;
-	}
-	if (f)
-		server_flow_remove(a, f);
-	give_back(a, balancer, p);
+	relay_agent_packet_returned(a, f, balancer, p);
 }
 
 /* True for a FIN that has overtaken the answer: it comes after bytes that the
@@ -403,7 +404,8 @@
 			relay_agent_send(a, f->balancer, RELAY_TAKEN,
 					 &f->node.key);
 		}
-		if (f->phase == SERVER_FLOW_VERIFYING) {
+		if (f->phase == SERVER_FLOW_VERIFYING ||
+		    f->phase == SERVER_FLOW_RETURNED) {
 			relay_load_request_kept(a, f);
 			server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
 		}
@@ -411,7 +413,8 @@
 	}
 	f->confirmed = true;
 	f->chain = 0;
-	if (f->phase == SERVER_FLOW_VERIFYING) {
+	if (f->phase == SERVER_FLOW_VERIFYING ||
+	    f->phase == SERVER_FLOW_RETURNED) {
 		counter_add(&a->counters, COUNTER_FLOWS_ADOPTED, 1);
 		relay_load_request_kept(a, f);
 		server_pace_warm(&a->pace);
@@ -455,14 +458,6 @@
 	a->ops.send_reply(a->ctx, p.key.dst, buf, len);
 }
 
-/* True when the server has not returned the flow's last packet within
- * RELAY_RETURN_MS and has sent other packets since its delivery. */
-static bool server_kept_packet(const relay_agent_t *a, const server_flow_t *f)
-{
-	return a->now >= f->node.last_used_ms + RELAY_RETURN_MS &&
-	       a->last_heard_ms >= f->node.last_used_ms;
-}
-
 static void on_query(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
 {
 	flow_key_t key = relay_msg_key(msg);
@@ -470,16 +465,15 @@
 	relay_packet_t p = { .flags = RELAY_ACK, .ack = msg->ack };
 	flow_holding_t holding = relay_agent_holding(a, f, &p);
 
-	if (holding == FLOW_HELD ||
-	    (holding == FLOW_UNSURE && f && f->phase == SERVER_FLOW_VERIFYING &&
-	     server_kept_packet(a, f))) {
+	if (holding == FLOW_HELD) {
 		f->balancer = from;
 		relay_agent_send_held(a, from, f);
 		return;
 	}
-	relay_agent_send(a, from,
-			 holding == FLOW_UNSURE ? RELAY_UNSURE : RELAY_NOT_HELD,
-			 &key);
+	if (holding == FLOW_UNSURE)
+		relay_agent_send_unsure(a, from, &key, f);
+	else
+		relay_agent_send(a, from, RELAY_NOT_HELD, &key);
 }
 
 static void on_hello(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -33,6 +33,7 @@
 	SERVER_FLOW_OPEN,    /* accepted by the server */
 	SERVER_FLOW_VERIFYING, /* the server may hold the flow */
 	SERVER_FLOW_ENDED,     /* closed by both ends, or reset by one */
+	SERVER_FLOW_RETURNED,  /* the server returned a packet of the flow */
 } server_flow_phase_t;
 
 typedef struct server_flow {
@@ -218,9 +219,14 @@
 /* Tells a balancer that the server holds the flow, and logs what shows it. */
 void relay_agent_send_held(relay_agent_t *a, uint32_t to,
 			   const server_flow_t *f);
-/* Forwards the look-up of a packet that the server returned. */
-void relay_agent_forward_lookup(relay_agent_t *a, const server_flow_t *f,
-				const relay_packet_t *p);
+/* Tells a balancer that only the server knows whether it holds a flow; f is
+ * NULL for an unknown one. */
+void relay_agent_send_unsure(relay_agent_t *a, uint32_t to,
+			     const flow_key_t *key, const server_flow_t *f);
+/* Handles a packet of a flow that the server may have held and returned:
+ * forwards its look-up, or sends it back to the balancer. */
+void relay_agent_packet_returned(relay_agent_t *a, server_flow_t *f,
+				 uint32_t balancer, const relay_packet_t *p);
 
 /* relay_agent_open.c: opens */
 /* Handles RELAY_OFFER. */
@@ -259,12 +265,21 @@
 /* Sets whether the first request of an open is due; it counts as load. */
 void server_flow_await_request(relay_agent_t *a, server_flow_t *f,
 			       bool awaiting_request);
-/* Sends a message about a flow, with the current load. */
+/* Completes and sends a message about a flow, with the current load. */
+void relay_agent_answer(relay_agent_t *a, uint32_t to, relay_msg_t *msg,
+			const flow_key_t *key);
+/* The same for a message that has no further fields. */
 void relay_agent_send(relay_agent_t *a, uint32_t to, relay_kind_t kind,
 		      const flow_key_t *key);
 /* Finds or adds a flow, and notes its use. Returns NULL when out of memory. */
 server_flow_t *server_flow_find_or_add(relay_agent_t *a, const flow_key_t *key);
 void server_flow_remove(relay_agent_t *a, server_flow_t *f);
+/* Ends what the flow counts as load. */
+void server_flow_end_load(relay_agent_t *a, server_flow_t *f);
+/* Sends a packet of a flow that the server does not hold back to a balancer. A
+ * reset needs no further delivery. */
+void relay_agent_give_back(relay_agent_t *a, uint32_t balancer,
+			   const relay_packet_t *p);
 void server_flow_set_phase(relay_agent_t *a, server_flow_t *f,
 			   server_flow_phase_t phase);
 /* Notes that only the server knows whether it holds the flow. */
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -1,8 +1,9 @@
 #include "relay_agent_int.h"
 #include <string.h>
 
-/* A server that has been stalled for this time is taken to hold no flow. */
-#define SERVER_DEAD_MS 500
+/* Packets of unknown flows don't wait for a server that has been stalled for
+ * this time. */
+#define SERVER_SILENT_MS 500
 /* A caller acknowledges at most this many bytes beyond what the agent has seen
  * the server send. */
 #define ACK_SLACK 76800
@@ -16,6 +17,13 @@
 	return f->server_next - f->server_isn;
 }
 
+/* True when the packet acknowledges the server that the packet which the
+ * agent's server returned acknowledged. */
+static bool same_server(const server_flow_t *f, const relay_packet_t *p)
+{
+	return p->ack - f->caller_ack + ACK_SLACK <= 2 * ACK_SLACK;
+}
+
 flow_holding_t relay_agent_holding(const relay_agent_t *a,
 				   const server_flow_t *f,
 				   const relay_packet_t *p)
@@ -27,15 +35,19 @@
 	if (f && (f->server_isn_known || f->confirmed))
 		return FLOW_HELD;
 	if (f && f->phase == SERVER_FLOW_VERIFYING)
-		return FLOW_UNSURE;
-	return a->options.knows_all_flows ? FLOW_NOT_HELD : FLOW_UNSURE;
+		return a->flows_lost ? FLOW_NOT_HELD : FLOW_UNSURE;
+	if (f && f->phase == SERVER_FLOW_RETURNED && same_server(f, p))
+		return FLOW_NOT_HELD;
+	return a->options.knows_all_flows || a->flows_lost ? FLOW_NOT_HELD
+							   : FLOW_UNSURE;
 }
 
 void relay_agent_send_held(relay_agent_t *a, uint32_t to,
 			   const server_flow_t *f)
 {
-	static const char *const phases[] = { "opening", "queued", "open",
-					      "verifying", "ended" };
+	static const char *const phases[] = {
+		"opening", "queued", "open", "verifying", "ended", "returned"
+	};
 	char text[FLOW_TEXT_SIZE], balancer[ENDPOINT_TEXT_SIZE];
 
 	event_log(EVENT_HELD,
@@ -48,6 +60,26 @@
 	relay_agent_send(a, to, RELAY_HELD, &f->node.key);
 }
 
+/* True when a running server, which returns packets of flows that it does not
+ * hold at once, has not returned the flow's last packet. */
+static bool server_kept_packet(const relay_agent_t *a, const server_flow_t *f)
+{
+	return a->now >= f->node.last_used_ms + RELAY_RETURN_MS &&
+	       a->last_heard_ms > f->node.last_used_ms && !a->down &&
+	       !relay_server_stalled_ms(a);
+}
+
+void relay_agent_send_unsure(relay_agent_t *a, uint32_t to,
+			     const flow_key_t *key, const server_flow_t *f)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_UNSURE);
+	msg.kept = f && f->phase == SERVER_FLOW_VERIFYING &&
+		   server_kept_packet(a, f);
+	relay_agent_answer(a, to, &msg, key);
+}
+
 /*
  * Sends the look-up to the next agent of its chain. The last agent reports to
  * the balancer that no server of the chain holds the flow.
@@ -93,6 +125,17 @@
 	server_flow_caller_packet(a, f, msg->balancer, p);
 }
 
+/* True for a packet to be passed on to the agent that holds its flow. */
+static bool is_detour(const relay_msg_t *lookup)
+{
+	return !lookup->chain && lookup->n_candidates;
+}
+
+static bool server_silent(const relay_agent_t *a)
+{
+	return a->down || relay_server_stalled_ms(a) >= SERVER_SILENT_MS;
+}
+
 void relay_agent_lookup(relay_agent_t *a, const relay_msg_t *msg)
 {
 	relay_packet_t p;
@@ -112,17 +155,23 @@
 		server_flow_caller_packet(a, f, msg->balancer, &p);
 		return;
 	}
-	if (holding == FLOW_NOT_HELD ||
-	    strcmp(msg->service, a->options.service) != 0 || a->down ||
-	    relay_server_stalled_ms(a) >= SERVER_DEAD_MS) {
+	if (holding == FLOW_NOT_HELD || is_detour(msg) ||
+	    strcmp(msg->service, a->options.service) != 0) {
+		forward_lookup(a, msg, &p.key);
+		return;
+	}
+	if (msg->n_candidates && server_silent(a)) {
+		/* Others need not wait for a server that may be dead. */
+		relay_agent_send_unsure(a, msg->balancer, &p.key, f);
 		forward_lookup(a, msg, &p.key);
 		return;
 	}
 	verify_packet(a, msg, &p);
 }
 
-void relay_agent_forward_lookup(relay_agent_t *a, const server_flow_t *f,
-				const relay_packet_t *p)
+/* Forwards the look-up of a packet that the server returned. */
+static void forward_returned(relay_agent_t *a, const server_flow_t *f,
+			     const relay_packet_t *p)
 {
 	relay_msg_t msg;
 
@@ -136,3 +185,31 @@
 	msg.chain = f->chain;
 	forward_lookup(a, &msg, &p->key);
 }
+
+/* True when it is to be remembered that the server does not hold the flow.
+ * Flows that it holds must not be dropped from the index for that. */
+static bool keep_returned(const relay_agent_t *a, const server_flow_t *f)
+{
+	return f->phase == SERVER_FLOW_VERIFYING && !f->server_isn_known &&
+	       flow_index_count(a->flows) < a->options.max_flows / 2;
+}
+
+void relay_agent_packet_returned(relay_agent_t *a, server_flow_t *f,
+				 uint32_t balancer, const relay_packet_t *p)
+{
+	if (f && f->chain)
+		forward_returned(a, f, p);
+	else
+		relay_agent_give_back(a, balancer, p);
+	if (!f)
+		return;
+	if (!keep_returned(a, f)) {
+		server_flow_remove(a, f);
+		return;
+	}
+	f->chain = 0;
+	f->ncandidates = 0;
+	f->caller_ack = p->ack;
+	server_flow_end_load(a, f);
+	server_flow_set_phase(a, f, SERVER_FLOW_RETURNED);
+}
--- a/src/relay_agent_stop.c
+++ b/src/relay_agent_stop.c
@@ -38,7 +38,8 @@
 		const server_flow_t *f = (const server_flow_t *)at;
 
 		if (f->phase == SERVER_FLOW_ENDED ||
-		    f->phase == SERVER_FLOW_QUEUED)
+		    f->phase == SERVER_FLOW_QUEUED ||
+		    f->phase == SERVER_FLOW_RETURNED)
 			continue;
 		if (n == LISTED_FLOWS_MAX) {
 			g_free(hashes);
--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -154,6 +154,24 @@
 	return l->next < l->pending->len;
 }
 
+/* Sends a packet along the look-up's newest chain, which has n agents. */
+static void send_lookup(relay_balancer_t *b, const relay_lookup_t *l,
+			const relay_packet_t *p, uint32_t *agents, size_t n)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_LOOKUP);
+	msg.service = (char *)relay_member_find(b, agents[0])->service;
+	msg.balancer = b->options.self;
+	msg.packet.data = p->data;
+	msg.packet.len = p->len;
+	msg.candidates = agents + 1;
+	msg.n_candidates = n - 1;
+	msg.chain = l->chains;
+	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
+	b->ops.send_message(b->ctx, agents[0], &msg);
+}
+
 /*
  * Sends a packet along a chain of the next pending agents. A chain has agents
  * of one service only; a suspect agent is in a chain without others.
@@ -164,7 +182,6 @@
 	uint32_t agents[CHAIN_AGENTS];
 	const relay_group_t *group = NULL;
 	bool suspect = false;
-	relay_msg_t msg;
 	size_t n = 0;
 
 	l->chains++;
@@ -185,18 +202,62 @@
 		agents[n++] = a.agent;
 		g_array_append_val(l->asked, a);
 	}
-	if (n == 0)
+	if (n > 0)
+		send_lookup(b, l, p, agents, n);
+}
+
+void relay_chain_send_single(relay_balancer_t *b, relay_lookup_t *l,
+			     const relay_member_t *m)
+{
+	uint32_t agent = m->agent;
+	relay_packet_t p;
+
+	if (b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
 		return;
-	relay_msg_init(&msg, RELAY_LOOKUP);
-	msg.service = (char *)relay_member_find(b, agents[0])->service;
-	msg.balancer = b->options.self;
-	msg.packet.data = p->data;
-	msg.packet.len = p->len;
-	msg.candidates = agents + 1;
-	msg.n_candidates = n - 1;
-	msg.chain = l->chains;
-	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
-	b->ops.send_message(b->ctx, agents[0], &msg);
+	l->chains++;
+	send_lookup(b, l, &p, &agent, 1);
+}
+
+/* Puts an agent that was asked into the newest chain. */
+static void ask_again(relay_lookup_t *l, uint32_t agent)
+{
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
+
+		if (a->agent != agent)
+			continue;
+		a->answer = ANSWER_NONE;
+		a->chain = l->chains;
+	}
+}
+
+bool relay_chain_send_again(relay_balancer_t *b, relay_lookup_t *l,
+			    const GArray *agents)
+{
+	uint32_t chosen[CHAIN_AGENTS];
+	const relay_group_t *group = NULL;
+	relay_packet_t p;
+	size_t n = 0;
+
+	if (b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
+		return false;
+	for (guint i = 0; i < agents->len && n < CHAIN_AGENTS; i++) {
+		uint32_t agent = g_array_index(agents, uint32_t, i);
+		const relay_member_t *m = relay_member_find(b, agent);
+
+		if (!m || (n && m->group != group))
+			continue;
+		group = m->group;
+		chosen[n++] = agent;
+	}
+	if (n == 0)
+		return false;
+	l->chains++;
+	for (size_t i = 0; i < n; i++)
+		ask_again(l, chosen[i]);
+	send_lookup(b, l, &p, chosen, n);
+	l->last_sent_ms = b->now;
+	return true;
 }
 
 bool relay_chain_send_batch(relay_balancer_t *b, relay_lookup_t *l)
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -103,15 +103,18 @@
 typedef enum lookup_answer {
 	ANSWER_NONE,
 	ANSWER_NOT_HELD,
-	ANSWER_UNSURE, /* the agent must try the packet at its server */
+	ANSWER_UNSURE, /* only its server knows */
 } lookup_answer_t;
 
 /* An agent that was asked in a look-up. */
 typedef struct lookup_agent {
 	uint32_t agent; /* address */
 	lookup_answer_t answer;
-	unsigned chain; /* number of the chain that it is in; 0: none */
-	bool tried;	/* its server got the packet, or holds no such flow */
+	unsigned chain;	  /* number of the chain that it is in; 0: none */
+	uint64_t kept_ms; /* when its running server had not returned the packet
+			   */
+	bool suspect;	  /* it may wait for a server that is lost */
+	bool last_tried;  /* it got the packet again when no others were left */
 } lookup_agent_t;
 
 typedef struct packet_copy {
@@ -141,7 +144,8 @@
 	guint next;	     /* position in pending of the next agent to ask */
 	unsigned chains;     /* number of chains sent */
 	unsigned batch;	     /* chains to send in the next batch */
-	packet_copy_t *packet; /* sent along the chains, owned */
+	packet_copy_t
+		*packet; /* sent to agents that may hold the flow, owned */
 	packet_copy_t *queued[QUEUED_PACKETS_MAX]; /* for the holder, owned */
 	unsigned nqueued;
 } relay_lookup_t;
@@ -350,6 +354,16 @@
  * false when there are no further agents.
  */
 bool relay_chain_send_batch(relay_balancer_t *b, relay_lookup_t *l);
+/*
+ * Sends the packet along one chain of agents that were asked, addresses in
+ * order, as far as they belong to the service of the first. Their answers are
+ * due again. Returns false when there is none.
+ */
+bool relay_chain_send_again(relay_balancer_t *b, relay_lookup_t *l,
+			    const GArray *agents);
+/* Sends the packet to an agent, in a chain without others. */
+void relay_chain_send_single(relay_balancer_t *b, relay_lookup_t *l,
+			     const relay_member_t *m);
 
 /* relay_balancer_lookup.c: flows whose holder is not known */
 /*
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -11,13 +11,13 @@
 /* Interval between rounds of queries. A round queries each agent that has not
  * answered. */
 #define QUERY_RETRY_MS 120
+/* Age from which an agent's word that its server has kept a packet shows
+ * nothing: the agent has left two queries unanswered. */
+#define KEPT_EXPIRY_MS 900
 /* Rounds after which the interval is that of the caller's later copies: an
  * agent that is silent for so long restarts, or its host has been removed. */
 #define QUERY_ROUNDS_QUICK 3
 #define QUERY_SLOW_MS	   400
-/* A backend server returns a packet at once if it does not hold the flow: one
- * that was not returned within this time was taken. */
-#define RETURN_TIMEOUT_MS 100
 /* Time after which a look-up ends although agents have not answered; the flow's
  * packets are dropped without a reset, and the next one starts another look-up.
  * Until then the entry of a target that was removed together with its agent has
@@ -29,7 +29,7 @@
 static void begin_lookup(relay_balancer_t *b, relay_flow_t *f,
 			 const relay_packet_t *p, uint32_t excluded);
 static void queue_packet(relay_lookup_t *l, const relay_packet_t *p);
-static void send_queued(relay_balancer_t *b, relay_flow_t *f, uint8_t mark);
+static void send_queued(relay_balancer_t *b, relay_flow_t *f);
 static void advance_lookup(relay_balancer_t *b, relay_flow_t *f);
 static lookup_agent_t *find_asked(relay_lookup_t *l, uint32_t agent);
 static void log_lookup(relay_balancer_t *b, relay_flow_t *f,
@@ -110,7 +110,8 @@
 	relay_flow_set_phase(b, f, PHASE_LOOKUP);
 	counter_add(&b->counters, COUNTER_CACHE_MISSES, 1);
 	if (excluded) {
-		lookup_agent_t a = { excluded, ANSWER_NOT_HELD, 0, true };
+		lookup_agent_t a = { .agent = excluded,
+				     .answer = ANSWER_NOT_HELD };
 
 		g_array_append_val(l->asked, a);
 	}
@@ -123,19 +124,101 @@
 		l->queued[l->nqueued++] = copy_packet(p);
 }
 
-/* Queues the packet that began the look-up if its caller has sent no other: the
- * chain that carried it may have ended at an agent that is lost. */
-static void queue_first_packet(relay_balancer_t *b, relay_lookup_t *l)
+/* The agent whose running server probably holds the flow, or NULL. The packet
+ * goes to no other, and the next ones go there. */
+static lookup_agent_t *find_kept(const relay_balancer_t *b, relay_lookup_t *l)
 {
-	relay_packet_t p;
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
 
-	if (!l->nqueued &&
-	    b->options.format->read(l->packet->data, l->packet->len, &p) == 0)
-		queue_packet(l, &p);
+		if (a->answer == ANSWER_UNSURE && a->kept_ms &&
+		    b->now < a->kept_ms + KEPT_EXPIRY_MS)
+			return a;
+	}
+	return NULL;
 }
 
-/* Sends the queued packets to the flow's current agent. */
-static void send_queued(relay_balancer_t *b, relay_flow_t *f, uint8_t mark)
+/*
+ * Sends the packet along a new chain of the unsure agents, whose servers show
+ * whether they hold the flow. Of each chain that did not end, the first agent
+ * may wait for a server that is lost, and those behind it have not got the
+ * packet: it goes last. When only such agents are left, each is tried once
+ * more. Returns false when there is no agent to try.
+ */
+static bool try_unsure(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_lookup_t *l = f->lookup;
+	GArray *order;
+	unsigned chain = 0;
+	bool sent;
+
+	if (find_kept(b, l))
+		return false;
+	order = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
+
+		if (a->answer != ANSWER_UNSURE || a->suspect)
+			continue;
+		a->suspect = a->chain != chain;
+		chain = a->chain;
+		if (!a->suspect)
+			g_array_append_val(order, a->agent);
+	}
+	for (guint i = 0; i < l->asked->len; i++) {
+		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
+
+		if (a->answer != ANSWER_UNSURE || !a->suspect || a->last_tried)
+			continue;
+		a->last_tried = order->len == 0;
+		g_array_append_val(order, a->agent);
+	}
+	sent = relay_chain_send_again(b, l, order);
+	if (sent)
+		counter_add(&b->counters, COUNTER_TRIALS, 1);
+	g_array_free(order, TRUE);
+	return sent;
+}
+
+/* The agent that gets the caller's next packets, or NULL: the one whose server
+ * probably holds the flow, or the first that may wait for its server. */
+static relay_member_t *member_to_try(relay_balancer_t *b, relay_lookup_t *l)
+{
+	lookup_agent_t *kept = find_kept(b, l);
+
+	if (kept)
+		return relay_member_find(b, kept->agent);
+	for (guint i = 0; i < l->asked->len; i++) {
+		const lookup_agent_t *a =
+			&g_array_index(l->asked, lookup_agent_t, i);
+		relay_member_t *m = relay_member_find(b, a->agent);
+
+		if (a->answer == ANSWER_UNSURE && a->suspect && m &&
+		    !m->report.down_ms && !m->report.stalled_ms)
+			return m;
+	}
+	return NULL;
+}
+
+/* Sends a packet that needs an answer to an agent whose server may have kept an
+ * earlier one: a server that answers holds the flow. */
+static void try_new_packet(relay_balancer_t *b, relay_flow_t *f,
+			   const relay_packet_t *p)
+{
+	relay_lookup_t *l = f->lookup;
+	relay_member_t *m;
+
+	if (!p->payload_len && !(p->flags & RELAY_FIN))
+		return;
+	g_free(l->packet);
+	l->packet = copy_packet(p);
+	m = member_to_try(b, l);
+	if (m)
+		relay_chain_send_single(b, l, m);
+}
+
+/* Sends the queued packets to the flow's holder. */
+static void send_queued(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
 
@@ -144,7 +227,7 @@
 
 		if (b->options.format->read(l->queued[i]->data,
 					    l->queued[i]->len, &p) == 0)
-			relay_flow_send(b, f, &p, mark);
+			relay_flow_send(b, f, &p, 0);
 		g_free(l->queued[i]);
 	}
 	l->nqueued = 0;
@@ -184,8 +267,8 @@
 
 /*
  * Continues a look-up once all agents asked so far have answered: sends the
- * next chains, then sends the queued packets to the unsure agents, one agent at
- * a time, to try them at their servers. Resets the flow if no agent holds it.
+ * next chains, lets the servers of unsure agents try the packet, or resets the
+ * flow if no agent holds it.
  */
 static void advance_lookup(relay_balancer_t *b, relay_flow_t *f)
 {
@@ -196,29 +279,13 @@
 		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
 		    ANSWER_NONE)
 			return;
-	if (send_next(b, f))
+	if (send_next(b, f) || try_unsure(b, f))
 		return;
-	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
-		relay_member_t *m = relay_member_find(b, a->agent);
-
-		if (a->answer != ANSWER_UNSURE || a->tried || !m)
-			continue;
-		a->tried = true;
-		l->last_sent_ms = b->now;
-		f->agent = a->agent;
-		f->service = m->service;
-		f->tag = service_tag(m->service);
-		counter_add(&b->counters, COUNTER_TRIALS, 1);
-		queue_first_packet(b, l);
-		send_queued(b, f, RELAY_MARK_VERIFY);
-		return;
-	}
-	f->agent = 0;
 	for (guint i = 0; i < l->asked->len; i++)
 		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
 		    ANSWER_UNSURE)
-			return; /* its server may still hold the flow */
+			return;
+	f->agent = 0;
 	if (directory_first_listing(b->directory) ||
 	    (!l->asked->len && directory_settling(b->directory, b->now))) {
 		/* An agent that is not known yet may hold the flow. */
@@ -256,12 +323,12 @@
 	}
 	queue_packet(l, p);
 	a = excluded ? find_asked(l, excluded) : NULL;
-	if (a) {
+	if (a)
 		a->answer = ANSWER_NOT_HELD;
-		a->tried = true;
-	}
 	if (excluded)
 		advance_lookup(b, f);
+	else
+		try_new_packet(b, f, p);
 }
 
 void relay_lookup_store_read(relay_balancer_t *b, relay_flow_t *f)
@@ -273,23 +340,11 @@
 void relay_lookup_found(relay_balancer_t *b, relay_flow_t *f)
 {
 	log_lookup(b, f, "held");
-	send_queued(b, f, 0);
+	send_queued(b, f);
 	relay_lookup_free(f->lookup);
 	f->lookup = NULL;
 }
 
-/* The agent whose server got the packet and has not returned it, or NULL. */
-static lookup_agent_t *find_verifying(relay_lookup_t *l)
-{
-	for (guint i = 0; i < l->asked->len; i++) {
-		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
-
-		if (a->tried && a->answer == ANSWER_UNSURE)
-			return a;
-	}
-	return NULL;
-}
-
 /* A chain ended without a holder: records that none of its agents holds it. */
 static void mark_chain_not_held(relay_lookup_t *l, unsigned chain)
 {
@@ -299,7 +354,6 @@
 		if (a->chain != chain || a->answer != ANSWER_NONE)
 			continue;
 		a->answer = ANSWER_NOT_HELD;
-		a->tried = true;
 	}
 }
 
@@ -322,9 +376,10 @@
 		return;
 	}
 	a = find_asked(f->lookup, from);
-	if (!a || a->answer != ANSWER_NONE)
+	if (!a || a->answer == ANSWER_NOT_HELD)
 		return;
 	a->answer = msg->kind == RELAY_UNSURE ? ANSWER_UNSURE : ANSWER_NOT_HELD;
+	a->kept_ms = msg->kept ? b->now : 0;
 	advance_lookup(b, f);
 }
 
@@ -363,7 +418,6 @@
 		    (m && !need_not_answer(b, f, m)))
 			continue;
 		a->answer = ANSWER_NOT_HELD;
-		a->tried = true;
 		any = true;
 	}
 	return any;
@@ -381,7 +435,6 @@
 void relay_lookup_tick(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
-	lookup_agent_t *verifying;
 	bool waiting = false;
 
 	if (mark_gone_not_held(b, f)) {
@@ -397,14 +450,6 @@
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
-	verifying = find_verifying(l);
-
-	/* By now the agent knows whether its server took the packet. */
-	if (verifying && b->now >= l->last_sent_ms + RETURN_TIMEOUT_MS) {
-		l->last_sent_ms = b->now;
-		send_query(b, f, verifying->agent);
-		return;
-	}
 	if (l->next < l->pending->len) {
 		if (b->now >= l->last_sent_ms + BATCH_INTERVAL_MS)
 			relay_chain_send_batch(b, l);
@@ -417,14 +462,14 @@
 		return;
 	}
 	/* The agents that are silent may not be those that hold the flow. */
-	if (send_next(b, f))
+	if (send_next(b, f) || (l->query_rounds && try_unsure(b, f)))
 		return;
 	l->query_rounds++;
 	l->last_sent_ms = b->now;
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
 
-		if (a->answer != ANSWER_NONE)
+		if (a->answer == ANSWER_NOT_HELD)
 			continue;
 		send_query(b, f, a->agent);
 		waiting = true;
--- a/src/relay_balancer_stop.c
+++ b/src/relay_balancer_stop.c
@@ -47,7 +47,6 @@
 		    !not_listed(m, &f->node.key))
 			continue;
 		a->answer = ANSWER_NOT_HELD;
-		a->tried = true;
 		any = true;
 	}
 	return any;
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -88,6 +88,120 @@
 }
 END_TEST
 
+/* What the last message of an unsure agent says of its server. */
+static bool says_kept(const relay_rig_t *r)
+{
+	int at = rr_last(r, RIG_MESSAGE, BALANCER, RELAY_UNSURE);
+	relay_msg_t *msg;
+	bool kept;
+
+	ck_assert_int_ge(at, 0);
+	msg = relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+	kept = msg->kept;
+	relay_msg_free(msg);
+	return kept;
+}
+
+/* Guards against a false "held": a packet that the server has not returned,
+ * while it sent others, may have been lost when it crashed. Its own packet on
+ * the flow shows that it holds it. */
+START_TEST(kept_packet_is_no_proof)
+{
+	relay_rig_t *r = rr_agent(false);
+
+	rr_lookup(r, BALANCER, 1, 7, NULL, 0);
+	rr_advance(r, 20);
+	rr_returned(r, 9, RELAY_ACK, 6, 7, 100);
+	rr_advance(r, 60);
+	rr_flow_message(r, BALANCER, RELAY_QUERY, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 0);
+	ck_assert(says_kept(r));
+	rr_advance(r, 600);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, 7, 100, 0);
+	rr_advance(r, 600);
+	rr_flow_message(r, BALANCER, RELAY_QUERY, 1, "feeds");
+	ck_assert(!says_kept(r));
+	rr_from_server(r, 1, RELAY_ACK, 7, 106, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against trials that repeat: an agent remembers that its server
+ * returned a packet of the flow, and says so to look-ups, queries and packets.
+ * The caller of another flow with the same addresses uses other numbers. */
+START_TEST(returned_flow_is_not_held)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint32_t other = OTHER_AGENT;
+
+	rr_lookup(r, BALANCER, 1, 7, &other, 1);
+	rr_returned(r, 1, RELAY_ACK, 6, 7, 100);
+	rr_clear(r);
+	rr_lookup(r, BALANCER, 1, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER_AGENT, RELAY_LOOKUP),
+			  1);
+	rr_flow_message(r, BALANCER, RELAY_QUERY, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_NOT_HELD),
+			  1);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, 7, 100, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_lookup(r, BALANCER, 1, 900000001, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against look-ups that end at a silent server: the agent says that it
+ * does not know, and passes the packet on. The last of a chain lets the server
+ * try it, which may recover. */
+START_TEST(silent_server_is_passed)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint32_t other = OTHER_AGENT;
+
+	rr_lookup(r, BALANCER, 1, 7, NULL, 0);
+	rr_advance(r, 600);
+	rr_clear(r);
+	rr_lookup(r, BALANCER, 2, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_UNSURE), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER_AGENT, RELAY_LOOKUP),
+			  1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_lookup(r, BALANCER, 3, 7, NULL, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_NOT_HELD),
+			  0);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a detour that ends at the agent that is to pass the packet on,
+ * after its restart. */
+START_TEST(detour_is_passed_on)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint8_t buf[RELAY_PACKET_MAX];
+	uint32_t other = OTHER_AGENT;
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_LOOKUP);
+	msg.service = (char *)"feeds";
+	msg.balancer = BALANCER;
+	msg.packet.data = buf;
+	msg.packet.len = rr_packet(buf, 1, RELAY_ACK, 6, 7, 100);
+	msg.candidates = &other;
+	msg.n_candidates = 1;
+	relay_agent_handle_message(r->agent, r->now, BALANCER, &msg);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER_AGENT, RELAY_LOOKUP),
+			  1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_holding");
@@ -96,6 +210,10 @@
 	tcase_add_test(tc, unanswered_open_is_not_held);
 	tcase_add_test(tc, unanswered_open_after_restart_is_verified);
 	tcase_add_test(tc, queued_copy_after_restart_is_verified);
+	tcase_add_test(tc, kept_packet_is_no_proof);
+	tcase_add_test(tc, returned_flow_is_not_held);
+	tcase_add_test(tc, silent_server_is_passed);
+	tcase_add_test(tc, detour_is_passed_on);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
