Read the store while look-ups run that will probably need it

In the second after a request to the store a look-up that begins asks for the next one at once, so that its answer is there when the agents have answered, and the longest interval is 200 ms.

--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -331,6 +331,9 @@
  * soon.
  */
 bool relay_read_since(relay_balancer_t *b, uint64_t since_ms);
+/* Notes that a look-up begins: while others end without a holder, the store is
+ * read before its agents have answered. */
+void relay_read_expect(relay_balancer_t *b);
 /* Handles a packet that arrived at a time and has no route. */
 void relay_unrouted_packet(relay_balancer_t *b, const relay_packet_t *p,
 			   uint64_t arrived_ms);
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -115,6 +115,7 @@
 
 		g_array_append_val(l->asked, a);
 	}
+	relay_read_expect(b);
 	send_next(b, f);
 }
 
--- a/src/relay_balancer_read.c
+++ b/src/relay_balancer_read.c
@@ -3,7 +3,10 @@
 /* Shortest interval between requests for what the store has written last. It
  * doubles up to the longest while requests are due one after the other. */
 #define READ_INTERVAL_MIN_MS 100
-#define READ_INTERVAL_MAX_MS 400
+#define READ_INTERVAL_MAX_MS 200
+/* Time after a request in which a look-up that begins is expected to need one,
+ * too: after a loss of power hundreds end without a holder. */
+#define READ_BURST_MS 1000
 
 static void send_unrouted_reset(relay_balancer_t *b, const relay_packet_t *p);
 static void handle_held(relay_balancer_t *b);
@@ -17,6 +20,12 @@
 	return false;
 }
 
+void relay_read_expect(relay_balancer_t *b)
+{
+	if (b->read_asked_ms && b->now < b->read_asked_ms + READ_BURST_MS)
+		relay_read_since(b, b->now);
+}
+
 /* Removes the packet's flow, and answers with a reset because no route leads
  * from its address and port, or none does any more. */
 static void send_unrouted_reset(relay_balancer_t *b, const relay_packet_t *p)
