--- a/src/event_log.c
+++ b/src/event_log.c
@@ -155,3 +155,20 @@
 		 endpoint_format(&to, dst));
 	return buf;
 }
+
+char *event_log_quote(const char *text, char *buf, size_t size)
+{
+	size_t n = 0;
+
+	for (; *text && n + 1 < size; text++) {
+		unsigned char c = (unsigned char)*text;
+
+		if (c == '"')
+			buf[n++] = '\'';
+		else
+			buf[n++] = c < 0x20 || c > 0x7e || c == '\\' ? '?'
+								     : (char)c;
+	}
+	buf[n] = '\0';
+	return buf;
+}
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -63,6 +63,13 @@
 void event_log(event_t event, const char *members, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/*
+ * Copies text to buf, which has size bytes, as far as it fits, so that it can
+ * stand in a string of a line: characters that would have to be escaped, and
+ * bytes that are not ASCII, become '?', quotes become apostrophes. Returns buf.
+ */
+char *event_log_quote(const char *text, char *buf, size_t size);
+
 /* Writes the buffered lines; to be called periodically. */
 void event_log_flush(void);
 
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -44,12 +44,14 @@
 static void sink_refused(void *ctx, const char *key, const err_t *err)
 {
 	relay_process_t *p = ctx;
+	char name[100], what[200];
 
 	counter_add(p->counters, COUNTER_CONFIG_REFUSED, 1);
 	event_log(EVENT_STORE,
-		  "\"state\":\"item refused\",\"key\":\"%.100s\","
-		  "\"error\":\"%.200s\"",
-		  key, err->what);
+		  "\"state\":\"item refused\",\"key\":\"%s\","
+		  "\"error\":\"%s\"",
+		  event_log_quote(key, name, sizeof(name)),
+		  event_log_quote(err->what, what, sizeof(what)));
 }
 
 static directory_t *sink_directory(void *ctx)
