Reset flows of a lost server only if their callers use them

Cause: any server takes a copy of an open. A balancer took "taken" for proof that the flow is open at that server, and an agent reset all flows that its dead server had accepted. The flow is open at the server whose sequence number the caller acknowledges.

Ruled out by late_copy_is_not_reset, which needs no freeze: the age of the copy, its offer after the wake-up, or a wrong clock; the reset follows from "taken" alone.

A balancer resets flows whose callers acknowledged it, or that an agent holds; of the others it forgets the holder, and the next packet is looked up. Agents reset flows that their callers used.

replaced_target_loses_its_flows, flows_of_lost_target_are_reset, late_entry_keeps_flows_of_new_server and flows_of_crashed_server_are_reset demanded resets of flows that no caller had acknowledged.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -698,7 +698,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[28] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[29] =
 {
   {
     "kind",
@@ -1036,6 +1036,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_isn",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, server_isn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -1060,6 +1072,7 @@
   2,   /* field[2] = packet */
   17,   /* field[17] = priority_percent */
   16,   /* field[16] = queue_ms */
+  28,   /* field[28] = server_isn */
   1,   /* field[1] = service */
   10,   /* field[10] = slots */
   6,   /* field[6] = sport */
@@ -1071,7 +1084,7 @@
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1081,7 +1094,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  28,
+  29,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -272,6 +272,7 @@
 
 	if (p->flags & RELAY_ACK)
 		f->caller_ack = p->ack;
+	f->caller_acked |= (p->flags & RELAY_ACK) && f->server_isn_known;
 	if (p->payload_len &&
 	    (!f->caller_next_known || seq_diff(end, f->caller_next) > 0)) {
 		f->caller_next = end;
@@ -339,6 +340,13 @@
 	server_flow_caller_packet(a, f, from, &p);
 }
 
+/* True when the caller uses the server's flow: it may have been accepted by
+ * another server, too. */
+static bool caller_uses(const server_flow_t *f)
+{
+	return f->confirmed || f->caller_acked;
+}
+
 /* Resets the caller's side of a flow that the server has lost, as after a
  * restart of the server. */
 static void reset_flow(relay_agent_t *a, server_flow_t *f, const char *why)
@@ -401,8 +409,7 @@
 		if (f->phase == SERVER_FLOW_OPENING) {
 			counter_add(&a->counters, COUNTER_OPENS_ACCEPTED, 1);
 			server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
-			relay_agent_send(a, f->balancer, RELAY_TAKEN,
-					 &f->node.key);
+			relay_agent_send_holder(a, f->balancer, RELAY_TAKEN, f);
 		}
 		if (f->phase == SERVER_FLOW_VERIFYING ||
 		    f->phase == SERVER_FLOW_RETURNED) {
@@ -580,6 +587,10 @@
 		if (f->phase != SERVER_FLOW_OPEN ||
 		    (f->request_pending && !budget))
 			continue;
+		if (!caller_uses(f)) {
+			server_flow_remove(a, f);
+			continue;
+		}
 		budget -= f->request_pending;
 		reset_flow(a, f, "server does not answer");
 	}
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -48,6 +48,7 @@
 	uint32_t server_next;	/* next sequence number of the server */
 	uint32_t caller_next;	/* next sequence number of the caller */
 	uint32_t caller_ack;	/* last acknowledgement of the caller */
+	bool caller_acked;	/* it acknowledged the server's numbers */
 	bool caller_fin;	/* the caller sent a FIN */
 	bool server_fin;	/* the server sent a FIN */
 	bool caller_next_known; /* the caller sent data */
@@ -216,6 +217,10 @@
 flow_holding_t relay_agent_holding(const relay_agent_t *a,
 				   const server_flow_t *f,
 				   const relay_packet_t *p);
+/* Sends a message that the server has the flow, with its initial sequence
+ * number. */
+void relay_agent_send_holder(relay_agent_t *a, uint32_t to, relay_kind_t kind,
+			     const server_flow_t *f);
 /* Tells a balancer that the server holds the flow, and logs what shows it. */
 void relay_agent_send_held(relay_agent_t *a, uint32_t to,
 			   const server_flow_t *f);
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -42,6 +42,16 @@
 							   : FLOW_UNSURE;
 }
 
+void relay_agent_send_holder(relay_agent_t *a, uint32_t to, relay_kind_t kind,
+			     const server_flow_t *f)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, kind);
+	msg.server_isn = f->server_isn_known ? f->server_isn : 0;
+	relay_agent_answer(a, to, &msg, &f->node.key);
+}
+
 void relay_agent_send_held(relay_agent_t *a, uint32_t to,
 			   const server_flow_t *f)
 {
@@ -57,7 +67,7 @@
 		  ipv4_format(to, balancer), phases[f->phase],
 		  f->server_isn_known ? "true" : "false",
 		  f->confirmed ? "true" : "false");
-	relay_agent_send(a, to, RELAY_HELD, &f->node.key);
+	relay_agent_send_holder(a, to, RELAY_HELD, f);
 }
 
 /* True when a running server, which returns packets of flows that it does not
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -128,7 +128,7 @@
 	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPEN) {
 		f->balancer = msg->balancer;
 		server_flow_deliver(a, f, &p);
-		relay_agent_send(a, msg->balancer, RELAY_TAKEN, &p.key);
+		relay_agent_send_holder(a, msg->balancer, RELAY_TAKEN, f);
 		return;
 	}
 	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPENING) {
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -11,6 +11,9 @@
 #define EARLY_OPENS_MAX 1000
 /* Most packets that are held until their route is known. */
 #define HELD_PACKETS_MAX 64
+/* The first acknowledgement that a balancer sees is at most this many bytes
+ * beyond the server's initial sequence number. */
+#define FIRST_ACK_SLACK 76800
 /* Interval at which idle flows are removed. Closed flows stay until they are
  * idle, so that late packets still reach the agent. */
 #define SWEEP_INTERVAL_MS 1000
@@ -190,6 +193,7 @@
 {
 	f->agent = agent;
 	f->held_ms = b->now;
+	f->confirmed = false;
 	if (service[0]) {
 		f->service = g_intern_string(service);
 		f->tag = service_tag(service);
@@ -216,6 +220,12 @@
 	flow_index_remove(b->flows, &f->node);
 }
 
+void relay_flow_note_ack(relay_flow_t *f, uint32_t ack)
+{
+	if (f->server_isn && ack - f->server_isn <= FIRST_ACK_SLACK)
+		f->confirmed = true;
+}
+
 void relay_flow_send(relay_balancer_t *b, const relay_flow_t *f,
 		     relay_packet_t *p, uint8_t mark)
 {
@@ -248,6 +258,8 @@
 		relay_lookup_packet(b, f, p, 0);
 		return;
 	}
+	if (p->flags & RELAY_ACK)
+		relay_flow_note_ack(f, p->ack);
 	if (!relay_detour_packet(b, route, f, p))
 		return;
 	relay_flow_send(b, f, p, 0);
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -157,6 +157,8 @@
 	uint32_t tag;	     /* service_tag() of service */
 	uint32_t agent;	     /* address of the holder; 0: unknown */
 	uint64_t held_ms;    /* when the agent said that its server holds it */
+	uint32_t server_isn; /* of the holder that took the open; 0: not told */
+	bool confirmed;	     /* the caller uses the holder, and no other */
 	uint32_t seq;	     /* sequence number of the SYN */
 	uint32_t ack;	     /* the caller's last acknowledgement */
 	uint32_t data_seq;   /* of the caller's last packet with data */
@@ -427,6 +429,9 @@
 /* Sets the agent that holds the flow and ends its look-up, if any. */
 void relay_flow_set_holder(relay_balancer_t *b, relay_flow_t *f, uint32_t agent,
 			   const char *service);
+/* Notes an acknowledgement of the caller, which shows whether it uses the
+ * server that took the open. */
+void relay_flow_note_ack(relay_flow_t *f, uint32_t ack);
 /* Sends a packet to the flow's agent; mark is RELAY_MARK_* or 0. */
 void relay_flow_send(relay_balancer_t *b, const relay_flow_t *f,
 		     relay_packet_t *p, uint8_t mark);
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -368,7 +368,9 @@
 	if (!f || !f->lookup)
 		return;
 	if (msg->kind == RELAY_HELD) {
+		f->server_isn = msg->server_isn;
 		relay_flow_set_holder(b, f, from, msg->service);
+		f->confirmed = true;
 		return;
 	}
 	if (msg->chain) {
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -76,7 +76,8 @@
 
 /* Resets the flows of a lost or replaced server, so that callers can open new
  * ones, but those that the server may hold that started at started_ms, Unix
- * time; 0: none of them. */
+ * time; 0: none of them. A flow that may be open at another server, which took
+ * a copy of the open, is forgotten: its next packet is looked up. */
 static void reset_flows(relay_balancer_t *b, relay_member_t *m,
 			uint64_t started_ms, const char *why)
 {
@@ -89,10 +90,14 @@
 		flow_node_t *n = list_entry(node, flow_node_t, lru);
 		relay_flow_t *f = (relay_flow_t *)n;
 
-		if (f->agent == m->agent && f->phase == PHASE_KNOWN &&
-		    holder_started_later(f->held_ms, b->now, unix_ms,
-					 started_ms))
+		if (f->agent != m->agent || f->phase != PHASE_KNOWN ||
+		    !holder_started_later(f->held_ms, b->now, unix_ms,
+					  started_ms))
+			continue;
+		if (f->confirmed)
 			relay_flow_reset(b, f, why);
+		else
+			flow_index_remove(b->flows, &f->node);
 	}
 }
 
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -522,7 +522,10 @@
 		  flow_key_format(&key, text), f->seq, ipv4_format(from, agent),
 		  (unsigned long long)(b->now - f->first_offer_ms));
 	counter_add(&b->counters, COUNTER_OPENS_ACCEPTED, 1);
+	f->server_isn = msg->server_isn;
 	relay_flow_set_holder(b, f, from, msg->service);
+	if (f->ack)
+		relay_flow_note_ack(f, f->ack);
 }
 
 void relay_open_refused(relay_balancer_t *b, uint32_t from,
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -333,6 +333,8 @@
 	msg.dst = RIG_SERVICE_ADDRESS;
 	msg.dport = RIG_SERVICE_PORT;
 	msg.service = (char *)service;
+	if (kind == RELAY_TAKEN)
+		msg.server_isn = RIG_SERVER_ISN;
 	deliver_message(r, host, &msg);
 }
 
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -43,6 +43,8 @@
 #define RIG_CALLER_ADDRESS   0x64400001u
 #define RIG_SERVICE_ADDRESS  0xc6120001u
 #define RIG_SERVICE_PORT     443
+/* Initial sequence number of servers that take an open. */
+#define RIG_SERVER_ISN 899u
 
 /*
  * Create a rig with a balancer, or with an agent of the service "feeds";
--- a/test/test_read_before_reset.c
+++ b/test/test_read_before_reset.c
@@ -154,6 +154,33 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow that is open elsewhere: this balancer
+ * offered a copy of the open that it had kept while its host was frozen. Only a
+ * caller that acknowledged the server that took the copy uses it. */
+START_TEST(late_copy_is_not_reset)
+{
+	relay_rig_t *r = rr_reading_balancer();
+
+	rr_routes(r, 3);
+	rr_entry(r, "a", AGENT_A, 1, ENTRY_READY);
+	for (unsigned i = 1; i <= 3; i++) {
+		rr_from_caller(r, i, RELAY_SYN, 5, 0, 0);
+		rr_flow_message(r, AGENT_A, RELAY_TAKEN, i, "feeds");
+	}
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900000001, 100);
+	rr_from_caller(r, 3, RELAY_ACK, 6, RIG_SERVER_ISN + 1, 100);
+	rr_entry_gone(r, "a", 5);
+	rr_advance(r, 4000);
+	ck_assert_uint_eq(resets(r), 1);
+	/* The others are looked up at what is left. */
+	rr_entry(r, "b", AGENT_B, 7, ENTRY_READY);
+	rr_clear(r);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900000001, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_B, RELAY_LOOKUP), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against callers of lost flows that wait for the store after the agents
  * have answered: while look-ups end without a holder, it is read meanwhile. */
 START_TEST(store_is_read_during_lookups)
@@ -213,6 +240,7 @@
 	tcase_add_test(tc, first_open_waits_while_changes_are_unread);
 	tcase_add_test(tc, routes_of_peer_are_used);
 	tcase_add_test(tc, unread_target_is_asked_before_reset);
+	tcase_add_test(tc, late_copy_is_not_reset);
 	tcase_add_test(tc, store_is_read_during_lookups);
 	tcase_add_test(tc, one_reading_serves_many_packets);
 	suite_add_tcase(s, tc);
--- a/test/test_relay_agent.c
+++ b/test/test_relay_agent.c
@@ -203,6 +203,7 @@
 	request(r, 1);
 	response(r, 1);
 	open_flow(r, 2);
+	rr_from_balancer(r, BALANCER, 2, RELAY_ACK, 6, ISN + 1, 0, 0);
 	rr_clear(r);
 	rr_advance(r, 100);
 	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 501, 100, 0);
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -599,6 +599,7 @@
 	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
 	rr_entry(r, "n", AGENT_A, 9, ENTRY_READY);
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
 	rr_free(r);
@@ -635,6 +636,7 @@
 	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
 	rr_entry_gone(r, "a", 5);
 	rr_advance(r, 2000);
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -202,6 +202,32 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow that is open at another server: both
+ * accepted a copy of the open, and the caller acknowledged the other one. */
+START_TEST(unused_copy_is_not_reset)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	for (unsigned i = 1; i <= 2; i++) {
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+		rr_from_server(r, i, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	}
+	rr_from_balancer(r, BALANCER, 2, RELAY_ACK, 6, ISN + 1, 0, 0);
+	rr_clear(r);
+	rr_advance(r, 100);
+	for (unsigned i = 10; i < 14; i++) {
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+		rr_advance(r, 100);
+	}
+	rr_advance(r, 600);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_lookup(r, BALANCER, 1, 900000001, NULL, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_NOT_HELD),
+			  1);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_holding");
@@ -214,6 +240,7 @@
 	tcase_add_test(tc, returned_flow_is_not_held);
 	tcase_add_test(tc, silent_server_is_passed);
 	tcase_add_test(tc, detour_is_passed_on);
+	tcase_add_test(tc, unused_copy_is_not_reset);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_return.c
+++ b/test/test_return.c
@@ -44,14 +44,17 @@
 			 UNIX_AT_0 + r->now - 20000);
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
 	rr_advance(r, 3000);
 	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
 	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 2, "feeds");
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 0);
 	rr_advance(r, 1000);
 	rr_clear(r);
 	rr_entry_started(r, "new", AGENT_A, 9, ENTRY_READY,
 			 UNIX_AT_0 + r->now - 2000);
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_clear(r);
 	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
 	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
 	rr_free(r);
