--- /dev/null
+++ b/test/test_relay_lookup.c
@@ -0,0 +1,206 @@
+/*
+ * test_relay_lookup - look-ups of a balancer whose agents are unsure
+ */
+
+#include "relay_rig.h"
+#include "runner.h"
+
+#define AGENT_A 0x0a010009u
+#define AGENT_B 0x0a02000au
+
+/* A balancer with routes and the agents A and B. */
+static relay_rig_t *two_agents(void)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	return r;
+}
+
+/* First agent of the last chain; its only further agent is that of the other
+ * target. */
+static uint32_t last_chain(const relay_rig_t *r)
+{
+	return r->sent[rr_last(r, RIG_MESSAGE, 0, RELAY_LOOKUP)].host;
+}
+
+static uint32_t other_agent(uint32_t agent)
+{
+	return agent == AGENT_A ? AGENT_B : AGENT_A;
+}
+
+/* A look-up whose chain has ended at its first agent; both are unsure. Returns
+ * that agent. */
+static uint32_t lost_chain(relay_rig_t *r)
+{
+	uint32_t first;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	first = last_chain(r);
+	rr_advance(r, 250);
+	rr_clear(r);
+	rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	rr_flow_message(r, other_agent(first), RELAY_UNSURE, 1, "feeds");
+	return first;
+}
+
+/* Guards against look-ups that wait for one agent: its server is dead and
+ * returns nothing, while the flow is open at another. */
+START_TEST(dead_server_holds_up_no_lookup)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first = lost_chain(r), second = other_agent(first);
+
+	ck_assert_uint_eq(last_chain(r), second);
+	rr_flow_message(r, second, RELAY_HELD, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 106, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, second, 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Agents that restarted let their servers try the packet, one after the other.
+ * A caller that waits for an answer sends nothing further: its first packet is
+ * tried. An agent that is unsure after that is waited for. */
+START_TEST(unsure_agents_try_in_turn)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first = lost_chain(r), second;
+
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 1);
+	rr_chain_not_held(r, first, 1, 2);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+	r = two_agents();
+	first = lost_chain(r);
+	second = other_agent(first);
+	rr_advance(r, 125);
+	rr_flow_message(r, second, RELAY_NOT_HELD, 1, "feeds");
+	rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	ck_assert_uint_eq(last_chain(r), first);
+	rr_clear(r);
+	for (unsigned i = 0; i < 4; i++) {
+		rr_advance(r, 400);
+		rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 0);
+	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, first, RELAY_QUERY), 3);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a flow whose server got a bare acknowledgement, which it does
+ * not answer: the caller's next request goes there, too. */
+START_TEST(next_request_is_tried)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first = lost_chain(r);
+
+	rr_chain_not_held(r, first, 1, 1);
+	rr_advance(r, 125);
+	rr_flow_message(r, other_agent(first), RELAY_NOT_HELD, 1, "feeds");
+	rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	rr_advance(r, 125);
+	rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 0);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, first, RELAY_LOOKUP), 1);
+	rr_flow_message(r, first, RELAY_HELD, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, first, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* Says that the agent's server has kept a packet of flow 1. */
+static void say_kept(relay_rig_t *r, uint32_t agent)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_UNSURE);
+	msg.src = RIG_CALLER_ADDRESS;
+	msg.sport = 10001;
+	msg.dst = RIG_SERVICE_ADDRESS;
+	msg.dport = RIG_SERVICE_PORT;
+	msg.service = (char *)"feeds";
+	msg.kept = true;
+	relay_balancer_handle_message(r->balancer, r->now, agent, &msg);
+}
+
+/* Guards against packets at other servers after the flow's own has got them: a
+ * busy server that runs is waited for, but not one whose agent is gone. */
+START_TEST(busy_server_is_waited_for)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first, second;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	first = last_chain(r);
+	second = other_agent(first);
+	rr_advance(r, 250);
+	rr_clear(r);
+	say_kept(r, first);
+	rr_flow_message(r, second, RELAY_UNSURE, 1, "feeds");
+	rr_advance(r, 150);
+	say_kept(r, first);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 0);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, first, RELAY_LOOKUP), 1);
+	rr_advance(r, 1500);
+	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, second, RELAY_LOOKUP), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against look-ups that wait for an agent that is away while another has
+ * not tried the packet. */
+START_TEST(silent_agent_holds_up_no_trial)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first, second;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	first = last_chain(r);
+	second = other_agent(first);
+	rr_advance(r, 250);
+	rr_clear(r);
+	rr_flow_message(r, second, RELAY_UNSURE, 1, "feeds");
+	rr_advance(r, 150);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, second, RELAY_LOOKUP), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* An agent that was unsure and now knows better is believed. */
+START_TEST(unsure_agent_may_say_not_held)
+{
+	relay_rig_t *r = two_agents();
+
+	lost_chain(r);
+	rr_flow_message(r, AGENT_A, RELAY_NOT_HELD, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_flow_message(r, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay_lookup");
+	TCase *tc = tcase_create("decisions");
+
+	tcase_add_test(tc, unsure_agents_try_in_turn);
+	tcase_add_test(tc, next_request_is_tried);
+	tcase_add_test(tc, busy_server_is_waited_for);
+	tcase_add_test(tc, dead_server_holds_up_no_lookup);
+	tcase_add_test(tc, silent_agent_holds_up_no_trial);
+	tcase_add_test(tc, unsure_agent_may_say_not_held);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
