Count the silence of a server only while its agent runs

Cause: three opens without an answer for 500 ms show that a server has lost its flows, and the agent counted the 1283 ms in which it did not run itself. The next tick but one after the pause came 25 ms later; the server, starved of the same processor, had answered nothing yet.

Evidence: the agent's log has no line from 16.706 to 17.989, then three opens forwarded at once, which takes 60 ms in an agent that runs, and "flows lost" with silent_ms 1283.

After a pause of over 200 ms the silence counts from its end, so that half a second of it is seen by a running agent.

pause_of_agent_is_no_silence fails without it, 2 of 2 loops.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -12,6 +12,9 @@
 /* A flow without packets for this time is not active: no request is expected
  * on it soon. */
 #define ACTIVE_MS 3000
+/* An agent that did not run for this time has not seen whether its server was
+ * silent meanwhile. */
+#define PAUSE_MS 200
 /* Ended flows, and flows that were never accepted or verified, are kept this
  * long for late packets. */
 #define ENDED_KEEP_MS	  5000
@@ -606,6 +609,8 @@
 	bool late = a->last_tick_ms &&
 		    a->now > a->last_tick_ms + 2 * RELAY_AGENT_TICK_MS;
 
+	if (late && a->now > a->last_tick_ms + PAUSE_MS)
+		relay_server_agent_paused(a);
 	a->last_tick_ms = a->now;
 	a->late = late && !a->late;
 	return a->late;
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -230,7 +230,7 @@
 	if (f->opened_ms < a->last_heard_ms)
 		return;
 	if (!a->silent_since_ms)
-		a->silent_since_ms = f->opened_ms;
+		a->silent_since_ms = MAX(f->opened_ms, a->resumed_ms);
 	if (++a->unanswered_opens < DOWN_OPENS || a->down)
 		return;
 	a->down = true;
@@ -243,6 +243,13 @@
 	relay_load_report(a);
 }
 
+void relay_server_agent_paused(relay_agent_t *a)
+{
+	a->resumed_ms = a->now;
+	if (a->silent_since_ms)
+		a->silent_since_ms = a->now;
+}
+
 bool relay_server_lost_flows(const relay_agent_t *a)
 {
 	return a->down && a->unanswered_opens >= LOST_OPENS &&
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -114,6 +114,7 @@
 	uint64_t unanswered_since_ms;
 	bool reported_stalled;	   /* the last load report said stalled */
 	uint64_t silent_since_ms;  /* first open without an answer; 0: none */
+	uint64_t resumed_ms;	   /* end of the agent's last pause */
 	uint32_t unanswered_opens; /* consecutive opens without an answer */
 	bool down;		   /* unanswered_opens reached DOWN_OPENS */
 	bool flows_lost;      /* the server lost its flows: they are reset */
@@ -171,6 +172,9 @@
 void relay_server_heard(relay_agent_t *a);
 /* Notes an open that the server did not answer in time. */
 void relay_server_open_unanswered(relay_agent_t *a, const server_flow_t *f);
+/* Notes that the agent did not run for some time: the silence of the server
+ * counts from now on. */
+void relay_server_agent_paused(relay_agent_t *a);
 /* Returns true when the server must have lost its flows. */
 bool relay_server_lost_flows(const relay_agent_t *a);
 /* Notes that the server has started again and lost its flows. */
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -228,6 +228,32 @@
 }
 END_TEST
 
+/* Guards against resets of open flows by an agent that did not run for a while:
+ * it has not seen that its server was silent meanwhile. A server that stays
+ * silent has lost its flows. */
+START_TEST(pause_of_agent_is_no_silence)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_advance(r, 50);
+	for (unsigned i = 10; i < 14; i++)
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+	if (_i) /* the pause begins when the opens count as unanswered */
+		rr_advance(r, 100);
+	rr_clear(r);
+	r->now += 1300;
+	relay_agent_tick(r->agent, r->now);
+	rr_advance(r, 400);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_advance(r, 300);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_holding");
@@ -241,6 +267,7 @@
 	tcase_add_test(tc, silent_server_is_passed);
 	tcase_add_test(tc, detour_is_passed_on);
 	tcase_add_test(tc, unused_copy_is_not_reset);
+	tcase_add_loop_test(tc, pause_of_agent_is_no_silence, 0, 2);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
