Drop opens that waited in a socket until their callers had given up

Besides, it offered opens whose callers had given up or been served through another balancer; each took a place at a server in the moment of the return.

Cause: the age of an open came from the number of its copy only. A first copy that had waited in the socket for 3.5 s counted as just sent: it was refused at once when its route was not known, since "its flow can't be open yet", or offered for 1.3 s more. The same held for offers that waited in an agent's socket, for opens that were being offered when the process was stopped, and for opens in an agent's queue, which were served before the expired ones were taken out.

Mend: the kernel stamps datagrams, and the time since the socket was last known to be empty bounds their wait, in a clock that counts suspended time and is read for each datagram, so that a stop in the middle of a turn counts, too. An open is as old as its copy and its wait; from 1.4 s on it is dropped by balancers and agents. Offers tell the age (field 41, new). A line "wake" in the log says how many datagrams had waited.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	src/endpoint.c src/err.c src/evacuation.c src/event_log.c \
 	src/flow_index.c src/held_packets.c src/holder_evidence.c src/open_queue.c \
 	src/packet.c src/placement.c src/rank.c src/route_history.c \
-	src/routes.c src/server_pace.c src/toml_text.c src/udp_socket.c \
+	src/routes.c src/server_pace.c src/socket_wait.c src/toml_text.c src/udp_socket.c \
 	src/warmup_limit.c src/watcher.c src/zone_path.c
 RELAY_OBJ = $(RELAY_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
 # All libraries but the C library are linked statically: loading them takes two
--- a/src/counters.h
+++ b/src/counters.h
@@ -35,6 +35,7 @@
 	X(DROP_NO_TARGET, "drop_no_target")                                    \
 	X(DROP_NO_CONFIG, "drop_no_config")                                    \
 	X(OPENS_EARLY, "opens_early")                                          \
+	X(OPENS_STALE, "opens_stale")                                          \
 	X(PACKETS_HELD, "packets_held")                                        \
 	X(STORE_READS, "store_reads")                                          \
 	X(DROP_WRONG_SERVICE, "drop_wrong_service")                            \
--- a/src/held_packets.c
+++ b/src/held_packets.c
@@ -6,6 +6,7 @@
 typedef struct held_packet {
 	list_t node; /* in held_packets.packets */
 	uint64_t arrived_ms;
+	uint32_t wait_ms;
 	size_t len;
 	uint8_t data[];
 } held_packet_t;
@@ -43,7 +44,7 @@
 	free(h);
 }
 
-void held_packets_add(held_packets_t *h, uint64_t arrived_ms,
+void held_packets_add(held_packets_t *h, uint64_t arrived_ms, uint32_t wait_ms,
 		      const uint8_t *buf, size_t len)
 {
 	held_packet_t *p;
@@ -56,6 +57,7 @@
 	if (!p)
 		return;
 	p->arrived_ms = arrived_ms;
+	p->wait_ms = wait_ms;
 	p->len = len;
 	memcpy(p->data, buf, len);
 	list_append(&h->packets, &p->node);
@@ -68,7 +70,7 @@
 }
 
 size_t held_packets_take(held_packets_t *h, uint64_t now, uint8_t *buf,
-			 size_t size, uint64_t *arrived_ms)
+			 size_t size, uint64_t *arrived_ms, uint32_t *wait_ms)
 {
 	list_each_safe(node, after, &h->packets)
 	{
@@ -78,6 +80,7 @@
 			now <= p->arrived_ms + HELD_PACKET_MS && len <= size;
 
 		*arrived_ms = p->arrived_ms;
+		*wait_ms = p->wait_ms;
 		if (usable)
 			memcpy(buf, p->data, len);
 		drop(h, p);
--- a/src/held_packets.h
+++ b/src/held_packets.h
@@ -27,9 +27,9 @@
 held_packets_t *held_packets_new(size_t max);
 void held_packets_free(held_packets_t *h);
 
-/* Keeps a copy of a packet that arrived at a time. With max packets kept, the
- * oldest is dropped. */
-void held_packets_add(held_packets_t *h, uint64_t arrived_ms,
+/* Keeps a copy of a packet that was read at a time, after it had waited in a
+ * socket for wait_ms. With max packets kept, the oldest is dropped. */
+void held_packets_add(held_packets_t *h, uint64_t arrived_ms, uint32_t wait_ms,
 		      const uint8_t *buf, size_t len);
 
 size_t held_packets_count(const held_packets_t *h);
@@ -40,6 +40,6 @@
  * are dropped. Returns its length in bytes, 0 when none is left.
  */
 size_t held_packets_take(held_packets_t *h, uint64_t now, uint8_t *buf,
-			 size_t size, uint64_t *arrived_ms);
+			 size_t size, uint64_t *arrived_ms, uint32_t *wait_ms);
 
 #endif
--- a/src/open_queue.c
+++ b/src/open_queue.c
@@ -71,8 +71,9 @@
 		open_wait_t *w = list_entry(node, open_wait_t, node);
 		bool in_time = now < w->late_ms;
 
-		if (in_time ? !slot_free && !fits(w, now, response_ms)
-			    : !slot_free || best_in_time)
+		if (now >= w->give_up_ms ||
+		    (in_time ? !slot_free && !fits(w, now, response_ms)
+			     : !slot_free || best_in_time))
 			continue;
 		if (best && !relay_mechanism_on(RELAY_QUEUE_ORDER))
 			break;
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -698,7 +698,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[29] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[30] =
 {
   {
     "kind",
@@ -1048,6 +1048,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_age_ms",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, open_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -1069,6 +1081,7 @@
   22,   /* field[22] = max_flows */
   12,   /* field[12] = max_wait_ms */
   18,   /* field[18] = objective_ms */
+  29,   /* field[29] = open_age_ms */
   2,   /* field[2] = packet */
   17,   /* field[17] = priority_percent */
   16,   /* field[16] = queue_ms */
@@ -1084,7 +1097,7 @@
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1094,7 +1107,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  29,
+  30,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -517,15 +517,23 @@
 
 void relay_agent_handle_message(relay_agent_t *a, uint64_t now, uint32_t from,
 				const relay_msg_t *msg)
+{
+	relay_agent_handle_waited(a, now, 0, from, msg);
+}
+
+void relay_agent_handle_waited(relay_agent_t *a, uint64_t now, uint32_t wait_ms,
+			       uint32_t from, const relay_msg_t *msg)
 {
 	a->now = now;
+	if (!relay_mechanism_on(RELAY_SOCKET_WAITS))
+		wait_ms = 0;
 	counter_add(&a->counters, COUNTER_MESSAGES_IN, 1);
 	switch (msg->kind) {
 	case RELAY_HELLO:
 		on_hello(a, from, msg);
 		break;
 	case RELAY_OFFER:
-		relay_agent_offer(a, from, msg);
+		relay_agent_offer(a, from, wait_ms, msg);
 		break;
 	case RELAY_LOOKUP:
 		relay_agent_lookup(a, msg);
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -68,6 +68,10 @@
 /* Handles a message from the balancer or agent at the address `from`. */
 void relay_agent_handle_message(relay_agent_t *a, uint64_t now, uint32_t from,
 				const relay_msg_t *msg);
+/* The same for a message that waited in a socket for wait_ms at most, while the
+ * process did not run. */
+void relay_agent_handle_waited(relay_agent_t *a, uint64_t now, uint32_t wait_ms,
+			       uint32_t from, const relay_msg_t *msg);
 
 /*
  * Notes that no server listened when the agent started. All flows of a server
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -143,20 +143,21 @@
 	free_state(s);
 }
 
-static void on_packet(relay_process_t *p, uint64_t now, uint32_t from,
-		      uint8_t *buf, size_t len)
+static void on_packet(relay_process_t *p, uint64_t now, uint32_t wait_ms,
+		      uint32_t from, uint8_t *buf, size_t len)
 {
 	agent_state_t *s = p->ctx;
 
+	(void)wait_ms;
 	relay_agent_handle_packet(s->agent, now, from, buf, len);
 }
 
-static void on_message(relay_process_t *p, uint64_t now, uint32_t from,
-		       const relay_msg_t *msg)
+static void on_message(relay_process_t *p, uint64_t now, uint32_t wait_ms,
+		       uint32_t from, const relay_msg_t *msg)
 {
 	agent_state_t *s = p->ctx;
 
-	relay_agent_handle_message(s->agent, now, from, msg);
+	relay_agent_handle_waited(s->agent, now, wait_ms, from, msg);
 }
 
 static void tick(relay_process_t *p, uint64_t now)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -55,8 +55,9 @@
 	bool active;		/* open, with packets within ACTIVE_MS */
 	bool request_pending;	/* a request has no answer yet */
 	bool found_free_slot;	/* when the request began, a slot was free */
-	uint64_t request_started_ms;	     /* first packet of the request */
-	uint64_t opened_ms;		     /* delivery of the open */
+	uint64_t request_started_ms; /* first packet of the request */
+	uint64_t sent_ms;   /* when the caller sent the open's first copy */
+	uint64_t opened_ms; /* delivery of the open */
 	uint32_t candidates[CANDIDATES_MAX]; /* agents to try next */
 	size_t ncandidates;
 	uint32_t chain;	      /* number of the look-up chain; 0: no look-up */
@@ -238,8 +239,9 @@
 				 uint32_t balancer, const relay_packet_t *p);
 
 /* relay_agent_open.c: opens */
-/* Handles RELAY_OFFER. */
-void relay_agent_offer(relay_agent_t *a, uint32_t from, const relay_msg_t *msg);
+/* Handles RELAY_OFFER, which waited in the socket for wait_ms. */
+void relay_agent_offer(relay_agent_t *a, uint32_t from, uint32_t wait_ms,
+		       const relay_msg_t *msg);
 /* Offers an open that the server did not accept to the next candidate.
  * `returned`: the server returned it, so that it will not accept it later. */
 void relay_agent_forward_open(relay_agent_t *a, server_flow_t *f,
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -15,11 +15,12 @@
 #define OBJECTIVE_SHARE 0.85
 
 static admission_t admit(const relay_agent_t *a, const relay_msg_t *msg);
-static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer);
+static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer,
+			  uint64_t sent_ms);
 static void send_refused(relay_agent_t *a, uint32_t balancer,
 			 const flow_key_t *key);
 static void deliver_open(relay_agent_t *a, server_flow_t *f);
-static bool queue_open(relay_agent_t *a, server_flow_t *f,
+static bool queue_open(relay_agent_t *a, server_flow_t *f, uint32_t wait_ms,
 		       const relay_msg_t *msg);
 
 /* Expected response time of one more request. */
@@ -60,13 +61,29 @@
 	       !strcmp(msg->service, a->options.service);
 }
 
-/* Offers an open to the next candidate. Returns false when none is left. */
-static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer)
+/* Time at which the caller sent the first copy of an offered open, at the
+ * latest. */
+static uint64_t open_sent_ms(const relay_agent_t *a, const relay_msg_t *offer,
+			     const relay_packet_t *p, uint32_t wait_ms)
+{
+	return a->now - wait_ms - MAX(p->open_age_ms, offer->open_age_ms);
+}
+
+/* True when the caller has given up an open. */
+static bool is_given_up(const relay_agent_t *a, uint64_t sent_ms)
+{
+	return a->now >= sent_ms + RELAY_OPEN_LIFE_MS;
+}
+
+/* Offers an open to the next candidate. Returns false when none is left, or the
+ * caller has given up. */
+static bool forward_offer(relay_agent_t *a, const relay_msg_t *offer,
+			  uint64_t sent_ms)
 {
 	relay_msg_t msg;
 	char agent[ENDPOINT_TEXT_SIZE];
 
-	if (offer->n_candidates == 0)
+	if (offer->n_candidates == 0 || is_given_up(a, sent_ms))
 		return false;
 	relay_msg_init(&msg, RELAY_OFFER);
 	msg.service = offer->service;
@@ -80,6 +97,7 @@
 	}
 	msg.max_wait_ms = offer->max_wait_ms;
 	msg.typical_us = offer->typical_us;
+	msg.open_age_ms = (uint32_t)(a->now - sent_ms);
 	counter_add(&a->counters, COUNTER_OPENS_PASSED, 1);
 	event_log(EVENT_PASSED,
 		  "\"to\":\"%s\",\"in_flight\":%u,\"slots\":%u,\"down\":%s",
@@ -104,11 +122,13 @@
 	relay_agent_send(a, balancer, RELAY_REFUSED, key);
 }
 
-void relay_agent_offer(relay_agent_t *a, uint32_t from, const relay_msg_t *msg)
+void relay_agent_offer(relay_agent_t *a, uint32_t from, uint32_t wait_ms,
+		       const relay_msg_t *msg)
 {
 	relay_packet_t p;
 	server_flow_t *f;
 	admission_t admission;
+	uint64_t sent_ms;
 	size_t n;
 
 	if (a->options.format->read(msg->packet.data, msg->packet.len, &p) <
@@ -124,6 +144,11 @@
 		a->slots = msg->slots;
 	if (msg->typical_us && relay_mechanism_on(RELAY_TYPICAL_TIME))
 		a->group_service_ms = msg->typical_us / 1000.0;
+	sent_ms = open_sent_ms(a, msg, &p, wait_ms);
+	if (is_given_up(a, sent_ms)) {
+		counter_add(&a->counters, COUNTER_OPENS_STALE, 1);
+		return;
+	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
 	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPEN) {
 		f->balancer = msg->balancer;
@@ -153,7 +178,7 @@
 	else if (relay_agent_warmup_full(a) || relay_agent_flows_full(a))
 		counter_add(&a->counters, COUNTER_OPENS_LIMITED, 1);
 	if (admission != ADMISSION_ACCEPT && !may_queue(a, msg)) {
-		if (!forward_offer(a, msg))
+		if (!forward_offer(a, msg, sent_ms))
 			send_refused(a, msg->balancer, &p.key);
 		return;
 	}
@@ -161,13 +186,14 @@
 		server_flow_remove(a, f);
 	f = server_flow_find_or_add(a, &p.key);
 	if (!f) {
-		if (!forward_offer(a, msg))
+		if (!forward_offer(a, msg, sent_ms))
 			send_refused(a, msg->balancer, &p.key);
 		return;
 	}
 	n = msg->n_candidates < CANDIDATES_MAX ? msg->n_candidates
 					       : CANDIDATES_MAX;
 	f->caller_isn = p.seq;
+	f->sent_ms = sent_ms;
 	f->balancer = msg->balancer;
 	f->ncandidates = n;
 	f->max_wait_ms = msg->max_wait_ms;
@@ -178,7 +204,7 @@
 	f->syn_len = (uint8_t)p.len;
 	if (admission == ADMISSION_ACCEPT)
 		deliver_open(a, f);
-	else if (!queue_open(a, f, msg))
+	else if (!queue_open(a, f, wait_ms, msg))
 		server_flow_remove(a, f);
 }
 
@@ -209,14 +235,16 @@
 }
 
 /* Puts the open into the queue, or refuses it when the queue is full. */
-static bool queue_open(relay_agent_t *a, server_flow_t *f,
+static bool queue_open(relay_agent_t *a, server_flow_t *f, uint32_t wait_ms,
 		       const relay_msg_t *msg)
 {
 	char text[FLOW_TEXT_SIZE];
 
 	open_queue_set_rate(&a->queue, a->slots, relay_health_service_ms(a));
 	f->wait.since_ms = a->now;
-	f->wait.give_up_ms = a->now + msg->queue_ms;
+	f->wait.give_up_ms =
+		a->now +
+		(msg->queue_ms > wait_ms ? msg->queue_ms - wait_ms : 0);
 	f->wait.max_wait_ms = msg->max_wait_ms;
 	f->wait.late_ms = late_ms(a, msg->objective_ms);
 	f->wait.priority = msg->priority_percent;
@@ -289,7 +317,7 @@
 	offer.candidates = f->candidates;
 	offer.n_candidates = f->ncandidates;
 	offer.max_wait_ms = f->max_wait_ms;
-	forwarded = forward_offer(a, &offer);
+	forwarded = forward_offer(a, &offer, f->sent_ms);
 	f->ncandidates = 0;
 	/* An open that the server did not return may still be accepted: it is
 	 * not refused. */
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -235,17 +235,21 @@
 }
 
 void relay_handle_routed(relay_balancer_t *b, relay_packet_t *p,
-			 uint64_t arrived_ms)
+			 uint64_t arrived_ms, uint32_t wait_ms)
 {
 	const route_t *route = route_find(b->routes, p->key.dst, p->key.dport);
 	relay_flow_t *f;
 
+	if (relay_packet_opens(p)) {
+		p->open_age_ms += (uint32_t)(b->now - arrived_ms) + wait_ms;
+		if (relay_open_is_stale(b, p))
+			return;
+	}
 	if (!route) {
-		relay_unrouted_packet(b, p, arrived_ms);
+		relay_unrouted_packet(b, p, arrived_ms, wait_ms);
 		return;
 	}
 	if (relay_packet_opens(p)) {
-		p->open_age_ms += (uint16_t)(b->now - arrived_ms);
 		relay_open_packet(b, route, p);
 		return;
 	}
@@ -269,10 +273,18 @@
 
 void relay_balancer_handle_packet(relay_balancer_t *b, uint64_t now,
 				  uint8_t *buf, size_t len)
+{
+	relay_balancer_handle_waited(b, now, 0, buf, len);
+}
+
+void relay_balancer_handle_waited(relay_balancer_t *b, uint64_t now,
+				  uint32_t wait_ms, uint8_t *buf, size_t len)
 {
 	relay_packet_t p;
 
 	b->now = now;
+	if (!relay_mechanism_on(RELAY_SOCKET_WAITS))
+		wait_ms = 0;
 	counter_add(&b->counters, COUNTER_PACKETS_IN, 1);
 	if (b->options.format->read(buf, len, &p) < 0) {
 		counter_add(&b->counters, COUNTER_DROP_TRUNCATED, 1);
@@ -285,10 +297,10 @@
 	}
 	if (!b->routes) {
 		counter_add(&b->counters, COUNTER_OPENS_EARLY, 1);
-		early_opens_add(b->early, now, &p.key, buf, len);
+		early_opens_add(b->early, now - wait_ms, &p.key, buf, len);
 		return;
 	}
-	relay_handle_routed(b, &p, now);
+	relay_handle_routed(b, &p, now, wait_ms);
 }
 
 /* Handles the opens that arrived before the routes. */
@@ -306,9 +318,8 @@
 		    relay_flow_find(b, &p.key) ||
 		    p.open_age_ms + waited_ms > EARLY_OPEN_MS)
 			continue;
-		p.open_age_ms += (uint16_t)waited_ms;
 		n++;
-		relay_handle_routed(b, &p, b->now);
+		relay_handle_routed(b, &p, b->now, (uint32_t)waited_ms);
 	}
 	event_log(EVENT_ROUTES, "\"early_opens\":%u", n);
 }
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -104,6 +104,10 @@
 /* Handles a packet from a caller and overwrites its annotation. */
 void relay_balancer_handle_packet(relay_balancer_t *b, uint64_t now,
 				  uint8_t *buf, size_t len);
+/* The same for a packet that waited in a socket for wait_ms at most, while the
+ * process did not run. */
+void relay_balancer_handle_waited(relay_balancer_t *b, uint64_t now,
+				  uint32_t wait_ms, uint8_t *buf, size_t len);
 
 /* Handles a message from the agent on the host with the address `from`. */
 void relay_balancer_handle_message(relay_balancer_t *b, uint64_t now,
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -268,20 +268,21 @@
 	free(s);
 }
 
-static void on_packet(relay_process_t *p, uint64_t now, uint32_t from,
-		      uint8_t *buf, size_t len)
+static void on_packet(relay_process_t *p, uint64_t now, uint32_t wait_ms,
+		      uint32_t from, uint8_t *buf, size_t len)
 {
 	balancer_state_t *s = p->ctx;
 
 	(void)from;
-	relay_balancer_handle_packet(s->balancer, now, buf, len);
+	relay_balancer_handle_waited(s->balancer, now, wait_ms, buf, len);
 }
 
-static void on_message(relay_process_t *p, uint64_t now, uint32_t from,
-		       const relay_msg_t *msg)
+static void on_message(relay_process_t *p, uint64_t now, uint32_t wait_ms,
+		       uint32_t from, const relay_msg_t *msg)
 {
 	balancer_state_t *s = p->ctx;
 
+	(void)wait_ms;
 	relay_balancer_handle_message(s->balancer, now, from, msg);
 }
 
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -167,6 +167,7 @@
 	 * caller's acknowledgement then; 0: none. */
 	uint64_t detoured_ms;
 	uint32_t detoured_ack;
+	uint64_t sent_ms; /* when the caller sent the first copy of the open */
 	uint64_t first_offer_ms;
 	uint64_t offered_ms; /* last offer, or its time-out */
 	/* Agents that received an offer or refused it as a candidate. */
@@ -313,6 +314,8 @@
 			const void *ctx);
 
 /* relay_balancer_open.c: opens */
+/* True for an open that its caller has given up; it is counted. */
+bool relay_open_is_stale(relay_balancer_t *b, const relay_packet_t *p);
 /* Handles a SYN. */
 void relay_open_packet(relay_balancer_t *b, const route_t *route,
 		       relay_packet_t *p);
@@ -336,9 +339,10 @@
 /* Notes that a look-up begins: while others end without a holder, the store is
  * read before its agents have answered. */
 void relay_read_expect(relay_balancer_t *b);
-/* Handles a packet that arrived at a time and has no route. */
+/* Handles a packet without a route that was read at a time, after it had waited
+ * in the socket for wait_ms. */
 void relay_unrouted_packet(relay_balancer_t *b, const relay_packet_t *p,
-			   uint64_t arrived_ms);
+			   uint64_t arrived_ms, uint32_t wait_ms);
 /* Handles the held packets by new routes. */
 void relay_routes_changed(relay_balancer_t *b);
 /* Asks for a reading of the store if one is due. */
@@ -415,9 +419,10 @@
 			 const relay_msg_t *msg);
 
 /* relay_balancer.c */
-/* Handles a packet that arrived at a time, while routes are known. */
+/* Handles a packet while routes are known. It was read at arrived_ms, after it
+ * had waited in the socket for wait_ms. */
 void relay_handle_routed(relay_balancer_t *b, relay_packet_t *p,
-			 uint64_t arrived_ms);
+			 uint64_t arrived_ms, uint32_t wait_ms);
 /* Finds or adds a flow. Returns NULL when out of memory. */
 relay_flow_t *relay_flow_get(relay_balancer_t *b, const flow_key_t *key);
 relay_flow_t *relay_flow_find(relay_balancer_t *b, const flow_key_t *key);
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -6,9 +6,8 @@
  * availability zones plus 100 ms in which the host may wait for its CPU
  * quota. */
 #define OFFER_TIMEOUT_MS 130
-/* Time-out of an open. The caller retransmits its SYN for the last time after
- * 600 ms and gives up after 1.4 s. */
-#define OPEN_TIMEOUT_MS 1500
+/* Age of an open at which it is removed: its caller has given up. */
+#define OPEN_TIMEOUT_MS (RELAY_OPEN_LIFE_MS + 100)
 /* Age of an open at which it is given up: its caller is told before it gives up
  * by itself. */
 #define OPEN_GIVE_UP_MS 1300
@@ -316,10 +315,18 @@
 	return true;
 }
 
+/* True when the caller of the open has given up. */
+static bool is_given_up(const relay_balancer_t *b, const relay_flow_t *f)
+{
+	return b->now >= f->sent_ms + RELAY_OPEN_LIFE_MS;
+}
+
 /* Offers an open, or lets it wait. Returns false when it is to be refused. */
 static bool place_open(relay_balancer_t *b, relay_flow_t *f)
 {
 	f->waiting_target = false;
+	if (is_given_up(b, f))
+		return false;
 	if (f->refusals < REFUSALS_MAX && !f->queue_offers && send_offer(b, f))
 		return true;
 	return wait_for_room(b, f);
@@ -359,6 +366,7 @@
 	if (typical->has_service_ms)
 		msg.typical_us = (uint32_t)(typical->service_ms * 1000);
 	msg.queue_ms = queue_ms;
+	msg.open_age_ms = (uint32_t)(b->now - f->sent_ms);
 	msg.priority_percent = f->priority;
 	msg.objective_ms = f->objective_ms;
 	msg.evacuation = relay_evacuation_tell(b, chosen[0], &evacuation);
@@ -415,12 +423,24 @@
  */
 static void refuse_open(relay_balancer_t *b, relay_flow_t *f)
 {
+	if (is_given_up(b, f)) {
+		flow_index_remove(b->flows, &f->node);
+		return;
+	}
 	if (f->offer_unanswered && relay_mechanism_on(RELAY_TRUE_REFUSAL))
 		return;
 	counter_add(&b->counters, COUNTER_OPENS_REFUSED, 1);
 	relay_flow_reset(b, f, refusal_reason(b, f));
 }
 
+bool relay_open_is_stale(relay_balancer_t *b, const relay_packet_t *p)
+{
+	bool stale = p->open_age_ms >= RELAY_OPEN_LIFE_MS;
+
+	counter_add(&b->counters, COUNTER_OPENS_STALE, stale);
+	return stale;
+}
+
 /* Part of the longest wait that is left to an open of an age; 1 when there is
  * none, since 0 means no limit. */
 static uint32_t remaining_wait_ms(double max_wait_ms, uint32_t age_ms)
@@ -481,6 +501,7 @@
 	counter_add(&b->counters, COUNTER_OPENS, 1);
 	f->seq = p->seq;
 	f->first_offer_ms = b->now;
+	f->sent_ms = b->now - p->open_age_ms;
 	f->service = g_intern_string(
 		route_select_service(route, flow_key_hash(&p->key, 0)));
 	f->tag = service_tag(f->service);
@@ -491,9 +512,7 @@
 	f->max_wait_ms = remaining_wait_ms(
 		placement_max_wait(route->objective_ms, priority),
 		p->open_age_ms);
-	f->give_up_ms = b->now + OPEN_GIVE_UP_MS;
-	if (p->open_age_ms < OPEN_GIVE_UP_MS)
-		f->give_up_ms -= p->open_age_ms;
+	f->give_up_ms = f->sent_ms + OPEN_GIVE_UP_MS;
 	b->options.format->annotate(p, 0, 0);
 	memcpy(f->syn, p->data, p->len);
 	f->syn_len = (uint8_t)p->len;
@@ -565,7 +584,7 @@
 	relay_member_t *m;
 	char text[FLOW_TEXT_SIZE], agent[ENDPOINT_TEXT_SIZE];
 
-	if (b->now >= f->first_offer_ms + OPEN_TIMEOUT_MS) {
+	if (b->now >= f->sent_ms + OPEN_TIMEOUT_MS) {
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
--- a/src/relay_balancer_read.c
+++ b/src/relay_balancer_read.c
@@ -61,7 +61,7 @@
 }
 
 void relay_unrouted_packet(relay_balancer_t *b, const relay_packet_t *p,
-			   uint64_t arrived_ms)
+			   uint64_t arrived_ms, uint32_t wait_ms)
 {
 	if ((p->flags & RELAY_RST) || may_refuse_at_once(b, p) ||
 	    relay_read_since(b, arrived_ms)) {
@@ -69,7 +69,7 @@
 		return;
 	}
 	counter_add(&b->counters, COUNTER_PACKETS_HELD, b->now == arrived_ms);
-	held_packets_add(b->held, arrived_ms, p->data, p->len);
+	held_packets_add(b->held, arrived_ms, wait_ms, p->data, p->len);
 }
 
 /* Handles the held packets again. Those that still have no route and can't be
@@ -79,15 +79,16 @@
 	uint8_t buf[RELAY_PACKET_MAX];
 	relay_packet_t p;
 	uint64_t arrived_ms;
+	uint32_t wait_ms;
 	size_t len;
 
 	for (size_t n = held_packets_count(b->held); n; n--) {
 		len = held_packets_take(b->held, b->now, buf, sizeof(buf),
-					&arrived_ms);
+					&arrived_ms, &wait_ms);
 		if (!len)
 			return;
 		if (b->options.format->read(buf, len, &p) == 0)
-			relay_handle_routed(b, &p, arrived_ms);
+			relay_handle_routed(b, &p, arrived_ms, wait_ms);
 	}
 }
 
--- a/src/relay_mechanism.h
+++ b/src/relay_mechanism.h
@@ -40,6 +40,7 @@
 	RELAY_ROUTE_HISTORY, /* look-ups ask former services, too */
 	RELAY_DETOURS,	     /* detours and resets for zones that are cut off */
 	RELAY_LEARNING,	     /* agents name other balancers after a start */
+	RELAY_SOCKET_WAITS,  /* what waited in a socket is as old as that */
 	RELAY_MECHANISMS,    /* number of mechanisms */
 } relay_mechanism_t;
 
--- a/src/relay_packet.h
+++ b/src/relay_packet.h
@@ -37,13 +37,16 @@
 	uint32_t seq;
 	uint32_t ack;
 	uint16_t payload_len; /* bytes */
-	uint16_t open_age_ms; /* of an open: time since its first copy */
-	uint8_t flags;	      /* RELAY_* */
-	uint8_t mark;	      /* mark of the annotation: RELAY_MARK_* */
-	uint32_t annotation;  /* value of the annotation: service tag, or
-			       * address of the balancer */
-	uint8_t *data;	      /* start of the packet; not owned */
-	size_t len;	      /* bytes of the whole packet */
+	/* Of an open: time since its first copy, at most, and age at which its
+	 * caller sends the next copy; 0: there is none. */
+	uint32_t open_age_ms;
+	uint32_t next_copy_ms;
+	uint8_t flags;	     /* RELAY_* */
+	uint8_t mark;	     /* mark of the annotation: RELAY_MARK_* */
+	uint32_t annotation; /* value of the annotation: service tag, or
+			      * address of the balancer */
+	uint8_t *data;	     /* start of the packet; not owned */
+	size_t len;	     /* bytes of the whole packet */
 } relay_packet_t;
 
 typedef struct packet_format {
@@ -63,6 +66,9 @@
 			      uint8_t *buf);
 } packet_format_t;
 
+/* Age at which a caller gives up an open. */
+#define RELAY_OPEN_LIFE_MS 1400
+
 /* Returns true for an open, the first packet of a flow. */
 static inline int relay_packet_opens(const relay_packet_t *p)
 {
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -69,12 +69,33 @@
 			  relay_kind_name(msg->kind));
 }
 
+/* Returns how long the datagram waited that is being received, in ms. */
+static uint32_t note_wait(relay_process_t *p, const udp_socket_t *s)
+{
+	uint32_t wait_ms = udp_socket_wait_ms(s);
+
+	p->waited += wait_ms > 0;
+	p->longest_wait_ms = MAX(p->longest_wait_ms, wait_ms);
+	return wait_ms;
+}
+
+static void log_waits(relay_process_t *p)
+{
+	if (!p->waited)
+		return;
+	event_log(EVENT_WAKE, "\"waited\":%u,\"longest_ms\":%u", p->waited,
+		  p->longest_wait_ms);
+	p->waited = 0;
+	p->longest_wait_ms = 0;
+}
+
 static void on_packet(void *ctx, const endpoint_t *from, uint8_t *buf,
 		      size_t len)
 {
 	relay_process_t *p = ctx;
+	uint32_t wait_ms = note_wait(p, p->packets);
 
-	p->daemon->packet(p, uv_now(&p->loop), from->ip, buf, len);
+	p->daemon->packet(p, uv_now(&p->loop), wait_ms, from->ip, buf, len);
 }
 
 static void on_message(void *ctx, const endpoint_t *from, uint8_t *buf,
@@ -82,12 +103,13 @@
 {
 	relay_process_t *p = ctx;
 	relay_msg_t *msg = relay_msg_unpack(buf, len);
+	uint32_t wait_ms = note_wait(p, p->messages);
 
 	if (!msg) {
 		counter_add(p->counters, COUNTER_MESSAGE_MALFORMED, 1);
 		return;
 	}
-	p->daemon->message(p, uv_now(&p->loop), from->ip, msg);
+	p->daemon->message(p, uv_now(&p->loop), wait_ms, from->ip, msg);
 	relay_msg_free(msg);
 }
 
@@ -222,6 +244,7 @@
 	uint64_t now = uv_now(&p->loop);
 
 	check_suspend(p);
+	log_waits(p);
 	p->daemon->tick(p, now);
 	check_settings(p);
 	event_log_flush();
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -33,12 +33,13 @@
 	int (*start)(relay_process_t *p, err_t *err);
 	/* Releases what start() acquired; also called after a failed start. */
 	void (*end)(relay_process_t *p);
-	/* Handles a packet from the host at the address `from`. */
-	void (*packet)(relay_process_t *p, uint64_t now, uint32_t from,
-		       uint8_t *buf, size_t len);
+	/* Handles a packet from the host at the address `from`, which waited in
+	 * the socket for wait_ms at most. */
+	void (*packet)(relay_process_t *p, uint64_t now, uint32_t wait_ms,
+		       uint32_t from, uint8_t *buf, size_t len);
 	/* Handles a message; msg is released by the process. */
-	void (*message)(relay_process_t *p, uint64_t now, uint32_t from,
-			const relay_msg_t *msg);
+	void (*message)(relay_process_t *p, uint64_t now, uint32_t wait_ms,
+			uint32_t from, const relay_msg_t *msg);
 	void (*tick)(relay_process_t *p, uint64_t now);
 	/* Called once at the stop signal. */
 	void (*stop)(relay_process_t *p, uint64_t now);
@@ -76,6 +77,9 @@
 	bool logged_ready;     /* readiness that the log reported last */
 	uint64_t stop_at_ms;   /* time of the exit after a stop signal */
 	uint64_t suspended_ms; /* total suspension of the host since boot */
+	/* Datagrams since the last tick that had waited in a socket. */
+	unsigned waited;
+	uint32_t longest_wait_ms;
 	uint64_t settings_checked_ms; /* last check of the settings file */
 	int64_t settings_mtime_ns; /* modification time, ns since the epoch */
 	void *ctx;		   /* state of the daemon, owned by it */
--- a/src/udp_socket.c
+++ b/src/udp_socket.c
@@ -1,11 +1,13 @@
 #define _GNU_SOURCE
 #include "udp_socket.h"
+#include "socket_wait.h"
 #include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
 #include <netinet/udp.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 /* Maximum number of datagrams read or sent by one system call. */
@@ -18,9 +20,18 @@
 #define SOCKET_BUFFER_BYTES (4 * 1024 * 1024)
 /* Maximum length of a message that the kernel splits into datagrams. */
 #define GSO_MAX_BYTES 60000
+/* Datagrams that can't have waited longer than this count as just arrived:
+ * several turns of a loop that runs. */
+#define WAIT_MIN_MS 100
 /* End of a list of datagrams linked by gso_batch.next. */
 #define LIST_END BATCH_SIZE
 
+/* Control data of a received datagram: its time stamp. */
+typedef union stamp {
+	char bytes[CMSG_SPACE(sizeof(struct timespec))];
+	struct cmsghdr align;
+} stamp_t;
+
 typedef struct batch {
 	struct mmsghdr headers[BATCH_SIZE];
 	struct iovec iov[BATCH_SIZE];
@@ -65,6 +76,10 @@
 	void *ctx;
 	batch_t in;
 	batch_t out;
+	stamp_t stamps[BATCH_SIZE]; /* of the datagrams in `in` */
+	bool stamped;		    /* the kernel stamps datagrams */
+	socket_wait_t wait;
+	uint32_t wait_ms; /* of the datagram that is being received */
 	gso_batch_t gso_batch;
 	size_t gso_segment_max; /* longer datagrams are sent separately */
 	uint64_t failures;	/* datagrams that could not be sent */
@@ -100,6 +115,14 @@
 	return 0;
 }
 
+static uint64_t clock_ms(clockid_t id)
+{
+	struct timespec t;
+
+	clock_gettime(id, &t);
+	return (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / 1000000;
+}
+
 static int open_fd(const endpoint_t *bind_to, const endpoint_t *peer,
 		   err_t *err)
 {
@@ -141,6 +164,7 @@
 			      err_t *err)
 {
 	udp_socket_t *s = calloc(1, sizeof(*s));
+	int on = 1;
 
 	if (!s || batch_init(&s->in) < 0 || batch_init(&s->out) < 0) {
 		err_set(err, ERR_MEMORY, NULL, 0, "free memory",
@@ -154,6 +178,9 @@
 	s->fd = open_fd(bind_to, peer, err);
 	if (s->fd < 0)
 		goto fail;
+	s->stamped = setsockopt(s->fd, SOL_SOCKET, SO_TIMESTAMPNS, &on,
+				sizeof(on)) == 0;
+	socket_wait_init(&s->wait, clock_ms(CLOCK_BOOTTIME));
 	uv_poll_init(loop, &s->poll, s->fd);
 	uv_prepare_init(loop, &s->prepare);
 	s->poll.data = s;
@@ -194,6 +221,49 @@
 	uv_close((uv_handle_t *)&s->prepare, on_closed);
 }
 
+/* Prepares the batch for a read: the kernel overwrites the lengths. */
+static void reset_headers(udp_socket_t *s)
+{
+	for (unsigned i = 0; i < BATCH_SIZE; i++) {
+		struct msghdr *h = &s->in.headers[i].msg_hdr;
+
+		h->msg_namelen = sizeof(s->in.addr[i]);
+		h->msg_control = s->stamped ? &s->stamps[i] : NULL;
+		h->msg_controllen = s->stamped ? sizeof(s->stamps[i]) : 0;
+	}
+}
+
+/* Time in ms since the kernel stamped a datagram; false: it has no stamp. */
+static bool stamp_age(struct msghdr *h, int64_t *age_ms)
+{
+	struct cmsghdr *c = CMSG_FIRSTHDR(h);
+	struct timespec t;
+
+	if (!c || c->cmsg_level != SOL_SOCKET ||
+	    c->cmsg_type != SCM_TIMESTAMPNS)
+		return false;
+	memcpy(&t, CMSG_DATA(c), sizeof(t));
+	*age_ms = (int64_t)clock_ms(CLOCK_REALTIME) -
+		  ((int64_t)t.tv_sec * 1000 + (int64_t)t.tv_nsec / 1000000);
+	return true;
+}
+
+/* Finds out how long a datagram has waited that is about to be received. The
+ * process may have been stopped since the loop read its clock. */
+static void note_wait(udp_socket_t *s, struct msghdr *h)
+{
+	uint64_t bound_ms =
+		socket_wait_bound(&s->wait, clock_ms(CLOCK_BOOTTIME));
+	int64_t age_ms;
+
+	s->wait_ms = 0;
+	if (bound_ms < WAIT_MIN_MS)
+		return;
+	uv_update_time(s->poll.loop);
+	s->wait_ms = socket_wait_ms(bound_ms,
+				    stamp_age(h, &age_ms) ? &age_ms : NULL);
+}
+
 static void on_readable(uv_poll_t *poll, int status, int events)
 {
 	udp_socket_t *s = poll->data;
@@ -204,13 +274,12 @@
 	for (int round = 0; round < BATCHES_PER_EVENT; round++) {
 		int n;
 
-		for (unsigned i = 0; i < BATCH_SIZE; i++)
-			s->in.headers[i].msg_hdr.msg_namelen =
-				sizeof(s->in.addr[i]);
+		reset_headers(s);
 		n = recvmmsg(s->fd, s->in.headers, BATCH_SIZE, 0, NULL);
 		if (n < 0) {
 			if (errno == ECONNREFUSED && s->ops.refused)
 				s->ops.refused(s->ctx);
+			socket_wait_read(&s->wait, errno == EAGAIN);
 			return;
 		}
 		for (int i = 0; i < n; i++) {
@@ -218,6 +287,7 @@
 				endpoint_from_sockaddr(&s->in.addr[i]);
 			int ahead = i + PREFETCH_DISTANCE;
 
+			note_wait(s, &s->in.headers[i].msg_hdr);
 			if (s->ops.prefetch && ahead < n)
 				s->ops.prefetch(s->ctx, s->in.bufs[ahead],
 						s->in.headers[ahead].msg_len);
@@ -226,14 +296,23 @@
 		}
 		if (s->ops.batch_end)
 			s->ops.batch_end(s->ctx);
+		socket_wait_read(&s->wait, n < BATCH_SIZE);
 		if (n < BATCH_SIZE)
 			return;
 	}
 }
 
+uint32_t udp_socket_wait_ms(const udp_socket_t *s)
+{
+	return s->wait_ms;
+}
+
 static void on_prepare(uv_prepare_t *prepare)
 {
-	udp_socket_flush(prepare->data);
+	udp_socket_t *s = prepare->data;
+
+	udp_socket_flush(s);
+	socket_wait_poll(&s->wait, clock_ms(CLOCK_BOOTTIME));
 }
 
 uint8_t *udp_socket_reserve(udp_socket_t *s)
--- a/src/udp_socket.h
+++ b/src/udp_socket.h
@@ -15,6 +15,7 @@
 
 #include "endpoint.h"
 #include "err.h"
+#include <stdbool.h>
 #include <uv.h>
 
 /* Maximum length of a datagram in bytes: a jumbo frame and message headers. */
@@ -50,6 +51,10 @@
 			      const udp_socket_ops_t *ops, void *ctx,
 			      err_t *err);
 
+/* Time in ms that the datagram which is being received waited in the socket, at
+ * most; short waits are 0. Valid in `receive`. */
+uint32_t udp_socket_wait_ms(const udp_socket_t *s);
+
 /* Sends the queue, closes the socket and frees it. */
 void udp_socket_close(udp_socket_t *s);
 
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -278,7 +278,7 @@
 	uint8_t buf[RELAY_PACKET_MAX];
 	size_t len = build_packet(buf, flow, true, flags, seq, ack, payload);
 
-	relay_balancer_handle_packet(r->balancer, r->now, buf, len);
+	relay_balancer_handle_waited(r->balancer, r->now, r->wait_ms, buf, len);
 }
 
 void rr_from_balancer(relay_rig_t *r, uint32_t balancer, unsigned flow,
@@ -319,7 +319,8 @@
 	if (r->balancer)
 		relay_balancer_handle_message(r->balancer, r->now, host, msg);
 	else
-		relay_agent_handle_message(r->agent, r->now, host, msg);
+		relay_agent_handle_waited(r->agent, r->now, r->wait_ms, host,
+					  msg);
 }
 
 void rr_flow_message(relay_rig_t *r, uint32_t host, relay_kind_t kind,
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -34,6 +34,7 @@
 	uint64_t now;		    /* ms */
 	uint64_t unix_at_0;	    /* Unix time at now 0, ms; 0: no clock */
 	bool store_watched;	    /* the store reports changes at once */
+	uint32_t wait_ms;	    /* what is received waited in the socket */
 	rig_sent_t sent[RIG_SENT_MAX];
 	size_t nsent;
 } relay_rig_t;
--- a/test/soak.py
+++ b/test/soak.py
@@ -10,7 +10,7 @@
 usage: soak.py PROGRAM [--old PROGRAM] [--seconds N] [--seed N] [--hosts N] [--keep DIR]
 Exits with 0 when no check failed.
 """
-import argparse, asyncio, base64, json, os, random, shutil, signal, struct
+import argparse, asyncio, base64, json, os, random, shutil, signal, socket, struct
 import subprocess, sys, tempfile, time
 
 HEADER = struct.Struct(">HIIIIHIHBBI")
@@ -211,7 +211,7 @@
 
     def __init__(self, soak, service, agent):
         self.soak, self.service, self.agent = soak, service, agent
-        self.disturbed_at, self.epoch, self.up = 0, 0, False
+        self.disturbed_at, self.epoch, self.up, self.listener = 0, 0, False, None
 
     def connection_made(self, transport):
         self.transport = transport
@@ -223,8 +223,19 @@
         self.born = int(time.time() * 1000)
         self.up, self.draining, self.drained = True, False, None
         self.disturbed_at = now()
+        self.listen()
         self.publish()
 
+    def listen(self):
+        """Agents that start find out from the TCP port whether a server runs."""
+        listener = socket.create_server((self.agent.address, self.soak.port + 4))
+        self.listener = asyncio.create_task(asyncio.start_server(lambda r, w: w.close(), sock=listener))
+
+    def end(self):
+        self.up, self.disturbed_at = False, now()
+        listener, self.listener = self.listener, None
+        listener.add_done_callback(lambda t: t.result().close())
+
     def publish(self):
         self.writes += 1
         if self.up and not self.soak.store.fault:
@@ -236,7 +247,7 @@
                 self.drained = now()
 
     def crash(self):
-        self.up, self.disturbed_at = False, now()
+        self.end()
         expired_id, self.flows = self.id, {}
         asyncio.get_running_loop().call_later(EXPIRY_HEARTBEATS * HEARTBEAT_S, lambda: self.soak.store.put("servers/" + expired_id, None))
 
@@ -253,7 +264,7 @@
             self.soak.add_violation("%s received a packet of route %s" % (self.id, name))
         key, loop = (src, sport, dst, dport), asyncio.get_running_loop()
         if flags & SYN:
-            self.soak.check_open(self, key)
+            self.soak.check_open(self, key, ack)
             isn = random.getrandbits(32)
             self.flows.setdefault(key, {"isn": isn, "next": isn + 1, "open": False, "seen": {}})
             self.out(dst, dport, src, sport, SYN | ACK, self.flows[key]["isn"], seq + 1)
@@ -348,9 +359,10 @@
         self.port = 2000 + (self.port - 1999) % 50000
         key = (ip(self.address), self.port, ip(ROUTES[name][0]), ROUTES[name][1])
         flow = {"key": key, "isn": 0, "ack": 0, "seq": 6, "event": asyncio.Event(), "reset": False, "answer": b"", "closed": False,
-                "balancer": None, "name": name, "sent": set()}
-        self.flows[self.port] = flow
+                "balancer": None, "name": name, "sent": set(), "copies": []}
+        self.flows[self.port] = self.soak.opens[key] = flow
         for copy, pause in enumerate((0.2, 0.4, 0.8)):
+            flow["copies"].append(now())
             self.send(flow, SYN, 5, copy)
             if await self.wait(flow, pause):
                 return flow
@@ -411,7 +423,7 @@
         os.makedirs(self.dir, exist_ok=True)
         self.faults, self.log = [], open(os.path.join(self.dir, "soak.log"), "w")
         self.store, self.ended, self.violations, self.runs = Store(self), False, [], {}
-        self.flows, self.results = {}, []
+        self.flows, self.opens, self.results, self.callers = {}, {}, [], []
         self.service_of, self.led_to = dict(SERVICE_OF), set(SERVICE_OF.items())
         self.route_at = {(ip(a), p): n for n, (a, p, _) in ROUTES.items()}
         self.store_fault_ended, self.started_at = 0, now()
@@ -449,7 +461,8 @@
         if all(p.settled() for p in senders + [server.agent, flow["balancer"]]):
             self.add_violation("%s reset the open flow %r of server %s" % (sender, flow["key"], server.id))
 
-    def check_open(self, server, key):
+    def check_open(self, server, key, copy):
+        """A copy of an open reached a server; copies are numbered from 0."""
         if server.draining and server.drained and now() - server.drained > DRAIN_S and \
                 self.all_settled(server.agent, *self.balancers) and all(p.mode == "normal" for p in self.proxies):
             self.add_violation("open at server %s %.1f s after it began to drain" % (server.id, now() - server.drained))
@@ -463,7 +476,10 @@
 
     # Routers, which probe the balancers and choose one for each flow
     def balancer_for(self, key):
-        ready = [b for b in self.balancers if b.rotation] or self.balancers
+        """While fewer than half answer the probes, the routers use all."""
+        ready = [b for b in self.balancers if b.rotation]
+        if 2 * len(ready) < len(self.balancers):
+            ready = self.balancers
         return max(ready, key=lambda b: hash((b.address, key)))
 
     async def probe(self, balancer):
@@ -535,7 +551,7 @@
                 await asyncio.sleep(0.05)
             if server.up and server.draining:
                 self.store.put("servers/" + server.id, None)
-                server.up = False
+                server.end()
                 await asyncio.sleep(duration)
                 server.start()
         elif name == "evacuate":
@@ -681,6 +697,7 @@
         await asyncio.sleep(1.5)
         for i in range(hosts * 2):
             caller = Caller(self, i + 1)
+            self.callers.append(caller)
             await loop.create_datagram_endpoint(lambda c=caller: c, local_addr=(caller.address, self.port))
             for name, pause in (("feeds", 0.4), ("logs", 1.0), ("maps", 1.0)):
                 tasks.append(asyncio.create_task(caller.run_requests(name, pause)))
