Reset the flows of a silent server only if none listens

Cause: three opens without an answer in half a second were held for proof of a crash. A process that gets no processor time for that long keeps its flows.

Ruled out: late copies that flood the servers after a wake-up; with these dropped the resets remain.

Mend: silence makes the agent open a TCP connection to the server's port, without a request; the kernel refuses it only if no process listens. Flows are lost once it was refused after the silence began.

Two new cases of test_relay_holding fail if silence alone counts.

--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -32,6 +32,9 @@
 	/* Sends a packet to a caller. */
 	void (*send_reply)(void *ctx, uint32_t caller, const uint8_t *buf,
 			   size_t len);
+	/* Finds out whether the backend server runs: unless it listens,
+	 * relay_agent_server_refused() is called, at once or later. */
+	void (*probe_server)(void *ctx);
 } relay_agent_ops_t;
 
 typedef struct relay_agent_options {
@@ -80,6 +83,9 @@
  */
 void relay_agent_no_server(relay_agent_t *a, uint64_t now);
 
+/* Notes that the host has refused a connection to the server: none runs. */
+void relay_agent_server_refused(relay_agent_t *a, uint64_t now);
+
 /* Runs timers; to be called every RELAY_AGENT_TICK_MS. */
 void relay_agent_tick(relay_agent_t *a, uint64_t now);
 
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -11,6 +11,9 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 
+/* Time after which a connection without an answer is given up: the server's
+ * queue of connections is full. */
+#define PROBE_TIMEOUT_MS 1000
 /* Time from the stop signal to the exit: the balancers receive the report that
  * the agent stops, and opens that were offered before are handled. */
 #define STOP_MS 400
@@ -20,10 +23,12 @@
 typedef struct agent_state {
 	relay_agent_t *agent;
 	udp_socket_t *server;
-	uv_tcp_t probe; /* of whether a server listens at the start */
+	uv_tcp_t probe; /* of whether a server listens */
 	uv_connect_t probe_request;
-	bool probe_closed; /* never opened, or closed again */
-	bool ended;	   /* to be freed once the probe is closed */
+	uint64_t probed_ms; /* when it began */
+	bool probes_start;  /* at the start of the agent */
+	bool probe_closed;  /* never opened, or closed again */
+	bool ended;	    /* to be freed once the probe is closed */
 } agent_state_t;
 
 static void deliver(void *ctx, const uint8_t *buf, size_t len)
@@ -56,6 +61,7 @@
 	agent_state_t *s = handle->data;
 
 	s->probe_closed = true;
+	s->probes_start = false;
 	free_state(s);
 }
 
@@ -64,29 +70,37 @@
 	relay_process_t *p = request->data;
 	agent_state_t *s = request->handle->data;
 
-	if (s->ended)
+	if (s->ended || status == UV_ECANCELED)
 		return;
-	if (status == UV_ECONNREFUSED)
+	if (status == UV_ECONNREFUSED && s->probes_start)
 		relay_agent_no_server(s->agent, relay_process_now(p));
+	else if (status == UV_ECONNREFUSED)
+		relay_agent_server_refused(s->agent, relay_process_now(p));
 	uv_close((uv_handle_t *)&s->probe, on_probe_closed);
 }
 
-/*
- * Finds out with one connection, without a request, whether a server listens.
- * After a power loss it mostly does not yet, and the agent will have seen all
- * its flows.
+/* Finds out with one connection, without a request, whether a server listens.
  */
-static void probe_server(relay_process_t *p, agent_state_t *s)
+static void probe_server(void *ctx)
 {
+	relay_process_t *p = ctx;
+	agent_state_t *s = p->ctx;
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons(p->settings.server.port),
 		.sin_addr.s_addr = htonl(p->settings.server.ip),
 	};
 
+	if (!s->probe_closed) {
+		if (relay_process_now(p) >= s->probed_ms + PROBE_TIMEOUT_MS &&
+		    !uv_is_closing((uv_handle_t *)&s->probe))
+			uv_close((uv_handle_t *)&s->probe, on_probe_closed);
+		return;
+	}
 	if (uv_tcp_init(&p->loop, &s->probe) < 0)
 		return;
 	s->probe_closed = false;
+	s->probed_ms = relay_process_now(p);
 	s->probe.data = s;
 	s->probe_request.data = p;
 	if (uv_tcp_connect(&s->probe_request, &s->probe,
@@ -98,7 +112,8 @@
 {
 	static const relay_agent_ops_t ops = { deliver,
 					       relay_process_send_message,
-					       relay_process_send_packet };
+					       relay_process_send_packet,
+					       probe_server };
 	static const udp_socket_ops_t server_ops = { .receive =
 							     on_server_packet };
 	relay_agent_options_t options = {
@@ -124,8 +139,11 @@
 	if (!s->server)
 		return -1;
 	udp_socket_disable_gso(s->server);
-	if (!p->settings.first_start)
-		probe_server(p, s);
+	/* After a power loss mostly no server listens yet, and the agent will
+	 * have seen all its flows. */
+	s->probes_start = !p->settings.first_start;
+	if (s->probes_start)
+		probe_server(p);
 	return 0;
 }
 
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -15,6 +15,8 @@
  * an open within milliseconds, however slow its requests are. */
 #define LOST_OPENS     3
 #define LOST_SILENT_MS 500
+/* Interval between probes of a server that is down. */
+#define SERVER_PROBE_INTERVAL_MS 250
 /* A server that sends nothing for this time, or for this many service times if
  * that is longer, while packets wait for an answer is stalled. It may have
  * failed: opens are delivered to find out. */
@@ -250,8 +252,22 @@
 		a->silent_since_ms = a->now;
 }
 
-bool relay_server_lost_flows(const relay_agent_t *a)
+void relay_agent_server_refused(relay_agent_t *a, uint64_t now)
 {
-	return a->down && a->unanswered_opens >= LOST_OPENS &&
-	       a->now >= a->silent_since_ms + LOST_SILENT_MS;
+	a->now = now;
+	a->refused_ms = now;
+}
+
+bool relay_server_lost_flows(relay_agent_t *a)
+{
+	if (!a->down || a->unanswered_opens < LOST_OPENS ||
+	    a->now < a->silent_since_ms + LOST_SILENT_MS)
+		return false;
+	if (a->now >= a->probed_ms + SERVER_PROBE_INTERVAL_MS) {
+		a->probed_ms = a->now;
+		counter_add(&a->counters, COUNTER_SERVER_PROBES, 1);
+		a->ops.probe_server(a->ctx);
+	}
+	/* The refusal must be later than the last sign of life. */
+	return a->refused_ms >= a->silent_since_ms;
 }
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -118,6 +118,8 @@
 	uint64_t resumed_ms;	   /* end of the agent's last pause */
 	uint32_t unanswered_opens; /* consecutive opens without an answer */
 	bool down;		   /* unanswered_opens reached DOWN_OPENS */
+	uint64_t probed_ms;	   /* last probe of the server */
+	uint64_t refused_ms;  /* last probe that showed that no server runs */
 	bool flows_lost;      /* the server lost its flows: they are reset */
 	bool pace_logged;     /* the log last said that a pace is in force */
 	bool failing_logged;  /* the log last said that answers are too fast */
@@ -176,8 +178,12 @@
 /* Notes that the agent did not run for some time: the silence of the server
  * counts from now on. */
 void relay_server_agent_paused(relay_agent_t *a);
-/* Returns true when the server must have lost its flows. */
-bool relay_server_lost_flows(const relay_agent_t *a);
+/*
+ * Returns true when the server must have lost its flows. Silence alone does not
+ * show it: a server that gets no processor time keeps them. Therefore a server
+ * that is down is probed.
+ */
+bool relay_server_lost_flows(relay_agent_t *a);
 /* Notes that the server has started again and lost its flows. */
 void relay_server_restarted(relay_agent_t *a);
 /* Returns how long the server has left packets unanswered, in ms, or 0 while
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -47,6 +47,14 @@
 	record(ctx, RIG_PEER, host, NULL, 0);
 }
 
+static void probe_server(void *ctx)
+{
+	relay_rig_t *r = ctx;
+
+	if (!r->server_listens)
+		relay_agent_server_refused(r->agent, r->now);
+}
+
 static void read_store(void *ctx)
 {
 	record(ctx, RIG_STORE, 0, NULL, 0);
@@ -125,8 +133,8 @@
 
 relay_rig_t *rr_agent(bool knows_all_flows)
 {
-	static const relay_agent_ops_t ops = { to_server, to_process,
-					       to_caller };
+	static const relay_agent_ops_t ops = { to_server, to_process, to_caller,
+					       probe_server };
 	relay_agent_options_t options = { .service = "feeds",
 					  .format = &fleet_packet_format,
 					  .max_flows = 1000,
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -33,6 +33,7 @@
 	relay_agent_t *agent;	    /* NULL when a balancer is tested */
 	uint64_t now;		    /* ms */
 	uint64_t unix_at_0;	    /* Unix time at now 0, ms; 0: no clock */
+	bool server_listens;	    /* the agent's server accepts connections */
 	bool store_watched;	    /* the store reports changes at once */
 	uint32_t wait_ms;	    /* what is received waited in the socket */
 	rig_sent_t sent[RIG_SENT_MAX];
--- a/test/relay_sim.c
+++ b/test/relay_sim.c
@@ -191,6 +191,15 @@
 	rsim_schedule(p->sim, 100, rsim_server_receive, buf, len)->a = p->i;
 }
 
+static void probe_server(void *ctx)
+{
+	peer_t *p = ctx;
+
+	if (!p->sim->servers[p->i].up)
+		relay_agent_server_refused(p->sim->agents[p->i],
+					   rsim_now_ms(p->sim));
+}
+
 static peer_t *new_peer(relay_sim_t *sim, unsigned i)
 {
 	peer_t *p = g_new(peer_t, 1);
@@ -287,7 +296,8 @@
 
 static void new_agent(relay_sim_t *sim, unsigned i, bool complete)
 {
-	static const relay_agent_ops_t ops = { deliver, agent_message, reply };
+	static const relay_agent_ops_t ops = { deliver, agent_message, reply,
+					       probe_server };
 	relay_agent_options_t options = { .service = SERVICE,
 					  .format = &fleet_packet_format,
 					  .max_flows = FLOWS_MAX,
--- a/test/soak.py
+++ b/test/soak.py
@@ -222,6 +222,7 @@
         self.flows, self.busy, self.writes = {}, 0, 0
         self.born = int(time.time() * 1000)
         self.up, self.draining, self.drained = True, False, None
+        self.unread = None  # packets that wait while the server does not run
         self.disturbed_at = now()
         self.listen()
         self.publish()
@@ -246,6 +247,15 @@
             if self.draining and not self.drained:
                 self.drained = now()
 
+    async def hang(self, duration):
+        """Like a process that gets no processor time: it reads and answers nothing for a while."""
+        epoch, self.unread = self.epoch, []
+        await asyncio.sleep(duration)
+        if self.up and self.epoch == epoch:
+            packets, self.unread = self.unread, None
+            for p in packets:
+                self.receive(p)
+
     def crash(self):
         self.end()
         expired_id, self.flows = self.id, {}
@@ -258,13 +268,21 @@
     def datagram_received(self, packet, addr):
         if not self.up:
             return
+        _, _, ack, _, src, sport, dst, dport, flags, _, _ = HEADER.unpack_from(packet)
+        if flags & SYN:
+            self.soak.check_open(self, (src, sport, dst, dport), ack)
+        if self.unread is None:
+            self.receive(packet)
+        else:
+            self.unread.append(packet)
+
+    def receive(self, packet):
         size, seq, ack, _, src, sport, dst, dport, flags, _, echo = HEADER.unpack_from(packet)
         name = self.soak.route_at.get((dst, dport))
         if (name, self.service) not in self.soak.led_to:
             self.soak.add_violation("%s received a packet of route %s" % (self.id, name))
         key, loop = (src, sport, dst, dport), asyncio.get_running_loop()
         if flags & SYN:
-            self.soak.check_open(self, key, ack)
             isn = random.getrandbits(32)
             self.flows.setdefault(key, {"isn": isn, "next": isn + 1, "open": False, "seen": {}})
             self.out(dst, dport, src, sport, SYN | ACK, self.flows[key]["isn"], seq + 1)
--- a/test/soak_wake.py
+++ b/test/soak_wake.py
@@ -23,7 +23,7 @@
 # Delay of the test's own event loop that is allowed for in the age of a copy.
 LOOP_SLACK_S = 0.15
 EVENTS = ["release", "release", "crash", "term-balancer", "term-agent", "new-route", "new-route", "drop-route",
-          "evacuate", "reuse", "store"]
+          "evacuate", "reuse", "store", "hang"]
 
 
 class WakeSoak(soak.Soak):
@@ -140,6 +140,8 @@
             gone = next(r for r in self.own_routes if r in ROUTES)
             del ROUTES[gone], self.service_of[gone]
             self.configure()
+        elif name == "hang":
+            await asyncio.gather(*(s.hang(self.random.uniform(0.4, 2.0)) for s in self.random.sample(self.servers, 3) if s.up))
         elif name in ("crash", "evacuate", "store"):
             await self.run_fault(name)
 
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -254,6 +254,63 @@
 }
 END_TEST
 
+/* Opens that the server leaves unanswered until it counts as down. */
+static void let_opens_wait(relay_rig_t *r)
+{
+	for (unsigned i = 10; i < 14; i++) {
+		rr_offer(r, BALANCER, i, 5, NULL, 0);
+		rr_advance(r, 100);
+	}
+}
+
+/* Guards against a reset of the flows of a server that gets no processor time:
+ * it listens, and keeps its flows, however long it is silent. */
+START_TEST(hung_server_keeps_its_flows)
+{
+	relay_rig_t *r = rr_agent(true);
+	uint32_t other = OTHER_AGENT;
+
+	rr_hello(r, BALANCER, 2);
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_clear(r);
+	r->server_listens = true;
+	let_opens_wait(r);
+	rr_advance(r, 1500);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_clear(r);
+	rr_lookup(r, BALANCER, 1, ISN + 1, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	/* It crashes. */
+	r->server_listens = false;
+	rr_advance(r, 300);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a refusal from before the last sign of life: the server that
+ * has run since is another one. */
+START_TEST(earlier_refusal_proves_nothing)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	rr_hello(r, BALANCER, 2);
+	relay_agent_server_refused(r->agent, r->now);
+	rr_advance(r, 100);
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_clear(r);
+	r->server_listens = true;
+	let_opens_wait(r);
+	rr_advance(r, 1500);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_holding");
@@ -268,6 +325,8 @@
 	tcase_add_test(tc, detour_is_passed_on);
 	tcase_add_test(tc, unused_copy_is_not_reset);
 	tcase_add_loop_test(tc, pause_of_agent_is_no_silence, 0, 2);
+	tcase_add_test(tc, hung_server_keeps_its_flows);
+	tcase_add_test(tc, earlier_refusal_proves_nothing);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
