Refuse an open only if all its copies have come to the balancer

What callers saw: a balancer reset a flow that another one had opened from an earlier or a later copy of the open, when its own copy found no room.

Cause: what was true of the copy was said of the flow.

Mend: a balancer notes which copies have come to it. If one that is due by the time of the refusal is missing, it forgets the open instead (opens_left counts these). First copies are refused as fast as before.

The four new cases of test_relay_wake fail without the mend.

--- a/src/counters.h
+++ b/src/counters.h
@@ -58,6 +58,7 @@
 	X(OPENS_ACCEPTED, "opens_accepted")                                    \
 	X(OPENS_PASSED, "opens_passed")                                        \
 	X(OPENS_REFUSED, "opens_refused")                                      \
+	X(OPENS_LEFT, "opens_left")                                            \
 	X(OPENS_QUEUED, "opens_queued")                                        \
 	X(OPENS_QUEUED_IN_VAIN, "opens_queued_in_vain")                        \
 	X(OPENS_EVACUATED, "opens_evacuated")                                  \
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -168,6 +168,8 @@
 	uint64_t detoured_ms;
 	uint32_t detoured_ack;
 	uint64_t sent_ms; /* when the caller sent the first copy of the open */
+	uint32_t next_copy_ms; /* age at which the next copy is due; 0: none */
+	bool copy_missed;      /* one has not come here */
 	uint64_t first_offer_ms;
 	uint64_t offered_ms; /* last offer, or its time-out */
 	/* Agents that received an offer or refused it as a candidate. */
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -415,15 +415,33 @@
 			 : "no target takes opens";
 }
 
+/* Notes a copy of the open. The copies before it may have gone elsewhere. */
+static void note_copy(relay_flow_t *f, const relay_packet_t *p)
+{
+	f->copy_missed |= p->copy_age_ms > f->next_copy_ms;
+	if (p->copy_age_ms >= f->next_copy_ms)
+		f->next_copy_ms = p->next_copy_ms;
+}
+
+/* True when a copy may have gone through another balancer, which may have
+ * opened the flow. */
+static bool may_be_open(const relay_balancer_t *b, const relay_flow_t *f)
+{
+	return f->copy_missed ||
+	       (f->next_copy_ms && b->now >= f->sent_ms + f->next_copy_ms);
+}
+
 /*
  * Resets the caller of an open that can be offered to no further agent. The
  * reset means "not run", which must be true: if an offer was not answered, the
  * agent's server may have taken the open, and no reset is sent; the caller then
- * times out.
+ * times out. The same holds when another balancer may have opened the flow.
  */
 static void refuse_open(relay_balancer_t *b, relay_flow_t *f)
 {
-	if (is_given_up(b, f)) {
+	if (is_given_up(b, f) ||
+	    (may_be_open(b, f) && relay_mechanism_on(RELAY_TRUE_REFUSAL))) {
+		counter_add(&b->counters, COUNTER_OPENS_LEFT, 1);
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
@@ -481,6 +499,7 @@
 		/* Retransmitted SYN: the holder answers it again, or the open
 		 * is offered to another agent. */
 		counter_add(&b->counters, COUNTER_OPENS_RETRIED, 1);
+		note_copy(f, p);
 		if (f->phase == PHASE_OPENING && f->queued) {
 			resend_queued(b, f);
 		} else if (f->phase == PHASE_OPENING && f->ntried &&
@@ -502,6 +521,7 @@
 	f->seq = p->seq;
 	f->first_offer_ms = b->now;
 	f->sent_ms = b->now - p->open_age_ms;
+	note_copy(f, p);
 	f->service = g_intern_string(
 		route_select_service(route, flow_key_hash(&p->key, 0)));
 	f->tag = service_tag(f->service);
--- a/src/relay_packet.h
+++ b/src/relay_packet.h
@@ -37,9 +37,10 @@
 	uint32_t seq;
 	uint32_t ack;
 	uint16_t payload_len; /* bytes */
-	/* Of an open: time since its first copy, at most, and age at which its
-	 * caller sends the next copy; 0: there is none. */
+	/* Of an open, since its first copy was sent: now, at most; when this
+	 * copy was sent; and when the next one follows, 0: none. */
 	uint32_t open_age_ms;
+	uint32_t copy_age_ms;
 	uint32_t next_copy_ms;
 	uint8_t flags;	     /* RELAY_* */
 	uint8_t mark;	     /* mark of the annotation: RELAY_MARK_* */
--- a/test/test_relay_wake.c
+++ b/test/test_relay_wake.c
@@ -163,6 +163,45 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow that another balancer opened from an
+ * earlier copy, when a later one comes here and finds no room. */
+START_TEST(later_copy_is_not_refused)
+{
+	relay_rig_t *r = with_target();
+
+	rr_from_caller(r, 1, RELAY_SYN, 5, 1 + (unsigned)_i, 0);
+	ck_assert_uint_eq(offers(r), 1);
+	rr_flow_message(r, AGENT_A, RELAY_REFUSED, 1, "feeds");
+	rr_flow_message(r, AGENT_A, RELAY_REFUSED, 1, "feeds");
+	rr_advance(r, 1400);
+	ck_assert_uint_eq(resets(r), 0);
+	ck_assert_uint_eq(relay_balancer_flow_count(r->balancer), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against the same when a later copy went elsewhere: the open that
+ * waits here is refused only while all copies have come here. */
+START_TEST(open_with_a_missing_copy_is_not_refused)
+{
+	relay_rig_t *r = with_target();
+
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_flow_message(r, AGENT_A, RELAY_QUEUED, 1, "feeds");
+	if (_i) {
+		rr_advance(r, 200);
+		rr_from_caller(r, 1, RELAY_SYN, 5, 1, 0);
+		rr_flow_message(r, AGENT_A, RELAY_QUEUED, 1, "feeds");
+	}
+	rr_advance(r, 700);
+	rr_flow_message(r, AGENT_A, RELAY_REFUSED, 1, "feeds");
+	rr_flow_message(r, AGENT_A, RELAY_REFUSED, 1, "feeds");
+	rr_advance(r, 1400);
+	ck_assert_uint_eq(resets(r), 0);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_wake");
@@ -174,6 +213,8 @@
 	tcase_add_test(tc, open_from_before_a_stop_is_forgotten);
 	tcase_add_test(tc, stale_offer_is_not_delivered);
 	tcase_add_test(tc, expired_open_is_not_served);
+	tcase_add_loop_test(tc, later_copy_is_not_refused, 0, 2);
+	tcase_add_loop_test(tc, open_with_a_missing_copy_is_not_refused, 0, 2);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
