Number the look-up chains of a balancer, not of each look-up

What callers saw: not seen in a rig; by the test, the reset of a flow whose holder had not answered yet.

Cause: each look-up numbered its chains from 1. An agent that was stopped for longer than a look-up lasts passes its packet on when it runs again; the end of that chain was taken for the end of the chain with the same number in the flow's present look-up, and the agents of that one for "not held".

Found by walking through what a gap leaves stale. Mend: one sequence for all chains of a balancer, which begins at a random number, since answers to an earlier process may come, too.

The new case of test_relay_wake fails with numbers of each look-up. Three tests answered for "chain 1" of a second look-up; they take the number that was sent now.

--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -57,6 +57,9 @@
 	size_t max_flows;	       /* capacity of the flow index */
 	uint32_t target_expiry_ms;     /* see directory_new() */
 	bool first_start; /* of the whole system: there are no flows yet */
+	/* Number from which look-up chains are numbered: another one at each
+	 * start, as answers to an earlier process may still come. */
+	uint32_t first_chain;
 	/* Bound on the opens of a cold backend server, see relay_settings.h. */
 	double warmup_overage;
 	uint32_t warmup_slack;
--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -154,6 +154,16 @@
 	return l->next < l->pending->len;
 }
 
+/* Numbers the next chain of a look-up. No other chain of the balancer has the
+ * number, also of earlier look-ups of the flow: an agent that did not run for a
+ * while may still pass on the packet of one that ended long ago. */
+static void number_chain(relay_balancer_t *b, relay_lookup_t *l)
+{
+	if (++b->last_chain == 0)
+		b->last_chain = 1;
+	l->chain = b->last_chain;
+}
+
 /* Sends a packet along the look-up's newest chain, which has n agents. */
 static void send_lookup(relay_balancer_t *b, const relay_lookup_t *l,
 			const relay_packet_t *p, uint32_t *agents, size_t n)
@@ -167,7 +177,7 @@
 	msg.packet.len = p->len;
 	msg.candidates = agents + 1;
 	msg.n_candidates = n - 1;
-	msg.chain = l->chains;
+	msg.chain = l->chain;
 	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
 	b->ops.send_message(b->ctx, agents[0], &msg);
 }
@@ -184,11 +194,11 @@
 	bool suspect = false;
 	size_t n = 0;
 
-	l->chains++;
+	number_chain(b, l);
 	while (l->next < l->pending->len && n < CHAIN_AGENTS && !suspect) {
 		lookup_agent_t a = {
 			.agent = g_array_index(l->pending, uint32_t, l->next),
-			.chain = l->chains,
+			.chain = l->chain,
 		};
 		const relay_member_t *m = relay_member_find(b, a.agent);
 
@@ -214,7 +224,7 @@
 
 	if (b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
 		return;
-	l->chains++;
+	number_chain(b, l);
 	send_lookup(b, l, &p, &agent, 1);
 }
 
@@ -227,7 +237,7 @@
 		if (a->agent != agent)
 			continue;
 		a->answer = ANSWER_NONE;
-		a->chain = l->chains;
+		a->chain = l->chain;
 	}
 }
 
@@ -252,7 +262,7 @@
 	}
 	if (n == 0)
 		return false;
-	l->chains++;
+	number_chain(b, l);
 	for (size_t i = 0; i < n; i++)
 		ask_again(l, chosen[i]);
 	send_lookup(b, l, &p, chosen, n);
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -233,6 +233,7 @@
 		.target_expiry_ms =
 			p->settings.heartbeat_ms * EXPIRY_HEARTBEATS,
 		.first_start = p->settings.first_start,
+		.first_chain = g_random_int(),
 		.warmup_overage = p->settings.warmup_overage,
 		.warmup_slack = p->settings.warmup_slack,
 	};
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -110,7 +110,7 @@
 typedef struct lookup_agent {
 	uint32_t agent; /* address */
 	lookup_answer_t answer;
-	unsigned chain;	  /* number of the chain that it is in; 0: none */
+	uint32_t chain;	  /* number of the chain that it is in; 0: none */
 	uint64_t kept_ms; /* when its running server had not returned the packet
 			   */
 	bool suspect;	  /* it may wait for a server that is lost */
@@ -142,7 +142,7 @@
 	GPtrArray *services; /* interned; those whose agents are in pending */
 	GArray *pending;     /* addresses of the agents to ask, in order */
 	guint next;	     /* position in pending of the next agent to ask */
-	unsigned chains;     /* number of chains sent */
+	uint32_t chain;	     /* number of the newest chain */
 	unsigned batch;	     /* chains to send in the next batch */
 	packet_copy_t
 		*packet; /* sent to agents that may hold the flow, owned */
@@ -206,6 +206,7 @@
 	GHashTable *groups;   /* service, interned -> relay_group_t, owned */
 	GHashTable *zones;    /* zone, interned -> its state, owned */
 	unsigned generation;  /* counts changes of routes and targets */
+	uint32_t last_chain;  /* number of the last chain that was sent */
 	flow_index_t *flows;
 	early_opens_t *early; /* opens that wait for the routes */
 	held_packets_t *held; /* packets without a route */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -150,7 +150,7 @@
 {
 	relay_lookup_t *l = f->lookup;
 	GArray *order;
-	unsigned chain = 0;
+	uint32_t chain = 0;
 	bool sent;
 
 	if (find_kept(b, l))
@@ -347,7 +347,7 @@
 }
 
 /* A chain ended without a holder: records that none of its agents holds it. */
-static void mark_chain_not_held(relay_lookup_t *l, unsigned chain)
+static void mark_chain_not_held(relay_lookup_t *l, uint32_t chain)
 {
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -488,6 +488,20 @@
 	deliver_message(r, host, &msg);
 }
 
+unsigned rr_last_chain(const relay_rig_t *r, uint32_t host)
+{
+	int last = rr_last(r, RIG_MESSAGE, host, RELAY_LOOKUP);
+	relay_msg_t *msg;
+	unsigned chain;
+
+	if (last < 0)
+		return 0;
+	msg = relay_msg_unpack(r->sent[last].buf, r->sent[last].len);
+	chain = msg->chain;
+	relay_msg_free(msg);
+	return chain;
+}
+
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n)
 {
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -111,6 +111,8 @@
 /* Reports that no agent of a look-up chain holds the flow. */
 void rr_chain_not_held(relay_rig_t *r, uint32_t host, unsigned flow,
 		       unsigned chain);
+/* Number of the chain of the last look-up to an agent. */
+unsigned rr_last_chain(const relay_rig_t *r, uint32_t host);
 /* Passes a look-up to the agent; the candidates are the agents that follow it
  * in the look-up chain. */
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
--- a/test/test_read_before_reset.c
+++ b/test/test_read_before_reset.c
@@ -203,7 +203,7 @@
 	rr_advance(r, 50);
 	ck_assert_uint_eq(rr_count(r, RIG_STORE, 0, 0), 2);
 	rr_store_read(r);
-	rr_chain_not_held(r, AGENT_A, 2, 1);
+	rr_chain_not_held(r, AGENT_A, 2, rr_last_chain(r, AGENT_A));
 	ck_assert_uint_eq(resets(r), 2);
 	rr_free(r);
 }
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -515,7 +515,7 @@
 	rr_entry_gone(r, "a", 5);
 	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
 	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 0);
-	rr_chain_not_held(r, AGENT_B, 2, 1);
+	rr_chain_not_held(r, AGENT_B, 2, rr_last_chain(r, AGENT_B));
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
 	rr_free(r);
 }
--- a/test/test_relay_wake.c
+++ b/test/test_relay_wake.c
@@ -202,6 +202,33 @@
 }
 END_TEST
 
+/* Guards against a reset by the answer to an earlier look-up of the flow, which
+ * an agent passed on only when it ran again: the holder is asked in the chain
+ * of the same place. */
+START_TEST(answer_to_earlier_lookup_proves_nothing)
+{
+	relay_rig_t *r = with_target();
+	unsigned earlier;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	earlier = rr_last_chain(r, AGENT_A);
+	ck_assert_uint_ne(earlier, 0);
+	rr_advance(r, 4500);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_store_read(r);
+	rr_chain_not_held(r, AGENT_A, 1, earlier);
+	rr_advance(r, 50);
+	rr_store_read(r);
+	ck_assert_uint_eq(resets(r), 0);
+	rr_chain_not_held(r, AGENT_A, 1, rr_last_chain(r, AGENT_A));
+	rr_advance(r, 50);
+	rr_store_read(r);
+	ck_assert_uint_eq(resets(r), 1);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_wake");
@@ -215,6 +242,7 @@
 	tcase_add_test(tc, expired_open_is_not_served);
 	tcase_add_loop_test(tc, later_copy_is_not_refused, 0, 2);
 	tcase_add_loop_test(tc, open_with_a_missing_copy_is_not_refused, 0, 2);
+	tcase_add_test(tc, answer_to_earlier_lookup_proves_nothing);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_return.c
+++ b/test/test_return.c
@@ -111,7 +111,7 @@
 		rr_clear(r);
 		rr_from_caller(r, flow, RELAY_ACK, 6, 900, 100);
 		/* It is asked alone: no chain ends there. */
-		rr_chain_not_held(r, AGENT_B, flow, 1);
+		rr_chain_not_held(r, AGENT_B, flow, rr_last_chain(r, AGENT_B));
 		ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
 		rr_advance(r, 400);
 		ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0),
@@ -142,7 +142,7 @@
 	for (unsigned flow = 1; flow <= 2; flow++) {
 		rr_clear(r);
 		rr_from_caller(r, flow, RELAY_ACK, 6, 900, 100);
-		rr_chain_not_held(r, AGENT_B, flow, 1);
+		rr_chain_not_held(r, AGENT_B, flow, rr_last_chain(r, AGENT_B));
 		ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0),
 				  flow == 1 ? 1 : 0);
 		ck_assert_uint_eq(
