Count silence only while the process that measures it runs

What callers saw: not seen in a rig; by the tests, resets of flows that running servers hold, within 50 ms of a wake-up.

Cause: the time since an agent was heard from, the age of the list of flows that a stopping agent had sent, and the time since a server left a packet unanswered ran on while the balancer or the agent was stopped. Together with an entry that expired meanwhile, or with an agent that is back, they led to "target gone and unresponsive" and "no agent holds the flow".

Found by walking through what a gap leaves stale (docs/design/wake_up.md). Mend: a balancer whose tick comes over 200 ms late counts silence and open questions from then on; agents, which did so for opens, do it for all packets.

Three new cases of test_relay_wake fail without the three parts.

--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -250,6 +250,8 @@
 	a->resumed_ms = a->now;
 	if (a->silent_since_ms)
 		a->silent_since_ms = a->now;
+	if (a->unanswered_since_ms)
+		a->unanswered_since_ms = a->now;
 }
 
 void relay_agent_server_refused(relay_agent_t *a, uint64_t now)
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -2,6 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A balancer that did not run for this time has not heard what agents sent
+ * meanwhile. */
+#define PAUSE_MS 200
 /* A flow is removed from the index this long after its last packet. If more
  * packets arrive after that, the flow is looked up. */
 #define FLOW_IDLE_MS 30000
@@ -402,6 +405,8 @@
 	bool late = b->last_tick_ms &&
 		    b->now > b->last_tick_ms + 2 * RELAY_BALANCER_TICK_MS;
 
+	if (late && b->now > b->last_tick_ms + PAUSE_MS)
+		relay_members_resume(b);
 	b->last_tick_ms = b->now;
 	if (!late || b->late) {
 		b->late = false;
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -221,6 +221,7 @@
 	uint64_t asked_agent_ms;   /* see relay_learn_message() */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
+	uint64_t resumed_ms; /* end of the last time without processor time */
 	bool late; /* the last tick was late: unread answers are likely */
 };
 
@@ -253,6 +254,10 @@
  */
 bool relay_member_suspect(const relay_balancer_t *b, const relay_member_t *m);
 
+/* Notes that the balancer did not run for some time: agents that it has not
+ * heard from were not silent. */
+void relay_members_resume(relay_balancer_t *b);
+
 /* Asks the agent for its load. */
 void relay_member_hello(relay_balancer_t *b, relay_member_t *m);
 
@@ -273,6 +278,10 @@
 bool relay_evacuation_hello_due(const relay_balancer_t *b,
 				const relay_member_t *m);
 
+/* Last time at which the agent was heard from, or could not have been. */
+uint64_t relay_member_heard_ms(const relay_balancer_t *b,
+			       const relay_member_t *m);
+
 /* relay_balancer_limits.c: limits of a service's targets */
 /* Time in ms for which the member stays cold; 0: it is not. */
 uint32_t relay_limits_warmup_left(const relay_balancer_t *b,
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -248,15 +248,31 @@
 	relay_member_hello(b, m);
 }
 
+uint64_t relay_member_heard_ms(const relay_balancer_t *b,
+			       const relay_member_t *m)
+{
+	return MAX(m->last_heard_ms, b->resumed_ms);
+}
+
+void relay_members_resume(relay_balancer_t *b)
+{
+	b->resumed_ms = b->now;
+	list_each(node, &b->members)
+	{
+		relay_member_t *m = list_entry(node, relay_member_t, node);
+
+		if (m->unanswered_since_ms)
+			m->unanswered_since_ms = b->now;
+	}
+}
+
 /* Time in ms since the member's last message, or since its hellos began if that
  * is later; 0 while it gets none. */
 static uint64_t silent_ms(const relay_balancer_t *b, const relay_member_t *m)
 {
 	if (!m->hellos_since_ms)
 		return 0;
-	return b->now - (m->last_heard_ms > m->hellos_since_ms
-				 ? m->last_heard_ms
-				 : m->hellos_since_ms);
+	return b->now - MAX(relay_member_heard_ms(b, m), m->hellos_since_ms);
 }
 
 bool relay_member_may_hold_flows(const relay_balancer_t *b,
--- a/src/relay_balancer_stop.c
+++ b/src/relay_balancer_stop.c
@@ -30,8 +30,10 @@
 bool relay_member_left_without(const relay_balancer_t *b,
 			       const relay_member_t *m, const flow_key_t *key)
 {
-	return m->state != ENTRY_READY && m->last_hello_ms > m->last_heard_ms &&
-	       b->now >= m->last_heard_ms + AWAY_MS && not_listed(m, key);
+	return m->state != ENTRY_READY &&
+	       m->last_hello_ms > relay_member_heard_ms(b, m) &&
+	       b->now >= relay_member_heard_ms(b, m) + AWAY_MS &&
+	       not_listed(m, key);
 }
 
 bool relay_lookup_skip_stopped(relay_balancer_t *b, relay_flow_t *f)
@@ -44,6 +46,7 @@
 		const relay_member_t *m = relay_member_find(b, a->agent);
 
 		if (a->answer != ANSWER_NONE || !m ||
+		    b->now < b->resumed_ms + AWAY_MS ||
 		    !not_listed(m, &f->node.key))
 			continue;
 		a->answer = ANSWER_NOT_HELD;
--- a/test/test_relay_wake.c
+++ b/test/test_relay_wake.c
@@ -229,6 +229,90 @@
 }
 END_TEST
 
+/* Lets the balancer not run for some time; its next tick comes late. */
+static void stop_for(relay_rig_t *r, uint64_t ms)
+{
+	r->now += ms;
+	relay_balancer_tick(r->balancer, r->now);
+}
+
+/* Guards against silence that is counted while the balancer did not run: the
+ * agent of a target whose entry has expired has said nothing since, as far as
+ * this balancer can know. */
+START_TEST(stop_of_balancer_is_no_silence_of_agents)
+{
+	relay_rig_t *r = with_target();
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	rr_entry_gone(r, "a", 5);
+	rr_advance(r, 400);
+	stop_for(r, 3500);
+	rr_advance(r, 1500);
+	ck_assert_uint_eq(resets(r), 0);
+	rr_load(r, AGENT_A, 1, 1, 10, 0);
+	rr_advance(r, 2000);
+	ck_assert_uint_eq(resets(r), 0);
+	/* The agent is lost. */
+	rr_advance(r, 1000);
+	ck_assert_uint_eq(resets(r), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a list of flows from before a stop of the balancer: the agent
+ * that sent it runs again, and its server holds flows that came later. */
+START_TEST(list_from_before_a_stop_proves_nothing)
+{
+	relay_rig_t *r = with_target();
+	relay_load_t load;
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_LOAD);
+	ct__relay__load__init(&load);
+	load.stopping = true;
+	msg.load = &load;
+	msg.service = (char *)"feeds";
+	msg.held_flows_complete = true;
+	relay_balancer_handle_message(r->balancer, r->now, AGENT_A, &msg);
+	rr_entry(r, "a", AGENT_A, 7, ENTRY_DRAINING);
+	rr_advance(r, 200);
+	stop_for(r, 3500);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_store_read(r);
+	rr_advance(r, 400);
+	rr_store_read(r);
+	ck_assert_uint_eq(resets(r), 0);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	ck_assert_uint_eq(resets(r), 0);
+	ck_assert_int_ge(rr_last(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a server that counts as stalled since its agent did not run.
+ */
+START_TEST(stop_of_agent_is_no_stall_of_its_server)
+{
+	relay_rig_t *r = rr_agent(true);
+	const rig_sent_t *s;
+	relay_msg_t *msg;
+
+	rr_hello(r, RIG_BALANCER_ADDRESS, 2);
+	rr_offer(r, RIG_BALANCER_ADDRESS, 1, 5, NULL, 0);
+	rr_advance(r, 50);
+	rr_clear(r);
+	r->now += 3500;
+	relay_agent_tick(r->agent, r->now);
+	rr_hello(r, RIG_BALANCER_ADDRESS, 2);
+	s = &r->sent[rr_last(r, RIG_MESSAGE, 0, RELAY_LOAD)];
+	msg = relay_msg_unpack(s->buf, s->len);
+	ck_assert_uint_eq(msg->load->stalled_ms, 0);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_wake");
@@ -243,6 +327,9 @@
 	tcase_add_loop_test(tc, later_copy_is_not_refused, 0, 2);
 	tcase_add_loop_test(tc, open_with_a_missing_copy_is_not_refused, 0, 2);
 	tcase_add_test(tc, answer_to_earlier_lookup_proves_nothing);
+	tcase_add_test(tc, stop_of_balancer_is_no_silence_of_agents);
+	tcase_add_test(tc, list_from_before_a_stop_proves_nothing);
+	tcase_add_test(tc, stop_of_agent_is_no_stall_of_its_server);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
