Read the answers that waited before a request counts as timed out

Two balancers had run again after 4.6 s and reported the store as unreachable for 170 ms, though it had answered all the time; with the store away a look-up asks the agents of all services, and one that had restarted let its server try the packet.

Cause: libuv calls timers before it reads sockets, so that the time-out of the request fired while the answer lay in the socket.

Mend: a time-out that fires over 200 ms late is put off by 50 ms.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -4,6 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A time-out that is this late was delayed by a process that did not run; the
+ * answer is then waited for a little longer. */
+#define LATE_MIN_MS 200
+#define UNREAD_MS   50
 /* Time limit for connecting, in ms: several round trips. */
 #define CONNECT_TIMEOUT_MS 600
 #define READ_BUF_SIZE	   16384
@@ -33,12 +37,14 @@
 	char *path;    /* of the pending request, owned; NULL: none */
 	uint64_t timeout_ms;
 	uint64_t connect_timeout_ms;
+	uint64_t due_ms; /* end of the time-out in progress, loop's clock */
 	bool keep_alive;
 	bool complete;
 	http_done_fn done;
 	void *ctx;
 };
 
+static void on_timeout(uv_timer_t *timer);
 static void drop_connection(http_client_t *c);
 static void finish_request(http_client_t *c, int status, const char *error);
 static void send_request(http_client_t *c);
@@ -101,10 +107,22 @@
 	g_hash_table_destroy(headers);
 }
 
+static void start_timer(http_client_t *c, uint64_t timeout_ms)
+{
+	c->due_ms = uv_now(c->loop) + timeout_ms;
+	uv_timer_start(&c->timer, on_timeout, timeout_ms, 0);
+}
+
+/* A loop that did not run for a while calls its timers before it reads what
+ * has arrived meanwhile: the answer may be there. */
 static void on_timeout(uv_timer_t *timer)
 {
 	http_client_t *c = timer->data;
 
+	if (uv_now(c->loop) > c->due_ms + LATE_MIN_MS) {
+		start_timer(c, UNREAD_MS);
+		return;
+	}
 	finish_request(c, 0,
 		       c->connected ? "response timed out"
 				    : "connection timed out");
@@ -240,7 +258,7 @@
 		g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c->path,
 				endpoint_format(&c->server, host));
 	buf = uv_buf_init(conn->request, (unsigned)strlen(conn->request));
-	uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
+	start_timer(c, c->timeout_ms);
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
 		     on_written) < 0)
 		finish_request(c, 0, "write failed");
@@ -268,7 +286,7 @@
 	struct sockaddr_in sa = endpoint_sockaddr(&c->server);
 	http_connection_t *conn = calloc(1, sizeof(*conn));
 
-	uv_timer_start(&c->timer, on_timeout, c->connect_timeout_ms, 0);
+	start_timer(c, c->connect_timeout_ms);
 	if (!conn)
 		return; /* on_timeout() reports the failure */
 	conn->client = c;
