Let the agent say which of several entries at an address holds

Cause: the newest entry of an address replaced the one before, whatever it said; when it was removed, the address counted as gone, since the entry that remained had not changed.

Ruled out: the parser, as the entry is well formed, and the directory, which keeps both.

While services compete, the agent is asked for each of them. After a removal or a new configuration the entries that remain are weighed again, and a target that takes its address back resets nothing.

Left: a second, well-formed entry of the same service.

--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -118,6 +118,7 @@
 	b->routes = routes;
 	b->generation++;
 	counter_add(&b->counters, COUNTER_CONFIG_ACCEPTED, 1);
+	relay_members_settle(b);
 	relay_routes_changed(b);
 }
 
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -89,6 +89,9 @@
 	uint64_t unreported_opens_ms; /* last change of unreported_opens */
 	uint64_t last_offer_ms;
 	uint64_t hellos_since_ms; /* start of the regular hellos; 0: none */
+	const char *agent_service; /* that the agent named last; interned */
+	bool contested; /* entries of other services name the address, too */
+	uint64_t claim_asked_ms; /* last question for the agent's service */
 	relay_group_t *group;
 	list_t node;
 } relay_member_t;
@@ -230,6 +233,8 @@
 relay_member_t *relay_member_find(relay_balancer_t *b, uint32_t agent);
 /* Applies a changed directory entry to the member at its address. */
 void relay_member_update(relay_balancer_t *b, const target_entry_t *entry);
+/* Chooses anew among the entries of each address that several name. */
+void relay_members_settle(relay_balancer_t *b);
 /* Notes that the member sent a message, and stores the load report in it. */
 void relay_member_on_message(relay_balancer_t *b, relay_member_t *m,
 			     const relay_msg_t *msg);
@@ -261,6 +266,13 @@
 /* Asks the agent for its load. */
 void relay_member_hello(relay_balancer_t *b, relay_member_t *m);
 
+/* relay_balancer_claim.c: addresses that several entries name */
+/* The entry of the target that is at the member's address, as far as known;
+ * NULL: none names it. Notes whether several services claim it. */
+const target_entry_t *relay_claim_best(relay_balancer_t *b, relay_member_t *m);
+/* Asks the agent at a contested address for its service when it is due. */
+void relay_claim_ask(relay_balancer_t *b, relay_member_t *m);
+
 /* relay_balancer_evacuation.c: members in evacuated availability zones */
 /* evacuation_changed_fn, with the balancer as ctx. */
 void relay_evacuation_changed(void *ctx, const evacuation_t *e);
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -49,7 +49,7 @@
 #define NO_SERVER_EXPIRY_MS 3000
 
 static void reset_flows(relay_balancer_t *b, relay_member_t *m,
-			uint64_t started_ms, const char *why);
+			const target_entry_t *next, const char *why);
 
 relay_member_t *relay_member_find(relay_balancer_t *b, uint32_t agent)
 {
@@ -74,25 +74,37 @@
 	b->ops.send_message(b->ctx, m->agent, &msg);
 }
 
+/* True when the next target at the member's address may hold the flow: its
+ * server runs since the flow is known, or its agent named the service. */
+static bool may_be_of(const relay_balancer_t *b, const relay_member_t *m,
+		      const relay_flow_t *f, const target_entry_t *next,
+		      uint64_t unix_ms)
+{
+	uint64_t started_ms =
+		relay_mechanism_on(RELAY_START_TIMES) ? next->started_ms : 0;
+
+	if (strcmp(next->service, m->service) != 0 && f->service &&
+	    !strcmp(next->service, f->service))
+		return true;
+	return !holder_started_later(f->held_ms, b->now, unix_ms, started_ms);
+}
+
 /* Resets the flows of a lost or replaced server, so that callers can open new
- * ones, but those that the server may hold that started at started_ms, Unix
- * time; 0: none of them. A flow that may be open at another server, which took
- * a copy of the open, is forgotten: its next packet is looked up. */
+ * ones, but those that the next one may hold; NULL: there is none. A flow that
+ * may be open at another server, which took a copy of the open, is forgotten:
+ * its next packet is looked up. */
 static void reset_flows(relay_balancer_t *b, relay_member_t *m,
-			uint64_t started_ms, const char *why)
+			const target_entry_t *next, const char *why)
 {
 	uint64_t unix_ms = b->ops.unix_ms ? b->ops.unix_ms(b->ctx) : 0;
 
-	if (!relay_mechanism_on(RELAY_START_TIMES))
-		started_ms = 0;
 	list_each_safe(node, after, flow_index_lru(b->flows))
 	{
 		flow_node_t *n = list_entry(node, flow_node_t, lru);
 		relay_flow_t *f = (relay_flow_t *)n;
 
 		if (f->agent != m->agent || f->phase != PHASE_KNOWN ||
-		    !holder_started_later(f->held_ms, b->now, unix_ms,
-					  started_ms))
+		    (next && may_be_of(b, m, f, next, unix_ms)))
 			continue;
 		if (f->confirmed)
 			relay_flow_reset(b, f, why);
@@ -112,24 +124,71 @@
 	free(m);
 }
 
-/* True when the entry is that of a target that was at the member's address
- * before its current one. */
-static bool is_previous_target(const relay_balancer_t *b,
-			       const relay_member_t *m, const target_entry_t *e)
+/* True when the entry was there before that of the member's present target,
+ * which another writer left or which has gone: its server is still the same. */
+static bool returns(const relay_balancer_t *b, const relay_member_t *m,
+		    const target_entry_t *e)
 {
-	const target_entry_t *current =
+	const target_entry_t *present =
 		directory_find(b->directory, m->entry_id);
 
-	return current && current != e &&
-	       store_revision_compare(e->revision, current->revision) < 0;
+	return present && present != e &&
+	       store_revision_compare(e->revision, present->revision) < 0;
+}
+
+/* Resets the flows of the target that was at the member's address and discards
+ * its load report. */
+static void replace_target(relay_balancer_t *b, relay_member_t *m,
+			   const target_entry_t *e)
+{
+	if (!returns(b, m, e))
+		reset_flows(b, m, e, "target replaced");
+	m->report = (relay_load_report_t){ 0 };
+	relay_member_note_held(m, NULL);
+	m->unreported_opens = 0;
+	m->unanswered_offers = 0;
+	m->avoided_until_ms = 0;
+}
+
+/* Makes the entry's target that of the member. */
+static void adopt(relay_balancer_t *b, relay_member_t *m,
+		  const target_entry_t *e)
+{
+	if (m->service &&
+	    (strcmp(m->entry_id, e->id) || m->started_ms != e->started_ms))
+		replace_target(b, m, e);
+	g_strlcpy(m->entry_id, e->id, sizeof(m->entry_id));
+	m->service = g_intern_string(e->service);
+	m->started_ms = e->started_ms;
+	m->state = e->state;
+	m->zone = g_intern_string(e->zone);
+	m->zone_state = relay_zone_find(b, m->zone);
+	m->local = !strcmp(e->zone, b->options.zone);
+	relay_evacuation_update(b, m);
+	m->slots = e->slots;
+	m->warmup_end_ms = e->warmup_end_ms;
+	m->gone_ms = 0;
+	m->flows_reset_ms = 0;
+	relay_group_update(b, m);
+	relay_member_hello(b, m);
+}
+
+static relay_member_t *member_add(relay_balancer_t *b, uint32_t agent)
+{
+	relay_member_t *m = calloc(1, sizeof(*m));
+
+	if (!m)
+		return NULL;
+	m->agent = agent;
+	list_append(&b->members, &m->node);
+	g_hash_table_insert(b->by_agent, GUINT_TO_POINTER(agent), m);
+	return m;
 }
 
-/* A new target at a known address resets the flows of the previous one and
- * discards its load report. */
 void relay_member_update(relay_balancer_t *b, const target_entry_t *e)
 {
 	relay_member_t *m = relay_member_find(b, e->address.ip);
-	bool same = m && !strcmp(m->entry_id, e->id);
+	const target_entry_t *best = e;
 	char text[ENDPOINT_TEXT_SIZE];
 
 	event_log(EVENT_TARGET,
@@ -140,44 +199,54 @@
 		  entry_state_name(e->state),
 		  (unsigned long long)e->revision.era,
 		  (unsigned long long)e->revision.number, e->slots);
-	if (m && is_previous_target(b, m, e))
+	if (m)
+		best = relay_claim_best(b, m);
+	else if (e->state != ENTRY_GONE)
+		m = member_add(b, e->address.ip);
+	if (!m)
 		return;
-	if (e->state == ENTRY_GONE) {
-		if (same && m->state != ENTRY_GONE) {
+	if (!best) {
+		if (m->state != ENTRY_GONE && !strcmp(m->entry_id, e->id)) {
 			m->state = ENTRY_GONE;
 			m->gone_ms = b->now;
 		}
 		return;
 	}
-	if (!m) {
-		m = calloc(1, sizeof(*m));
-		if (!m)
-			return;
-		m->agent = e->address.ip;
-		list_append(&b->members, &m->node);
-		g_hash_table_insert(b->by_agent, GUINT_TO_POINTER(m->agent), m);
-	} else if (!same || m->started_ms != e->started_ms) {
-		reset_flows(b, m, e->started_ms, "target replaced");
-		m->report = (relay_load_report_t){ 0 };
-		relay_member_note_held(m, NULL);
-		m->unreported_opens = 0;
-		m->unanswered_offers = 0;
-		m->avoided_until_ms = 0;
+	if (best == e || strcmp(m->entry_id, best->id))
+		adopt(b, m, best);
+	relay_claim_ask(b, m);
+}
+
+/* Chooses anew among the entries of the member's address. */
+static void settle(relay_balancer_t *b, relay_member_t *m)
+{
+	const target_entry_t *best = relay_claim_best(b, m);
+
+	if (best && strcmp(m->entry_id, best->id))
+		adopt(b, m, best);
+}
+
+void relay_members_settle(relay_balancer_t *b)
+{
+	list_each(node, &b->members)
+	{
+		relay_member_t *m = list_entry(node, relay_member_t, node);
+
+		if (m->contested)
+			settle(b, m);
 	}
-	g_strlcpy(m->entry_id, e->id, sizeof(m->entry_id));
-	m->service = g_intern_string(e->service);
-	m->started_ms = e->started_ms;
-	m->state = e->state;
-	m->zone = g_intern_string(e->zone);
-	m->zone_state = relay_zone_find(b, m->zone);
-	m->local = !strcmp(e->zone, b->options.zone);
-	relay_evacuation_update(b, m);
-	m->slots = e->slots;
-	m->warmup_end_ms = e->warmup_end_ms;
-	m->gone_ms = 0;
-	m->flows_reset_ms = 0;
-	relay_group_update(b, m);
-	relay_member_hello(b, m);
+}
+
+/* Notes the service that the agent names. */
+static void note_service(relay_balancer_t *b, relay_member_t *m,
+			 const char *service)
+{
+	if (!service[0] ||
+	    (m->agent_service && !strcmp(m->agent_service, service)))
+		return;
+	m->agent_service = g_intern_string(service);
+	if (m->contested)
+		settle(b, m);
 }
 
 void relay_member_on_message(relay_balancer_t *b, relay_member_t *m,
@@ -194,6 +263,7 @@
 			  "\"agent\":\"%s\",\"state\":\"answers again\"",
 			  ipv4_format(m->agent, text));
 	m->avoided_until_ms = 0;
+	note_service(b, m, msg->service);
 	if (!load)
 		return;
 	if ((load->down_ms > 0) != (m->report.down_ms > 0))
@@ -349,13 +419,14 @@
 		return;
 	}
 	send_due_hello(b, m);
+	relay_claim_ask(b, m);
 	if (!gone || m->flows_reset_ms)
 		return;
 	if (m->report.down_ms >= SERVER_LOST_MS ||
 	    m->report.stalled_ms >= SERVER_LOST_MS ||
 	    silent_ms(b, m) >= AGENT_LOST_MS) {
 		m->flows_reset_ms = b->now;
-		reset_flows(b, m, 0, "target gone and unresponsive");
+		reset_flows(b, m, NULL, "target gone and unresponsive");
 	}
 }
 
--- a/src/routes.c
+++ b/src/routes.c
@@ -151,6 +151,12 @@
 		each(ctx, service);
 }
 
+bool route_table_names_service(const route_table_t *t, const char *name)
+{
+	return g_hash_table_contains(t->priority_ranges, name) ||
+	       g_hash_table_contains(t->services, name);
+}
+
 uint64_t route_table_version(const route_table_t *t)
 {
 	return t->version;
--- a/src/routes.h
+++ b/src/routes.h
@@ -69,6 +69,9 @@
 					   const route_service_t *service),
 			      void *ctx);
 
+/* True when a route leads to the service, or it has limits. */
+bool route_table_names_service(const route_table_t *t, const char *name);
+
 uint64_t route_table_version(const route_table_t *t);
 uint32_t route_table_idle_timeout_ms(const route_table_t *t);
 size_t route_table_count(const route_table_t *t);
