Take a quiet socket for empty after a read that filled its batch

A read that fills its batch may have left datagrams. Found by reading the diff; the new case of test_socket_wait fails before. A poll that does not report the socket shows that it is empty.

--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -61,8 +61,8 @@
 	       !strcmp(msg->service, a->options.service);
 }
 
-/* Time at which the caller sent the first copy of an offered open, at the
- * latest. */
+/* Earliest time at which the caller may have sent the first copy of an offered
+ * open. */
 static uint64_t open_sent_ms(const relay_agent_t *a, const relay_msg_t *offer,
 			     const relay_packet_t *p, uint32_t wait_ms)
 {
--- a/src/socket_wait.c
+++ b/src/socket_wait.c
@@ -8,7 +8,7 @@
 void socket_wait_poll(socket_wait_t *w, uint64_t now)
 {
 	/* The last poll did not report the socket as readable. */
-	if (!w->read && !w->unread)
+	if (!w->read)
 		w->empty_ms = w->polled_ms;
 	w->polled_ms = now;
 	w->read = false;
@@ -17,7 +17,6 @@
 void socket_wait_read(socket_wait_t *w, bool all)
 {
 	w->read = true;
-	w->unread = !all;
 	if (all)
 		w->empty_ms = w->polled_ms;
 }
--- a/src/socket_wait.h
+++ b/src/socket_wait.h
@@ -23,7 +23,6 @@
 	uint64_t polled_ms; /* before the last poll */
 	uint64_t empty_ms;  /* all that is unread has arrived since then */
 	bool read;	    /* the socket was read since the last poll */
-	bool unread;	    /* the last read may have left datagrams */
 } socket_wait_t;
 
 void socket_wait_init(socket_wait_t *w, uint64_t now);
--- a/test/test_socket_wait.c
+++ b/test/test_socket_wait.c
@@ -42,6 +42,21 @@
 }
 END_TEST
 
+/* Guards against a datagram that counts as old because a read before a quiet
+ * time had filled its batch, so that it may have left some. */
+START_TEST(quiet_socket_is_empty)
+{
+	socket_wait_t w;
+
+	socket_wait_init(&w, 1000);
+	socket_wait_poll(&w, 1000);
+	socket_wait_read(&w, false);
+	for (uint64_t now = 1025; now <= 9000; now += 25)
+		socket_wait_poll(&w, now);
+	ck_assert_uint_le(socket_wait_bound(&w, 9003), 53);
+}
+END_TEST
+
 /* A stamp says more than the bound, unless a clock was set. */
 START_TEST(stamp_is_bounded)
 {
@@ -132,6 +147,7 @@
 
 	tcase_add_test(decisions, bound_is_a_turn_while_the_loop_runs);
 	tcase_add_test(decisions, unread_rest_stays_old);
+	tcase_add_test(decisions, quiet_socket_is_empty);
 	tcase_add_test(decisions, stamp_is_bounded);
 	tcase_add_test(socket, datagrams_of_a_stop_have_waited);
 	suite_add_tcase(s, decisions);
