--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -88,7 +88,7 @@
 	double unreported_opens; /* opens offered since the report; decays */
 	uint64_t unreported_opens_ms; /* last change of unreported_opens */
 	uint64_t last_offer_ms;
-	uint64_t hellos_since_ms; /* start of the regular hellos; 0: none */
+	uint64_t hellos_since_ms;  /* start of the regular hellos; 0: none */
 	const char *agent_service; /* that the agent named last; interned */
 	bool contested; /* entries of other services name the address, too */
 	uint64_t claim_asked_ms; /* last question for the agent's service */
