--- a/Makefile
+++ b/Makefile
@@ -188,6 +188,11 @@
 	SOAK_OPTIONS="$(if $(OLD),--old $(OLD))" test/run_soak \
 		$(BUILD)/cherviltray-relay $(SOAK_S) $(SOAK_JOBS) $(SEEDS)
 
+# The same with processes that are stopped and run again, for longer.
+soak-wake: $(BUILD)/cherviltray-relay
+	SOAK=test/soak_wake.py HOSTS=15 test/run_soak \
+		$(BUILD)/cherviltray-relay 40 $(SOAK_JOBS) $(SEEDS)
+
 # Runs a short soak of the sanitized build with fixed seeds.
 check-soak:
 	$(MAKE) BUILD=build/sanitized SANITIZE="$(SANITIZE_FLAGS)" \
@@ -195,6 +200,8 @@
 	test/run_soak build/sanitized/cherviltray-relay 8 2 1 2 $(SOAK_KEPT)
 	SOAK_OPTIONS="--faults term,hup,routes,drain --all-served" \
 		test/run_soak build/sanitized/cherviltray-relay 8 2 3 4
+	SOAK=test/soak_wake.py test/run_soak \
+		build/sanitized/cherviltray-relay 8 2 1 2
 
 # Benches, which write one JSON object per line, and the report made from them.
 SEED = 1
@@ -245,7 +252,7 @@
 	rm -rf $(BUILD)
 
 .PHONY: bench capacity bench-policy bench-membership bench-matrix report
-.PHONY: soak check-soak check-numbers check-upgrade demo all everything packages check check-format check-lint check-man \
+.PHONY: soak soak-wake check-soak check-numbers check-upgrade demo all everything packages check check-format check-lint check-man \
 	check-proof check-tests format proto clean
 .SECONDARY:
 
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -113,13 +113,13 @@
 	/* Delivery, since then, of the first packet that needs an answer; 0:
 	 * none. */
 	uint64_t unanswered_since_ms;
-	bool reported_stalled;	   /* the last load report said stalled */
-	uint64_t silent_since_ms;  /* first open without an answer; 0: none */
-	uint64_t resumed_ms;	   /* end of the agent's last pause */
+	bool reported_stalled;	  /* the last load report said stalled */
+	uint64_t silent_since_ms; /* first open without an answer; 0: none */
+	uint64_t resumed_ms;	  /* end of the agent's last pause */
+	uint64_t probed_ms;	  /* last probe of the server */
+	uint64_t refused_ms; /* last probe that showed that no server runs */
 	uint32_t unanswered_opens; /* consecutive opens without an answer */
 	bool down;		   /* unanswered_opens reached DOWN_OPENS */
-	uint64_t probed_ms;	   /* last probe of the server */
-	uint64_t refused_ms;  /* last probe that showed that no server runs */
 	bool flows_lost;      /* the server lost its flows: they are reset */
 	bool pace_logged;     /* the log last said that a pace is in force */
 	bool failing_logged;  /* the log last said that answers are too fast */
--- a/src/relay_balancer_claim.c
+++ b/src/relay_balancer_claim.c
@@ -49,7 +49,7 @@
 
 		if (!is_claim(m, e))
 			continue;
-		m->contested |= best && strcmp(best->service, e->service);
+		m->contested |= best && strcmp(best->service, e->service) != 0;
 		if (!best || outranks(b, m, e, best))
 			best = e;
 	}
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -124,6 +124,12 @@
 	free(m);
 }
 
+/* True when the entry is that of the member's present target. */
+static bool is_present(const relay_member_t *m, const target_entry_t *e)
+{
+	return strcmp(m->entry_id, e->id) == 0;
+}
+
 /* True when the entry was there before that of the member's present target,
  * which another writer left or which has gone: its server is still the same. */
 static bool returns(const relay_balancer_t *b, const relay_member_t *m,
@@ -154,8 +160,7 @@
 static void adopt(relay_balancer_t *b, relay_member_t *m,
 		  const target_entry_t *e)
 {
-	if (m->service &&
-	    (strcmp(m->entry_id, e->id) || m->started_ms != e->started_ms))
+	if (m->service && (!is_present(m, e) || m->started_ms != e->started_ms))
 		replace_target(b, m, e);
 	g_strlcpy(m->entry_id, e->id, sizeof(m->entry_id));
 	m->service = g_intern_string(e->service);
@@ -206,13 +211,13 @@
 	if (!m)
 		return;
 	if (!best) {
-		if (m->state != ENTRY_GONE && !strcmp(m->entry_id, e->id)) {
+		if (m->state != ENTRY_GONE && is_present(m, e)) {
 			m->state = ENTRY_GONE;
 			m->gone_ms = b->now;
 		}
 		return;
 	}
-	if (best == e || strcmp(m->entry_id, best->id))
+	if (best == e || !is_present(m, best))
 		adopt(b, m, best);
 	relay_claim_ask(b, m);
 }
@@ -222,7 +227,7 @@
 {
 	const target_entry_t *best = relay_claim_best(b, m);
 
-	if (best && strcmp(m->entry_id, best->id))
+	if (best && !is_present(m, best))
 		adopt(b, m, best);
 }
 
