Send the packet of a lost chain to the holder that a query finds

Cause: a look-up's chain was lost at an agent that ended; a query found the holder 200 ms later, which got the packets queued meanwhile, but not the first one. It was a bare acknowledgement, which callers don't send again, and the next request came six seconds later.

Evidence: "held" at 55.51 s by an agent whose server's last packet is of 55.025 s, so that a query was answered; the agent in the chain stopped from 55.02 to 55.40 s.

Mend: the first packet is sent to the holder, too, unless it is queued or servers have tried it and it expects an answer. The new case of test_relay_lookup fails without the mend.

--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -148,7 +148,9 @@
 	uint32_t chain;	     /* number of the newest chain */
 	unsigned batch;	     /* chains to send in the next batch */
 	packet_copy_t
-		*packet; /* sent to agents that may hold the flow, owned */
+		*packet;    /* sent to agents that may hold the flow, owned */
+	bool packet_queued; /* it is in `queued`, too */
+	bool tried;	    /* servers have tried it since the first chains */
 	packet_copy_t *queued[QUEUED_PACKETS_MAX]; /* for the holder, owned */
 	unsigned nqueued;
 } relay_lookup_t;
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -175,6 +175,7 @@
 		g_array_append_val(order, a->agent);
 	}
 	sent = relay_chain_send_again(b, l, order);
+	l->tried |= sent;
 	if (sent)
 		counter_add(&b->counters, COUNTER_TRIALS, 1);
 	g_array_free(order, TRUE);
@@ -213,22 +214,43 @@
 		return;
 	g_free(l->packet);
 	l->packet = copy_packet(p);
+	l->packet_queued = true;
 	m = member_to_try(b, l);
 	if (m)
 		relay_chain_send_single(b, l, m);
 }
 
-/* Sends the queued packets to the flow's holder. */
+static void send_copy(relay_balancer_t *b, relay_flow_t *f, packet_copy_t *copy)
+{
+	relay_packet_t p;
+
+	if (b->options.format->read(copy->data, copy->len, &p) == 0)
+		relay_flow_send(b, f, &p, 0);
+}
+
+/* True when the holder may not have got the look-up's first packet: its chain
+ * was lost, and a query found the holder. A server that has tried the packet
+ * shows itself as the holder by an answer, if the packet expects one. */
+static bool packet_missed(const relay_balancer_t *b, const relay_lookup_t *l)
+{
+	relay_packet_t p;
+
+	if (!l->query_rounds || l->packet_queued ||
+	    b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
+		return false;
+	return !l->tried || (!p.payload_len && !(p.flags & RELAY_FIN));
+}
+
+/* Sends the look-up's packets to the flow's holder. If the first one expects no
+ * answer, its caller may send no other for seconds. */
 static void send_queued(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
 
+	if (packet_missed(b, l))
+		send_copy(b, f, l->packet);
 	for (unsigned i = 0; i < l->nqueued; i++) {
-		relay_packet_t p;
-
-		if (b->options.format->read(l->queued[i]->data,
-					    l->queued[i]->len, &p) == 0)
-			relay_flow_send(b, f, &p, 0);
+		send_copy(b, f, l->queued[i]);
 		g_free(l->queued[i]);
 	}
 	l->nqueued = 0;
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -190,6 +190,41 @@
 }
 END_TEST
 
+/* Guards against a packet that reaches other servers and never its own, since
+ * its chain was lost and only a query found the holder: a bare acknowledgement
+ * is not sent again, and the caller may be silent for seconds. */
+START_TEST(packet_of_a_lost_chain_reaches_the_holder)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
+	first = last_chain(r);
+	rr_advance(r, 250);
+	ck_assert_uint_eq(
+		rr_count(r, RIG_MESSAGE, other_agent(first), RELAY_QUERY), 1);
+	rr_clear(r);
+	rr_flow_message(r, other_agent(first), RELAY_HELD, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, other_agent(first), 0), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, first, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against the opposite: the chain has brought it there. */
+START_TEST(packet_of_a_chain_is_sent_once)
+{
+	relay_rig_t *r = two_agents();
+	uint32_t first;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
+	first = last_chain(r);
+	rr_flow_message(r, first, RELAY_HELD, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_lookup");
@@ -201,6 +236,8 @@
 	tcase_add_test(tc, dead_server_holds_up_no_lookup);
 	tcase_add_test(tc, silent_agent_holds_up_no_trial);
 	tcase_add_test(tc, unsure_agent_may_say_not_held);
+	tcase_add_test(tc, packet_of_a_lost_chain_reaches_the_holder);
+	tcase_add_test(tc, packet_of_a_chain_is_sent_once);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
