--- a/test/soak_wake.py
+++ b/test/soak_wake.py
@@ -29,7 +29,8 @@
 class WakeSoak(soak.Soak):
     def __init__(self, options):
         super().__init__(options)
-        self.kinds, self.late_copies, self.own_routes, self.cycles = collections.Counter(), 0, [], 0
+        self.resets = collections.Counter()  # kind of the sender -> resets of flows that servers hold
+        self.late_copies, self.cycles, self.requests, self.own_routes = 0, 0, 0, []
 
     # The judge
     def check_reset(self, flow, sender):
@@ -40,7 +41,7 @@
         if not server.up or server.epoch != epoch or flow["key"] not in server.flows or flow["name"] not in ROUTES:
             return
         kind = "agent" if sender in [a.address for a in self.agents] else "balancer"
-        self.kinds[kind] += 1
+        self.resets[kind] += 1
         self.add_violation("%s %s reset the flow %r of server %s" % (kind, sender, flow["key"], server.id))
 
     def check_open(self, server, key, copy):
@@ -110,8 +111,8 @@
         caller = self.random.choice(self.callers)
         flow, end = await caller.open(name), now() + self.random.uniform(1, 6)
         while flow and not flow["reset"] and now() < end:
-            self.number = getattr(self, "number", 0) + 1
-            if not await caller.send_request(flow, b"%s/%d" % (name.encode(), self.number), now() + 2.0):
+            self.requests += 1
+            if not await caller.send_request(flow, b"%s/%d" % (name.encode(), self.requests), now() + 2.0):
                 break
             await asyncio.sleep(0.4)
         if flow and not flow["reset"]:
@@ -119,7 +120,7 @@
 
     async def run_event(self, name, delay):
         await asyncio.sleep(max(0, delay))
-        self.write_log("%s" % name)
+        self.write_log(name)
         pick = self.random.choice
         if name == "release":
             servers = [s for s in self.servers if s.service == pick(("spots", "maps"))]
@@ -193,7 +194,7 @@
         wake.kill_processes()
     served = sum(ok for _, ok in wake.results)
     print("seed %d: %d cycles, %d of %d requests served, resets of held flows by balancers %d, by agents %d, late copies %d, "
-          "%d promises broken%s" % (options.seed, wake.cycles, served, len(wake.results), wake.kinds["balancer"], wake.kinds["agent"],
+          "%d promises broken%s" % (options.seed, wake.cycles, served, len(wake.results), wake.resets["balancer"], wake.resets["agent"],
                                     wake.late_copies, len(wake.violations), "; logs in " + wake.dir if wake.violations else ""))
     for text in wake.violations[:10]:
         print("  " + text)
