--- a/test/soak.py
+++ b/test/soak.py
@@ -429,6 +429,9 @@
                     flow = None
                 if served or now() > deadline or name == "logs":
                     break
+            if not served:
+                self.soak.write_log("unserved: %s, begun at %.3f s, %d tries" % (
+                    request.decode(), started - self.soak.started_at, attempt + 1))
             self.soak.finished(started, served)
 
 
