Ask the agent first that has listed the flow of a look-up

Cause: look-ups ask agents that stop last, 60 ms after the first chain. One of them had listed the flow .26 s before and still ran, while the first chain let another server try the packet. The balancer ended 55 ms later, as planned, and with it the look-up; the caller was silent for nine seconds.

Evidence: the agent "stops" at 6.60 s at frontend-sul-b-2, the packet at the other server at 6.864 s, that balancer's end at 6.919 s, the agent's end at 7.02 s. That it was this balancer follows from the times.

Mend: an agent that has listed the flow is asked first and alone, the others follow after the usual 60 ms. The new case of test_return fails without it.

--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -19,7 +19,7 @@
 static int may_hold_flow(const void *ctx, uint32_t position);
 static void append_service_agents(relay_balancer_t *b, const flow_key_t *key,
 				  relay_group_t *group, GHashTable *asked,
-				  GArray *list, GArray *suspect);
+				  relay_lookup_t *l, GArray *suspect);
 static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
 		       const relay_packet_t *p);
 
@@ -35,11 +35,13 @@
 }
 
 /* Appends the agents of a service in the order of their ranks for the flow,
- * since the open was placed among the first ranks. Suspect agents are appended
- * to a separate list. */
+ * since the open was placed among the first ranks. An agent that stops and has
+ * listed the flow goes first: its server holds it, and others would only let
+ * their servers try the packet. Other suspect agents are appended to a separate
+ * list. */
 static void append_service_agents(relay_balancer_t *b, const flow_key_t *key,
 				  relay_group_t *group, GHashTable *asked,
-				  GArray *list, GArray *suspect)
+				  relay_lookup_t *l, GArray *suspect)
 {
 	chain_filter_t filter = { b, group, key, asked };
 	uint32_t *order = g_new(uint32_t, group->members->len);
@@ -50,8 +52,13 @@
 		const relay_member_t *m =
 			g_ptr_array_index(group->members, order[i]);
 
-		g_array_append_val(relay_member_suspect(b, m) ? suspect : list,
-				   m->agent);
+		if (relay_member_listed(m, key))
+			g_array_insert_val(l->pending, l->next, m->agent);
+		else
+			g_array_append_val(relay_member_suspect(b, m)
+						   ? suspect
+						   : l->pending,
+					   m->agent);
 	}
 	g_free(order);
 }
@@ -75,8 +82,7 @@
 		if (!group || g_ptr_array_find(l->services, service, NULL))
 			continue;
 		g_ptr_array_add(l->services, service);
-		append_service_agents(b, key, group, asked, l->pending,
-				      suspect);
+		append_service_agents(b, key, group, asked, l, suspect);
 	}
 	g_array_append_vals(l->pending, suspect->data, suspect->len);
 	g_array_free(suspect, TRUE);
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -309,6 +309,8 @@
 void relay_limits_tell_flows(const relay_balancer_t *b, const relay_member_t *m,
 			     relay_msg_t *msg);
 /* relay_balancer_stop.c: members whose agents stop */
+/* True when the member's agent stops and has listed the flow. */
+bool relay_member_listed(const relay_member_t *m, const flow_key_t *key);
 /* Stores or discards the list of flows with a load report. */
 void relay_member_note_held(relay_member_t *m, const relay_msg_t *msg);
 /*
--- a/src/relay_balancer_stop.c
+++ b/src/relay_balancer_stop.c
@@ -19,12 +19,17 @@
 	g_array_append_vals(m->held, msg->held_flows, (guint)msg->n_held_flows);
 }
 
+bool relay_member_listed(const relay_member_t *m, const flow_key_t *key)
+{
+	return m->held &&
+	       holder_listed((const uint32_t *)(const void *)m->held->data,
+			     m->held->len, key);
+}
+
 /* True when the member's agent has listed its flows without this one. */
 static bool not_listed(const relay_member_t *m, const flow_key_t *key)
 {
-	return m->held &&
-	       !holder_listed((const uint32_t *)(const void *)m->held->data,
-			      m->held->len, key);
+	return m->held && !relay_member_listed(m, key);
 }
 
 bool relay_member_left_without(const relay_balancer_t *b,
--- a/test/test_return.c
+++ b/test/test_return.c
@@ -243,6 +243,27 @@
 }
 END_TEST
 
+/* Guards against a packet that servers of other agents try while the agent that
+ * has listed its flow still runs: it is asked first, the others a little later.
+ */
+START_TEST(agent_that_listed_the_flow_is_asked_first)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	stops_with_flow(r, AGENT_A, 2);
+	rr_clear(r);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_B, RELAY_LOOKUP), 0);
+	rr_advance(r, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_B, RELAY_LOOKUP), 1);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("return");
@@ -256,6 +277,7 @@
 	tcase_add_test(tc, agent_before_its_server_knows_all_flows);
 	tcase_add_test(tc, agent_after_its_server_lists_no_flows);
 	tcase_add_test(tc, early_opens_are_offered);
+	tcase_add_test(tc, agent_that_listed_the_flow_is_asked_first);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
