Split the reader of TOML documents by job

It is toml_document.[ch]c (keys, types, errors with lines), toml_config.cc and toml_settings.cc now; the interface for C, toml_reader.h, is unchanged. cherviltray-relay links the first and the last only.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	src/packet.c src/placement.c src/rank.c src/route_history.c \
 	src/routes.c src/server_pace.c src/socket_wait.c src/toml_text.c src/udp_socket.c \
 	src/warmup_limit.c src/watcher.c src/zone_path.c
-RELAY_OBJ = $(RELAY_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o
+RELAY_OBJ = $(RELAY_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_document.o \
+	$(BUILD)/src/toml_settings.o
 # All libraries but the C library are linked statically: loading them takes two
 # thirds of the start, which on a host with 0.03 of a core is 60 ms of a return
 # from a power loss.
@@ -45,7 +46,8 @@
 # Sources of the library: all except those of single programs.
 PROGRAM_SRC = $(wildcard src/*_main.c src/*_daemon.c src/cli_*.c)
 LIB_SRC = $(filter-out $(PROGRAM_SRC),$(wildcard src/*.c))
-LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/toml_reader.o \
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) \
+	$(patsubst %.cc,$(BUILD)/%.o,$(wildcard src/*.cc)) \
 	$(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 CLI_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/cli_*.c))
 
@@ -62,8 +64,8 @@
 everything: $(PROGRAMS) $(RELAY) $(FAKES) $(TESTS) $(BENCHES) $(BUILD)/demo
 
 $(RELAY_OBJ): PACKAGES = $(RELAY_PACKAGES)
-# The linker drops the unused readers of other documents, with their libraries.
-$(BUILD)/src/toml_reader.o: CXXFLAGS += -ffunction-sections
+# The linker drops the reader of the other programs' settings.
+$(BUILD)/src/toml_settings.o: CXXFLAGS += -ffunction-sections
 
 $(BUILD)/cherviltray-relay: $(RELAY_OBJ)
 	@echo LD $@
--- a/src/toml_reader.h
+++ b/src/toml_reader.h
@@ -5,8 +5,9 @@
  * toml_reader - reads TOML text into the C structures of configuration and
  * settings
  *
- * The only file that uses the C++ TOML library. C++ exceptions become an err_t.
- * All functions read len bytes of text, use the file name in errors only, and
+ * toml_config.cc and toml_settings.cc, with toml_document.cc, are the only
+ * files that use the C++ TOML library. C++ exceptions become an err_t. All
+ * functions read len bytes of text, use the file name in errors only, and
  * return 0, or -1 and the error with its line.
  */
 
