Wait for the agent that has listed the flow of a look-up

Cause: a list was used to leave agents out, and to ask one first, but not as what it is: the word of an agent that its server holds the flow. The look-up could not end without that agent's answer anyway.

--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -146,6 +146,7 @@
 	GArray *pending;     /* addresses of the agents to ask, in order */
 	guint next;	     /* position in pending of the next agent to ask */
 	uint32_t chain;	     /* number of the newest chain */
+	uint32_t listed;     /* agent that has listed the flow; 0: none */
 	unsigned batch;	     /* chains to send in the next batch */
 	packet_copy_t
 		*packet;    /* sent to agents that may hold the flow, owned */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -23,6 +23,10 @@
  * Until then the entry of a target that was removed together with its agent has
  * expired, and the flow is reset. */
 #define LOOKUP_MAX_MS 4000
+/* Time for which a look-up waits for an agent that stops and has listed the
+ * flow, before servers of others try the packet: its planned restart takes half
+ * of it. */
+#define LISTED_WAIT_MS 2000
 
 static void send_query(relay_balancer_t *b, relay_flow_t *f, uint32_t agent);
 static bool send_next(relay_balancer_t *b, relay_flow_t *f);
@@ -71,6 +75,15 @@
 	b->ops.send_message(b->ctx, agent, &msg);
 }
 
+/* True while the look-up asks only the agent that has listed the flow. */
+static bool awaits_listed(const relay_balancer_t *b, relay_lookup_t *l)
+{
+	const lookup_agent_t *a = find_asked(l, l->listed);
+
+	return a && a->answer != ANSWER_NOT_HELD &&
+	       b->now < l->started_ms + LISTED_WAIT_MS;
+}
+
 static packet_copy_t *copy_packet(const relay_packet_t *p)
 {
 	packet_copy_t *h = g_malloc(sizeof(*h) + p->len);
@@ -302,7 +315,7 @@
 		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
 		    ANSWER_NONE)
 			return;
-	if (send_next(b, f) || try_unsure(b, f))
+	if ((!awaits_listed(b, l) && send_next(b, f)) || try_unsure(b, f))
 		return;
 	for (guint i = 0; i < l->asked->len; i++)
 		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
@@ -475,7 +488,7 @@
 		flow_index_remove(b->flows, &f->node);
 		return;
 	}
-	if (l->next < l->pending->len) {
+	if (l->next < l->pending->len && !awaits_listed(b, l)) {
 		if (b->now >= l->last_sent_ms + BATCH_INTERVAL_MS)
 			relay_chain_send_batch(b, l);
 		return;
@@ -487,7 +500,8 @@
 		return;
 	}
 	/* The agents that are silent may not be those that hold the flow. */
-	if (send_next(b, f) || (l->query_rounds && try_unsure(b, f)))
+	if ((!awaits_listed(b, l) && send_next(b, f)) ||
+	    (l->query_rounds && try_unsure(b, f)))
 		return;
 	l->query_rounds++;
 	l->last_sent_ms = b->now;
