--- a/src/http_client.c
+++ b/src/http_client.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A time-out that is this late was delayed by a process that did not run; the
- * answer is then waited for a little longer. */
+/* Delay of a time-out from which on the process has not run meanwhile. */
 #define LATE_MIN_MS 200
-#define UNREAD_MS   50
+/* Time for which an answer that may be unread in the socket is waited for. */
+#define UNREAD_MS 50
 /* Time limit for connecting, in ms: several round trips. */
 #define CONNECT_TIMEOUT_MS 600
 #define READ_BUF_SIZE	   16384
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -632,8 +632,11 @@
 		relay_agent_open_tick(a);
 	relay_agent_serve_queue(a);
 	relay_agent_expire_queue(a);
-	if (!a->flows_lost && !a->late && relay_server_lost_flows(a))
-		note_lost_flows(a);
+	if (!a->flows_lost && !a->late) {
+		relay_server_probe_tick(a);
+		if (relay_server_lost_flows(a))
+			note_lost_flows(a);
+	}
 	if (a->flows_lost)
 		reset_lost_flows(a);
 	relay_load_tick(a);
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -10,7 +10,7 @@
 /* Unanswered opens in a row after which the server is down. */
 #define DOWN_OPENS 2
 
-/* A server that is down has lost its flows when this many opens in a row had no
+/* A server that is down may have ended when this many opens in a row had no
  * answer, the first of them at least this many ms ago. A running server answers
  * an open within milliseconds, however slow its requests are. */
 #define LOST_OPENS     3
@@ -260,16 +260,25 @@
 	a->refused_ms = now;
 }
 
-bool relay_server_lost_flows(relay_agent_t *a)
+/* True for a server that may have ended. */
+static bool silent_for_long(const relay_agent_t *a)
+{
+	return a->down && a->unanswered_opens >= LOST_OPENS &&
+	       a->now >= a->silent_since_ms + LOST_SILENT_MS;
+}
+
+void relay_server_probe_tick(relay_agent_t *a)
+{
+	if (!silent_for_long(a) ||
+	    a->now < a->probed_ms + SERVER_PROBE_INTERVAL_MS)
+		return;
+	a->probed_ms = a->now;
+	counter_add(&a->counters, COUNTER_SERVER_PROBES, 1);
+	a->ops.probe_server(a->ctx);
+}
+
+bool relay_server_lost_flows(const relay_agent_t *a)
 {
-	if (!a->down || a->unanswered_opens < LOST_OPENS ||
-	    a->now < a->silent_since_ms + LOST_SILENT_MS)
-		return false;
-	if (a->now >= a->probed_ms + SERVER_PROBE_INTERVAL_MS) {
-		a->probed_ms = a->now;
-		counter_add(&a->counters, COUNTER_SERVER_PROBES, 1);
-		a->ops.probe_server(a->ctx);
-	}
 	/* The refusal must be later than the last sign of life. */
-	return a->refused_ms >= a->silent_since_ms;
+	return silent_for_long(a) && a->refused_ms >= a->silent_since_ms;
 }
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -178,12 +178,14 @@
 /* Notes that the agent did not run for some time: the silence of the server
  * counts from now on. */
 void relay_server_agent_paused(relay_agent_t *a);
+/* Probes a server that has been silent for so long that it may have ended. */
+void relay_server_probe_tick(relay_agent_t *a);
 /*
- * Returns true when the server must have lost its flows. Silence alone does not
- * show it: a server that gets no processor time keeps them. Therefore a server
- * that is down is probed.
+ * Returns true when the server must have lost its flows: it is silent, and a
+ * probe found no process. Silence alone does not show it, since a server that
+ * gets no processor time keeps its flows.
  */
-bool relay_server_lost_flows(relay_agent_t *a);
+bool relay_server_lost_flows(const relay_agent_t *a);
 /* Notes that the server has started again and lost its flows. */
 void relay_server_restarted(relay_agent_t *a);
 /* Returns how long the server has left packets unanswered, in ms, or 0 while
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -74,11 +74,12 @@
 	b->ops.send_message(b->ctx, m->agent, &msg);
 }
 
-/* True when the next target at the member's address may hold the flow: its
- * server runs since the flow is known, or its agent named the service. */
-static bool may_be_of(const relay_balancer_t *b, const relay_member_t *m,
-		      const relay_flow_t *f, const target_entry_t *next,
-		      uint64_t unix_ms)
+/* True when the next target at the member's address may hold the flow: it
+ * started before the flow was known there, or the flow's holder named the next
+ * target's service. */
+static bool next_may_hold(const relay_balancer_t *b, const relay_member_t *m,
+			  const relay_flow_t *f, const target_entry_t *next,
+			  uint64_t unix_ms)
 {
 	uint64_t started_ms =
 		relay_mechanism_on(RELAY_START_TIMES) ? next->started_ms : 0;
@@ -104,7 +105,7 @@
 		relay_flow_t *f = (relay_flow_t *)n;
 
 		if (f->agent != m->agent || f->phase != PHASE_KNOWN ||
-		    (next && may_be_of(b, m, f, next, unix_ms)))
+		    (next && next_may_hold(b, m, f, next, unix_ms)))
 			continue;
 		if (f->confirmed)
 			relay_flow_reset(b, f, why);
@@ -130,10 +131,11 @@
 	return strcmp(m->entry_id, e->id) == 0;
 }
 
-/* True when the entry was there before that of the member's present target,
- * which another writer left or which has gone: its server is still the same. */
-static bool returns(const relay_balancer_t *b, const relay_member_t *m,
-		    const target_entry_t *e)
+/* True when the entry is older than that of the member's present target, which
+ * another writer left or whose target has gone: the server of the older entry
+ * has been there all the time. */
+static bool was_there_before(const relay_balancer_t *b, const relay_member_t *m,
+			     const target_entry_t *e)
 {
 	const target_entry_t *present =
 		directory_find(b->directory, m->entry_id);
@@ -147,7 +149,7 @@
 static void replace_target(relay_balancer_t *b, relay_member_t *m,
 			   const target_entry_t *e)
 {
-	if (!returns(b, m, e))
+	if (!was_there_before(b, m, e))
 		reset_flows(b, m, e, "target replaced");
 	m->report = (relay_load_report_t){ 0 };
 	relay_member_note_held(m, NULL);
