Name the unsure agents in the answer of a look-up chain

Cause: the last agent of a chain answers "not held" for the whole chain. An agent whose server has been silent for half a second passes the packet on untried and says "unsure" in a message of its own. When that message is lost, or comes after the chain's answer (its way between zones may be longer), the balancer takes all agents of the chain for "not held" and resets the flow; an "unsure" that comes later is ignored.

Evidence: test_relay_lookup:unsure_agent_of_a_chain_is_asked failed before (one reset), and so did test_relay_holding:chain_tells_who_is_unsure (the answer named nobody). Ruled out: waiting at the balancer, which can't tell an agent that has passed the packet on from one whose server returned it.

Mend: the unsure agents travel with the packet, and the chain's answer names them (field 42). An agent of the build in service loses the field; its own message still comes, as before.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -698,7 +698,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[30] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[31] =
 {
   {
     "kind",
@@ -1060,6 +1060,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unsure",
+    42,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Relay__Message, n_unsure),
+    offsetof(Ct__Relay__Message, unsure),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -1091,13 +1103,14 @@
   6,   /* field[6] = sport */
   5,   /* field[5] = src */
   15,   /* field[15] = typical_us */
+  30,   /* field[30] = unsure */
   20,   /* field[20] = warmup_opens */
 };
 static const ProtobufCIntRange ct__relay__message__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 30 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1107,7 +1120,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  30,
+  31,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -226,6 +226,11 @@
    * in an offer: time since the caller sent the first copy of the open, at most; 0: not told
    */
   uint32_t open_age_ms;
+  /*
+   * in a look-up and in the answer of its chain: agents that passed it on and are unsure
+   */
+  size_t n_unsure;
+  uint32_t *unsure;
   /*
    * of an unsure agent: its server got a packet of the flow, has sent others since, and has not returned it
    */
@@ -233,7 +238,7 @@
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -38,6 +38,7 @@
 } relay_agent_ops_t;
 
 typedef struct relay_agent_options {
+	uint32_t self;		       /* address of this host */
 	const char *service;	       /* service of the backend server */
 	const packet_format_t *format; /* packet layout */
 	size_t max_flows;	       /* most flows that are tracked */
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -117,6 +117,7 @@
 	static const udp_socket_ops_t server_ops = { .receive =
 							     on_server_packet };
 	relay_agent_options_t options = {
+		.self = p->settings.address,
 		.service = p->settings.service,
 		.format = relay_platform.format,
 		.max_flows = (size_t)p->settings.memory_mb * FLOWS_PER_MB,
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -58,8 +58,11 @@
 	uint64_t request_started_ms; /* first packet of the request */
 	uint64_t sent_ms;   /* when the caller sent the open's first copy */
 	uint64_t opened_ms; /* delivery of the open */
-	uint32_t candidates[CANDIDATES_MAX]; /* agents to try next */
+	/* Agents to try next, followed by those of the look-up's chain that are
+	 * unsure. */
+	uint32_t candidates[CANDIDATES_MAX];
 	size_t ncandidates;
+	size_t nunsure;
 	uint32_t chain;	      /* number of the look-up chain; 0: no look-up */
 	uint32_t max_wait_ms; /* see placement_max_wait(); 0: no limit */
 	uint8_t syn[64];      /* the open, to offer it to other agents */
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -92,7 +92,8 @@
 
 /*
  * Sends the look-up to the next agent of its chain. The last agent reports to
- * the balancer that no server of the chain holds the flow.
+ * the balancer that no server of the chain holds the flow, apart from those
+ * whose agents are unsure.
  */
 static void forward_lookup(relay_agent_t *a, const relay_msg_t *lookup,
 			   const flow_key_t *key)
@@ -103,6 +104,8 @@
 		relay_msg_init(&msg, RELAY_NOT_HELD);
 		relay_msg_set_key(&msg, key);
 		msg.chain = lookup->chain;
+		msg.unsure = lookup->unsure;
+		msg.n_unsure = lookup->n_unsure;
 		a->ops.send_message(a->ctx, lookup->balancer, &msg);
 		return;
 	}
@@ -113,10 +116,29 @@
 	msg.candidates = lookup->candidates + 1;
 	msg.n_candidates = lookup->n_candidates - 1;
 	msg.chain = lookup->chain;
+	msg.unsure = lookup->unsure;
+	msg.n_unsure = lookup->n_unsure;
 	counter_add(&a->counters, COUNTER_LOOKUPS_PASSED, 1);
 	a->ops.send_message(a->ctx, lookup->candidates[0], &msg);
 }
 
+/* Passes a look-up on whose packet the server does not try. The answer of the
+ * chain names the agent: a message of its own may be lost, or come later. */
+static void pass_unsure(relay_agent_t *a, const relay_msg_t *lookup,
+			const flow_key_t *key)
+{
+	uint32_t unsure[CANDIDATES_MAX];
+	relay_msg_t msg = *lookup;
+
+	if (lookup->n_unsure)
+		memcpy(unsure, lookup->unsure,
+		       lookup->n_unsure * sizeof(unsure[0]));
+	unsure[lookup->n_unsure] = a->options.self;
+	msg.unsure = unsure;
+	msg.n_unsure = lookup->n_unsure + 1;
+	forward_lookup(a, &msg, key);
+}
+
 /* Delivers the packet: the server returns it unless it holds the flow. */
 static void verify_packet(relay_agent_t *a, const relay_msg_t *msg,
 			  relay_packet_t *p)
@@ -128,9 +150,13 @@
 	server_flow_verify(a, f);
 	f->chain = msg->chain;
 	f->ncandidates = msg->n_candidates;
+	f->nunsure = msg->n_unsure;
 	if (msg->n_candidates)
 		memcpy(f->candidates, msg->candidates,
 		       msg->n_candidates * sizeof(f->candidates[0]));
+	if (msg->n_unsure)
+		memcpy(f->candidates + f->ncandidates, msg->unsure,
+		       msg->n_unsure * sizeof(f->candidates[0]));
 	counter_add(&a->counters, COUNTER_TRIALS, 1);
 	server_flow_caller_packet(a, f, msg->balancer, p);
 }
@@ -154,7 +180,7 @@
 
 	if (a->options.format->read(msg->packet.data, msg->packet.len, &p) <
 		    0 ||
-	    msg->n_candidates > CANDIDATES_MAX) {
+	    msg->n_candidates + msg->n_unsure >= CANDIDATES_MAX) {
 		counter_add(&a->counters, COUNTER_DROP_TRUNCATED, 1);
 		return;
 	}
@@ -173,7 +199,7 @@
 	if (msg->n_candidates && server_silent(a)) {
 		/* Others need not wait for a server that may be dead. */
 		relay_agent_send_unsure(a, msg->balancer, &p.key, f);
-		forward_lookup(a, msg, &p.key);
+		pass_unsure(a, msg, &p.key);
 		return;
 	}
 	verify_packet(a, msg, &p);
@@ -192,6 +218,8 @@
 	msg.packet.len = p->len;
 	msg.candidates = (uint32_t *)f->candidates;
 	msg.n_candidates = f->ncandidates;
+	msg.unsure = (uint32_t *)f->candidates + f->ncandidates;
+	msg.n_unsure = f->nunsure;
 	msg.chain = f->chain;
 	forward_lookup(a, &msg, &p->key);
 }
@@ -219,6 +247,7 @@
 	}
 	f->chain = 0;
 	f->ncandidates = 0;
+	f->nunsure = 0;
 	f->caller_ack = p->ack;
 	server_flow_end_load(a, f);
 	server_flow_set_phase(a, f, SERVER_FLOW_RETURNED);
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -196,6 +196,7 @@
 	f->sent_ms = sent_ms;
 	f->balancer = msg->balancer;
 	f->ncandidates = n;
+	f->nunsure = 0;
 	f->max_wait_ms = msg->max_wait_ms;
 	if (n)
 		memcpy(f->candidates, msg->candidates,
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -381,15 +381,25 @@
 	f->lookup = NULL;
 }
 
-/* A chain ended without a holder: records that none of its agents holds it. */
-static void mark_chain_not_held(relay_lookup_t *l, uint32_t chain)
+static bool names_unsure(const relay_msg_t *msg, uint32_t agent)
+{
+	for (size_t i = 0; i < msg->n_unsure; i++)
+		if (msg->unsure[i] == agent)
+			return true;
+	return false;
+}
+
+/* A chain ended without a holder: records that none of its agents holds the
+ * flow, apart from those that are unsure. */
+static void mark_chain_not_held(relay_lookup_t *l, const relay_msg_t *msg)
 {
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
 
-		if (a->chain != chain || a->answer != ANSWER_NONE)
+		if (a->chain != msg->chain || a->answer != ANSWER_NONE)
 			continue;
-		a->answer = ANSWER_NOT_HELD;
+		a->answer = names_unsure(msg, a->agent) ? ANSWER_UNSURE
+							: ANSWER_NOT_HELD;
 	}
 }
 
@@ -409,7 +419,7 @@
 		return;
 	}
 	if (msg->chain) {
-		mark_chain_not_held(f->lookup, msg->chain);
+		mark_chain_not_held(f->lookup, msg);
 		advance_lookup(b, f);
 		return;
 	}
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -135,7 +135,8 @@
 {
 	static const relay_agent_ops_t ops = { to_server, to_process, to_caller,
 					       probe_server };
-	relay_agent_options_t options = { .service = "feeds",
+	relay_agent_options_t options = { .self = RIG_HOST_A,
+					  .service = "feeds",
 					  .format = &fleet_packet_format,
 					  .max_flows = 1000,
 					  .knows_all_flows = knows_all_flows };
@@ -514,6 +515,12 @@
 
 void rr_chain_not_held(relay_rig_t *r, uint32_t host, unsigned flow,
 		       unsigned chain)
+{
+	rr_chain_unsure(r, host, flow, chain, NULL, 0);
+}
+
+void rr_chain_unsure(relay_rig_t *r, uint32_t host, unsigned flow,
+		     unsigned chain, uint32_t *unsure, size_t n)
 {
 	relay_msg_t msg;
 
@@ -523,6 +530,8 @@
 	msg.dst = RIG_SERVICE_ADDRESS;
 	msg.dport = RIG_SERVICE_PORT;
 	msg.chain = chain;
+	msg.unsure = unsure;
+	msg.n_unsure = n;
 	deliver_message(r, host, &msg);
 }
 
@@ -542,6 +551,13 @@
 
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n)
+{
+	rr_lookup_unsure(r, balancer, flow, ack, candidates, n, NULL, 0);
+}
+
+void rr_lookup_unsure(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		      uint32_t ack, const uint32_t *candidates, size_t n,
+		      const uint32_t *unsure, size_t m)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	relay_msg_t msg;
@@ -553,6 +569,8 @@
 	msg.packet.len = build_packet(buf, flow, true, RELAY_ACK, 6, ack, 100);
 	msg.candidates = (uint32_t *)candidates;
 	msg.n_candidates = n;
+	msg.unsure = (uint32_t *)unsure;
+	msg.n_unsure = m;
 	msg.chain = 1;
 	deliver_message(r, balancer, &msg);
 }
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -55,7 +55,8 @@
 #define RIG_FLOW_ISN	  5000u
 
 /*
- * Create a rig with a balancer, or with an agent of the service "feeds";
+ * Create a rig with a balancer, or with an agent of the service "feeds" at
+ * RIG_HOST_A;
  * knows_all_flows as in relay_agent_options_t. Freed with rr_free().
  */
 relay_rig_t *rr_balancer(void);
@@ -120,12 +121,19 @@
 /* Reports that no agent of a look-up chain holds the flow. */
 void rr_chain_not_held(relay_rig_t *r, uint32_t host, unsigned flow,
 		       unsigned chain);
+/* The same, of a chain that n unsure agents have passed on. */
+void rr_chain_unsure(relay_rig_t *r, uint32_t host, unsigned flow,
+		     unsigned chain, uint32_t *unsure, size_t n);
 /* Number of the chain of the last look-up to an agent. */
 unsigned rr_last_chain(const relay_rig_t *r, uint32_t host);
 /* Passes a look-up to the agent; the candidates are the agents that follow it
  * in the look-up chain. */
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n);
+/* The same, of a chain that m unsure agents have passed on. */
+void rr_lookup_unsure(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		      uint32_t ack, const uint32_t *candidates, size_t n,
+		      const uint32_t *unsure, size_t m);
 /* Passes a load report of an agent. */
 void rr_load(relay_rig_t *r, uint32_t host, uint32_t in_flight, double work,
 	     double service_ms, uint32_t down_ms);
--- a/test/relay_sim.c
+++ b/test/relay_sim.c
@@ -298,7 +298,8 @@
 {
 	static const relay_agent_ops_t ops = { deliver, agent_message, reply,
 					       probe_server };
-	relay_agent_options_t options = { .service = SERVICE,
+	relay_agent_options_t options = { .self = AGENT_IP + i,
+					  .service = SERVICE,
 					  .format = &fleet_packet_format,
 					  .max_flows = FLOWS_MAX,
 					  .knows_all_flows = complete };
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -178,6 +178,49 @@
 }
 END_TEST
 
+/* The last look-up that the agent has passed on, or the last answer of a
+ * chain. */
+static relay_msg_t *last_message(const relay_rig_t *r, uint32_t host,
+				 relay_kind_t kind)
+{
+	int at = rr_last(r, RIG_MESSAGE, host, kind);
+
+	ck_assert_int_ge(at, 0);
+	return relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+}
+
+/* Guards against an answer "not held" that names no agent whose server was not
+ * asked: of the chain that it ends, some have passed the packet on, before the
+ * agent and at it. */
+START_TEST(chain_tells_who_is_unsure)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint32_t agents[2] = { OTHER_AGENT, OTHER_AGENT + 1 };
+	relay_msg_t *msg;
+
+	rr_lookup(r, BALANCER, 1, 7, NULL, 0);
+	rr_advance(r, 600);
+	rr_lookup(r, BALANCER, 2, 7, agents, 1);
+	msg = last_message(r, OTHER_AGENT, RELAY_LOOKUP);
+	ck_assert_uint_eq(msg->n_unsure, 1);
+	ck_assert_uint_eq(msg->unsure[0], RIG_HOST_A);
+	relay_msg_free(msg);
+	rr_returned(r, 1, RELAY_ACK, 6, 7, 100);
+	rr_lookup_unsure(r, BALANCER, 3, 7, &agents[0], 1, &agents[1], 1);
+	rr_returned(r, 3, RELAY_ACK, 6, 7, 100);
+	msg = last_message(r, OTHER_AGENT, RELAY_LOOKUP);
+	ck_assert_uint_eq(msg->n_unsure, 1);
+	ck_assert_uint_eq(msg->unsure[0], agents[1]);
+	relay_msg_free(msg);
+	rr_lookup_unsure(r, BALANCER, 3, 7, NULL, 0, &agents[1], 1);
+	msg = last_message(r, BALANCER, RELAY_NOT_HELD);
+	ck_assert_uint_eq(msg->n_unsure, 1);
+	ck_assert_uint_eq(msg->unsure[0], agents[1]);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against a detour that ends at the agent that is to pass the packet on,
  * after its restart. */
 START_TEST(detour_is_passed_on)
@@ -322,6 +365,7 @@
 	tcase_add_test(tc, kept_packet_is_no_proof);
 	tcase_add_test(tc, returned_flow_is_not_held);
 	tcase_add_test(tc, silent_server_is_passed);
+	tcase_add_test(tc, chain_tells_who_is_unsure);
 	tcase_add_test(tc, detour_is_passed_on);
 	tcase_add_test(tc, unused_copy_is_not_reset);
 	tcase_add_loop_test(tc, pause_of_agent_is_no_silence, 0, 2);
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -200,6 +200,30 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow that is open at a server that was not asked:
+ * its agent's own word was lost, or came after the answer of the chain. */
+START_TEST(unsure_agent_of_a_chain_is_asked)
+{
+	relay_rig_t *r = rr_two_targets();
+	uint32_t first, second;
+	unsigned chain;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	first = last_chain(r);
+	second = other_agent(first);
+	chain = rr_last_chain(r, first);
+	rr_clear(r);
+	rr_chain_unsure(r, second, 1, chain, &first, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, first, RELAY_LOOKUP), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, second, RELAY_LOOKUP), 0);
+	rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	rr_advance(r, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against the opposite: the chain has brought it there. */
 START_TEST(packet_of_a_chain_is_sent_once)
 {
@@ -227,6 +251,7 @@
 	tcase_add_test(tc, unsure_agent_may_say_not_held);
 	tcase_add_test(tc, packet_of_a_lost_chain_reaches_the_holder);
 	tcase_add_test(tc, packet_of_a_chain_is_sent_once);
+	tcase_add_test(tc, unsure_agent_of_a_chain_is_asked);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
