Let no server try a packet that gets no answer

Cause: servers of unsure agents tried each packet of an unknown flow, bare acknowledgements too. These get no answer and are not sent again: the trial shows nothing if the server holds the flow, and when the balancer, the agent or a datagram is lost on the way, nothing else follows until the caller's next request, which may reach another server once more.

Ruled out: requests, which callers send again until their server has them.

Mend: such a packet is looked up at agents that know their flows (field 43); if only servers know, it is dropped. A server that waits for it sends its own packet again, which shows its agent the flow.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -698,7 +698,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[31] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[32] =
 {
   {
     "kind",
@@ -1072,6 +1072,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_only",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, known_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -1089,6 +1101,7 @@
   24,   /* field[24] = held_flows_complete */
   27,   /* field[27] = kept */
   0,   /* field[0] = kind */
+  31,   /* field[31] = known_only */
   11,   /* field[11] = load */
   22,   /* field[22] = max_flows */
   12,   /* field[12] = max_wait_ms */
@@ -1110,7 +1123,7 @@
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1120,7 +1133,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  31,
+  32,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -231,6 +231,10 @@
    */
   size_t n_unsure;
   uint32_t *unsure;
+  /*
+   * in a look-up: servers do not try the packet; agents say what they know
+   */
+  protobuf_c_boolean known_only;
   /*
    * of an unsure agent: its server got a packet of the flow, has sent others since, and has not returned it
    */
@@ -238,7 +242,7 @@
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -194,19 +194,12 @@
 		server_flow_set_phase(a, f, SERVER_FLOW_VERIFYING);
 }
 
-/* Bare acknowledgements and resets get no answer. */
-static bool wants_answer(const relay_packet_t *p)
-{
-	return !(p->flags & RELAY_RST) &&
-	       (p->payload_len || (p->flags & (RELAY_SYN | RELAY_FIN)));
-}
-
 /* The annotation holds the balancer's address: when the server returns the
  * packet of an unknown flow, the agent sends it back there. */
 void server_flow_deliver(relay_agent_t *a, server_flow_t *f, relay_packet_t *p)
 {
 	a->options.format->annotate(p, 0, f->balancer);
-	if (!a->unanswered_since_ms && wants_answer(p))
+	if (!a->unanswered_since_ms && relay_packet_wants_answer(p))
 		a->unanswered_since_ms = a->now;
 	counter_add(&a->counters, COUNTER_PACKETS_OUT, 1);
 	a->ops.deliver(a->ctx, p->data, p->len);
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -118,6 +118,7 @@
 	msg.chain = lookup->chain;
 	msg.unsure = lookup->unsure;
 	msg.n_unsure = lookup->n_unsure;
+	msg.known_only = lookup->known_only;
 	counter_add(&a->counters, COUNTER_LOOKUPS_PASSED, 1);
 	a->ops.send_message(a->ctx, lookup->candidates[0], &msg);
 }
@@ -196,6 +197,10 @@
 		forward_lookup(a, msg, &p.key);
 		return;
 	}
+	if (msg->known_only) {
+		pass_unsure(a, msg, &p.key);
+		return;
+	}
 	if (msg->n_candidates && server_silent(a)) {
 		/* Others need not wait for a server that may be dead. */
 		relay_agent_send_unsure(a, msg->balancer, &p.key, f);
--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -21,7 +21,7 @@
 				  relay_group_t *group, GHashTable *asked,
 				  relay_lookup_t *l, GArray *suspect);
 static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
-		       const relay_packet_t *p);
+		       const relay_packet_t *p, bool trial);
 
 static int may_hold_flow(const void *ctx, uint32_t position)
 {
@@ -172,9 +172,11 @@
 	l->chain = b->last_chain;
 }
 
-/* Sends a packet along the look-up's newest chain, which has n agents. */
+/* Sends a packet along the look-up's newest chain, which has n agents; trial:
+ * the servers of unsure agents try it. */
 static void send_lookup(relay_balancer_t *b, const relay_lookup_t *l,
-			const relay_packet_t *p, uint32_t *agents, size_t n)
+			const relay_packet_t *p, uint32_t *agents, size_t n,
+			bool trial)
 {
 	relay_msg_t msg;
 
@@ -186,6 +188,7 @@
 	msg.candidates = agents + 1;
 	msg.n_candidates = n - 1;
 	msg.chain = l->chain;
+	msg.known_only = !trial;
 	counter_add(&b->counters, COUNTER_CONTROL_MESSAGES_OUT, 1);
 	b->ops.send_message(b->ctx, agents[0], &msg);
 }
@@ -195,7 +198,7 @@
  * of one service only; a suspect agent is in a chain without others.
  */
 static void send_chain(relay_balancer_t *b, relay_lookup_t *l,
-		       const relay_packet_t *p)
+		       const relay_packet_t *p, bool trial)
 {
 	uint32_t agents[CHAIN_AGENTS];
 	const relay_group_t *group = NULL;
@@ -207,6 +210,7 @@
 		lookup_agent_t a = {
 			.agent = g_array_index(l->pending, uint32_t, l->next),
 			.chain = l->chain,
+			.trial = trial,
 		};
 		const relay_member_t *m = relay_member_find(b, a.agent);
 
@@ -221,7 +225,7 @@
 		g_array_append_val(l->asked, a);
 	}
 	if (n > 0)
-		send_lookup(b, l, p, agents, n);
+		send_lookup(b, l, p, agents, n, trial);
 }
 
 void relay_chain_send_single(relay_balancer_t *b, relay_lookup_t *l,
@@ -233,7 +237,7 @@
 	if (b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
 		return;
 	number_chain(b, l);
-	send_lookup(b, l, &p, &agent, 1);
+	send_lookup(b, l, &p, &agent, 1, true);
 }
 
 /* Puts an agent that was asked into the newest chain. */
@@ -246,6 +250,7 @@
 			continue;
 		a->answer = ANSWER_NONE;
 		a->chain = l->chain;
+		a->trial = true;
 	}
 }
 
@@ -273,7 +278,7 @@
 	number_chain(b, l);
 	for (size_t i = 0; i < n; i++)
 		ask_again(l, chosen[i]);
-	send_lookup(b, l, &p, chosen, n);
+	send_lookup(b, l, &p, chosen, n, true);
 	l->last_sent_ms = b->now;
 	return true;
 }
@@ -286,7 +291,7 @@
 	    b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
 		return false;
 	for (unsigned i = 0; i < l->batch && l->next < l->pending->len; i++)
-		send_chain(b, l, &p);
+		send_chain(b, l, &p, relay_packet_wants_answer(&p));
 	l->batch *= BATCH_GROWTH;
 	l->last_sent_ms = b->now;
 	return true;
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -114,6 +114,7 @@
 	uint32_t agent; /* address */
 	lookup_answer_t answer;
 	uint32_t chain;	  /* number of the chain that it is in; 0: none */
+	bool trial;	  /* servers of unsure agents of that chain try it */
 	uint64_t kept_ms; /* when its running server had not returned the packet
 			   */
 	bool suspect;	  /* it may wait for a server that is lost */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -152,16 +152,29 @@
 	return NULL;
 }
 
+/* True when a server that holds the flow shows it by an answer to the look-up's
+ * packet. */
+static bool wants_answer(const relay_balancer_t *b, const relay_lookup_t *l)
+{
+	relay_packet_t p;
+
+	return b->options.format->read(l->packet->data, l->packet->len, &p) ==
+		       0 &&
+	       relay_packet_wants_answer(&p);
+}
+
 /*
  * Sends the packet along a new chain of the unsure agents, whose servers show
- * whether they hold the flow. Of each chain that did not end, the first agent
- * may wait for a server that is lost, and those behind it have not got the
- * packet: it goes last. When only such agents are left, each is tried once
- * more. Returns false when there is no agent to try.
+ * whether they hold the flow. Of each chain that let servers try it and did not
+ * end, the first agent may wait for a server that is lost, and those behind it
+ * have not got the packet: it goes last. When only such agents are left, each
+ * is tried once more. A packet that gets no answer is tried only at the agent
+ * that has listed the flow. Returns false when there is no agent to try.
  */
 static bool try_unsure(relay_balancer_t *b, relay_flow_t *f)
 {
 	relay_lookup_t *l = f->lookup;
+	bool anywhere = wants_answer(b, l);
 	GArray *order;
 	uint32_t chain = 0;
 	bool sent;
@@ -172,9 +185,10 @@
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
 
-		if (a->answer != ANSWER_UNSURE || a->suspect)
+		if (a->answer != ANSWER_UNSURE || a->suspect ||
+		    (!anywhere && a->agent != l->listed))
 			continue;
-		a->suspect = a->chain != chain;
+		a->suspect = a->trial && a->chain != chain;
 		chain = a->chain;
 		if (!a->suspect)
 			g_array_append_val(order, a->agent);
@@ -216,14 +230,15 @@
 }
 
 /* Sends a packet that needs an answer to an agent whose server may have kept an
- * earlier one: a server that answers holds the flow. */
+ * earlier one: a server that answers holds the flow. If none has got one, the
+ * look-up goes on with this packet. */
 static void try_new_packet(relay_balancer_t *b, relay_flow_t *f,
 			   const relay_packet_t *p)
 {
 	relay_lookup_t *l = f->lookup;
 	relay_member_t *m;
 
-	if (!p->payload_len && !(p->flags & RELAY_FIN))
+	if (!relay_packet_wants_answer(p))
 		return;
 	g_free(l->packet);
 	l->packet = copy_packet(p);
@@ -231,6 +246,8 @@
 	m = member_to_try(b, l);
 	if (m)
 		relay_chain_send_single(b, l, m);
+	else
+		advance_lookup(b, f);
 }
 
 static void send_copy(relay_balancer_t *b, relay_flow_t *f, packet_copy_t *copy)
@@ -246,12 +263,8 @@
  * shows itself as the holder by an answer, if the packet expects one. */
 static bool packet_missed(const relay_balancer_t *b, const relay_lookup_t *l)
 {
-	relay_packet_t p;
-
-	if (!l->query_rounds || l->packet_queued ||
-	    b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
-		return false;
-	return !l->tried || (!p.payload_len && !(p.flags & RELAY_FIN));
+	return l->query_rounds && !l->packet_queued &&
+	       (!l->tried || !wants_answer(b, l));
 }
 
 /* Sends the look-up's packets to the flow's holder. If the first one expects no
@@ -304,7 +317,9 @@
 /*
  * Continues a look-up once all agents asked so far have answered: sends the
  * next chains, lets the servers of unsure agents try the packet, or resets the
- * flow if no agent holds it.
+ * flow if no agent holds it. A packet that gets no answer is dropped when only
+ * servers know: one that waits for it sends again, and its agent then knows the
+ * flow.
  */
 static void advance_lookup(relay_balancer_t *b, relay_flow_t *f)
 {
@@ -317,10 +332,16 @@
 			return;
 	if ((!awaits_listed(b, l) && send_next(b, f)) || try_unsure(b, f))
 		return;
-	for (guint i = 0; i < l->asked->len; i++)
-		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
+	for (guint i = 0; i < l->asked->len; i++) {
+		if (g_array_index(l->asked, lookup_agent_t, i).answer !=
 		    ANSWER_UNSURE)
-			return;
+			continue;
+		if (!wants_answer(b, l)) {
+			log_lookup(b, f, "not tried, since it gets no answer");
+			flow_index_remove(b->flows, &f->node);
+		}
+		return;
+	}
 	f->agent = 0;
 	if (directory_first_listing(b->directory) ||
 	    (!l->asked->len && directory_settling(b->directory, b->now))) {
--- a/src/relay_packet.h
+++ b/src/relay_packet.h
@@ -76,4 +76,12 @@
 	return (p->flags & (RELAY_SYN | RELAY_ACK)) == RELAY_SYN;
 }
 
+/* Returns true for a packet that its receiver answers: bare acknowledgements
+ * and resets get no answer. */
+static inline int relay_packet_wants_answer(const relay_packet_t *p)
+{
+	return !(p->flags & RELAY_RST) &&
+	       (p->payload_len || (p->flags & (RELAY_SYN | RELAY_FIN)));
+}
+
 #endif
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -549,28 +549,50 @@
 	return chain;
 }
 
+/* A look-up of a request; the caller sets further fields and delivers it. */
+static relay_msg_t lookup_message(uint8_t *buf, uint32_t balancer,
+				  unsigned flow, uint32_t ack,
+				  const uint32_t *candidates, size_t n)
+{
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_LOOKUP);
+	msg.service = (char *)"feeds";
+	msg.balancer = balancer;
+	msg.packet.data = buf;
+	msg.packet.len = build_packet(buf, flow, true, RELAY_ACK, 6, ack, 100);
+	msg.candidates = (uint32_t *)candidates;
+	msg.n_candidates = n;
+	msg.chain = 1;
+	return msg;
+}
+
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n)
 {
 	rr_lookup_unsure(r, balancer, flow, ack, candidates, n, NULL, 0);
 }
 
+void rr_lookup_known(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		     uint32_t ack, const uint32_t *candidates, size_t n)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	relay_msg_t msg =
+		lookup_message(buf, balancer, flow, ack, candidates, n);
+
+	msg.known_only = true;
+	deliver_message(r, balancer, &msg);
+}
+
 void rr_lookup_unsure(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		      uint32_t ack, const uint32_t *candidates, size_t n,
 		      const uint32_t *unsure, size_t m)
 {
 	uint8_t buf[RELAY_PACKET_MAX];
-	relay_msg_t msg;
+	relay_msg_t msg =
+		lookup_message(buf, balancer, flow, ack, candidates, n);
 
-	relay_msg_init(&msg, RELAY_LOOKUP);
-	msg.service = (char *)"feeds";
-	msg.balancer = balancer;
-	msg.packet.data = buf;
-	msg.packet.len = build_packet(buf, flow, true, RELAY_ACK, 6, ack, 100);
-	msg.candidates = (uint32_t *)candidates;
-	msg.n_candidates = n;
 	msg.unsure = (uint32_t *)unsure;
 	msg.n_unsure = m;
-	msg.chain = 1;
 	deliver_message(r, balancer, &msg);
 }
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -130,6 +130,9 @@
  * in the look-up chain. */
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n);
+/* The same, where servers do not try the packet. */
+void rr_lookup_known(relay_rig_t *r, uint32_t balancer, unsigned flow,
+		     uint32_t ack, const uint32_t *candidates, size_t n);
 /* The same, of a chain that m unsure agents have passed on. */
 void rr_lookup_unsure(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		      uint32_t ack, const uint32_t *candidates, size_t n,
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -221,6 +221,33 @@
 }
 END_TEST
 
+/* Guards against trials that nobody asked for: an unsure agent passes the
+ * look-up on untried and is named; one that knows the flow delivers. */
+START_TEST(look_up_without_trial)
+{
+	relay_rig_t *r = rr_agent(false);
+	uint32_t other = OTHER_AGENT;
+	relay_msg_t *msg;
+
+	rr_lookup_known(r, BALANCER, 1, 7, &other, 1);
+	msg = last_message(r, OTHER_AGENT, RELAY_LOOKUP);
+	ck_assert(msg->known_only);
+	ck_assert_uint_eq(msg->n_unsure, 1);
+	relay_msg_free(msg);
+	rr_lookup_known(r, BALANCER, 1, 7, NULL, 0);
+	msg = last_message(r, BALANCER, RELAY_NOT_HELD);
+	ck_assert_uint_eq(msg->n_unsure, 1);
+	ck_assert_uint_eq(msg->unsure[0], RIG_HOST_A);
+	relay_msg_free(msg);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	rr_from_server(r, 1, RELAY_ACK, 7, 106, 500);
+	rr_lookup_known(r, BALANCER, 1, 7, &other, 1);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_HELD), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against a detour that ends at the agent that is to pass the packet on,
  * after its restart. */
 START_TEST(detour_is_passed_on)
@@ -366,6 +393,7 @@
 	tcase_add_test(tc, returned_flow_is_not_held);
 	tcase_add_test(tc, silent_server_is_passed);
 	tcase_add_test(tc, chain_tells_who_is_unsure);
+	tcase_add_test(tc, look_up_without_trial);
 	tcase_add_test(tc, detour_is_passed_on);
 	tcase_add_test(tc, unused_copy_is_not_reset);
 	tcase_add_loop_test(tc, pause_of_agent_is_no_silence, 0, 2);
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -224,6 +224,65 @@
 }
 END_TEST
 
+/* The last look-up that was sent to an agent; 0: to any. */
+static relay_msg_t *last_lookup(const relay_rig_t *r, uint32_t agent)
+{
+	int at = rr_last(r, RIG_MESSAGE, agent, RELAY_LOOKUP);
+
+	ck_assert_int_ge(at, 0);
+	return relay_msg_unpack(r->sent[at].buf, r->sent[at].len);
+}
+
+/* Guards against packets at servers of others and none at the flow's own: a
+ * bare acknowledgement gets no answer and is not sent again, so that a trial
+ * shows nothing. The next request is tried. */
+START_TEST(bare_acknowledgement_is_not_tried)
+{
+	uint32_t agents[] = { AGENT_A, AGENT_B };
+	relay_rig_t *r = rr_two_targets();
+	relay_msg_t *msg;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
+	msg = last_lookup(r, 0);
+	ck_assert(msg->known_only);
+	rr_clear(r);
+	rr_chain_unsure(r, AGENT_B, 1, msg->chain, agents, 2);
+	relay_msg_free(msg);
+	rr_advance(r, 1000);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	msg = last_lookup(r, 0);
+	ck_assert(!msg->known_only);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a request that waits behind such a packet: it is tried, at
+ * the agents that are unsure, as soon as it comes. */
+START_TEST(request_after_acknowledgement_is_tried)
+{
+	relay_rig_t *r = rr_two_targets();
+	uint32_t first;
+	relay_msg_t *msg;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
+	first = last_chain(r);
+	rr_advance(r, 250);
+	rr_clear(r);
+	rr_flow_message(r, first, RELAY_UNSURE, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(r, other_agent(first), RELAY_UNSURE, 1, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 1);
+	msg = last_lookup(r, 0);
+	ck_assert(!msg->known_only);
+	ck_assert_uint_gt(msg->packet.len, 100);
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against the opposite: the chain has brought it there. */
 START_TEST(packet_of_a_chain_is_sent_once)
 {
@@ -252,6 +311,8 @@
 	tcase_add_test(tc, packet_of_a_lost_chain_reaches_the_holder);
 	tcase_add_test(tc, packet_of_a_chain_is_sent_once);
 	tcase_add_test(tc, unsure_agent_of_a_chain_is_asked);
+	tcase_add_test(tc, bare_acknowledgement_is_not_tried);
+	tcase_add_test(tc, request_after_acknowledgement_is_tried);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
