Let servers try a look-up's packet in one chain at a time

Cause: when the first chain has not ended within 60 ms, four, sixteen, and so on follow at once, and each lets the servers of unsure agents try the packet.

Evidence: test_relay_lookup:one_chain_tries_at_a_time failed before (three chains with trials at a time, 20 agents). Ruled out: chains one after the other, which would take seconds among hundreds of agents that know.

Mend: later chains ask agents for what they know; unsure ones try the packet afterwards, in one chain at a time.

--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -286,12 +286,15 @@
 bool relay_chain_send_batch(relay_balancer_t *b, relay_lookup_t *l)
 {
 	relay_packet_t p;
+	bool trial;
 
 	if (l->next == l->pending->len ||
 	    b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
 		return false;
+	/* With several chains, servers would get the packet after its own. */
+	trial = l->batch == 1 && relay_packet_wants_answer(&p);
 	for (unsigned i = 0; i < l->batch && l->next < l->pending->len; i++)
-		send_chain(b, l, &p, relay_packet_wants_answer(&p));
+		send_chain(b, l, &p, trial);
 	l->batch *= BATCH_GROWTH;
 	l->last_sent_ms = b->now;
 	return true;
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -4,6 +4,7 @@
 
 #include "relay_rig.h"
 #include "runner.h"
+#include <stdio.h>
 
 #define AGENT_A RIG_HOST_A
 #define AGENT_B RIG_HOST_B
@@ -283,6 +284,47 @@
 }
 END_TEST
 
+#define GROUP_SIZE 20
+
+/* Guards against copies of a packet at many servers after it has reached its
+ * own: only one chain at a time lets servers try it. */
+START_TEST(one_chain_tries_at_a_time)
+{
+	relay_rig_t *r = rr_balancer();
+	uint32_t unsure[GROUP_SIZE];
+	unsigned trials = 0, chain;
+	char id[8];
+
+	rr_routes(r, 1);
+	for (unsigned i = 0; i < GROUP_SIZE; i++) {
+		unsure[i] = RIG_HOST_A + 16 * i;
+		snprintf(id, sizeof(id), "t%u", i);
+		rr_entry(r, id, unsure[i], 2 + i, ENTRY_READY);
+	}
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_advance(r, 150);
+	for (size_t i = 0; i < r->nsent; i++) {
+		relay_msg_t *msg;
+
+		if (r->sent[i].to != RIG_MESSAGE)
+			continue;
+		msg = relay_msg_unpack(r->sent[i].buf, r->sent[i].len);
+		trials += msg->kind == RELAY_LOOKUP && !msg->known_only;
+		relay_msg_free(msg);
+	}
+	ck_assert_uint_eq(trials, 1);
+	ck_assert_uint_ge(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 3);
+	chain = rr_last_chain(r, 0);
+	rr_clear(r);
+	for (unsigned i = 0; i <= 2; i++)
+		rr_chain_unsure(r, AGENT_A, 1, chain - i, unsure, GROUP_SIZE);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_LOOKUP), 1);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against the opposite: the chain has brought it there. */
 START_TEST(packet_of_a_chain_is_sent_once)
 {
@@ -313,6 +355,7 @@
 	tcase_add_test(tc, unsure_agent_of_a_chain_is_asked);
 	tcase_add_test(tc, bare_acknowledgement_is_not_tried);
 	tcase_add_test(tc, request_after_acknowledgement_is_tried);
+	tcase_add_test(tc, one_chain_tries_at_a_time);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
