Ignore SIGPIPE in the daemons

Cause: a write to a connection that its peer has closed raises SIGPIPE, which libuv does not change. It takes a second write after the peer's close: two requests on one connection that are read at once, as after a stop, or the log once its reader has ended.

Ruled out: datagrams, which raise no signal. The command line keeps the signal: it is to end with the pipe that it writes to.

--- a/src/process.c
+++ b/src/process.c
@@ -2,6 +2,7 @@
 #include "log.h"
 #include "process_config.h"
 #include "version.h"
+#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -303,6 +304,8 @@
 		g_free(settings);
 		return code;
 	}
+	/* A write to a connection that its peer has closed fails instead. */
+	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 ||
 	    settings_load(settings, ops->role, &p.settings, &err) < 0) {
 		fprintf(stderr, "%s: %s\n", ops->program,
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -1,6 +1,7 @@
 #include "relay_process.h"
 #include "event_log.h"
 #include "version.h"
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -340,6 +341,8 @@
 	err_t err = { 0 };
 	int code = 1;
 
+	/* A write to a connection that its peer has closed fails instead. */
+	signal(SIGPIPE, SIG_IGN);
 	if (relay_settings_load(settings_file, daemon->role, &p.settings,
 				&err) < 0) {
 		fprintf(stderr, "cherviltray-relay: %s\n",
