Serve long names, and let a bad route cost only itself

A name of 64 bytes or more, of a route or a service, made all balancers refuse the configuration and each later one; a target with such an id or service got no opens; an agent of such a service did not start.

Cause: names in arrays of 64 bytes, and a document refused for one item.

Mend: interned names, 255 bytes at most; ids have the room of a key.

--- a/src/directory.h
+++ b/src/directory.h
@@ -29,7 +29,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define DIRECTORY_NAME_SIZE 64
+/* Longest id of a target, in bytes, with the terminating NUL: that of a key of
+ * the store. */
+#define DIRECTORY_ID_SIZE 201
 
 /* Grace period of entries that went missing around an outage. Live targets
  * register again within about two seconds after the store is back. */
@@ -42,9 +44,9 @@
 } entry_state_t;
 
 typedef struct target_entry {
-	char id[DIRECTORY_NAME_SIZE];
-	char service[DIRECTORY_NAME_SIZE];
-	char zone[DIRECTORY_NAME_SIZE]; /* availability zone */
+	char id[DIRECTORY_ID_SIZE];
+	const char *service; /* interned */
+	const char *zone;    /* availability zone, interned */
 	endpoint_t address; /* of the target; its agent runs on the same host */
 	uint32_t slots;	    /* requests served at a time */
 	uint32_t warmup_ms; /* remaining warm-up when published */
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -28,7 +28,7 @@
 #include <stdint.h>
 
 /* Bytes of a zone's name, with the terminating NUL. */
-#define EVACUATION_ZONE_SIZE 64
+#define EVACUATION_ZONE_SIZE 256
 /* Time for which an evacuation holds that a restored store does not list: as
  * long as the history that the store keeps, which is the most that a copy can
  * lack. */
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -1668,7 +1668,7 @@
   (ProtobufCMessageInit) ct__relay__former_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ct__relay__state__field_descriptors[12] =
 {
   {
     "revision",
@@ -1802,6 +1802,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "skipped_routes",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__State, skipped_routes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__state__field_indices_by_name[] = {
   5,   /* field[5] = era */
@@ -1812,14 +1824,16 @@
   3,   /* field[3] = routes */
   10,   /* field[10] = routes_seen_ms */
   8,   /* field[8] = services */
+  11,   /* field[11] = skipped_routes */
   4,   /* field[4] = targets */
   7,   /* field[7] = tells_evacuations */
   1,   /* field[1] = version */
 };
-static const ProtobufCIntRange ct__relay__state__number_ranges[1 + 1] =
+static const ProtobufCIntRange ct__relay__state__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 13, 11 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ct__relay__state__descriptor =
 {
@@ -1829,10 +1843,10 @@
   "Ct__Relay__State",
   "ct.relay",
   sizeof(Ct__Relay__State),
-  11,
+  12,
   ct__relay__state__field_descriptors,
   ct__relay__state__field_indices_by_name,
-  1,  ct__relay__state__number_ranges,
+  2,  ct__relay__state__number_ranges,
   (ProtobufCMessageInit) ct__relay__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -380,6 +380,10 @@
    */
   size_t n_former;
   Ct__Relay__FormerService **former;
+  /*
+   * routes of the version that could not be read
+   */
+  uint32_t skipped_routes;
   /*
    * time for which all versions of the routes were seen
    */
@@ -387,7 +391,7 @@
 };
 #define CT__RELAY__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__state__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 /* Ct__Relay__Load methods */
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -61,7 +61,7 @@
 typedef struct relay_member {
 	uint32_t agent;	     /* address */
 	const char *service; /* interned */
-	char entry_id[DIRECTORY_NAME_SIZE];
+	char entry_id[DIRECTORY_ID_SIZE];
 	uint64_t started_ms; /* start of the target, Unix time, as published */
 	entry_state_t state;
 	const char *zone;	  /* availability zone, interned */
--- a/src/relay_balancer_read.c
+++ b/src/relay_balancer_read.c
@@ -63,6 +63,11 @@
 void relay_unrouted_packet(relay_balancer_t *b, const relay_packet_t *p,
 			   uint64_t arrived_ms, uint32_t wait_ms)
 {
+	if (b->routes && route_table_skipped(b->routes)) {
+		/* The route may be there, and could not be read. */
+		counter_add(&b->counters, COUNTER_DROP_NO_SERVICE, 1);
+		return;
+	}
 	if ((p->flags & RELAY_RST) || may_refuse_at_once(b, p) ||
 	    relay_read_since(b, arrived_ms)) {
 		send_unrouted_reset(b, p);
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -18,7 +18,7 @@
 #include <stdint.h>
 
 /* Bytes of a name, with the terminating NUL. */
-#define RELAY_NAME_SIZE 64
+#define RELAY_NAME_SIZE 256
 /* Most peers that are asked; further ones in the settings are ignored. */
 #define RELAY_PEERS_MAX 8
 /* Bytes of the list of unknown keys, with the terminating NUL. */
--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -47,7 +47,7 @@
 		share_msg_t *share = new_part(parts, sizeof(*share));
 
 		ct__relay__share__init(share);
-		share->service = route->shares[i].service;
+		share->service = (char *)route->shares[i].service;
 		share->weight = route->shares[i].weight;
 		m->shares[i] = share;
 	}
@@ -136,6 +136,7 @@
 
 	if (table) {
 		state.version = route_table_version(table);
+		state.skipped_routes = route_table_skipped(table);
 		state.idle_timeout_ms = route_table_idle_timeout_ms(table);
 		route_table_each(table, add_route, &routes);
 		route_table_each_service(table, add_service, &services);
@@ -189,10 +190,9 @@
 			  .nshares = m->n_shares };
 	err_t err;
 
-	g_strlcpy(route.name, m->name, sizeof(route.name));
+	route.name = m->name;
 	for (size_t i = 0; i < m->n_shares; i++) {
-		g_strlcpy(shares[i].service, m->shares[i]->service,
-			  sizeof(shares[i].service));
+		shares[i].service = g_intern_string(m->shares[i]->service);
 		shares[i].weight = m->shares[i]->weight;
 	}
 	return route_table_add(t, &route, &err);
@@ -200,11 +200,11 @@
 
 static void read_service(route_table_t *t, const service_msg_t *m)
 {
-	route_service_t service = { .max_flows = m->max_flows,
+	route_service_t service = { .name = g_intern_string(m->name),
+				    .max_flows = m->max_flows,
 				    .warmup_ms = m->warmup_ms,
 				    .warmup_per_s = m->warmup_per_s };
 
-	g_strlcpy(service.name, m->name, sizeof(service.name));
 	route_table_set_service(t, &service);
 }
 
@@ -219,6 +219,8 @@
 		route_table_unref(t);
 		return;
 	}
+	if (t)
+		route_table_skip(t, state->skipped_routes);
 	for (size_t i = 0; t && i < state->n_services; i++)
 		read_service(t, state->services[i]);
 	if (t)
@@ -256,8 +258,8 @@
 		return;
 	e.state = (entry_state_t)m->state;
 	g_strlcpy(e.id, m->id, sizeof(e.id));
-	g_strlcpy(e.service, m->service, sizeof(e.service));
-	g_strlcpy(e.zone, m->zone, sizeof(e.zone));
+	e.service = g_intern_string(m->service);
+	e.zone = g_intern_string(m->zone);
 	directory_put(d, now, &e);
 	if (m->missing_ms)
 		directory_set_missing(d, now, e.id, e.revision, m->missing_ms);
--- a/src/routes.c
+++ b/src/routes.c
@@ -5,14 +5,18 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Size of the blocks in which names are stored, in bytes. */
+#define NAMES_BLOCK 1024
+
 struct route_table {
 	int refs;
 	uint64_t version;
 	uint32_t idle_timeout_ms;
+	uint32_t skipped;	     /* see route_table_skip() */
+	GStringChunk *names;	     /* of the routes */
 	GHashTable *routes;	     /* address and port -> route_t */
 	GHashTable *services;	     /* name -> route_service_t */
-	GHashTable *priority_ranges; /* service -> priority_range_t; the keys
-					are owned by the shares of `routes` */
+	GHashTable *priority_ranges; /* service -> priority_range_t */
 };
 
 /* Lowest and highest priority number of the routes of a service. */
@@ -49,6 +53,7 @@
 	t->refs = 1;
 	t->version = version;
 	t->idle_timeout_ms = idle_timeout_ms;
+	t->names = g_string_chunk_new(NAMES_BLOCK);
 	t->routes = g_hash_table_new_full(NULL, NULL, NULL, route_free);
 	t->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -70,6 +75,7 @@
 	g_hash_table_destroy(t->priority_ranges);
 	g_hash_table_destroy(t->services);
 	g_hash_table_destroy(t->routes);
+	g_string_chunk_free(t->names);
 	free(t);
 }
 
@@ -105,6 +111,7 @@
 			       route->name, ipv4_format(route->address, text),
 			       route->port);
 	copy = g_memdup2(route, sizeof(*route));
+	copy->name = g_string_chunk_insert(t->names, route->name);
 	copy->shares = g_memdup2(route->shares,
 				 route->nshares * sizeof(*route->shares));
 	g_hash_table_insert(t->routes, key, copy);
@@ -114,6 +121,16 @@
 	return 0;
 }
 
+void route_table_skip(route_table_t *t, uint32_t n)
+{
+	t->skipped += n;
+}
+
+uint32_t route_table_skipped(const route_table_t *t)
+{
+	return t->skipped;
+}
+
 double route_relative_priority(const route_table_t *t, const route_t *route,
 			       const char *service)
 {
@@ -129,7 +146,7 @@
 {
 	route_service_t *copy = g_memdup2(service, sizeof(*service));
 
-	g_hash_table_replace(t->services, copy->name, copy);
+	g_hash_table_replace(t->services, (gpointer)copy->name, copy);
 }
 
 const route_service_t *route_table_service(const route_table_t *t,
--- a/src/routes.h
+++ b/src/routes.h
@@ -14,15 +14,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define ROUTE_NAME_SIZE 64
+/* Longest name of a route, a service or an availability zone, in bytes, with
+ * the terminating NUL. */
+#define ROUTE_NAME_SIZE 256
 
 typedef struct route_share {
-	char service[ROUTE_NAME_SIZE];
+	const char *service; /* interned */
 	uint32_t weight;
 } route_share_t;
 
 typedef struct route {
-	char name[ROUTE_NAME_SIZE];
+	const char *name;      /* the table has a copy of its own */
 	uint32_t address;      /* IPv4, host byte order */
 	uint16_t port;	       /* host byte order */
 	bool idempotent;       /* requests may safely run twice */
@@ -35,7 +37,7 @@
 
 /* Limits of a service's targets. */
 typedef struct route_service {
-	char name[ROUTE_NAME_SIZE];
+	const char *name;    /* interned */
 	uint32_t max_flows;  /* that a target holds; 0: not known */
 	uint32_t warmup_ms;  /* time for which a target is cold */
 	double warmup_per_s; /* requests that a cold target bears; 0: no bound
@@ -53,11 +55,17 @@
 void route_table_unref(route_table_t *t);
 
 /*
- * Adds a route; its shares are copied. Returns 0, or -1 and sets err when the
- * route has no share or its address and port are already used.
+ * Adds a route; its name and its shares are copied. Returns 0, or -1 and sets
+ * err when the route has no share or its address and port are already used.
  */
 int route_table_add(route_table_t *t, const route_t *route, err_t *err);
 
+/* Notes that n routes of the document could not be read: an address and port
+ * without a route may be theirs. */
+void route_table_skip(route_table_t *t, uint32_t n);
+/* Number of routes that could not be read. */
+uint32_t route_table_skipped(const route_table_t *t);
+
 /* Sets the limits of a service; they are copied. */
 void route_table_set_service(route_table_t *t, const route_service_t *service);
 /* Returns the limits of a service, or NULL when none are set. */
--- a/test/test_read_before_reset.c
+++ b/test/test_read_before_reset.c
@@ -45,6 +45,29 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow whose route is in force, and which the
+ * balancer could not read. */
+START_TEST(unreadable_route_is_left_be)
+{
+	relay_rig_t *r = without_route();
+	route_table_t *t = route_table_new(5, 15000);
+
+	route_table_skip(t, 1);
+	relay_balancer_set_routes(r->balancer, t);
+	rr_store_read(r);
+	rr_advance(r, 50);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 1001, 100);
+	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
+	rr_advance(r, 50);
+	rr_store_read(r);
+	ck_assert_uint_eq(resets(r), 0);
+	rr_routes(r, 6);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 1001, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT_A, RELAY_LOOKUP), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against the same after a restart: an answer of the store to a request
  * that was sent before the packet came proves nothing. */
 START_TEST(earlier_answer_proves_nothing)
@@ -235,6 +258,7 @@
 
 	tcase_add_test(tc, unknown_route_is_read_first);
 	tcase_add_test(tc, earlier_answer_proves_nothing);
+	tcase_add_test(tc, unreadable_route_is_left_be);
 	tcase_add_test(tc, dropped_route_is_reset_once_read);
 	tcase_add_test(tc, nothing_open_is_reset_while_store_is_away);
 	tcase_add_test(tc, first_open_waits_while_changes_are_unread);
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -73,6 +73,44 @@
 }
 END_TEST
 
+/* Bytes of a long name. */
+#define LONG_NAME 192
+
+/* Guards against names that a peer's state cuts short, and against a balancer
+ * that takes a route for dropped which its peer could not read. */
+START_TEST(state_keeps_long_names_and_unread_routes)
+{
+	relay_rig_t *old = rr_balancer(), *fresh = rr_balancer();
+	g_autofree char *name = g_strnfill(LONG_NAME, 'n');
+	route_share_t share = { name, 1 };
+	route_t route = { .name = name,
+			  .address = RIG_SERVICE_ADDRESS,
+			  .port = RIG_SERVICE_PORT,
+			  .shares = &share,
+			  .nshares = 1 };
+	route_table_t *t = route_table_new(7, 15000);
+	GString *state;
+	const route_t *r;
+
+	ck_assert_int_eq(route_table_add(t, &route, NULL), 0);
+	route_table_skip(t, 2);
+	relay_balancer_set_routes(old->balancer, t);
+	rr_entry_of(old, name, name, AGENT_A, 20, ENTRY_READY);
+	state = pack_state(old, 25);
+	apply_state(state, fresh);
+	t = (route_table_t *)relay_balancer_route_table(fresh->balancer);
+	ck_assert_uint_eq(route_table_skipped(t), 2);
+	r = route_find(t, RIG_SERVICE_ADDRESS, RIG_SERVICE_PORT);
+	ck_assert_str_eq(r->name, name);
+	ck_assert_str_eq(r->shares[0].service, name);
+	ck_assert_ptr_nonnull(directory_find(
+		relay_balancer_directory(fresh->balancer), name));
+	g_string_free(state, TRUE);
+	rr_free(old);
+	rr_free(fresh);
+}
+END_TEST
+
 static GString *pack_state_of(relay_rig_t *r, store_revision_t revision)
 {
 	GString *out = g_string_new(NULL);
@@ -233,6 +271,7 @@
 	tcase_add_test(tc, state_of_peer_is_applied);
 	tcase_add_test(tc, older_state_changes_nothing);
 	tcase_add_test(tc, peers_in_different_eras);
+	tcase_add_test(tc, state_keeps_long_names_and_unread_routes);
 	tcase_add_test(tc, state_has_missing_and_gone_targets);
 	tcase_add_test(tc, entry_missing_in_an_older_state_stays);
 	tcase_add_test(tc, empty_or_invalid_state_is_refused);
