List the store when its changes don't fit into an answer

A balancer whose watch got an answer of more than 4 MiB rejected it and requested it again, until the revision left the store's history; meanwhile it followed no change.

Evidence: test_feed:changes_that_are_too_large_are_listed failed on (routes of version 3 instead of 4). Ruled out: a larger bound, since answers to watches have none, and memory has.

Mend: such an answer is told apart from one that is not valid; the balancer logs it and lists the store in pages.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -40,6 +40,7 @@
 	uint64_t due_ms; /* end of the time-out in progress, loop's clock */
 	bool keep_alive;
 	bool complete;
+	bool too_large; /* see http_response_t */
 	http_done_fn done;
 	void *ctx;
 };
@@ -89,8 +90,12 @@
 
 static void finish_request(http_client_t *c, int status, const char *error)
 {
-	http_response_t response = { status, error, c->body->str, c->body->len,
-				     c->headers };
+	http_response_t response = { .status = status,
+				     .error = error,
+				     .too_large = c->too_large,
+				     .body = c->body->str,
+				     .len = c->body->len,
+				     .headers = c->headers };
 	GString *body = c->body;
 	GHashTable *headers = c->headers;
 	http_done_fn done = c->done;
@@ -132,8 +137,10 @@
 {
 	http_client_t *c = parser->data;
 
-	if (c->body->len + len > HTTP_BODY_MAX)
+	if (c->body->len + len > HTTP_BODY_MAX) {
+		c->too_large = true;
 		return -1;
+	}
 	g_string_append_len(c->body, at, (gssize)len);
 	return 0;
 }
@@ -229,7 +236,9 @@
 	if (c->complete)
 		finish_request(c, (int)c->parser.status_code, NULL);
 	else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
-		finish_request(c, 0, "response is not valid HTTP");
+		finish_request(c, 0,
+			       c->too_large ? "response is too large"
+					    : "response is not valid HTTP");
 }
 
 static void on_written(uv_write_t *write, int status)
@@ -345,6 +354,7 @@
 	c->done = done;
 	c->ctx = ctx;
 	c->keep_alive = false;
+	c->too_large = false;
 	g_string_truncate(c->body, 0);
 	if (c->connection && c->connected)
 		send_request(c);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -23,6 +23,7 @@
 typedef struct http_response {
 	int status;	   /* HTTP status; 0: request failed */
 	const char *error; /* cause of the failure; NULL with a status */
+	bool too_large;	   /* the body exceeds HTTP_BODY_MAX */
 	const char *body;  /* valid during the callback only */
 	size_t len;	   /* bytes */
 	/* Lower-case names to values, both strings; valid like body. Of a
--- a/src/watcher.c
+++ b/src/watcher.c
@@ -134,6 +134,19 @@
 	schedule_retry(w);
 }
 
+/* The changes since the last answer do not fit into one: everything is listed,
+ * in pages, since the same request would get the same answer. */
+static void changes_too_large(watcher_t *w)
+{
+	counter_add(w->counters, COUNTER_PLATFORM_FAILURES, 1);
+	event_log(EVENT_STORE,
+		  "\"state\":\"changes too large\",\"max_bytes\":%d,"
+		  "\"revision\":%llu",
+		  HTTP_BODY_MAX, (unsigned long long)w->revision.number);
+	w->must_list = true;
+	schedule_retry(w);
+}
+
 /* Begins a listing in place of what was requested last. */
 static void list_again(watcher_t *w)
 {
@@ -206,6 +219,10 @@
 	char reason[64];
 	err_t err = { 0 };
 
+	if (answer->too_large && w->watching) {
+		changes_too_large(w);
+		return;
+	}
 	if (!answer->status) {
 		request_failed(w, answer->error);
 		return;
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -218,6 +218,41 @@
 }
 END_TEST
 
+/* Bytes of a large value, and how many of them no answer can hold. */
+#define LARGE_VALUE  (1024 * 1024)
+#define LARGE_VALUES 4
+
+/* Guards against a balancer that requests the same changes for ever, since the
+ * answer is larger than it reads: it lists the store instead, and follows it.
+ */
+START_TEST(changes_that_are_too_large_are_listed)
+{
+	watcher_rig_t *r = wr_open(SILENCE_MS, APPLY_MS);
+	g_autofree char *value = g_strnfill(LARGE_VALUE, 'x');
+	char key[32];
+	unsigned calls;
+
+	fake_store_set_page_size(r->store, 2);
+	wr_start(r);
+	wr_run(r, SETTLE_MS / 2);
+	calls = fake_store_request_count(r->store);
+	for (int i = 0; i < LARGE_VALUES; i++) {
+		snprintf(key, sizeof(key), "zz/%d", i);
+		fake_store_put(r->store, key, value);
+	}
+	fake_store_put(r->store, "op/config", ROUTES_V(4));
+	fake_store_put(r->store, "servers/b", TARGET("10.1.0.2"));
+	wr_run(r, 2 * SETTLE_MS);
+	ck_assert_uint_eq(wr_version(r), 4);
+	ck_assert_uint_eq(wr_ready_targets(r), 2);
+	ck_assert_uint_le(fake_store_request_count(r->store) - calls, 10);
+	fake_store_put(r->store, "op/config", ROUTES_V(5));
+	wr_run(r, SETTLE_MS);
+	ck_assert_uint_eq(wr_version(r), 5);
+	wr_close(r);
+}
+END_TEST
+
 /* Items that can't be parsed are counted as refused and change nothing else. */
 START_TEST(unreadable_items_are_refused)
 {
@@ -270,6 +305,7 @@
 	tcase_add_test(tc, silent_connection_is_replaced);
 	tcase_add_test(tc, compacted_history_forces_resync);
 	tcase_add_loop_test(tc, unreadable_items_are_refused, 0, 8);
+	tcase_add_test(tc, changes_that_are_too_large_are_listed);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
