Mark what the store and what a peer has listed apart

A live target counted as gone, and an evacuation as taken back, until written again.

Cause: the state of a peer is a listing of its own, and began by taking the marks of all entries away, also those of the pages of the store that had been read so far. What the peer, being behind, did not list had no mark at the end of the store's listing.

Evidence: test_relay_state:state_between_two_pages failed with one mark for both ("a" gone). Ruled out: the order of revisions, which protects entries from the peer's listing only.

--- a/src/directory.c
+++ b/src/directory.c
@@ -30,7 +30,7 @@
 	/* The era rose while entries of an earlier one were known, and its
 	 * first listing has not ended. */
 	bool restored;
-	bool listing; /* a resync is in progress */
+	unsigned listing; /* store_listing_t: resyncs in progress */
 };
 
 static void set_state(directory_t *d, uint64_t now, target_entry_t *e,
@@ -122,6 +122,11 @@
 	e->listed_state = entry->state;
 }
 
+static void mark_listed(const directory_t *d, target_entry_t *e)
+{
+	e->listed |= store_listing_current(d->listing);
+}
+
 /* Adds an entry of a target that was not known. */
 static target_entry_t *add_entry(directory_t *d, const target_entry_t *entry)
 {
@@ -137,6 +142,7 @@
 	target_entry_t *e = g_hash_table_lookup(d->by_id, entry->id);
 	entry_state_t old_state = ENTRY_GONE;
 	bool restarted = false, moved = false, was_cold = false;
+	unsigned listed;
 	list_t node;
 
 	if (!enter_era(d, entry->revision.era))
@@ -146,14 +152,14 @@
 	if (!e && (entry->state == ENTRY_GONE ||
 		   (d->restored && now < d->since_ms + COPY_AGE_MAX_MS))) {
 		e = add_entry(d, entry);
-		e->listed = true;
+		mark_listed(d, e);
 		e->state = ENTRY_GONE;
 		e->state_since_ms = now;
 		keep_known(now, e, entry);
 		return;
 	}
 	if (e) {
-		e->listed = true;
+		mark_listed(d, e);
 		if (!is_newer(entry, e)) {
 			if (entry->revision.era > e->revision.era)
 				keep_known(now, e, entry);
@@ -163,13 +169,15 @@
 		restarted = e->started_ms != entry->started_ms;
 		moved = strcmp(e->zone, entry->zone) != 0;
 		was_cold = now < e->warmup_end_ms;
+		listed = e->listed;
 		node = e->node;
 		*e = *entry;
+		e->listed = listed;
 		e->node = node;
 	} else {
 		e = add_entry(d, entry);
 	}
-	e->listed = true;
+	mark_listed(d, e);
 	e->missing_since_ms = 0;
 	e->unconfirmed_since_ms = 0;
 	e->warmup_end_ms = now + entry->warmup_ms;
@@ -227,17 +235,17 @@
 		e->state_since_ms = since_ms;
 }
 
-void directory_resync_begin(directory_t *d)
+void directory_resync_begin(directory_t *d, store_listing_t listing)
 {
-	d->listing = true;
+	d->listing |= listing;
 	list_each(node, &d->entries) list_entry(node, target_entry_t, node)
-		->listed = false;
+		->listed &= ~(unsigned)listing;
 }
 
-void directory_resync_end(directory_t *d, uint64_t now,
+void directory_resync_end(directory_t *d, store_listing_t listing, uint64_t now,
 			  store_revision_t revision)
 {
-	d->listing = false;
+	d->listing &= ~(unsigned)listing;
 	if (!enter_era(d, revision.era))
 		return;
 	if (!d->first_listed_ms)
@@ -246,7 +254,7 @@
 	{
 		target_entry_t *e = list_entry(node, target_entry_t, node);
 
-		if (e->listed ||
+		if (e->listed & listing ||
 		    store_revision_compare(revision, e->revision) <= 0)
 			continue;
 		e->revision = revision;
--- a/src/directory.h
+++ b/src/directory.h
@@ -24,6 +24,7 @@
 
 #include "endpoint.h"
 #include "list.h"
+#include "store_listing.h"
 #include "store_revision.h"
 #include <stdbool.h>
 #include <stddef.h>
@@ -61,8 +62,8 @@
 	 * not doubted. listed_state is the state that the store lists. */
 	uint64_t unconfirmed_since_ms;
 	entry_state_t listed_state;
-	bool listed; /* found by the resync in progress */
-	list_t node; /* in directory.entries */
+	unsigned listed; /* store_listing_t: found by the listing in progress */
+	list_t node;	 /* in directory.entries */
 } target_entry_t;
 
 typedef struct directory directory_t;
@@ -91,16 +92,17 @@
 		      store_revision_t revision);
 
 /*
- * Resync, a complete listing of the store: call directory_resync_begin(),
- * directory_put() for each entry, then directory_resync_end() with the revision
- * at which the listing began. Entries that were not listed count as deleted at
- * that revision.
+ * Resync, a complete listing of the store or of a peer's state: call
+ * directory_resync_begin(), directory_put() for each entry, then
+ * directory_resync_end() with the revision at which the listing began. Entries
+ * that were not listed count as deleted at that revision.
  */
-void directory_resync_begin(directory_t *d);
-void directory_resync_end(directory_t *d, uint64_t now,
+void directory_resync_begin(directory_t *d, store_listing_t listing);
+void directory_resync_end(directory_t *d, store_listing_t listing, uint64_t now,
 			  store_revision_t revision);
 
-/* True from directory_resync_begin() to directory_resync_end(). */
+/* True from directory_resync_begin() to directory_resync_end() of any listing.
+ */
 bool directory_listing(const directory_t *d);
 
 /* Notes that the store dropped an entry missing_ms ago, at this revision, as a
--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -8,6 +8,7 @@
 	void *ctx;
 	uint64_t era;		   /* highest era of any change or listing */
 	store_revision_t revision; /* of the last complete listing */
+	unsigned listing;	   /* store_listing_t: resyncs in progress */
 };
 
 static evacuation_t *find(const evacuations_t *s, const char *zone);
@@ -85,7 +86,7 @@
 		return;
 	if (!is_newer(s, e, revision)) {
 		if (e && !store_revision_compare(e->revision, revision))
-			e->listed = true;
+			e->listed |= store_listing_current(s->listing);
 		return;
 	}
 	if (!e) {
@@ -95,7 +96,7 @@
 		memcpy(e->zone, zone, len + 1);
 		list_append(&s->list, &e->node);
 	}
-	e->listed = true;
+	e->listed |= store_listing_current(s->listing);
 	set_active(s, now, e, true, revision);
 }
 
@@ -118,15 +119,17 @@
 			now > unconfirmed_ms ? now - unconfirmed_ms : 1;
 }
 
-void evacuations_resync_begin(evacuations_t *s)
+void evacuations_resync_begin(evacuations_t *s, store_listing_t listing)
 {
-	list_each(node, &s->list) list_entry(node, evacuation_t, node)->listed =
-		false;
+	s->listing |= listing;
+	list_each(node, &s->list) list_entry(node, evacuation_t, node)
+		->listed &= ~(unsigned)listing;
 }
 
-void evacuations_resync_end(evacuations_t *s, uint64_t now,
-			    store_revision_t revision)
+void evacuations_resync_end(evacuations_t *s, store_listing_t listing,
+			    uint64_t now, store_revision_t revision)
 {
+	s->listing &= ~(unsigned)listing;
 	if (revision.era < s->era)
 		return;
 	s->era = revision.era;
@@ -134,7 +137,7 @@
 	{
 		evacuation_t *e = list_entry(node, evacuation_t, node);
 
-		if (e->listed ||
+		if (e->listed & listing ||
 		    store_revision_compare(revision, e->revision) <= 0)
 			continue;
 		if (!e->active || e->revision.era == revision.era)
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -23,6 +23,7 @@
  */
 
 #include "list.h"
+#include "store_listing.h"
 #include "store_revision.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -41,8 +42,8 @@
 	uint64_t since_ms;	       /* last change of active */
 	uint64_t unconfirmed_since_ms; /* not listed by a restored store; 0: no
 					*/
-	bool listed;		       /* found by the resync in progress */
-	list_t node;		       /* in evacuations_list() */
+	unsigned listed; /* store_listing_t: found by the listing in progress */
+	list_t node;	 /* in evacuations_list() */
 } evacuation_t;
 
 typedef struct evacuations evacuations_t;
@@ -74,9 +75,9 @@
  * evacuations_put() for each zone, then evacuations_resync_end() with the
  * revision at which the listing began.
  */
-void evacuations_resync_begin(evacuations_t *s);
-void evacuations_resync_end(evacuations_t *s, uint64_t now,
-			    store_revision_t revision);
+void evacuations_resync_begin(evacuations_t *s, store_listing_t listing);
+void evacuations_resync_end(evacuations_t *s, store_listing_t listing,
+			    uint64_t now, store_revision_t revision);
 
 /* Ends the wait for confirmations. */
 void evacuations_tick(evacuations_t *s, uint64_t now);
--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -273,7 +273,7 @@
 
 	if (!state->tells_evacuations)
 		return;
-	evacuations_resync_begin(s);
+	evacuations_resync_begin(s, LISTING_PEER);
 	for (size_t i = 0; i < state->n_evacuations; i++) {
 		const evacuation_msg_t *m = state->evacuations[i];
 		store_revision_t revision = { m->era, m->revision };
@@ -287,7 +287,7 @@
 			evacuations_set_unconfirmed(s, now, m->zone,
 						    m->unconfirmed_ms);
 	}
-	evacuations_resync_end(s, now, listed);
+	evacuations_resync_end(s, LISTING_PEER, now, listed);
 }
 
 store_revision_t relay_state_apply(relay_balancer_t *b, uint64_t now,
@@ -303,7 +303,8 @@
 	if (!state)
 		return revision;
 	if (state->version && state->revision) {
-		directory_resync_begin(d);
+		if (relay_mechanism_on(RELAY_PEER_RESYNC))
+			directory_resync_begin(d, LISTING_PEER);
 		read_routes(b, state);
 		read_history(b, now, state);
 		for (size_t i = 0; i < state->n_targets; i++)
@@ -312,7 +313,7 @@
 		revision.era = state->era;
 		revision.number = state->revision;
 		if (relay_mechanism_on(RELAY_PEER_RESYNC))
-			directory_resync_end(d, now, revision);
+			directory_resync_end(d, LISTING_PEER, now, revision);
 	}
 	ct__relay__state__free_unpacked(state, NULL);
 	return revision;
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -70,9 +70,9 @@
 /* Reads a listing of a restored store, in which the entry "a" is missing. */
 static void list_without_a(uint64_t now)
 {
-	directory_resync_begin(d);
+	directory_resync_begin(d, LISTING_STORE);
 	put(now, "b", 2, 4);
-	directory_resync_end(d, now, (store_revision_t){ 2, 5 });
+	directory_resync_end(d, LISTING_STORE, now, (store_revision_t){ 2, 5 });
 }
 
 /* The copy that the store was restored from may be older than the entry of a
@@ -106,8 +106,8 @@
 START_TEST(entry_missing_from_a_listing_is_gone)
 {
 	put(0, "a", 1, 7);
-	directory_resync_begin(d);
-	directory_resync_end(d, 100, (store_revision_t){ 1, 9 });
+	directory_resync_begin(d, LISTING_STORE);
+	directory_resync_end(d, LISTING_STORE, 100, (store_revision_t){ 1, 9 });
 	ck_assert_int_eq(state_of("a"), ENTRY_GONE);
 }
 END_TEST
--- a/test/test_evacuated_zone.c
+++ b/test/test_evacuated_zone.c
@@ -485,11 +485,12 @@
 
 	evacuate(old, ZONE_B, 5);
 	evacuate(newer, ZONE_A, 10);
-	evacuations_resync_begin(relay_balancer_evacuations(newer->balancer));
+	evacuations_resync_begin(relay_balancer_evacuations(newer->balancer),
+				 LISTING_STORE);
 	evacuations_put(relay_balancer_evacuations(newer->balancer), newer->now,
 			ZONE_A, AT(0, 10));
 	evacuations_resync_end(relay_balancer_evacuations(newer->balancer),
-			       newer->now, AT(0, 12));
+			       LISTING_STORE, newer->now, AT(0, 12));
 	pass_state(old, newer, AT(0, 8));
 	open_many(newer, 0);
 	ck_assert(!is_named(newer, AGENT_A) && is_named(newer, AGENT_B));
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -71,8 +71,8 @@
 	ck_assert(!evacuations_active(s, ZONE_A));
 	/* A zone that the last listing lacked is not evacuated by an item that
 	 * is older than the listing. */
-	evacuations_resync_begin(s);
-	evacuations_resync_end(s, 14, AT(1, 40));
+	evacuations_resync_begin(s, LISTING_STORE);
+	evacuations_resync_end(s, LISTING_STORE, 14, AT(1, 40));
 	evacuations_put(s, 15, ZONE_B, AT(1, 35));
 	ck_assert(!evacuations_active(s, ZONE_B));
 	evacuations_put(s, 16, ZONE_B, AT(1, 41));
@@ -90,12 +90,12 @@
 
 	evacuations_put(s, 10, ZONE_A, AT(1, 20));
 	evacuations_put(s, 10, ZONE_B, AT(1, 21));
-	evacuations_resync_begin(s);
-	evacuations_resync_end(s, 11, AT(1, 19));
+	evacuations_resync_begin(s, LISTING_STORE);
+	evacuations_resync_end(s, LISTING_STORE, 11, AT(1, 19));
 	ck_assert_uint_eq(evacuations_count(s), 2);
-	evacuations_resync_begin(s);
+	evacuations_resync_begin(s, LISTING_STORE);
 	evacuations_put(s, 12, ZONE_B, AT(1, 21));
-	evacuations_resync_end(s, 12, AT(1, 30));
+	evacuations_resync_end(s, LISTING_STORE, 12, AT(1, 30));
 	ck_assert(!evacuations_active(s, ZONE_A));
 	ck_assert(evacuations_active(s, ZONE_B));
 	evacuations_free(s);
@@ -111,8 +111,8 @@
 
 	evacuations_put(s, 10, ZONE_A, AT(1, 20));
 	evacuations_put(s, 10, ZONE_B, AT(1, 21));
-	evacuations_resync_begin(s);
-	evacuations_resync_end(s, 1000, AT(2, 5));
+	evacuations_resync_begin(s, LISTING_STORE);
+	evacuations_resync_end(s, LISTING_STORE, 1000, AT(2, 5));
 	evacuations_tick(s, 999 + EVACUATION_UNCONFIRMED_MS);
 	ck_assert_uint_eq(evacuations_count(s), 2);
 	/* A word of the earlier era changes nothing any more. */
@@ -134,9 +134,9 @@
 
 	evacuations_put(s, 10, ZONE_A, AT(1, 20));
 	evacuations_remove(s, 11, ZONE_A, AT(1, 30));
-	evacuations_resync_begin(s);
+	evacuations_resync_begin(s, LISTING_STORE);
 	evacuations_put(s, 12, ZONE_A, AT(2, 20));
-	evacuations_resync_end(s, 12, AT(2, 25));
+	evacuations_resync_end(s, LISTING_STORE, 12, AT(2, 25));
 	ck_assert(evacuations_active(s, ZONE_A));
 	evacuations_tick(s, 12 + 2 * EVACUATION_UNCONFIRMED_MS);
 	ck_assert(evacuations_active(s, ZONE_A));
--- a/test/test_moved_routes.c
+++ b/test/test_moved_routes.c
@@ -347,9 +347,10 @@
 	route_to(r, 1, "desk");
 	rr_advance(r, 70100);
 	report_loads(r);
-	directory_resync_begin(d);
+	directory_resync_begin(d, LISTING_STORE);
 	route_to(r, 3, "desk");
-	directory_resync_end(d, r->now, (store_revision_t){ .number = 1 });
+	directory_resync_end(d, LISTING_STORE, r->now,
+			     (store_revision_t){ .number = 1 });
 	rr_clear(r);
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	end_chain(r, 1, 1);
@@ -419,7 +420,8 @@
 {
 	relay_rig_t *r = rr_balancer();
 
-	directory_resync_begin(relay_balancer_directory(r->balancer));
+	directory_resync_begin(relay_balancer_directory(r->balancer),
+			       LISTING_STORE);
 	route_to(r, 2, "desk");
 	add_targets(r, "desk", DESK);
 	rr_clear(r);
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -155,8 +155,9 @@
 	directory_t *d = relay_balancer_directory(r->balancer);
 
 	rr_routes(r, 1);
-	directory_resync_begin(d);
-	directory_resync_end(d, r->now, (store_revision_t){ .number = 9 });
+	directory_resync_begin(d, LISTING_STORE);
+	directory_resync_end(d, LISTING_STORE, r->now,
+			     (store_revision_t){ .number = 9 });
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	rr_from_caller(r, 2, RELAY_ACK, 6, 9, 10);
 	rr_advance(r, 500);
--- a/test/test_relay_open.c
+++ b/test/test_relay_open.c
@@ -204,8 +204,9 @@
 	directory_t *d = relay_balancer_directory(r->balancer);
 
 	rr_routes(r, 1);
-	directory_resync_begin(d);
-	directory_resync_end(d, r->now, (store_revision_t){ .number = 9 });
+	directory_resync_begin(d, LISTING_STORE);
+	directory_resync_end(d, LISTING_STORE, r->now,
+			     (store_revision_t){ .number = 9 });
 	rr_advance(r, DIRECTORY_GRACE_MS);
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -111,6 +111,38 @@
 }
 END_TEST
 
+/* Guards against a live target that counts as gone, and an evacuation that is
+ * forgotten: the state of a peer that is behind comes between two pages of the
+ * store's listing, after the page that has them. */
+START_TEST(state_between_two_pages)
+{
+	relay_rig_t *old = rr_balancer(), *fresh = rr_balancer();
+	directory_t *d = relay_balancer_directory(fresh->balancer);
+	evacuations_t *s = relay_balancer_evacuations(fresh->balancer);
+	store_revision_t listed = { .number = 50 };
+	GString *state;
+
+	rr_routes(old, 7);
+	rr_entry(old, "b", AGENT_B, 20, ENTRY_READY);
+	state = pack_state(old, 25);
+	rr_routes(fresh, 7);
+	directory_resync_begin(d, LISTING_STORE);
+	evacuations_resync_begin(s, LISTING_STORE);
+	evacuations_put(s, fresh->now, "z", (store_revision_t){ .number = 42 });
+	rr_entry(fresh, "a", AGENT_A, 40, ENTRY_READY);
+	apply_state(state, fresh);
+	directory_resync_end(d, LISTING_STORE, fresh->now, listed);
+	evacuations_resync_end(s, LISTING_STORE, fresh->now, listed);
+	ck_assert_int_eq(directory_find(d, "a")->state, ENTRY_READY);
+	/* The store does not list the target that only the peer knows. */
+	ck_assert_int_eq(directory_find(d, "b")->state, ENTRY_GONE);
+	ck_assert(evacuations_active(s, "z"));
+	g_string_free(state, TRUE);
+	rr_free(old);
+	rr_free(fresh);
+}
+END_TEST
+
 static GString *pack_state_of(relay_rig_t *r, store_revision_t revision)
 {
 	GString *out = g_string_new(NULL);
@@ -272,6 +304,7 @@
 	tcase_add_test(tc, older_state_changes_nothing);
 	tcase_add_test(tc, peers_in_different_eras);
 	tcase_add_test(tc, state_keeps_long_names_and_unread_routes);
+	tcase_add_test(tc, state_between_two_pages);
 	tcase_add_test(tc, state_has_missing_and_gone_targets);
 	tcase_add_test(tc, entry_missing_in_an_older_state_stays);
 	tcase_add_test(tc, empty_or_invalid_state_is_refused);
--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -405,10 +405,10 @@
 
 	list_entry_at(d, now, "a", (store_revision_t){ 1, 5 });
 	now += ages_ms[_i];
-	directory_resync_begin(d);
+	directory_resync_begin(d, LISTING_STORE);
 	list_entry_at(d, now, "a", (store_revision_t){ 2, 5 });
 	list_entry_at(d, now, "x", (store_revision_t){ 2, 6 });
-	directory_resync_end(d, now, (store_revision_t){ 2, 6 });
+	directory_resync_end(d, LISTING_STORE, now, (store_revision_t){ 2, 6 });
 	ck_assert_int_eq(directory_find(d, "x")->state,
 			 _i ? ENTRY_READY : ENTRY_GONE);
 	list_entry_at(d, now, "y", (store_revision_t){ 2, 7 });
@@ -427,9 +427,10 @@
 
 	list_entry_at(d, 1000, "a", (store_revision_t){ 2, 5 });
 	directory_remove(d, 1000, "a", (store_revision_t){ 1, 900 });
-	directory_resync_begin(d);
+	directory_resync_begin(d, LISTING_STORE);
 	list_entry_at(d, 1000, "b", (store_revision_t){ 1, 901 });
-	directory_resync_end(d, 1000, (store_revision_t){ 1, 902 });
+	directory_resync_end(d, LISTING_STORE, 1000,
+			     (store_revision_t){ 1, 902 });
 	ck_assert_int_eq(directory_find(d, "a")->state, ENTRY_READY);
 	ck_assert_ptr_null(directory_find(d, "b"));
 	directory_free(d);
