Count the grace period of an expired entry from the end of the outage

Cause: an entry removed within 2 s of an outage may be that of a live target, which has about two seconds from the store's return to register again. The period began with the removal, and was checked once a second.

Evidence: test_directory:grace_period_begins_with_the_recovery failed before. Ruled out: no grace at all, since live targets would get no opens.

Mend: it begins with the first answer after the failure, and is checked each 200 ms: 2.4 s at the latest.

--- a/src/directory.c
+++ b/src/directory.c
@@ -189,8 +189,9 @@
 
 /* Handles an entry that the store no longer lists. During an outage and
  * shortly after it, the entry of a live target may have expired, so a ready
- * target stays ready for DIRECTORY_GRACE_MS; so does any target when the store
- * was restored from a copy in which its entry may be missing. */
+ * target stays ready until DIRECTORY_GRACE_MS after the outage; so does any
+ * target for this time when the store was restored from a copy in which its
+ * entry may be missing. */
 static void mark_missing(directory_t *d, uint64_t now, target_entry_t *e)
 {
 	bool outage = relay_mechanism_on(RELAY_OUTAGE_GRACE) &&
@@ -201,8 +202,10 @@
 	e->unconfirmed_since_ms = 0;
 	if (e->state == ENTRY_GONE || e->missing_since_ms)
 		return;
-	if (d->restored || (outage && e->state == ENTRY_READY))
+	if (d->restored)
 		e->missing_since_ms = now;
+	else if (outage && e->state == ENTRY_READY)
+		e->missing_since_ms = d->recovered_ms ? d->recovered_ms : now;
 	else
 		set_state(d, now, e, ENTRY_GONE);
 }
--- a/src/directory.h
+++ b/src/directory.h
@@ -7,7 +7,8 @@
  * Each entry has an id and the revision of its last change; an update is
  * applied only when its revision is higher. A ready entry that goes missing
  * around an outage of the platform's store may have expired although its target
- * is alive: it keeps taking opens for DIRECTORY_GRACE_MS, then counts as gone.
+ * is alive: it keeps taking opens until DIRECTORY_GRACE_MS after the outage,
+ * then counts as gone.
  *
  * When the store was restored from an older copy, its first listing in the new
  * era mixes items of the copy with items written since. Entries that are known
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -20,6 +20,8 @@
 /* Interval at which idle flows are removed. Closed flows stay until they are
  * idle, so that late packets still reach the agent. */
 #define SWEEP_INTERVAL_MS 1000
+/* Interval between checks of what the directory's entries wait for. */
+#define DIRECTORY_INTERVAL_MS 200
 
 static void flow_free(flow_node_t *node);
 static void on_entry(void *ctx, const target_entry_t *entry);
@@ -441,10 +443,13 @@
 	if (!early_opens_empty(b->early) && b->routes &&
 	    !list_empty(&b->members))
 		handle_early_opens(b);
+	if (now >= b->directory_ticked_ms + DIRECTORY_INTERVAL_MS) {
+		b->directory_ticked_ms = now;
+		directory_tick(b->directory, now);
+	}
 	if (now < b->last_sweep_ms + SWEEP_INTERVAL_MS)
 		return;
 	b->last_sweep_ms = now;
-	directory_tick(b->directory, now);
 	evacuations_tick(b->evacuations, now);
 	if (now > FLOW_IDLE_MS)
 		flow_index_expire(b->flows, now - FLOW_IDLE_MS);
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -227,6 +227,7 @@
 	uint64_t zones_sampled_ms; /* see relay_zones_tick() */
 	uint64_t asked_agent_ms;   /* see relay_learn_message() */
 	uint64_t last_sweep_ms;
+	uint64_t directory_ticked_ms; /* last directory_tick() */
 	uint64_t last_tick_ms;
 	uint64_t resumed_ms; /* end of the last time without processor time */
 	bool late; /* the last tick was late: unread answers are likely */
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -102,6 +102,39 @@
 }
 END_TEST
 
+/* Guards against opens at a target that has left: a request failed shortly
+ * before its entry was removed. The grace period ends with the time in which
+ * live targets register again, and does not begin with the removal. */
+START_TEST(grace_period_begins_with_the_recovery)
+{
+	uint64_t recovered_ms = 1000;
+
+	put(0, "a", 1, 7);
+	directory_store_unreachable(d, 900);
+	directory_store_reachable(d, recovered_ms);
+	directory_remove(d, recovered_ms + 1900, "a",
+			 (store_revision_t){ 1, 8 });
+	directory_tick(d, recovered_ms + DIRECTORY_GRACE_MS - 1);
+	ck_assert_int_eq(state_of("a"), ENTRY_READY);
+	directory_tick(d, recovered_ms + DIRECTORY_GRACE_MS);
+	ck_assert_int_eq(state_of("a"), ENTRY_GONE);
+}
+END_TEST
+
+/* The same while the store is away: the period begins with the removal, which a
+ * peer has told. */
+START_TEST(grace_period_in_an_outage)
+{
+	put(0, "a", 1, 7);
+	directory_store_unreachable(d, 900);
+	directory_remove(d, 1500, "a", (store_revision_t){ 1, 8 });
+	directory_tick(d, 1500 + DIRECTORY_GRACE_MS - 1);
+	ck_assert_int_eq(state_of("a"), ENTRY_READY);
+	directory_tick(d, 1500 + DIRECTORY_GRACE_MS);
+	ck_assert_int_eq(state_of("a"), ENTRY_GONE);
+}
+END_TEST
+
 /* Without an outage or a restore, an entry that is not listed is gone. */
 START_TEST(entry_missing_from_a_listing_is_gone)
 {
@@ -121,6 +154,8 @@
 	tcase_add_test(tc, older_removal_changes_nothing);
 	tcase_add_test(tc, entry_missing_from_a_copy_stays);
 	tcase_add_test(tc, entry_missing_from_a_copy_returns);
+	tcase_add_test(tc, grace_period_begins_with_the_recovery);
+	tcase_add_test(tc, grace_period_in_an_outage);
 	tcase_add_test(tc, entry_missing_from_a_listing_is_gone);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
