--- a/test/soak.py
+++ b/test/soak.py
@@ -26,6 +26,10 @@
 # an evacuated zone, gets no more opens, seconds after a disturbance until a process must be in contact with
 # the others again, and missed heartbeats until the platform deletes a server.
 DRAIN_S, SETTLE_S, EXPIRY_HEARTBEATS = 3.0, 4.0, 3
+# Time in which packets of an open flow may go to other servers only, and how many.
+REORDER_S, STRAYS_MAX = 2.0, 2
+# Longest delay of a caller's acknowledgement of an answer.
+ACK_DELAY_S = 0.3
 SLOTS, QUEUE, SERVICE_TIME_S = 2, 8, 0.012
 # Ratio of requests to be served from RECOVERY_S after the last fault.
 RECOVERY_S, MIN_SERVED_RATIO = 6.0, 0.95
@@ -170,12 +174,13 @@
 
 
 class Process:
-    """A balancer or an agent, with the time of its latest disturbance."""
+    """A balancer or an agent, with the times of its latest disturbance and of the latest that was not planned."""
 
     def __init__(self, soak, kind, address, settings, zone):
         self.soak, self.kind, self.address, self.settings = soak, kind, address, settings
         self.zone = zone
         self.child, self.disturbed_at, self.stopping, self.starts = None, now(), False, 0
+        self.unplanned_at = 0
         self.frozen, self.versions, self.program = False, {}, soak.programs[0]
 
     def start(self):
@@ -192,6 +197,8 @@
         if self.child and self.child.poll() is None:
             self.child.send_signal(number)
         self.disturbed_at = now()
+        if number != signal.SIGTERM:
+            self.unplanned_at = now()
 
     def restart_if_exited(self):
         """Starts the process again when a fault ended it; another exit is a violation."""
@@ -205,6 +212,10 @@
     def settled(self):
         return not self.frozen and now() - self.disturbed_at > SETTLE_S
 
+    def calm(self):
+        """Like settled(), after planned work too."""
+        return not self.frozen and now() - self.unplanned_at > SETTLE_S
+
 
 class Server(asyncio.DatagramProtocol):
     """Simulates the backend server of an agent."""
@@ -251,6 +262,7 @@
         """Like a process that gets no processor time: it reads and answers nothing for a while."""
         epoch, self.unread = self.epoch, []
         await asyncio.sleep(duration)
+        self.disturbed_at = now()
         if self.up and self.epoch == epoch:
             packets, self.unread = self.unread, None
             for p in packets:
@@ -271,6 +283,8 @@
         _, _, ack, _, src, sport, dst, dport, flags, _, _ = HEADER.unpack_from(packet)
         if flags & SYN:
             self.soak.check_open(self, (src, sport, dst, dport), ack)
+        else:
+            self.soak.check_packet(self, (src, sport, dst, dport))
         if self.unread is None:
             self.receive(packet)
         else:
@@ -367,6 +381,11 @@
             flow["ack"] = max(flow["ack"], seq + size)
             flow["answer"], flow["closed"] = packet[HEADER.size:], bool(flags & FIN)
             flow["event"].set()
+            asyncio.get_running_loop().call_later(random.uniform(0, ACK_DELAY_S), self.acknowledge, flow)
+
+    def acknowledge(self, flow):
+        if flow["key"][1] in self.flows:
+            self.send(flow, ACK, flow["seq"], flow["ack"])
 
     async def wait(self, flow, seconds):
         try:
@@ -452,6 +471,7 @@
         self.route_at = {(ip(a), p): n for n, (a, p, _) in ROUTES.items()}
         self.store_fault_ended, self.started_at = 0, now()
         self.evacuated = {}  # zone -> time
+        self.strays = {}  # flow -> time of the first packet at another server since the last at its own, and their number
 
     def write_log(self, text):
         self.log.write("%.3f %s\n" % (now() - self.started_at, text))
@@ -485,6 +505,24 @@
         if all(p.settled() for p in senders + [server.agent, flow["balancer"]]):
             self.add_violation("%s reset the open flow %r of server %s" % (sender, flow["key"], server.id))
 
+    def check_packet(self, server, key):
+        """A packet that is no open reached a server. It breaks FLOW (b) if it is one of several that
+        went to other servers for REORDER_S while none reached the flow's own."""
+        owner, epoch = self.flows.get(key, (None, None))
+        flow = self.opens.get(key)
+        if owner is None or owner is server or not flow or flow["name"] not in ROUTES:
+            self.strays.pop(key, None)
+            return
+        first, n = self.strays.get(key, (now(), 0))
+        self.strays[key] = (first, n + 1)
+        if n < STRAYS_MAX or now() - first < REORDER_S:
+            return
+        if owner.up and owner.epoch == epoch and owner.unread is None and now() - owner.disturbed_at > SETTLE_S and \
+                flow["balancer"].calm() and owner.agent.calm():
+            self.add_violation("for %.2f s %d packets of the flow %r reached other servers, and none its own, %s" % (
+                now() - first, n + 1, key, owner.id))
+            del self.strays[key]
+
     def check_open(self, server, key, copy):
         """A copy of an open reached a server; copies are numbered from 0."""
         if server.draining and server.drained and now() - server.drained > DRAIN_S and \
@@ -549,6 +587,8 @@
         elif name == "term":
             process.stopping = True
             process.signal(signal.SIGTERM)
+        elif name in ("roll-agents", "roll-balancers"):
+            await self.roll(self.agents if name == "roll-agents" else self.balancers, self.random.uniform(0.3, 1.5))
         elif name == "hup":
             process.child.send_signal(signal.SIGHUP)
         elif name == "pause":
@@ -605,6 +645,14 @@
             proxy.set("normal")
             self.store_fault_ended = now()
 
+    async def roll(self, processes, gap):
+        """Planned restarts, one after the other."""
+        for p in self.random.sample(processes, len(processes)):
+            if not p.stopping:
+                p.stopping = True
+                p.signal(signal.SIGTERM)
+            await asyncio.sleep(gap)
+
     async def restore_store(self, copy, away):
         """The store is away and comes back older; then all that is true is written again."""
         self.store.fault = 503
@@ -723,7 +771,8 @@
             caller = Caller(self, i + 1)
             self.callers.append(caller)
             await loop.create_datagram_endpoint(lambda c=caller: c, local_addr=(caller.address, self.port))
-            for name, pause in (("feeds", 0.4), ("logs", 1.0), ("maps", 1.0)):
+            # Some are silent for longer than REORDER_S.
+            for name, pause in (("feeds", 0.4 if i % 3 else 2.0), ("logs", 1.0), ("maps", 1.0)):
                 tasks.append(asyncio.create_task(caller.run_requests(name, pause)))
         if len(self.programs) > 1:
             tasks.append(asyncio.create_task(self.upgrade()))
