Keep the flows of a server that hangs until its entry expires

Cause: a target whose entry is gone, and whose server had answered nothing for .5 s (look-ups) or 2 s (all flows), counted as ended. A server that gets no processor time answers nothing and writes no heartbeat either.

Ruled out: the entry alone, which costs a target that answers no flow.

Mend: an agent whose server is silent opens a connection to its port, as it did before it reset flows itself, and reports when it is accepted.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -412,7 +412,7 @@
   assert(message->base.descriptor == &ct__relay__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ct__relay__load__field_descriptors[14] =
 {
   {
     "in_flight",
@@ -570,6 +570,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listens",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Load, listens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__load__field_indices_by_name[] = {
   4,   /* field[4] = down_ms */
@@ -577,6 +589,7 @@
   6,   /* field[6] = failed_percent */
   3,   /* field[3] = flows */
   0,   /* field[0] = in_flight */
+  13,   /* field[13] = listens */
   12,   /* field[12] = no_server */
   11,   /* field[11] = paced_slots */
   2,   /* field[2] = service_us */
@@ -591,7 +604,7 @@
   { 1, 0 },
   { 15, 11 },
   { 17, 12 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ct__relay__load__descriptor =
 {
@@ -601,7 +614,7 @@
   "Ct__Relay__Load",
   "ct.relay",
   sizeof(Ct__Relay__Load),
-  13,
+  14,
   ct__relay__load__field_descriptors,
   ct__relay__load__field_indices_by_name,
   3,  ct__relay__load__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -89,10 +89,14 @@
    * no server has run beside the agent since its start
    */
   protobuf_c_boolean no_server;
+  /*
+   * the server has accepted a connection since it has been silent
+   */
+  protobuf_c_boolean listens;
 };
 #define CT__RELAY__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -84,8 +84,11 @@
  */
 void relay_agent_no_server(relay_agent_t *a, uint64_t now);
 
-/* Notes that the host has refused a connection to the server: none runs. */
+/* Note how a connection to the server ended that probe_server() has opened: the
+ * host has refused it, since no server runs; or a server has accepted it, which
+ * may hang. */
 void relay_agent_server_refused(relay_agent_t *a, uint64_t now);
+void relay_agent_server_accepted(relay_agent_t *a, uint64_t now);
 
 /* Runs timers; to be called every RELAY_AGENT_TICK_MS. */
 void relay_agent_tick(relay_agent_t *a, uint64_t now);
--- a/src/relay_agent_daemon.c
+++ b/src/relay_agent_daemon.c
@@ -76,6 +76,8 @@
 		relay_agent_no_server(s->agent, relay_process_now(p));
 	else if (status == UV_ECONNREFUSED)
 		relay_agent_server_refused(s->agent, relay_process_now(p));
+	else if (status == 0 && !s->probes_start)
+		relay_agent_server_accepted(s->agent, relay_process_now(p));
 	uv_close((uv_handle_t *)&s->probe, on_probe_closed);
 }
 
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -15,8 +15,13 @@
  * an open within milliseconds, however slow its requests are. */
 #define LOST_OPENS     3
 #define LOST_SILENT_MS 500
-/* Interval between probes of a server that is down. */
+/* Interval between probes of a server that is silent. */
 #define SERVER_PROBE_INTERVAL_MS 250
+/* A server that has been stalled for this long is probed: balancers take it for
+ * dead 100 ms later, if its entry is gone and no probe shows that it lives. */
+#define STALLED_PROBE_MS 400
+/* Age from which an accepted connection shows nothing. */
+#define ACCEPTED_EXPIRY_MS 1000
 /* A server that sends nothing for this time, or for this many service times if
  * that is longer, while packets wait for an answer is stalled. It may have
  * failed: opens are delivered to find out. */
@@ -260,6 +265,12 @@
 	a->refused_ms = now;
 }
 
+void relay_agent_server_accepted(relay_agent_t *a, uint64_t now)
+{
+	a->now = now;
+	a->accepted_ms = now;
+}
+
 /* True for a server that may have ended. */
 static bool silent_for_long(const relay_agent_t *a)
 {
@@ -267,10 +278,18 @@
 	       a->now >= a->silent_since_ms + LOST_SILENT_MS;
 }
 
+bool relay_server_listens(const relay_agent_t *a)
+{
+	return a->accepted_ms > a->refused_ms &&
+	       a->accepted_ms > a->last_heard_ms &&
+	       a->now < a->accepted_ms + ACCEPTED_EXPIRY_MS;
+}
+
 void relay_server_probe_tick(relay_agent_t *a)
 {
-	if (!silent_for_long(a) ||
-	    a->now < a->probed_ms + SERVER_PROBE_INTERVAL_MS)
+	if (!a->down && relay_server_stalled_ms(a) < STALLED_PROBE_MS)
+		return;
+	if (a->now < a->probed_ms + SERVER_PROBE_INTERVAL_MS)
 		return;
 	a->probed_ms = a->now;
 	counter_add(&a->counters, COUNTER_SERVER_PROBES, 1);
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -117,10 +117,12 @@
 	 * none. */
 	uint64_t unanswered_since_ms;
 	bool reported_stalled;	  /* the last load report said stalled */
+	bool reported_listens;	  /* it said that the server listens */
 	uint64_t silent_since_ms; /* first open without an answer; 0: none */
 	uint64_t resumed_ms;	  /* end of the agent's last pause */
 	uint64_t probed_ms;	  /* last probe of the server */
-	uint64_t refused_ms; /* last probe that showed that no server runs */
+	uint64_t refused_ms;  /* last probe that showed that no server runs */
+	uint64_t accepted_ms; /* last probe that showed that one runs */
 	uint32_t unanswered_opens; /* consecutive opens without an answer */
 	bool down;		   /* unanswered_opens reached DOWN_OPENS */
 	bool flows_lost;      /* the server lost its flows: they are reset */
@@ -181,8 +183,12 @@
 /* Notes that the agent did not run for some time: the silence of the server
  * counts from now on. */
 void relay_server_agent_paused(relay_agent_t *a);
-/* Probes a server that has been silent for so long that it may have ended. */
+/* Probes a server that leaves packets or opens without an answer: it may have
+ * ended. */
 void relay_server_probe_tick(relay_agent_t *a);
+/* True when the server has accepted a connection since it sent its last packet,
+ * a short time ago: it runs, or hangs, and keeps its flows. */
+bool relay_server_listens(const relay_agent_t *a);
 /*
  * Returns true when the server must have lost its flows: it is silent, and a
  * probe found no process. Silence alone does not show it, since a server that
--- a/src/relay_agent_load.c
+++ b/src/relay_agent_load.c
@@ -108,6 +108,7 @@
 	load->evacuated = a->evacuated;
 	load->warmup_full = relay_agent_warmup_full(a);
 	load->no_server = a->no_server;
+	load->listens = relay_server_listens(a);
 	load->stalled_ms = relay_server_stalled_ms(a);
 	load->failed_percent = (uint32_t)(relay_health_failure_ratio(a) * 100);
 	load->too_fast_percent =
@@ -143,6 +144,7 @@
 	g_array_set_size(a->balancers, kept);
 	a->reported_ms = a->now;
 	a->reported_stalled = load.stalled_ms > 0;
+	a->reported_listens = load.listens;
 	a->reported_avg_in_flight = a->avg_in_flight;
 	a->reported_in_flight = a->in_flight;
 }
@@ -202,6 +204,7 @@
 	update_avg_in_flight(a);
 	if (a->now >= a->reported_ms + REPORT_MAX_INTERVAL_MS ||
 	    a->reported_stalled != (relay_server_stalled_ms(a) > 0) ||
+	    a->reported_listens != relay_server_listens(a) ||
 	    fabs(a->avg_in_flight - a->reported_avg_in_flight) >=
 		    REPORT_CHANGE_SLOTS * slots ||
 	    fabs((double)a->in_flight - a->reported_in_flight) >= slots)
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -29,9 +29,9 @@
 /* Time after the removal of a target for which its agent gets frequent hellos;
  * then HELLO_INTERVAL_MS applies. */
 #define GONE_FREQUENT_HELLO_MS 15000
-/* A server that is no longer published and has been stalled for this long is
- * dead. */
-#define GONE_STALLED_MS 500
+/* A server that is no longer published and has answered nothing for this long
+ * is dead, unless its agent knows that it runs. */
+#define GONE_SILENT_MS 500
 /* The agent of a target that is no longer published, and that has sent nothing
  * for this long in spite of hellos, is lost: its flows are reset. */
 #define AGENT_LOST_MS 2500
@@ -302,6 +302,7 @@
 		.evacuated = load->evacuated,
 		.warmup_full = load->warmup_full,
 		.no_server = load->no_server,
+		.listens = load->listens,
 	};
 	relay_member_note_held(m, msg);
 	if (msg->kind == RELAY_LOAD)
@@ -352,14 +353,21 @@
 	return b->now - MAX(relay_member_heard_ms(b, m), m->hellos_since_ms);
 }
 
+/* True when the server has answered nothing for this time, and is not known to
+ * run. */
+static bool server_silent(const relay_member_t *m, uint32_t ms)
+{
+	return !m->report.listens &&
+	       (m->report.down_ms >= ms || m->report.stalled_ms >= ms);
+}
+
 bool relay_member_may_hold_flows(const relay_balancer_t *b,
 				 const relay_member_t *m)
 {
 	if (m->state != ENTRY_GONE)
 		return true;
 	/* A stopping agent does not come back once its target is gone. */
-	if (m->report.down_ms || m->report.stalled_ms >= GONE_STALLED_MS ||
-	    m->report.stopping)
+	if (server_silent(m, GONE_SILENT_MS) || m->report.stopping)
 		return false;
 	if (m->report.no_server &&
 	    b->now < m->report.reported_ms + NO_SERVER_EXPIRY_MS)
@@ -429,8 +437,7 @@
 	relay_claim_ask(b, m);
 	if (!gone || m->flows_reset_ms)
 		return;
-	if (m->report.down_ms >= SERVER_LOST_MS ||
-	    m->report.stalled_ms >= SERVER_LOST_MS ||
+	if (server_silent(m, SERVER_LOST_MS) ||
 	    silent_ms(b, m) >= AGENT_LOST_MS) {
 		m->flows_reset_ms = b->now;
 		reset_flows(b, m, NULL, "target gone and unresponsive");
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -51,7 +51,9 @@
 {
 	relay_rig_t *r = ctx;
 
-	if (!r->server_listens)
+	if (r->server_listens)
+		relay_agent_server_accepted(r->agent, r->now);
+	else
 		relay_agent_server_refused(r->agent, r->now);
 }
 
@@ -396,6 +398,15 @@
 	send_load(r, host, (relay_load_t){ .stalled_ms = stalled_ms });
 }
 
+void rr_load_hung(relay_rig_t *r, uint32_t host, uint32_t stalled_ms,
+		  uint32_t down_ms)
+{
+	send_load(r, host,
+		  (relay_load_t){ .stalled_ms = stalled_ms,
+				  .down_ms = down_ms,
+				  .listens = true });
+}
+
 static void offer(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		  uint32_t seq, const uint32_t *candidates, size_t n,
 		  double typical_ms, uint32_t queue_ms)
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -142,6 +142,10 @@
 	     double service_ms, uint32_t down_ms);
 /* Load report of an agent whose server has been stalled for stalled_ms. */
 void rr_load_stalled(relay_rig_t *r, uint32_t host, uint32_t stalled_ms);
+/* The same, where the server accepts connections, and has been down for
+ * down_ms. */
+void rr_load_hung(relay_rig_t *r, uint32_t host, uint32_t stalled_ms,
+		  uint32_t down_ms);
 /* Load report of an agent whose server fails this percentage of requests. */
 void rr_load_failing(relay_rig_t *r, uint32_t host, uint32_t percent);
 /* Load report of an agent that is stopping. */
--- a/test/relay_sim.c
+++ b/test/relay_sim.c
@@ -195,7 +195,10 @@
 {
 	peer_t *p = ctx;
 
-	if (!p->sim->servers[p->i].up)
+	if (p->sim->servers[p->i].up)
+		relay_agent_server_accepted(p->sim->agents[p->i],
+					    rsim_now_ms(p->sim));
+	else
 		relay_agent_server_refused(p->sim->agents[p->i],
 					   rsim_now_ms(p->sim));
 }
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -249,6 +249,34 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow whose server got no processor time until its
+ * entry expired: it accepts connections, and keeps its flows. */
+START_TEST(hung_server_of_an_expired_entry_keeps_its_flows)
+{
+	relay_rig_t *r = rr_two_targets();
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	rr_entry_gone(r, "a", 9);
+	rr_clear(r);
+	for (unsigned ms = 500; ms < 6000; ms += 250) {
+		rr_load_hung(r, AGENT_A, _i ? 0 : ms, _i ? ms : 0);
+		rr_load(r, AGENT_B, 0, 0, 10, 0);
+		rr_advance(r, 250);
+	}
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(r, AGENT_B, RELAY_NOT_HELD, 2, "feeds");
+	rr_advance(r, 300);
+	rr_flow_message(r, AGENT_B, RELAY_NOT_HELD, 2, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	/* It has ended. */
+	rr_load_stalled(r, AGENT_A, 6000);
+	rr_advance(r, 250);
+	ck_assert_uint_ge(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Look-ups leave out the agent of a removed target whose server is stalled: its
  * flows are lost. */
 START_TEST(gone_target_with_stalled_server_is_not_asked)
@@ -394,6 +422,8 @@
 	tcase_add_test(tc, leaving_target_keeps_its_flows);
 	tcase_add_test(tc, flows_of_lost_target_are_reset);
 	tcase_add_test(tc, gone_target_with_stalled_server_is_not_asked);
+	tcase_add_loop_test(tc, hung_server_of_an_expired_entry_keeps_its_flows,
+			    0, 2);
 	tcase_add_test(tc, gone_target_with_stopping_agent_is_not_asked);
 	tcase_add_test(tc, lookup_does_not_wait_for_stopping_agent);
 	tcase_add_test(tc, lookup_does_not_wait_for_removed_host);
--- a/test/test_relay_holding.c
+++ b/test/test_relay_holding.c
@@ -360,6 +360,37 @@
 }
 END_TEST
 
+/* Whether the last load report says that the server accepts connections. */
+static bool says_listens(relay_rig_t *r)
+{
+	relay_msg_t *msg = rr_load_report_after(r, 1000);
+	bool listens;
+
+	ck_assert_ptr_nonnull(msg);
+	listens = msg->load->listens;
+	relay_msg_free(msg);
+	return listens;
+}
+
+/* Guards against a hung server that balancers take for one that has ended: the
+ * agent tells them that it accepts connections, while that is so. */
+START_TEST(hung_server_is_reported_to_listen)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	rr_hello(r, BALANCER, 2);
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	r->server_listens = true;
+	ck_assert(says_listens(r));
+	ck_assert(says_listens(r));
+	r->server_listens = false;
+	ck_assert(!says_listens(r));
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against a refusal from before the last sign of life: the server that
  * has run since is another one. */
 START_TEST(earlier_refusal_proves_nothing)
@@ -398,6 +429,7 @@
 	tcase_add_test(tc, unused_copy_is_not_reset);
 	tcase_add_loop_test(tc, pause_of_agent_is_no_silence, 0, 2);
 	tcase_add_test(tc, hung_server_keeps_its_flows);
+	tcase_add_test(tc, hung_server_is_reported_to_listen);
 	tcase_add_test(tc, earlier_refusal_proves_nothing);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
