--- a/test/soak_wake.py
+++ b/test/soak_wake.py
@@ -84,6 +84,16 @@
         await asyncio.sleep(self.random.uniform(0.05, 1.0))
         server.start()
 
+    async def hang(self, server, duration):
+        """The server does not run; its entry expires if that is for long, and comes back with it."""
+        expires = asyncio.get_running_loop().call_later(soak.EXPIRY_HEARTBEATS * soak.HEARTBEAT_S, self.store.put,
+                                                        "servers/" + server.id, None)
+        epoch = server.epoch
+        await server.hang(duration)
+        expires.cancel()
+        if server.up and server.epoch == epoch:
+            server.publish()
+
     async def restart_for(self, agent, service):
         """The agent ends, and another one starts at its address for a service."""
         while agent.frozen:
@@ -142,7 +152,7 @@
             del ROUTES[gone], self.service_of[gone]
             self.configure()
         elif name == "hang":
-            await asyncio.gather(*(s.hang(self.random.uniform(0.4, 2.0)) for s in self.random.sample(self.servers, 3) if s.up))
+            await asyncio.gather(*(self.hang(s, self.random.uniform(0.4, 4.0)) for s in self.random.sample(self.servers, 3) if s.up))
         elif name in ("crash", "evacuate", "store"):
             await self.run_fault(name)
 
