Wait for an agent that restarts beside a running server

Cause: an agent that stopped while its target's entry was gone counted as one whose host is removed with its target. An entry may be gone although the target runs: the store takes keys away, or they expire.

Ruled out: the list of flows in the report, since an agent whose server has ended lists them as well.

Mend: an agent that stops probes its server's port first, 50 ms at most, and its report says when a connection was accepted. An agent whose server does not listen is left out as before.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -25,6 +25,9 @@
  * take in addition. */
 #define RESET_TICKS	     8
 #define RESET_TICK_MIN_FLOWS 4
+/* Longest time for which an agent that stops waits for the probe of its server
+ * before it tells the balancers. */
+#define STOP_PROBE_MS 50
 
 static void server_flow_release(flow_node_t *node);
 static void packet_returned(relay_agent_t *a, relay_packet_t *p);
@@ -632,6 +635,8 @@
 	}
 	if (a->flows_lost)
 		reset_lost_flows(a);
+	if (now >= a->stop_report_due_ms)
+		relay_agent_report_stop(a);
 	relay_load_tick(a);
 	relay_agent_evacuation_tick(a);
 	if (now < a->last_sweep_ms + SWEEP_INTERVAL_MS)
@@ -646,6 +651,15 @@
 {
 	a->now = now;
 	a->stopping = true;
-	relay_load_report(a);
+	a->stop_report_due_ms = now + STOP_PROBE_MS;
+	a->ops.probe_server(a->ctx);
 	relay_agent_expire_queue(a);
 }
+
+void relay_agent_report_stop(relay_agent_t *a)
+{
+	if (!a->stop_report_due_ms)
+		return;
+	a->stop_report_due_ms = 0;
+	relay_load_report(a);
+}
--- a/src/relay_agent.h
+++ b/src/relay_agent.h
@@ -93,7 +93,8 @@
 /* Runs timers; to be called every RELAY_AGENT_TICK_MS. */
 void relay_agent_tick(relay_agent_t *a, uint64_t now);
 
-/* Accepts no new flows from now on and reports this to the balancers. */
+/* Accepts no new flows from now on. Reports this to the balancers once a probe
+ * has shown whether the server runs, some ms later at the most. */
 void relay_agent_stop(relay_agent_t *a, uint64_t now);
 
 /* Number of tracked flows. */
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -263,12 +263,14 @@
 {
 	a->now = now;
 	a->refused_ms = now;
+	relay_agent_report_stop(a);
 }
 
 void relay_agent_server_accepted(relay_agent_t *a, uint64_t now)
 {
 	a->now = now;
 	a->accepted_ms = now;
+	relay_agent_report_stop(a);
 }
 
 /* True for a server that may have ended. */
@@ -281,7 +283,6 @@
 bool relay_server_listens(const relay_agent_t *a)
 {
 	return a->accepted_ms > a->refused_ms &&
-	       a->accepted_ms > a->last_heard_ms &&
 	       a->now < a->accepted_ms + ACCEPTED_EXPIRY_MS;
 }
 
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -94,6 +94,7 @@
 	open_queue_t queue; /* of server_flow.wait */
 	uint32_t slots;	    /* published slots of the server; 0: unknown */
 	bool stopping;
+	uint64_t stop_report_due_ms; /* see relay_agent_report_stop(); 0: none */
 	bool evacuated; /* the availability zone takes no opens */
 	store_revision_t evacuation_revision; /* of its last change */
 	uint64_t evacuation_heard_ms;	      /* last word on it */
@@ -186,8 +187,8 @@
 /* Probes a server that leaves packets or opens without an answer: it may have
  * ended. */
 void relay_server_probe_tick(relay_agent_t *a);
-/* True when the server has accepted a connection since it sent its last packet,
- * a short time ago: it runs, or hangs, and keeps its flows. */
+/* True when the server has accepted a connection a short time ago: it runs, or
+ * hangs, and keeps its flows. */
 bool relay_server_listens(const relay_agent_t *a);
 /*
  * Returns true when the server must have lost its flows: it is silent, and a
@@ -310,6 +311,9 @@
 			   const relay_packet_t *p);
 void server_flow_set_phase(relay_agent_t *a, server_flow_t *f,
 			   server_flow_phase_t phase);
+/* Tells the balancers that the agent stops, once it is known whether the server
+ * runs; without effect afterwards. */
+void relay_agent_report_stop(relay_agent_t *a);
 /* Notes that only the server knows whether it holds the flow. */
 void server_flow_verify(relay_agent_t *a, server_flow_t *f);
 void server_flow_deliver(relay_agent_t *a, server_flow_t *f, relay_packet_t *p);
--- a/test/relay_rig.c
+++ b/test/relay_rig.c
@@ -51,6 +51,8 @@
 {
 	relay_rig_t *r = ctx;
 
+	if (r->probes_unanswered)
+		return;
 	if (r->server_listens)
 		relay_agent_server_accepted(r->agent, r->now);
 	else
@@ -393,6 +395,12 @@
 	send_load(r, host, (relay_load_t){ .stopping = true });
 }
 
+void rr_load_restarting(relay_rig_t *r, uint32_t host, bool listens)
+{
+	send_load(r, host,
+		  (relay_load_t){ .stopping = true, .listens = listens });
+}
+
 void rr_load_stalled(relay_rig_t *r, uint32_t host, uint32_t stalled_ms)
 {
 	send_load(r, host, (relay_load_t){ .stalled_ms = stalled_ms });
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -34,6 +34,7 @@
 	uint64_t now;		    /* ms */
 	uint64_t unix_at_0;	    /* Unix time at now 0, ms; 0: no clock */
 	bool server_listens;	    /* the agent's server accepts connections */
+	bool probes_unanswered;	    /* nothing answers connections to it */
 	bool store_watched;	    /* the store reports changes at once */
 	uint32_t wait_ms;	    /* what is received waited in the socket */
 	rig_sent_t sent[RIG_SENT_MAX];
@@ -148,8 +149,9 @@
 		  uint32_t down_ms);
 /* Load report of an agent whose server fails this percentage of requests. */
 void rr_load_failing(relay_rig_t *r, uint32_t host, uint32_t percent);
-/* Load report of an agent that is stopping. */
+/* Load report of an agent that is stopping; listens: its server runs. */
 void rr_load_stopping(relay_rig_t *r, uint32_t host);
+void rr_load_restarting(relay_rig_t *r, uint32_t host, bool listens);
 /* Offers an open to the agent. */
 void rr_offer(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t seq,
 	      const uint32_t *candidates, size_t n);
--- a/test/soak_wake.py
+++ b/test/soak_wake.py
@@ -23,7 +23,7 @@
 # Delay of the test's own event loop that is allowed for in the age of a copy.
 LOOP_SLACK_S = 0.15
 EVENTS = ["release", "release", "crash", "term-balancer", "term-agent", "new-route", "new-route", "drop-route",
-          "evacuate", "reuse", "store", "hang"]
+          "evacuate", "reuse", "store", "hang", "lapse"]
 
 
 class WakeSoak(soak.Soak):
@@ -94,6 +94,19 @@
         if server.up and server.epoch == epoch:
             server.publish()
 
+    async def lapse(self, server):
+        """The entry of a server that runs is removed, and written again later; its agent may restart meanwhile."""
+        epoch = server.epoch
+        self.store.put("servers/" + server.id, None)
+        if self.random.random() < 0.6:
+            await asyncio.sleep(self.random.uniform(0, 1))
+            if not server.agent.frozen:
+                server.agent.stopping = True
+                server.agent.signal(signal.SIGTERM)
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        if server.up and server.epoch == epoch:
+            server.publish()
+
     async def restart_for(self, agent, service):
         """The agent ends, and another one starts at its address for a service."""
         while agent.frozen:
@@ -153,6 +166,8 @@
             self.configure()
         elif name == "hang":
             await asyncio.gather(*(self.hang(s, self.random.uniform(0.4, 4.0)) for s in self.random.sample(self.servers, 3) if s.up))
+        elif name == "lapse":
+            await asyncio.gather(*(self.lapse(s) for s in self.random.sample(self.servers, 3) if s.up and not s.draining))
         elif name in ("crash", "evacuate", "store"):
             await self.run_fault(name)
 
--- a/test/test_return.c
+++ b/test/test_return.c
@@ -153,6 +153,33 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow whose agent restarts as planned while the
+ * entry of its target is gone, and the target runs: the agent says that it
+ * does, and comes back. One whose server has ended does not. */
+START_TEST(agent_of_a_running_server_comes_back)
+{
+	relay_rig_t *r = rr_balancer();
+
+	rr_routes(r, 1);
+	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry(r, "b", AGENT_B, 3, ENTRY_READY);
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	rr_entry_gone(r, "a", 5);
+	rr_load_restarting(r, AGENT_A, _i == 0);
+	rr_clear(r);
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(r, AGENT_B, RELAY_NOT_HELD, 2, "feeds");
+	for (unsigned ms = 0; ms < 2900; ms += 100) {
+		rr_load(r, AGENT_B, 0, 0, 10, 0);
+		rr_flow_message(r, AGENT_B, RELAY_NOT_HELD, 2, "feeds");
+		rr_advance(r, 100);
+	}
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), _i == 0 ? 0 : 2);
+	rr_free(r);
+}
+END_TEST
+
 /* An agent that runs again may hold flows that it had not listed. */
 START_TEST(restarted_agent_is_waited_for)
 {
@@ -215,6 +242,30 @@
 }
 END_TEST
 
+/* Guards against an agent that stops beside a running server, and is taken for
+ * one whose host is removed: it finds out first whether the server runs, and
+ * says so. A probe without an answer does not hold the report up. */
+START_TEST(stopping_agent_tells_that_its_server_runs)
+{
+	relay_rig_t *r = rr_agent(true);
+	relay_msg_t *msg;
+
+	rr_hello(r, RIG_BALANCER_ADDRESS, 2);
+	rr_clear(r);
+	r->server_listens = _i == 0;
+	r->probes_unanswered = _i == 2;
+	relay_agent_stop(r->agent, r->now);
+	rr_advance(r, _i == 2 ? 75 : 0);
+	ck_assert_uint_eq(
+		rr_count(r, RIG_MESSAGE, RIG_BALANCER_ADDRESS, RELAY_LOAD), 1);
+	msg = last_report(r);
+	ck_assert(msg->load->stopping);
+	ck_assert(msg->load->listens == (_i == 0));
+	relay_msg_free(msg);
+	rr_free(r);
+}
+END_TEST
+
 /* A balancer that starts while the store is away offers the opens that came
  * meanwhile as soon as it knows the routes, less their time spent. Other
  * packets are left to their callers' retransmissions. */
@@ -311,9 +362,12 @@
 	tcase_add_test(tc, late_entry_keeps_flows_of_new_server);
 	tcase_add_test(tc, stopped_agent_does_not_hold_up_lookups);
 	tcase_add_test(tc, removed_agent_is_not_asked);
+	tcase_add_loop_test(tc, agent_of_a_running_server_comes_back, 0, 2);
 	tcase_add_test(tc, restarted_agent_is_waited_for);
 	tcase_add_test(tc, agent_before_its_server_knows_all_flows);
 	tcase_add_test(tc, agent_after_its_server_lists_no_flows);
+	tcase_add_loop_test(tc, stopping_agent_tells_that_its_server_runs, 0,
+			    3);
 	tcase_add_test(tc, early_opens_are_offered);
 	tcase_add_test(tc, agent_that_listed_the_flow_is_waited_for);
 	tcase_add_test(tc, server_of_the_listing_agent_tries_first);
