Let a balancer that stops end its look-ups first

Cause: a balancer ended 1.8 s after its signal with the look-ups under way, each of which takes as long as the flow's agent is away. In rolls of balancers and agents that overlap the caller's next copy began anew, at a balancer that was stopped in its turn.

Ruled out: repeated packets at one server, which agents remember; slow look-ups (.3 to 1.6 s, the time of the agents' absence).

Mend: it goes on until look-ups of packets that get an answer have ended, 4.5 s after the signal at the latest. test_relay_lookup: stopping_balancer_ends_its_lookups is new with the predicate.

--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -124,6 +124,9 @@
 /* Times from the first offer of an open to the agent's RELAY_TAKEN, in ms. */
 const histogram_t *relay_balancer_open_ms(const relay_balancer_t *b);
 
+/* True while flows are looked up whose callers wait for an answer. */
+bool relay_balancer_looks_up(const relay_balancer_t *b);
+
 /* Number of flows in the index. */
 size_t relay_balancer_flow_count(const relay_balancer_t *b);
 
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -19,6 +19,9 @@
  * readiness probes, 500 ms apart, without a 200; packets already
  * on their way arrive after that. */
 #define STOP_DELAY_MS 1800
+/* The same while flows are looked up whose callers wait: less than the time
+ * after which the platform ends the process. */
+#define STOP_LOOKUPS_MS 4500
 /* Capacity of the flow index per MB of the memory limit. */
 #define FLOWS_PER_MB 64
 /* The platform drops the entry of a target after three heartbeat intervals of
@@ -300,6 +303,13 @@
 	(void)now;
 }
 
+static bool busy(relay_process_t *p)
+{
+	balancer_state_t *s = p->ctx;
+
+	return relay_balancer_looks_up(s->balancer);
+}
+
 static void resumed(relay_process_t *p, uint64_t now, uint64_t slept_ms)
 {
 	balancer_state_t *s = p->ctx;
@@ -362,12 +372,14 @@
 	.role = RELAY_ROLE_BALANCER,
 	.tick_ms = RELAY_BALANCER_TICK_MS,
 	.stop_ms = STOP_DELAY_MS,
+	.stop_max_ms = STOP_LOOKUPS_MS,
 	.start = start,
 	.end = end,
 	.packet = on_packet,
 	.message = on_message,
 	.tick = tick,
 	.stop = stop,
+	.busy = busy,
 	.resumed = resumed,
 	.ready = ready,
 	.peer_request = on_peer_request,
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -388,6 +388,18 @@
 		try_new_packet(b, f, p);
 }
 
+bool relay_balancer_looks_up(const relay_balancer_t *b)
+{
+	list_each(node, &b->waiting)
+	{
+		const relay_flow_t *f = list_entry(node, relay_flow_t, waiting);
+
+		if (f->phase == PHASE_LOOKUP && wants_answer(b, f->lookup))
+			return true;
+	}
+	return false;
+}
+
 void relay_lookup_store_read(relay_balancer_t *b, relay_flow_t *f)
 {
 	f->lookup->awaits_read = false;
--- a/src/relay_process.c
+++ b/src/relay_process.c
@@ -239,6 +239,17 @@
 	p->suspended_ms = suspended;
 }
 
+/* True when the time from the stop signal to the exit is over. */
+static bool may_exit(relay_process_t *p, uint64_t now)
+{
+	uint64_t since_ms = now - p->stopped_ms;
+
+	if (since_ms < p->daemon->stop_ms)
+		return false;
+	return !p->daemon->busy || since_ms >= p->daemon->stop_max_ms ||
+	       !p->daemon->busy(p);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	relay_process_t *p = timer->data;
@@ -249,7 +260,7 @@
 	p->daemon->tick(p, now);
 	check_settings(p);
 	event_log_flush();
-	if (p->stopping && now >= p->stop_at_ms)
+	if (p->stopping && may_exit(p, now))
 		uv_stop(&p->loop);
 }
 
@@ -261,7 +272,7 @@
 	if (p->stopping)
 		return;
 	p->stopping = true;
-	p->stop_at_ms = now + p->daemon->stop_ms;
+	p->stopped_ms = now;
 	event_log(EVENT_STOP, "\"signal\":%d,\"within_ms\":%llu", signum,
 		  (unsigned long long)p->daemon->stop_ms);
 	p->daemon->stop(p, now);
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -26,8 +26,10 @@
 	const char *name; /* name on the command line */
 	relay_role_t role;
 	uint64_t tick_ms; /* interval of tick() */
-	/* Time from the stop signal to the exit. */
+	/* Time from the stop signal to the exit, and the longest time while
+	 * busy(). */
 	uint64_t stop_ms;
+	uint64_t stop_max_ms;
 	/* Acquires the daemon's resources and sets p->counters. Returns 0, or
 	 * -1 and the error. */
 	int (*start)(relay_process_t *p, err_t *err);
@@ -43,6 +45,9 @@
 	void (*tick)(relay_process_t *p, uint64_t now);
 	/* Called once at the stop signal. */
 	void (*stop)(relay_process_t *p, uint64_t now);
+	/* Returns whether work is under way that should end before the exit;
+	 * NULL: there is none. */
+	bool (*busy)(relay_process_t *p);
 	/* Called when the host resumes after a suspension of slept_ms. */
 	void (*resumed)(relay_process_t *p, uint64_t now, uint64_t slept_ms);
 	/* Returns whether the daemon can serve. */
@@ -75,7 +80,7 @@
 	counters_t *counters;	/* owned by the daemon */
 	bool stopping;
 	bool logged_ready;     /* readiness that the log reported last */
-	uint64_t stop_at_ms;   /* time of the exit after a stop signal */
+	uint64_t stopped_ms;   /* time of the stop signal */
 	uint64_t suspended_ms; /* total suspension of the host since boot */
 	/* Datagrams since the last tick that had waited in a socket. */
 	unsigned waited;
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -284,6 +284,27 @@
 }
 END_TEST
 
+/* Guards against a request that waits for its caller's next copy, and then for
+ * a look-up from the start, since the balancer ended: one that stops ends its
+ * look-ups first. A packet that gets no answer is not worth it. */
+START_TEST(stopping_balancer_ends_its_lookups)
+{
+	relay_rig_t *r = rr_two_targets();
+	uint32_t first;
+
+	ck_assert(!relay_balancer_looks_up(r->balancer));
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
+	ck_assert(!relay_balancer_looks_up(r->balancer));
+	rr_from_caller(r, 2, RELAY_ACK, 6, 900, 100);
+	first = last_chain(r);
+	rr_advance(r, 900);
+	ck_assert(relay_balancer_looks_up(r->balancer));
+	rr_flow_message(r, first, RELAY_HELD, 2, "feeds");
+	ck_assert(!relay_balancer_looks_up(r->balancer));
+	rr_free(r);
+}
+END_TEST
+
 #define GROUP_SIZE 20
 
 /* Guards against copies of a packet at many servers after it has reached its
@@ -355,6 +376,7 @@
 	tcase_add_test(tc, unsure_agent_of_a_chain_is_asked);
 	tcase_add_test(tc, bare_acknowledgement_is_not_tried);
 	tcase_add_test(tc, request_after_acknowledgement_is_tried);
+	tcase_add_test(tc, stopping_balancer_ends_its_lookups);
 	tcase_add_test(tc, one_chain_tries_at_a_time);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
