--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -94,8 +94,9 @@
 	open_queue_t queue; /* of server_flow.wait */
 	uint32_t slots;	    /* published slots of the server; 0: unknown */
 	bool stopping;
-	uint64_t stop_report_due_ms; /* see relay_agent_report_stop(); 0: none */
-	bool evacuated; /* the availability zone takes no opens */
+	uint64_t
+		stop_report_due_ms; /* see relay_agent_report_stop(); 0: none */
+	bool evacuated;		    /* the availability zone takes no opens */
 	store_revision_t evacuation_revision; /* of its last change */
 	uint64_t evacuation_heard_ms;	      /* last word on it */
 	warmup_limit_t warmup; /* opens while the server is cold */
