--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -86,6 +86,8 @@
 	histogram_t queue_ms;	/* time that served opens were queued */
 	uint32_t tag;		/* tag of the service, see service_tag() */
 	uint64_t now;		/* time of the call in progress, ms */
+	/* Latest time of the report on the stop; 0: none is due. */
+	uint64_t stop_report_due_ms;
 	flow_index_t *flows;
 	list_t opening;	  /* flows in SERVER_FLOW_OPENING, oldest first */
 	list_t verifying; /* with a request that the server may return */
@@ -94,9 +96,7 @@
 	open_queue_t queue; /* of server_flow.wait */
 	uint32_t slots;	    /* published slots of the server; 0: unknown */
 	bool stopping;
-	uint64_t
-		stop_report_due_ms; /* see relay_agent_report_stop(); 0: none */
-	bool evacuated;		    /* the availability zone takes no opens */
+	bool evacuated; /* the availability zone takes no opens */
 	store_revision_t evacuation_revision; /* of its last change */
 	uint64_t evacuation_heard_ms;	      /* last word on it */
 	warmup_limit_t warmup; /* opens while the server is cold */
