Ask the agents of targets that a peer remembers as gone

Cause: the state of a peer tells gone targets for 70 s, since their agents may hold flows; the balancer kept the entries and made no members of them, so that look-ups did not ask.

Ruled out: a wait after the first listing, tried before.

Mend: such a target becomes a member that gets no opens and is asked last.

--- a/src/directory.c
+++ b/src/directory.c
@@ -156,6 +156,9 @@
 		e->state = ENTRY_GONE;
 		e->state_since_ms = now;
 		keep_known(now, e, entry);
+		/* A peer remembers it: its agent may still hold flows. */
+		if (entry->state == ENTRY_GONE)
+			d->ops.changed(d->ctx, e);
 		return;
 	}
 	if (e) {
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -259,9 +259,9 @@
 bool relay_member_unreached(const relay_balancer_t *b, const relay_member_t *m);
 
 /*
- * True for an unreached member, or when the agent stops and has listed its
- * flows. Look-ups ask a suspect member in a chain without others,
- * which it would delay.
+ * True for an unreached member, when the agent stops and has listed its flows,
+ * or when the target was gone before the balancer knew it. Look-ups ask a
+ * suspect member in a chain without others, which it would delay.
  */
 bool relay_member_suspect(const relay_balancer_t *b, const relay_member_t *m);
 
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -211,7 +211,7 @@
 		  (unsigned long long)e->revision.number, e->slots);
 	if (m)
 		best = relay_claim_best(b, m);
-	else if (e->state != ENTRY_GONE)
+	else
 		m = member_add(b, e->address.ip);
 	if (!m)
 		return;
@@ -224,6 +224,8 @@
 	}
 	if (best == e || !is_present(m, best))
 		adopt(b, m, best);
+	if (m->state == ENTRY_GONE)
+		m->gone_ms = e->state_since_ms;
 	relay_claim_ask(b, m);
 }
 
@@ -395,7 +397,8 @@
 
 bool relay_member_suspect(const relay_balancer_t *b, const relay_member_t *m)
 {
-	return m->held || relay_member_unreached(b, m);
+	return m->held || relay_member_unreached(b, m) ||
+	       (m->state == ENTRY_GONE && !m->last_heard_ms);
 }
 
 /* True for a member that gets few or no opens: only hellos show when it has
--- a/test/soak_wake.py
+++ b/test/soak_wake.py
@@ -88,6 +88,12 @@
         await asyncio.sleep(self.random.uniform(0.05, 1.0))
         server.start()
 
+    async def write_again(self, server, epoch):
+        while self.store.fault:
+            await asyncio.sleep(0.1)
+        if server.up and server.epoch == epoch:
+            server.publish()
+
     async def hang(self, server, duration):
         """The server does not run; its entry expires if that is for long, and comes back with it."""
         expires = asyncio.get_running_loop().call_later(soak.EXPIRY_HEARTBEATS * soak.HEARTBEAT_S, self.store.put,
@@ -95,8 +101,7 @@
         epoch = server.epoch
         await server.hang(duration)
         expires.cancel()
-        if server.up and server.epoch == epoch:
-            server.publish()
+        await self.write_again(server, epoch)
 
     async def lapse(self, server):
         """The entry of a server that runs is removed, and written again later; its agent may restart meanwhile."""
@@ -108,8 +113,7 @@
                 server.agent.stopping = True
                 server.agent.signal(signal.SIGTERM)
         await asyncio.sleep(self.random.uniform(0.5, 4))
-        if server.up and server.epoch == epoch:
-            server.publish()
+        await self.write_again(server, epoch)
 
     async def restart_for(self, agent, service):
         """The agent ends, and another one starts at its address for a service."""
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -73,6 +73,41 @@
 }
 END_TEST
 
+/* Guards against a reset of a flow whose target runs while its entry is gone: a
+ * balancer that has just started asks its agent, which a peer remembers. */
+START_TEST(agent_of_a_gone_target_is_asked)
+{
+	relay_rig_t *old = rr_balancer(), *fresh = rr_balancer();
+	GString *state;
+
+	rr_routes(old, 7);
+	rr_entry(old, "a", AGENT_A, 20, ENTRY_READY);
+	rr_entry(old, "b", AGENT_B, 21, ENTRY_READY);
+	rr_entry_gone(old, "a", 22);
+	state = pack_state(old, 25);
+	fresh->now += 100000; /* its first tick comes after the state */
+	apply_state(state, fresh);
+	rr_load(fresh, AGENT_B, 0, 0, 10, 0);
+	if (_i)
+		rr_load(fresh, AGENT_A, 0, 0, 10, 0);
+	rr_clear(fresh);
+	rr_from_caller(fresh, 1, RELAY_ACK, 6, 900, 100);
+	rr_flow_message(fresh, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
+	rr_advance(fresh, 300);
+	rr_flow_message(fresh, AGENT_B, RELAY_NOT_HELD, 1, "feeds");
+	ck_assert_uint_ge(rr_count(fresh, RIG_MESSAGE, AGENT_A, RELAY_QUERY),
+			  1);
+	ck_assert_uint_eq(rr_count(fresh, RIG_CALLER, 0, 0), 0);
+	ck_assert(!is_offered_to(fresh, 2, AGENT_A));
+	/* Its host has been removed. */
+	rr_advance(fresh, 1000);
+	ck_assert_uint_eq(rr_count(fresh, RIG_CALLER, 0, 0), 1);
+	g_string_free(state, TRUE);
+	rr_free(old);
+	rr_free(fresh);
+}
+END_TEST
+
 /* Bytes of a long name. */
 #define LONG_NAME 192
 
@@ -305,6 +340,7 @@
 	tcase_add_test(tc, peers_in_different_eras);
 	tcase_add_test(tc, state_keeps_long_names_and_unread_routes);
 	tcase_add_test(tc, state_between_two_pages);
+	tcase_add_loop_test(tc, agent_of_a_gone_target_is_asked, 0, 2);
 	tcase_add_test(tc, state_has_missing_and_gone_targets);
 	tcase_add_test(tc, entry_missing_in_an_older_state_stays);
 	tcase_add_test(tc, empty_or_invalid_state_is_refused);
