Name the subject of comments that said "the same"

Change: each comment names what it is about; restarts() is agent_restarts(). No code changed otherwise.

--- a/src/directory.c
+++ b/src/directory.c
@@ -122,6 +122,7 @@
 	e->listed_state = entry->state;
 }
 
+/* Notes that the listing in progress contains the entry. */
 static void mark_listed(const directory_t *d, target_entry_t *e)
 {
 	e->listed |= store_listing_current(d->listing);
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -90,7 +90,7 @@
    */
   protobuf_c_boolean no_server;
   /*
-   * the server has accepted a connection since it has been silent
+   * the server accepted a connection within the last second
    */
   protobuf_c_boolean listens;
 };
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -20,7 +20,8 @@
 /* Interval at which idle flows are removed. Closed flows stay until they are
  * idle, so that late packets still reach the agent. */
 #define SWEEP_INTERVAL_MS 1000
-/* Interval between checks of what the directory's entries wait for. */
+/* Interval between checks for the end of grace periods of the directory's
+ * entries. */
 #define DIRECTORY_INTERVAL_MS 200
 
 static void flow_free(flow_node_t *node);
--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -291,7 +291,8 @@
 	if (l->next == l->pending->len ||
 	    b->options.format->read(l->packet->data, l->packet->len, &p) < 0)
 		return false;
-	/* With several chains, servers would get the packet after its own. */
+	/* With several chains at a time, other servers would get the packet
+	 * after the flow's own server has it. */
 	trial = l->batch == 1 && relay_packet_wants_answer(&p);
 	for (unsigned i = 0; i < l->batch && l->next < l->pending->len; i++)
 		send_chain(b, l, &p, trial);
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -19,8 +19,9 @@
  * readiness probes, 500 ms apart, without a 200; packets already
  * on their way arrive after that. */
 #define STOP_DELAY_MS 1800
-/* The same while flows are looked up whose callers wait: less than the time
- * after which the platform ends the process. */
+/* Longest time from the stop signal to the exit, used while flows are looked up
+ * whose callers wait: less than the time after which the platform ends the
+ * process. */
 #define STOP_LOOKUPS_MS 4500
 /* Capacity of the flow index per MB of the memory limit. */
 #define FLOWS_PER_MB 64
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -52,7 +52,7 @@
 	bool evacuated;	       /* as the agent reports it */
 	bool warmup_full;      /* cold, and may get no open at the moment */
 	bool no_server;	       /* none has run since the agent started */
-	bool listens;	       /* silent, but accepts connections */
+	bool listens;	       /* it accepted a connection a short time ago */
 } relay_load_report_t;
 
 /* How a balancer reaches a zone, see relay_balancer_detour.c. */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -414,6 +414,7 @@
 	f->lookup = NULL;
 }
 
+/* True when the answer of a chain names the agent as unsure. */
 static bool names_unsure(const relay_msg_t *msg, uint32_t agent)
 {
 	for (size_t i = 0; i < msg->n_unsure; i++)
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -35,8 +35,8 @@
 /* The agent of a target that is no longer published, and that has sent nothing
  * for this long in spite of hellos, is lost: its flows are reset. */
 #define AGENT_LOST_MS 2500
-/* The same for an agent that has stopped beside a running server: it restarts,
- * which takes a second or two. */
+/* Silence after which an agent is lost that has stopped beside a running server
+ * whose target is no longer published: its restart takes a second or two. */
 #define RESTART_MAX_MS 4000
 /* Consecutive unanswered offers after which a member is avoided. */
 #define UNANSWERED_OFFERS_MAX 2
@@ -358,16 +358,17 @@
 	return b->now - MAX(relay_member_heard_ms(b, m), m->hellos_since_ms);
 }
 
-/* True when the server has answered nothing for this time, and is not known to
- * run. */
+/* True when the member's server has answered nothing for ms, and its agent does
+ * not know that it runs. */
 static bool server_silent(const relay_member_t *m, uint32_t ms)
 {
 	return !m->report.listens &&
 	       (m->report.down_ms >= ms || m->report.stalled_ms >= ms);
 }
 
-/* True when the agent stops, or has stopped, beside a running server. */
-static bool restarts(const relay_member_t *m)
+/* True when the member's agent stops, or has stopped, beside a running server:
+ * it is expected to come back. */
+static bool agent_restarts(const relay_member_t *m)
 {
 	return m->report.stopping && m->report.listens;
 }
@@ -379,14 +380,14 @@
 		return true;
 	/* An agent that stops does not come back once its target is gone. */
 	if (server_silent(m, GONE_SILENT_MS) ||
-	    (m->report.stopping && !restarts(m)))
+	    (m->report.stopping && !agent_restarts(m)))
 		return false;
 	if (m->report.no_server &&
 	    b->now < m->report.reported_ms + NO_SERVER_EXPIRY_MS)
 		return false;
 	return b->now < m->gone_ms + GONE_FLOWS_MS &&
-	       silent_ms(b, m) <
-		       (restarts(m) ? RESTART_MAX_MS : GONE_UNREACHABLE_MS);
+	       silent_ms(b, m) < (agent_restarts(m) ? RESTART_MAX_MS
+						    : GONE_UNREACHABLE_MS);
 }
 
 bool relay_member_unreached(const relay_balancer_t *b, const relay_member_t *m)
@@ -452,7 +453,8 @@
 	if (!gone || m->flows_reset_ms)
 		return;
 	if (server_silent(m, SERVER_LOST_MS) ||
-	    silent_ms(b, m) >= (restarts(m) ? RESTART_MAX_MS : AGENT_LOST_MS)) {
+	    silent_ms(b, m) >=
+		    (agent_restarts(m) ? RESTART_MAX_MS : AGENT_LOST_MS)) {
 		m->flows_reset_ms = b->now;
 		reset_flows(b, m, NULL, "target gone and unresponsive");
 	}
--- a/src/relay_process.h
+++ b/src/relay_process.h
@@ -26,8 +26,8 @@
 	const char *name; /* name on the command line */
 	relay_role_t role;
 	uint64_t tick_ms; /* interval of tick() */
-	/* Time from the stop signal to the exit, and the longest time while
-	 * busy(). */
+	/* Time from the stop signal to the exit, and the longest such time,
+	 * while busy() returns true. */
 	uint64_t stop_ms;
 	uint64_t stop_max_ms;
 	/* Acquires the daemon's resources and sets p->counters. Returns 0, or
--- a/test/relay_rig.h
+++ b/test/relay_rig.h
@@ -122,7 +122,8 @@
 /* Reports that no agent of a look-up chain holds the flow. */
 void rr_chain_not_held(relay_rig_t *r, uint32_t host, unsigned flow,
 		       unsigned chain);
-/* The same, of a chain that n unsure agents have passed on. */
+/* Reports that no agent of a look-up chain holds the flow, apart from n unsure
+ * ones that have passed it on. */
 void rr_chain_unsure(relay_rig_t *r, uint32_t host, unsigned flow,
 		     unsigned chain, uint32_t *unsure, size_t n);
 /* Number of the chain of the last look-up to an agent. */
@@ -131,10 +132,11 @@
  * in the look-up chain. */
 void rr_lookup(relay_rig_t *r, uint32_t balancer, unsigned flow, uint32_t ack,
 	       const uint32_t *candidates, size_t n);
-/* The same, where servers do not try the packet. */
+/* Passes a look-up to the agent whose packet servers do not try. */
 void rr_lookup_known(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		     uint32_t ack, const uint32_t *candidates, size_t n);
-/* The same, of a chain that m unsure agents have passed on. */
+/* Passes a look-up to the agent that m unsure agents of its chain have passed
+ * on. */
 void rr_lookup_unsure(relay_rig_t *r, uint32_t balancer, unsigned flow,
 		      uint32_t ack, const uint32_t *candidates, size_t n,
 		      const uint32_t *unsure, size_t m);
@@ -143,8 +145,8 @@
 	     double service_ms, uint32_t down_ms);
 /* Load report of an agent whose server has been stalled for stalled_ms. */
 void rr_load_stalled(relay_rig_t *r, uint32_t host, uint32_t stalled_ms);
-/* The same, where the server accepts connections, and has been down for
- * down_ms. */
+/* Load report of an agent whose server accepts connections, and has been
+ * stalled and down for these times. */
 void rr_load_hung(relay_rig_t *r, uint32_t host, uint32_t stalled_ms,
 		  uint32_t down_ms);
 /* Load report of an agent whose server fails this percentage of requests. */
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -121,7 +121,7 @@
 }
 END_TEST
 
-/* The same while the store is away: the period begins with the removal, which a
+/* While the store is away, the grace period begins with the removal, which a
  * peer has told. */
 START_TEST(grace_period_in_an_outage)
 {
