Ask no agent again whose server has not got the packet

Cause: since later chains only ask agents for what they know, nearly all of 150 agents are unsure and untried, and each round of questions went to all of them: 150 messages and answers each 120 ms and flow, on hosts with .09 of a core. Such an agent knows no more than before until its server is tried.

Evidence: test_relay_lookup:untried_agents_are_not_asked_again failed before (20 questions instead of 8).

Mend: questions go to agents that have not answered, and to those whose server may have got the packet.

--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -505,6 +505,14 @@
 	return any;
 }
 
+/* True when a further question may show that the agent's server holds the flow:
+ * it has not answered, or its server may have got the packet. */
+static bool may_know_more(const lookup_agent_t *a)
+{
+	return a->answer == ANSWER_NONE ||
+	       (a->answer == ANSWER_UNSURE && a->trial);
+}
+
 /* Time to wait after the last message of a look-up for answers to it. */
 static uint64_t query_interval_ms(const relay_lookup_t *l)
 {
@@ -552,7 +560,7 @@
 	for (guint i = 0; i < l->asked->len; i++) {
 		lookup_agent_t *a = &g_array_index(l->asked, lookup_agent_t, i);
 
-		if (a->answer == ANSWER_NOT_HELD)
+		if (!may_know_more(a))
 			continue;
 		send_query(b, f, a->agent);
 		waiting = true;
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -307,22 +307,51 @@
 
 #define GROUP_SIZE 20
 
-/* Guards against copies of a packet at many servers after it has reached its
- * own: only one chain at a time lets servers try it. */
-START_TEST(one_chain_tries_at_a_time)
+/* A balancer with many targets; stores the addresses of their agents. */
+static relay_rig_t *large_group(uint32_t *agents)
 {
 	relay_rig_t *r = rr_balancer();
-	uint32_t unsure[GROUP_SIZE];
-	unsigned trials = 0, chain;
 	char id[8];
 
 	rr_routes(r, 1);
 	for (unsigned i = 0; i < GROUP_SIZE; i++) {
-		unsure[i] = RIG_HOST_A + 16 * i;
+		agents[i] = RIG_HOST_A + 16 * i;
 		snprintf(id, sizeof(id), "t%u", i);
-		rr_entry(r, id, unsure[i], 2 + i, ENTRY_READY);
+		rr_entry(r, id, agents[i], 2 + i, ENTRY_READY);
 	}
 	rr_clear(r);
+	return r;
+}
+
+/* Guards against look-ups that load the hosts with questions, so that all of
+ * them take seconds after a restart of all agents: an unsure agent whose server
+ * has not got the packet knows no more than before. */
+START_TEST(untried_agents_are_not_asked_again)
+{
+	uint32_t unsure[GROUP_SIZE];
+	relay_rig_t *r = large_group(unsure);
+	unsigned chain;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	rr_advance(r, 150);
+	chain = rr_last_chain(r, 0);
+	rr_chain_unsure(r, AGENT_A, 1, chain, unsure, GROUP_SIZE);
+	rr_chain_unsure(r, AGENT_A, 1, chain - 1, unsure, GROUP_SIZE);
+	rr_clear(r);
+	rr_advance(r, 250); /* the first chain is lost */
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, 0, RELAY_QUERY), 8);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against copies of a packet at many servers after it has reached its
+ * own: only one chain at a time lets servers try it. */
+START_TEST(one_chain_tries_at_a_time)
+{
+	uint32_t unsure[GROUP_SIZE];
+	relay_rig_t *r = large_group(unsure);
+	unsigned trials = 0, chain;
+
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
 	rr_advance(r, 150);
 	for (size_t i = 0; i < r->nsent; i++) {
@@ -377,6 +406,7 @@
 	tcase_add_test(tc, bare_acknowledgement_is_not_tried);
 	tcase_add_test(tc, request_after_acknowledgement_is_tried);
 	tcase_add_test(tc, stopping_balancer_ends_its_lookups);
+	tcase_add_test(tc, untried_agents_are_not_asked_again);
 	tcase_add_test(tc, one_chain_tries_at_a_time);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
