Ask agents that are away between the trials of a look-up

Cause: a turn of a look-up either lets further servers try the packet or asks the agents that have not answered; while there are unsure agents left to try, seconds in a large group, an agent that is back was not asked.

Evidence: test_relay_lookup:agent_that_is_away_is_asked_between_trials failed before (no question). Ruled out: asking the chain in progress as well, since an answer "unsure" from there would start a second one beside it.

--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -28,7 +28,8 @@
  * of it. */
 #define LISTED_WAIT_MS 2000
 
-static void send_query(relay_balancer_t *b, relay_flow_t *f, uint32_t agent);
+static void send_query(relay_balancer_t *b, const relay_flow_t *f,
+		       uint32_t agent);
 static bool send_next(relay_balancer_t *b, relay_flow_t *f);
 static void begin_lookup(relay_balancer_t *b, relay_flow_t *f,
 			 const relay_packet_t *p, uint32_t excluded);
@@ -64,7 +65,8 @@
 	return NULL;
 }
 
-static void send_query(relay_balancer_t *b, relay_flow_t *f, uint32_t agent)
+static void send_query(relay_balancer_t *b, const relay_flow_t *f,
+		       uint32_t agent)
 {
 	relay_msg_t msg;
 
@@ -513,6 +515,21 @@
 	       (a->answer == ANSWER_UNSURE && a->trial);
 }
 
+/* Asks the agents that have not answered, apart from those of the newest chain,
+ * which has just been sent. */
+static void query_away(relay_balancer_t *b, const relay_flow_t *f)
+{
+	const relay_lookup_t *l = f->lookup;
+
+	for (guint i = 0; i < l->asked->len; i++) {
+		const lookup_agent_t *a =
+			&g_array_index(l->asked, lookup_agent_t, i);
+
+		if (a->answer == ANSWER_NONE && a->chain != l->chain)
+			send_query(b, f, a->agent);
+	}
+}
+
 /* Time to wait after the last message of a look-up for answers to it. */
 static uint64_t query_interval_ms(const relay_lookup_t *l)
 {
@@ -552,9 +569,12 @@
 		return;
 	}
 	/* The agents that are silent may not be those that hold the flow. */
-	if ((!awaits_listed(b, l) && send_next(b, f)) ||
-	    (l->query_rounds && try_unsure(b, f)))
+	if (!awaits_listed(b, l) && send_next(b, f))
 		return;
+	if (l->query_rounds && try_unsure(b, f)) {
+		query_away(b, f);
+		return;
+	}
 	l->query_rounds++;
 	l->last_sent_ms = b->now;
 	for (guint i = 0; i < l->asked->len; i++) {
