--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -201,6 +201,13 @@
         finally:
             writer.close()
 
+    def restore(self, copy):
+        """Comes back from an older copy: revisions are given out again, the era rises."""
+        self.revision, self.items, self.era, self.mode = copy[0], dict(copy[1]), self.era + 1, "up"
+        self.rig.note("store", "restored", revision=self.revision, era=self.era)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def answer(self, path):
         query = dict(p.split("=", 1) for p in path.split("?")[1].split("&"))
         await asyncio.sleep(0.004)
@@ -251,7 +258,7 @@
 
     async def start(self, target_id):
         loop = asyncio.get_running_loop()
-        self.id, self.born, self.state, self.drained = target_id, int(time.time() * 1000), "ready", None
+        self.id, self.born, self.state, self.drained, self.writes = target_id, int(time.time() * 1000), "ready", None, 0
         self.flows, self.ended, self.busy, self.waiting, self.up = {}, set(), 0, [], True
         self.disturbed = now() - CONTACT_S - 1 if self.rig.first else now()
         self.incarnation = "%s@%d" % (target_id, self.born)
@@ -272,15 +279,23 @@
     def published(self):
         return {"service": self.service, "address": "%s:%d" % (self.machine.ip, self.rig.ports["app"]),
                 "zone": self.machine.zone, "version": "v7", "slots": self.SLOTS, "state": self.state, "warmup_left_ms": 0,
-                "seq": 1, "born": self.born}
+                "seq": self.writes, "born": self.born}
 
     async def beat(self):
-        """The entry changes when more than seq changes: seq is left as it is in the stored value."""
+        """Writes the entry each heartbeat; the entry changes when more than seq changes."""
         while self.up:
-            if self.rig.store.mode == "up":
+            self.writes += 1
+            if self.rig.store.mode == "up" and not self.same_as_stored():
                 self.rig.store.put("servers/" + self.id, self.published())
             await asyncio.sleep(HEARTBEAT_S)
 
+    def same_as_stored(self):
+        try:
+            stored = json.loads(self.rig.store.items["servers/" + self.id][1])
+            return dict(stored, seq=0) == dict(self.published(), seq=0)
+        except (KeyError, TypeError, ValueError):
+            return False
+
     def stop(self, how):
         """Ends the target's process: its flows are gone."""
         self.up = False
@@ -598,7 +613,7 @@
         self.balancers, self.agents, self.targets, self.clients = [], [], [], []
         self.routes, self.route_at, self.allowed = {}, {}, {}
         self.open_at, self.flow_of, self.runs, self.sent, self.answered, self.unanswered = {}, {}, {}, set(), 0, []
-        self.strays, self.version, self.services = {}, 0, set()
+        self.strays, self.version, self.services, self.core_disturbed = {}, 0, set(), 0
         self.net = "127.%d.%d" % (self.random.randrange(20, 200), os.getpid() % 250)
         self.ports = self.free_ports()
         self.store = Store(self, (self.net + ".1", self.ports["store"]))
@@ -672,6 +687,8 @@
             self.broken("twice", "%s ran %d times" % (attempt, self.runs[attempt]))
 
     def in_touch(self, machine):
+        if now() <= self.core_disturbed + CONTACT_S:
+            return False
         return machine is not None and not machine.frozen and now() > machine.disturbed + CONTACT_S
 
     def check_reset(self, flow, sender):
@@ -721,8 +738,9 @@
         routes = [{"name": n, "host": a, "prefix": "/%d/" % p, "service": s, "route_type": k, "timeout_ms": 2000,
                    "slo_latency_ms": o, "priority": 1, "attempts": 1} for n, (a, p, s, k, o) in self.routes.items()]
         services = [{"name": s, "health_path": "/health", "max_conns": 2000} for s in sorted(self.services)]
-        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services,
-                                     "limits": {"idle_timeout_ms": int(IDLE_S * 1000)}})
+        self.config = {"version": self.version, "routes": routes, "services": services,
+                       "limits": {"idle_timeout_ms": int(IDLE_S * 1000)}}
+        self.store.put("op/config", self.config)
 
     async def add_clients(self, n, zone="tw-north-a"):
         for _ in range(n):
