--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -804,7 +804,7 @@
                     pass
 
 
-def run(case_dir, build, play, length_s=110):
+def run(case_dir, build, play, length_s=100):
     """build(rig) adds machines and routes, play(rig) is the case. Exits as the issue asks."""
     async def main():
         rig = Rig(case_dir)
