Take no entry without a start time for a target

Cause: `born` was optional, so such an entry became a target with start time 0, the newest at the address; holder_started_later() takes 0 for later than any flow.

Evidence: logs of the case, "target replaced" at the moment of the entry; the "target" line now has started_ms. Ruled out: that any newer entry resets flows, whatever its start: test_return:late_entry_keeps_flows_of_new_server.

An entry without a start time that comes through a peer of an earlier build resets no flows, unless the agent itself has named its service: their packets go on to the agent, which knows what its server holds.

--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -77,9 +77,17 @@
 	b->ops.send_message(b->ctx, m->agent, &msg);
 }
 
-/* True when the next target at the member's address may hold the flow: it
- * started before the flow was known there, or the flow's holder named the next
- * target's service. */
+/* True when the agent at the member's address has named the service of an entry
+ * that is not that of the member's target. */
+static bool named_by_agent(const relay_member_t *m, const target_entry_t *e)
+{
+	return m->agent_service && strcmp(e->service, m->service) != 0 &&
+	       !strcmp(e->service, m->agent_service);
+}
+
+/* True when the next target at the member's address may hold the flow: the
+ * flow's holder named its service, it started before the flow was known there,
+ * or nothing shows when it started and that it is there. */
 static bool next_may_hold(const relay_balancer_t *b, const relay_member_t *m,
 			  const relay_flow_t *f, const target_entry_t *next,
 			  uint64_t unix_ms)
@@ -90,6 +98,8 @@
 	if (strcmp(next->service, m->service) != 0 && f->service &&
 	    !strcmp(next->service, f->service))
 		return true;
+	if (!next->started_ms && !named_by_agent(m, next))
+		return true;
 	return !holder_started_later(f->held_ms, b->now, unix_ms, started_ms);
 }
 
@@ -204,11 +214,12 @@
 	event_log(EVENT_TARGET,
 		  "\"target\":\"%s\",\"service\":\"%s\",\"agent\":\"%s\","
 		  "\"state\":\"%s\",\"era\":%llu,\"revision\":%llu,"
-		  "\"slots\":%u",
+		  "\"slots\":%u,\"started_ms\":%llu",
 		  e->id, e->service, ipv4_format(e->address.ip, text),
 		  entry_state_name(e->state),
 		  (unsigned long long)e->revision.era,
-		  (unsigned long long)e->revision.number, e->slots);
+		  (unsigned long long)e->revision.number, e->slots,
+		  (unsigned long long)e->started_ms);
 	if (m)
 		best = relay_claim_best(b, m);
 	else
--- a/test/test_claims.c
+++ b/test/test_claims.c
@@ -58,8 +58,20 @@
 }
 END_TEST
 
-/* Guards against the same when the entry was there first, or comes again
- * between two writes of the target. */
+/* Guards against resets by an entry that a peer of an earlier build took for a
+ * target's, although nothing says when that one started. */
+START_TEST(entry_without_start_resets_nothing)
+{
+	relay_rig_t *r = with_flow();
+
+	rr_entry(r, "x", AGENT_A, 9, ENTRY_READY);
+	check_untouched(r, 2);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against an entry of another writer that was there first, or comes
+ * again between two writes of the target. */
 START_TEST(live_target_takes_its_address)
 {
 	relay_rig_t *r = rr_balancer();
@@ -136,6 +148,7 @@
 
 	tcase_add_loop_test(tc, other_entry_changes_nothing, 0, 2);
 	tcase_add_loop_test(tc, live_target_takes_its_address, 0, 2);
+	tcase_add_test(tc, entry_without_start_resets_nothing);
 	tcase_add_test(tc, routes_settle_addresses);
 	tcase_add_test(tc, agent_tells_who_is_there);
 	tcase_add_test(tc, gone_target_leaves_its_address);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -293,7 +293,7 @@
 	g_autofree char *target = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"10.1.0.9:8080\",\"zone\":"
 		"\"%s\",\"version\":\"%s\",\"slots\":2,\"state\":\"ready\","
-		"\"warmup_left_ms\":0,\"seq\":4}",
+		"\"warmup_left_ms\":0,\"seq\":4,\"born\":1}",
 		name, name, name);
 	target_entry_t entry;
 	route_table_t *t;
--- /dev/null
+++ b/test/test_other_writers.c
@@ -0,0 +1,233 @@
+/*
+ * test_other_writers - entries of other writers at the address of a live target
+ */
+
+#include "fleet_store.h"
+#include "relay_rig.h"
+#include "runner.h"
+#include <glib.h>
+#include <string.h>
+
+#define AGENT	 RIG_HOST_A
+#define OWN_KEY	 "servers/a"
+#define ODD_KEY	 "servers/import-1"
+#define ZONE	 "here"
+#define START_MS "1700000000000"
+
+static relay_rig_t *r;
+static uint64_t revision;
+
+static void sink_routes(void *ctx, route_table_t *routes)
+{
+	(void)ctx;
+	relay_balancer_set_routes(r->balancer, routes);
+}
+
+static void sink_refused(void *ctx, const char *key, const err_t *err)
+{
+	(void)ctx;
+	(void)key;
+	(void)err;
+}
+
+static directory_t *sink_directory(void *ctx)
+{
+	(void)ctx;
+	return relay_balancer_directory(r->balancer);
+}
+
+static evacuations_t *sink_evacuations(void *ctx)
+{
+	(void)ctx;
+	return relay_balancer_evacuations(r->balancer);
+}
+
+static uint64_t sink_now(void *ctx)
+{
+	(void)ctx;
+	return r->now;
+}
+
+/* Reads an item as a change, or in a listing. NULL: it was deleted. */
+static void read_item(const char *key, const char *value, size_t len,
+		      bool watch)
+{
+	static const relay_sink_t sink = { .routes = sink_routes,
+					   .refused = sink_refused,
+					   .directory = sink_directory,
+					   .evacuations = sink_evacuations,
+					   .now = sink_now };
+	relay_watcher_ctx_t ctx = { .sink = &sink };
+	uint64_t number = ++revision;
+	g_autofree char *base64 =
+		value ? g_base64_encode((const guchar *)value, len) : NULL;
+	g_autofree char *body = g_strdup_printf(
+		"{\"%s\":[{\"key\":\"%s\",\"revision\":%llu,%s%s%s}],"
+		"\"store_revision\":%llu}",
+		watch ? "events" : "items", key, (unsigned long long)number,
+		value ? "\"value\":\"" : "\"deleted\":true",
+		value ? base64 : "", value ? "\"" : "",
+		(unsigned long long)number);
+	http_response_t answer = { .status = 200,
+				   .body = body,
+				   .len = strlen(body) };
+	watcher_page_t page = { 0 };
+	err_t err;
+
+	ck_assert_int_eq(
+		fleet_watcher_ops.apply(&ctx, &answer, watch, &page, &err),
+		WATCHER_OK);
+}
+
+static void write_text(const char *key, const char *text)
+{
+	read_item(key, text, text ? strlen(text) : 0, true);
+}
+
+/* The target's own entry. */
+static void write_own(const char *state)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"service\":\"feeds\",\"address\":\"10.1.0.9:8080\","
+		"\"zone\":\"" ZONE "\",\"version\":\"v1\",\"slots\":2,"
+		"\"state\":\"%s\",\"warmup_left_ms\":0,\"seq\":3,"
+		"\"born\":" START_MS "}",
+		state);
+
+	write_text(OWN_KEY, text);
+}
+
+static const char *const fields[][2] = {
+	{ "service", "\"feeds\"" },
+	{ "address", "\"10.1.0.9:8080\"" },
+	{ "zone", "\"" ZONE "\"" },
+	{ "version", "\"v1\"" },
+	{ "slots", "2" },
+	{ "state", "\"ready\"" },
+	{ "warmup_left_ms", "0" },
+	{ "seq", "7" },
+	{ "born", "1700000009000" },
+};
+/* Values of each type; NULL: the field is missing. */
+static const char *const values[] = { NULL,	  "null",  "true",
+				      "-1",	  "1.5",   "\"1700000009000\"",
+				      "\"\"",	  "[]",	   "{}",
+				      "[2]",	  "1e400", "\"un\\u0000named\"",
+				      "\"ready\"" };
+#define FIELDS (int)(sizeof(fields) / sizeof(fields[0]))
+#define VALUES (int)(sizeof(values) / sizeof(values[0]))
+#define BROKEN (FIELDS * VALUES)
+
+/* True when the value is one that the field may have. */
+static bool is_valid(int field, int value)
+{
+	const char *name = fields[field][0], *text = values[value];
+	bool is_text = !strcmp(name, "service") || !strcmp(name, "zone") ||
+		       !strcmp(name, "version");
+
+	if (!text || !text[1] || text[0] != '"')
+		return false;
+	return (is_text && text[1] != '"' && !strchr(text, '\\')) ||
+	       (!strcmp(name, "state") && !strcmp(text, "\"ready\""));
+}
+
+/* The i-th entry with one field that is missing, or of a wrong type or value;
+ * NULL: its field is valid. */
+static char *broken_entry(int i)
+{
+	GString *s = g_string_new("{");
+
+	if (is_valid(i / VALUES, i % VALUES)) {
+		g_string_free(s, TRUE);
+		return NULL;
+	}
+	for (int f = 0; f < FIELDS; f++) {
+		const char *value =
+			f == i / VALUES ? values[i % VALUES] : fields[f][1];
+
+		if (value)
+			g_string_append_printf(s, "%s\"%s\":%s",
+					       s->len > 1 ? "," : "",
+					       fields[f][0], value);
+	}
+	g_string_append_c(s, '}');
+	return g_string_free(s, FALSE);
+}
+
+/* A balancer with an open flow at the target. */
+static void setup(void)
+{
+	r = rr_balancer();
+	revision = 10;
+	rr_routes(r, 3);
+	write_own("ready");
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_flow_message(r, AGENT, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, RIG_SERVER_ISN + 1, 100);
+	rr_advance(r, 100);
+	rr_clear(r);
+}
+
+static void teardown(void)
+{
+	rr_free(r);
+}
+
+/* Checks that the open flow is where it was, and whether its target takes
+ * opens. */
+static void check_target(unsigned flow, bool takes_opens)
+{
+	rr_load(r, AGENT, 0, 0, 10, 0);
+	rr_advance(r, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + 1, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT, 0), 1);
+	rr_from_caller(r, flow, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT, RELAY_OFFER),
+			  takes_opens);
+	if (takes_opens)
+		rr_flow_message(r, AGENT, RELAY_TAKEN, flow, "feeds");
+	rr_clear(r);
+}
+
+/* Guards against a reset of the flows of a live target, since an entry with a
+ * broken field, under an id of its own, names its address. */
+START_TEST(broken_entry_resets_nothing)
+{
+	g_autofree char *text = broken_entry(_i);
+
+	if (!text)
+		return;
+	write_text(ODD_KEY, text);
+	check_target(2, true);
+	write_text(ODD_KEY, NULL);
+	check_target(3, true);
+}
+END_TEST
+
+/* Guards against opens at a target that drains, since such an entry names its
+ * address as that of a ready one. */
+START_TEST(broken_entry_ends_no_drain)
+{
+	g_autofree char *text = broken_entry(_i);
+
+	if (!text)
+		return;
+	write_own("draining");
+	write_text(ODD_KEY, text);
+	check_target(2, false);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("other_writers");
+	TCase *tc = tcase_create("entries");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_loop_test(tc, broken_entry_resets_nothing, 0, BROKEN);
+	tcase_add_loop_test(tc, broken_entry_ends_no_drain, 0, BROKEN);
+	suite_add_tcase(s, tc);
+	return run_suite(s);
+}
--- a/test/test_relay_balancer.c
+++ b/test/test_relay_balancer.c
@@ -197,13 +197,16 @@
 START_TEST(replaced_target_loses_its_flows)
 {
 	relay_rig_t *r = rr_balancer();
+	uint64_t unix_at_0 = 1700000000000;
 
+	r->unix_at_0 = unix_at_0;
 	rr_routes(r, 1);
-	rr_entry(r, "a", AGENT_A, 2, ENTRY_READY);
+	rr_entry_started(r, "a", AGENT_A, 2, ENTRY_READY, unix_at_0);
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
 	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 0);
-	rr_entry(r, "n", AGENT_A, 9, ENTRY_READY);
+	rr_advance(r, 1000);
+	rr_entry_started(r, "n", AGENT_A, 9, ENTRY_READY, unix_at_0 + r->now);
 	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
 	rr_free(r);
 }
--- a/test/watcher_rig.h
+++ b/test/watcher_rig.h
@@ -19,7 +19,7 @@
 #define TARGET(ip)                                                             \
 	"{\"service\":\"feeds\",\"address\":\"" ip ":80\",\"zone\":\"z\","     \
 	"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","                  \
-	"\"warmup_left_ms\":0,\"seq\":1}"
+	"\"warmup_left_ms\":0,\"seq\":1,\"born\":1700000000000}"
 
 typedef struct watcher_rig {
 	uv_loop_t loop;
