--- a/test/test_other_writers.c
+++ b/test/test_other_writers.c
@@ -154,6 +154,60 @@
 	return g_string_free(s, FALSE);
 }
 
+#define WHOLE                                                                  \
+	"\"service\":\"feeds\",\"address\":\"10.1.0.9:8080\","                 \
+	"\"zone\":\"" ZONE "\",\"version\":\"v1\",\"slots\":2,"                \
+	"\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":7,"                  \
+	"\"born\":1700000009000"
+/* The length is that of the literal, with NULs inside. */
+#define BYTES(text)                                                            \
+	{                                                                      \
+		text, sizeof(text) - 1                                         \
+	}
+
+/* An entry that is whole, apart from bytes that are not JSON. */
+static const struct {
+	const char *text;
+	size_t len;
+} not_json[] = {
+	BYTES("{" WHOLE "}\"\xff\xfe\0,\"state\":"),
+	BYTES("{" WHOLE "}\0"),
+	BYTES("{" WHOLE "}}"),
+	BYTES("{" WHOLE "} x"),
+	BYTES("{" WHOLE "}{" WHOLE "}"),
+	BYTES("{" WHOLE "}//"),
+	BYTES("{" WHOLE ",}"),
+	BYTES("{" WHOLE),
+	BYTES("[{" WHOLE "}]"),
+	BYTES("\xef\xbb\xbf{" WHOLE "}"),
+	BYTES("{/**/" WHOLE "}"),
+	BYTES("{" WHOLE ",'x':1}"),
+	BYTES("{" WHOLE ",x:1}"),
+	BYTES("{" WHOLE ",\"x\":01}"),
+	BYTES("{" WHOLE ",\"x\":-01}"),
+	BYTES("{" WHOLE ",\"x\":1.}"),
+	BYTES("{" WHOLE ",\"x\":.5}"),
+	BYTES("{" WHOLE ",\"x\":1e}"),
+	BYTES("{" WHOLE ",\"x\":NaN}"),
+	BYTES("{" WHOLE ",\"x\":-Infinity}"),
+	BYTES("{" WHOLE ",\"x\":True}"),
+	BYTES("{" WHOLE ",\"x\":\"\t\"}"),
+	BYTES("{" WHOLE ",\"x\":\"\\x\"}"),
+	BYTES("{" WHOLE ",\"x\":\"\xff\"}"),
+	BYTES("{" WHOLE ",\"x\":\"\xc0\x80\"}"),
+	BYTES("{" WHOLE ",\"x\":\"\xed\xa0\x80\"}"),
+	BYTES("{" WHOLE ",\"\xe9\":1}"),
+	BYTES("{" WHOLE "\f}"),
+	BYTES(""),
+	BYTES("\0"),
+};
+#define NOT_JSON (int)(sizeof(not_json) / sizeof(not_json[0]))
+
+static void write_not_json(const char *key, int i)
+{
+	read_item(key, not_json[i].text, not_json[i].len, true);
+}
+
 /* A balancer with an open flow at the target. */
 static void setup(void)
 {
@@ -220,6 +274,32 @@
 }
 END_TEST
 
+/* Guards against opens at a target that drains, or resets of its flows, since
+ * bytes that are not JSON name its address as that of a ready one. */
+START_TEST(bytes_name_no_target)
+{
+	write_not_json(ODD_KEY, _i);
+	check_target(2, true);
+	write_own("draining");
+	check_target(3, false);
+	write_text(ODD_KEY, NULL);
+	write_not_json(ODD_KEY, _i);
+	check_target(4, false);
+}
+END_TEST
+
+/* The same entry is that of a target when it is JSON, with white space around.
+ */
+START_TEST(whole_entry_names_a_target)
+{
+	write_own("draining");
+	write_text(ODD_KEY, " {" WHOLE ",\"x\":\"\xc3\xa9\"}\r\n");
+	ck_assert_int_eq(
+		directory_find(sink_directory(NULL), "import-1")->state,
+		ENTRY_READY);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("other_writers");
@@ -228,6 +308,8 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_loop_test(tc, broken_entry_resets_nothing, 0, BROKEN);
 	tcase_add_loop_test(tc, broken_entry_ends_no_drain, 0, BROKEN);
+	tcase_add_loop_test(tc, bytes_name_no_target, 0, NOT_JSON);
+	tcase_add_test(tc, whole_entry_names_a_target);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
