Keep a target whose entry another writer has overwritten

The target got no opens until it had written its entry again.

Cause: an entry that can't be read counted as removed, and as none at all to a balancer that had not read the target's own.

Mend: the known target keeps its state until it should have written its entry again, and then counts as gone. An item under an unknown id may hide a target for that time: no look-up without a holder ends with a reset. An item that stands on or is written again hides nothing. A state tells peers both, in new fields.

--- a/src/directory.c
+++ b/src/directory.c
@@ -16,10 +16,20 @@
  * targets of the copy. */
 #define COPY_AGE_MAX_MS 20000
 
+/* An item of another writer under an id of which no entry is known, or one that
+ * is gone. */
+typedef struct foreign_item {
+	char id[DIRECTORY_ID_SIZE];
+	store_revision_t revision;
+	unsigned listed; /* as in target_entry_t */
+} foreign_item_t;
+
 struct directory {
 	GHashTable *by_id; /* id -> target_entry_t */
 	list_t entries;
-	uint32_t expiry_ms; /* see directory_new() */
+	GHashTable *foreign;	  /* id -> foreign_item_t, owned */
+	uint64_t hiding_until_ms; /* see directory_hiding_ms() */
+	uint32_t expiry_ms;	  /* see directory_new() */
 	directory_ops_t ops;
 	void *ctx;
 	uint64_t last_failure_ms; /* last failed request; 0: none */
@@ -49,6 +59,8 @@
 	d->expiry_ms = expiry_ms;
 	d->ops = *ops;
 	d->ctx = ctx;
+	d->foreign =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	list_init(&d->entries);
 	return d;
 }
@@ -66,6 +78,7 @@
 		return;
 	list_each_safe(node, after, &d->entries)
 		delete_entry(d, list_entry(node, target_entry_t, node));
+	g_hash_table_destroy(d->foreign);
 	g_hash_table_destroy(d->by_id);
 	free(d);
 }
@@ -77,6 +90,7 @@
 	e->state_since_ms = now;
 	e->missing_since_ms = 0;
 	e->unconfirmed_since_ms = 0;
+	e->overwritten_since_ms = 0;
 	d->ops.changed(d->ctx, e);
 }
 
@@ -116,6 +130,7 @@
 {
 	e->revision = entry->revision;
 	e->missing_since_ms = 0;
+	e->overwritten_since_ms = 0;
 	if (entry->state == ENTRY_GONE || e->state != ENTRY_GONE)
 		return;
 	e->unconfirmed_since_ms = now;
@@ -138,6 +153,56 @@
 	return e;
 }
 
+/* Forgets another writer's item that is no longer there. */
+static void forget_foreign(directory_t *d, const char *id,
+			   store_revision_t revision)
+{
+	const foreign_item_t *item = g_hash_table_lookup(d->foreign, id);
+
+	if (item && store_revision_compare(revision, item->revision) > 0)
+		g_hash_table_remove(d->foreign, id);
+}
+
+/* Notes another writer's item. One that was there before hides no target that
+ * still lives: it would have written its entry again. */
+static void note_foreign(directory_t *d, uint64_t now, const char *id,
+			 store_revision_t revision)
+{
+	foreign_item_t *item = g_hash_table_lookup(d->foreign, id);
+
+	if (!item) {
+		item = g_new0(foreign_item_t, 1);
+		g_strlcpy(item->id, id, sizeof(item->id));
+		g_hash_table_insert(d->foreign, item->id, item);
+		directory_set_hiding(d, now, d->expiry_ms);
+	}
+	item->revision = revision;
+	item->listed |= store_listing_current(d->listing);
+}
+
+void directory_overwrite(directory_t *d, uint64_t now, const char *id,
+			 store_revision_t revision)
+{
+	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
+
+	if (!enter_era(d, revision.era) ||
+	    (e && store_revision_compare(revision, e->revision) < 0))
+		return;
+	if (e) {
+		mark_listed(d, e);
+		e->revision = revision;
+	}
+	if (!e || e->state == ENTRY_GONE) {
+		note_foreign(d, now, id, revision);
+		if (e)
+			e->unconfirmed_since_ms = 0;
+		return;
+	}
+	e->missing_since_ms = 0;
+	if (!e->overwritten_since_ms)
+		e->overwritten_since_ms = now ? now : 1;
+}
+
 void directory_put(directory_t *d, uint64_t now, const target_entry_t *entry)
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, entry->id);
@@ -148,6 +213,7 @@
 
 	if (!enter_era(d, entry->revision.era))
 		return;
+	forget_foreign(d, entry->id, entry->revision);
 	if (list_empty(&d->entries))
 		d->since_ms = now;
 	if (!e && (entry->state == ENTRY_GONE ||
@@ -184,6 +250,7 @@
 	mark_listed(d, e);
 	e->missing_since_ms = 0;
 	e->unconfirmed_since_ms = 0;
+	e->overwritten_since_ms = 0;
 	e->warmup_end_ms = now + entry->warmup_ms;
 	e->state_since_ms = now;
 	if (entry->state != old_state || restarted || moved ||
@@ -204,6 +271,7 @@
 		       now < d->recovered_ms + RECOVERY_WINDOW_MS);
 
 	e->unconfirmed_since_ms = 0;
+	e->overwritten_since_ms = 0;
 	if (e->state == ENTRY_GONE || e->missing_since_ms)
 		return;
 	if (d->restored)
@@ -219,8 +287,10 @@
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
 
-	if (!enter_era(d, revision.era) || !e ||
-	    store_revision_compare(revision, e->revision) <= 0)
+	if (!enter_era(d, revision.era))
+		return;
+	forget_foreign(d, id, revision);
+	if (!e || store_revision_compare(revision, e->revision) <= 0)
 		return;
 	e->revision = revision;
 	mark_missing(d, now, e);
@@ -242,11 +312,57 @@
 		e->state_since_ms = since_ms;
 }
 
+void directory_set_overwritten(directory_t *d, uint64_t now, const char *id,
+			       store_revision_t revision,
+			       uint64_t overwritten_ms)
+{
+	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
+
+	if (!e || e->state == ENTRY_GONE || e->overwritten_since_ms ||
+	    store_revision_compare(revision, e->revision) < 0)
+		return;
+	e->overwritten_since_ms =
+		now > overwritten_ms ? now - overwritten_ms : 1;
+}
+
+uint64_t directory_hiding_ms(const directory_t *d, uint64_t now)
+{
+	return now < d->hiding_until_ms ? d->hiding_until_ms - now : 0;
+}
+
+void directory_set_hiding(directory_t *d, uint64_t now, uint64_t hiding_ms)
+{
+	if (d->hiding_until_ms < now + hiding_ms)
+		d->hiding_until_ms = now + hiding_ms;
+}
+
 void directory_resync_begin(directory_t *d, store_listing_t listing)
 {
+	GHashTableIter iter;
+	gpointer item;
+
 	d->listing |= listing;
 	list_each(node, &d->entries) list_entry(node, target_entry_t, node)
 		->listed &= ~(unsigned)listing;
+	g_hash_table_iter_init(&iter, d->foreign);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		((foreign_item_t *)item)->listed &= ~(unsigned)listing;
+}
+
+/* Forgets items of other writers that the store no longer lists. */
+static void forget_unlisted(directory_t *d, store_revision_t revision)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->foreign);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const foreign_item_t *item = value;
+
+		if (!(item->listed & LISTING_STORE) &&
+		    store_revision_compare(revision, item->revision) > 0)
+			g_hash_table_iter_remove(&iter);
+	}
 }
 
 void directory_resync_end(directory_t *d, store_listing_t listing, uint64_t now,
@@ -267,6 +383,8 @@
 		e->revision = revision;
 		mark_missing(d, now, e);
 	}
+	if (listing == LISTING_STORE)
+		forget_unlisted(d, revision);
 	d->restored = false;
 }
 
@@ -283,8 +401,12 @@
 
 void directory_store_reachable(directory_t *d, uint64_t now)
 {
-	if (d->last_failure_ms && !d->recovered_ms)
-		d->recovered_ms = now;
+	if (!d->last_failure_ms || d->recovered_ms)
+		return;
+	d->recovered_ms = now;
+	/* Targets may not have reached the store, either. */
+	if (d->hiding_until_ms > d->last_failure_ms)
+		directory_set_hiding(d, now, DIRECTORY_GRACE_MS);
 }
 
 bool directory_store_answers(const directory_t *d)
@@ -292,6 +414,17 @@
 	return !d->last_failure_ms || d->recovered_ms;
 }
 
+/* True when a target whose entry was overwritten has left or is silent: it has
+ * not written it again, though the store takes writes. */
+static bool is_overwritten_for_good(const directory_t *d, uint64_t now,
+				    const target_entry_t *e)
+{
+	return e->overwritten_since_ms && directory_store_answers(d) &&
+	       now >= e->overwritten_since_ms + d->expiry_ms &&
+	       (!d->recovered_ms ||
+		now >= d->recovered_ms + DIRECTORY_GRACE_MS);
+}
+
 void directory_tick(directory_t *d, uint64_t now)
 {
 	list_each_safe(node, after, &d->entries)
@@ -301,6 +434,8 @@
 		if (e->missing_since_ms &&
 		    now >= e->missing_since_ms + DIRECTORY_GRACE_MS)
 			set_state(d, now, e, ENTRY_GONE);
+		else if (is_overwritten_for_good(d, now, e))
+			mark_missing(d, now, e);
 		else if (e->unconfirmed_since_ms &&
 			 now >= e->unconfirmed_since_ms + d->expiry_ms)
 			set_state(d, now, e, e->listed_state);
--- a/src/directory.h
+++ b/src/directory.h
@@ -20,6 +20,12 @@
  * that is missing may have been written after the copy: it keeps its state for
  * DIRECTORY_GRACE_MS.
  *
+ * An item of another writer under the id of a known target tells nothing of it:
+ * the target writes its own entry again with its next heartbeat, and keeps its
+ * state until then. If it does not within expiry_ms, its entry counts as
+ * removed. Such an item under an id that is not known may stand in place of the
+ * entry of a live target that was not read before.
+ *
  * The directory owns the entries. Times are milliseconds of a monotonic clock.
  */
 
@@ -55,10 +61,11 @@
 	uint64_t started_ms;   /* start of the target, Unix time */
 	uint64_t write_number; /* the target's writes since its start */
 	entry_state_t state;
-	store_revision_t revision; /* of the last change */
-	uint64_t state_since_ms;   /* last update or state change */
-	uint64_t warmup_end_ms;	   /* end of the warm-up */
-	uint64_t missing_since_ms; /* start of the grace period; 0: none */
+	store_revision_t revision;     /* of the last change */
+	uint64_t state_since_ms;       /* last update or state change */
+	uint64_t warmup_end_ms;	       /* end of the warm-up */
+	uint64_t missing_since_ms;     /* start of the grace period; 0: none */
+	uint64_t overwritten_since_ms; /* by another writer; 0: it is not */
 	/* Start of the time in which a restored entry counts as gone; 0: it is
 	 * not doubted. listed_state is the state that the store lists. */
 	uint64_t unconfirmed_since_ms;
@@ -92,6 +99,11 @@
 void directory_remove(directory_t *d, uint64_t now, const char *id,
 		      store_revision_t revision);
 
+/* Notes that an item that names no target stands under the id at this revision.
+ */
+void directory_overwrite(directory_t *d, uint64_t now, const char *id,
+			 store_revision_t revision);
+
 /*
  * Resync, a complete listing of the store or of a peer's state: call
  * directory_resync_begin(), directory_put() for each entry, then
@@ -111,6 +123,17 @@
 void directory_set_missing(directory_t *d, uint64_t now, const char *id,
 			   store_revision_t revision, uint64_t missing_ms);
 
+/* Notes that the entry of a known target was overwritten overwritten_ms ago, as
+ * a peer reports with the entry. */
+void directory_set_overwritten(directory_t *d, uint64_t now, const char *id,
+			       store_revision_t revision,
+			       uint64_t overwritten_ms);
+
+/* Time in ms for which items of other writers may hide live targets; 0: they do
+ * not. Set: at least for that time, as a peer reports. */
+uint64_t directory_hiding_ms(const directory_t *d, uint64_t now);
+void directory_set_hiding(directory_t *d, uint64_t now, uint64_t hiding_ms);
+
 /* Notes that a request to the platform's store failed. */
 void directory_store_unreachable(directory_t *d, uint64_t now);
 /* Notes that the store answered. */
--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -1333,7 +1333,7 @@
   (ProtobufCMessageInit) ct__relay__route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__target__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ct__relay__target__field_descriptors[14] =
 {
   {
     "id",
@@ -1491,6 +1491,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "overwritten_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Target, overwritten_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__target__field_indices_by_name[] = {
   12,   /* field[12] = cold_ms */
@@ -1498,6 +1510,7 @@
   0,   /* field[0] = id */
   3,   /* field[3] = ip */
   11,   /* field[11] = missing_ms */
+  13,   /* field[13] = overwritten_ms */
   4,   /* field[4] = port */
   8,   /* field[8] = revision */
   1,   /* field[1] = service */
@@ -1510,7 +1523,7 @@
 static const ProtobufCIntRange ct__relay__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ct__relay__target__descriptor =
 {
@@ -1520,7 +1533,7 @@
   "Ct__Relay__Target",
   "ct.relay",
   sizeof(Ct__Relay__Target),
-  13,
+  14,
   ct__relay__target__field_descriptors,
   ct__relay__target__field_indices_by_name,
   1,  ct__relay__target__number_ranges,
@@ -1681,7 +1694,7 @@
   (ProtobufCMessageInit) ct__relay__former_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ct__relay__state__field_descriptors[13] =
 {
   {
     "revision",
@@ -1827,11 +1840,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hiding_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__State, hiding_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__state__field_indices_by_name[] = {
   5,   /* field[5] = era */
   6,   /* field[6] = evacuations */
   9,   /* field[9] = former */
+  12,   /* field[12] = hiding_ms */
   2,   /* field[2] = idle_timeout_ms */
   0,   /* field[0] = revision */
   3,   /* field[3] = routes */
@@ -1846,7 +1872,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ct__relay__state__descriptor =
 {
@@ -1856,7 +1882,7 @@
   "Ct__Relay__State",
   "ct.relay",
   sizeof(Ct__Relay__State),
-  12,
+  13,
   ct__relay__state__field_descriptors,
   ct__relay__state__field_indices_by_name,
   2,  ct__relay__state__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -310,10 +310,14 @@
    * time for which the target stays cold
    */
   uint32_t cold_ms;
+  /*
+   * time since another writer's item replaced the entry; 0: it is the target's
+   */
+  uint32_t overwritten_ms;
 };
 #define CT__RELAY__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__target__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -388,6 +392,10 @@
    * routes of the version that could not be read
    */
   uint32_t skipped_routes;
+  /*
+   * time for which items of other writers may hide live targets
+   */
+  uint32_t hiding_ms;
   /*
    * time for which all versions of the routes were seen
    */
@@ -395,7 +403,7 @@
 };
 #define CT__RELAY__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__state__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 /* Ct__Relay__Load methods */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -346,6 +346,7 @@
 	}
 	f->agent = 0;
 	if (directory_first_listing(b->directory) ||
+	    directory_hiding_ms(b->directory, b->now) ||
 	    (!l->asked->len && directory_settling(b->directory, b->now))) {
 		/* An agent that is not known yet may hold the flow. */
 		log_lookup(b, f, "targets may not be known yet");
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -302,7 +302,8 @@
 	if (!m) {
 		f->waiting_target = !f->queue_offers &&
 				    (has_ready_target(b, f) ||
-				     directory_settling(b->directory, b->now));
+				     directory_settling(b->directory, b->now) ||
+				     directory_hiding_ms(b->directory, b->now));
 		f->offered_ms = b->now;
 		return f->waiting_target;
 	}
--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -89,6 +89,9 @@
 		m->missing_ms = (uint32_t)(now - e->missing_since_ms) + 1;
 	else if (e->state == ENTRY_GONE)
 		m->missing_ms = (uint32_t)(now - e->state_since_ms) + 1;
+	if (e->overwritten_since_ms)
+		m->overwritten_ms =
+			(uint32_t)(now - e->overwritten_since_ms) + 1;
 	g_ptr_array_add(parts->list, m);
 }
 
@@ -151,6 +154,8 @@
 		add_evacuation(&evacuations, now,
 			       list_entry(node, evacuation_t, node));
 	}
+	state.hiding_ms =
+		(uint32_t)directory_hiding_ms(relay_balancer_directory(b), now);
 	state.services = (service_msg_t **)services.list->pdata;
 	state.n_services = services.list->len;
 	state.tells_evacuations = true;
@@ -263,6 +268,9 @@
 	directory_put(d, now, &e);
 	if (m->missing_ms)
 		directory_set_missing(d, now, e.id, e.revision, m->missing_ms);
+	if (m->overwritten_ms)
+		directory_set_overwritten(d, now, e.id, e.revision,
+					  m->overwritten_ms);
 }
 
 /* A peer of an earlier version tells nothing of evacuations. */
@@ -309,6 +317,7 @@
 		read_history(b, now, state);
 		for (size_t i = 0; i < state->n_targets; i++)
 			read_target(d, now, state->targets[i]);
+		directory_set_hiding(d, now, state->hiding_ms);
 		read_evacuations(relay_balancer_evacuations(b), now, state);
 		revision.era = state->era;
 		revision.number = state->revision;
--- a/test/test_other_writers.c
+++ b/test/test_other_writers.c
@@ -13,6 +13,9 @@
 #define ODD_KEY	 "servers/import-1"
 #define ZONE	 "here"
 #define START_MS "1700000000000"
+/* Time after which a live target has written its entry again; that of the rig.
+ */
+#define EXPIRY_MS 3000
 
 static relay_rig_t *r;
 static uint64_t revision;
@@ -300,6 +303,162 @@
 }
 END_TEST
 
+/* Puts the i-th odd entry, broken or not JSON. Returns false when there is
+ * none.
+ */
+static bool write_odd(const char *key, int i)
+{
+	g_autofree char *text = i < BROKEN ? broken_entry(i) : NULL;
+
+	if (i >= BROKEN)
+		write_not_json(key, i - BROKEN);
+	else if (text)
+		write_text(key, text);
+	return i >= BROKEN || text;
+}
+
+/* Guards against a live target that is taken out of use, or its flows reset,
+ * since another writer put an odd entry over its own. */
+START_TEST(overwritten_target_stays_in_use)
+{
+	if (!write_odd(OWN_KEY, _i))
+		return;
+	check_target(2, true);
+	write_own("ready");
+	check_target(3, true);
+	rr_advance(r, EXPIRY_MS);
+	check_target(4, true);
+}
+END_TEST
+
+/* Guards against opens at a target that drains, as its entry is overwritten. */
+START_TEST(overwritten_target_drains_on)
+{
+	write_own("draining");
+	if (!write_odd(OWN_KEY, _i))
+		return;
+	check_target(2, false);
+	write_own("draining");
+	check_target(3, false);
+}
+END_TEST
+
+static entry_state_t own_state(void)
+{
+	return directory_find(sink_directory(NULL), "a")->state;
+}
+
+/* Guards against a target that has left and is used for ever, since an odd
+ * entry stands in place of its own: it has not written that again. */
+START_TEST(overwritten_target_that_is_silent_is_gone)
+{
+	write_own(_i ? "draining" : "ready");
+	write_text(OWN_KEY, "{}");
+	rr_advance(r, EXPIRY_MS / 2);
+	write_text(OWN_KEY, "[]");
+	rr_advance(r, EXPIRY_MS / 2 - 200);
+	ck_assert_int_ne(own_state(), ENTRY_GONE);
+	rr_advance(r, 400);
+	ck_assert_int_eq(own_state(), ENTRY_GONE);
+}
+END_TEST
+
+/* The same in an outage of the store, in which the target can't write: it has
+ * time to after the outage. */
+START_TEST(overwritten_target_outlives_an_outage)
+{
+	write_text(OWN_KEY, "{}");
+	directory_store_unreachable(sink_directory(NULL), r->now);
+	rr_advance(r, 2 * EXPIRY_MS);
+	ck_assert_int_eq(own_state(), ENTRY_READY);
+	directory_store_reachable(sink_directory(NULL), r->now);
+	rr_advance(r, DIRECTORY_GRACE_MS - 200);
+	ck_assert_int_eq(own_state(), ENTRY_READY);
+	rr_advance(r, 400);
+	ck_assert_int_eq(own_state(), ENTRY_GONE);
+}
+END_TEST
+
+/* Replaces the balancer by one that has just started and lists another writer's
+ * item in place of the target's entry, and another target. */
+static void restart_balancer(void)
+{
+	directory_t *d;
+
+	rr_free(r);
+	r = rr_balancer();
+	rr_routes(r, 3);
+	d = sink_directory(NULL);
+	directory_resync_begin(d, LISTING_STORE);
+	read_item(OWN_KEY, "[", 1, false);
+	rr_entry(r, "b", RIG_HOST_B, ++revision, ENTRY_READY);
+	directory_resync_end(d, LISTING_STORE, r->now,
+			     (store_revision_t){ .number = revision });
+	rr_load(r, RIG_HOST_B, 0, 0, 10, 0);
+	rr_clear(r);
+}
+
+/* Sends a packet of the open flow, of which the other target knows nothing. */
+static void send_flow_packet(void)
+{
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + 1, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, RIG_HOST_B, RELAY_LOOKUP),
+			  1);
+	rr_chain_not_held(r, RIG_HOST_B, 1, rr_last_chain(r, RIG_HOST_B));
+}
+
+/* Guards against a reset of an open flow by a balancer that has just started:
+ * an odd entry stands in place of that of the flow's target. */
+START_TEST(hidden_target_keeps_its_flows)
+{
+	restart_balancer();
+	send_flow_packet();
+	rr_advance(r, EXPIRY_MS - 500);
+	send_flow_packet();
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	write_own("ready");
+	rr_load(r, AGENT, 0, 0, 10, 0);
+	rr_clear(r);
+	rr_from_caller(r, 1, RELAY_ACK, 206, RIG_SERVER_ISN + 1, 100);
+	rr_flow_message(r, AGENT, RELAY_HELD, 1, "feeds");
+	check_target(2, true);
+}
+END_TEST
+
+/* Guards against callers of lost flows that wait for ever, since an odd entry
+ * stands there, or is written again and again: no target is hidden by it. */
+START_TEST(standing_item_hides_nothing)
+{
+	restart_balancer();
+	for (int i = 0; i < 4; i++) {
+		rr_advance(r, EXPIRY_MS / 4);
+		write_text(OWN_KEY, i % 2 ? "[" : "{");
+	}
+	rr_load(r, RIG_HOST_B, 0, 0, 10, 0);
+	send_flow_packet();
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+}
+END_TEST
+
+/* Guards against a refusal of opens of the service whose only target is hidden.
+ */
+START_TEST(open_waits_for_hidden_target)
+{
+	rr_free(r);
+	r = rr_balancer();
+	rr_routes(r, 3);
+	rr_advance(r, 2 * EXPIRY_MS);
+	write_text(OWN_KEY, "[");
+	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
+	rr_advance(r, 600);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	write_own("ready");
+	rr_advance(r, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT, RELAY_OFFER), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("other_writers");
@@ -310,6 +469,16 @@
 	tcase_add_loop_test(tc, broken_entry_ends_no_drain, 0, BROKEN);
 	tcase_add_loop_test(tc, bytes_name_no_target, 0, NOT_JSON);
 	tcase_add_test(tc, whole_entry_names_a_target);
+	tcase_add_loop_test(tc, overwritten_target_stays_in_use, 0,
+			    BROKEN + NOT_JSON);
+	tcase_add_loop_test(tc, overwritten_target_drains_on, 0,
+			    BROKEN + NOT_JSON);
+	tcase_add_loop_test(tc, overwritten_target_that_is_silent_is_gone, 0,
+			    2);
+	tcase_add_test(tc, overwritten_target_outlives_an_outage);
+	tcase_add_test(tc, hidden_target_keeps_its_flows);
+	tcase_add_test(tc, standing_item_hides_nothing);
+	tcase_add_test(tc, open_waits_for_hidden_target);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -272,6 +272,36 @@
 }
 END_TEST
 
+/* Guards against a balancer that starts and uses a target for ever whose entry
+ * another writer has replaced, or resets flows of one that was not read. */
+START_TEST(state_has_overwritten_targets)
+{
+	relay_rig_t *source = rr_balancer(), *fresh = rr_balancer();
+	directory_t *d = relay_balancer_directory(source->balancer);
+	GString *state;
+
+	rr_routes(source, 7);
+	rr_entry(source, "a", AGENT_A, 20, ENTRY_READY);
+	directory_overwrite(d, source->now, "a",
+			    (store_revision_t){ .number = 21 });
+	directory_overwrite(d, source->now, "x",
+			    (store_revision_t){ .number = 22 });
+	rr_advance(source, 1000);
+	state = pack_state(source, 30);
+	apply_state(state, fresh);
+	d = relay_balancer_directory(fresh->balancer);
+	ck_assert(is_offered_to(fresh, 1, AGENT_A));
+	ck_assert_uint_eq(directory_hiding_ms(d, fresh->now), 2000);
+	directory_tick(d, fresh->now + 1900);
+	ck_assert_int_eq(directory_find(d, "a")->state, ENTRY_READY);
+	directory_tick(d, fresh->now + 2100);
+	ck_assert_int_eq(directory_find(d, "a")->state, ENTRY_GONE);
+	g_string_free(state, TRUE);
+	rr_free(source);
+	rr_free(fresh);
+}
+END_TEST
+
 /*
  * A balancer that asks several others applies an older state after a newer one:
  * an entry that was missing then and has been written again stays.
@@ -342,6 +372,7 @@
 	tcase_add_test(tc, state_between_two_pages);
 	tcase_add_loop_test(tc, agent_of_a_gone_target_is_asked, 0, 2);
 	tcase_add_test(tc, state_has_missing_and_gone_targets);
+	tcase_add_test(tc, state_has_overwritten_targets);
 	tcase_add_test(tc, entry_missing_in_an_older_state_stays);
 	tcase_add_test(tc, empty_or_invalid_state_is_refused);
 	suite_add_tcase(s, tc);
