Let no entry of an unnamed service replace a target's own

Cause: the directory kept the newest entry of an id, whatever its service, and took the later start for a restart of the target.

Evidence: logs of the case, the "target" line with the service and "target replaced". Ruled out: the later start alone; with the target's own start nothing is reset, but the target takes no opens.

Mend: under the id of a known target such an entry counts like one that can't be read. Named is what the configuration names, or a route named within a flow's life, since such targets still hold flows. An entry that changes its service or address without a new start is passed on; before, the member kept the service of the odd entry after the target had written its own again.

test_other_writers: 11 cases failed before.

--- a/src/directory.c
+++ b/src/directory.c
@@ -203,6 +203,17 @@
 		e->overwritten_since_ms = now ? now : 1;
 }
 
+/* True when the entry is not that of the target that is known under its id: its
+ * service is not named, while the target's is. */
+static bool is_foreign(const directory_t *d, const target_entry_t *entry,
+		       const target_entry_t *known)
+{
+	return entry->state != ENTRY_GONE &&
+	       strcmp(entry->service, known->service) != 0 &&
+	       !d->ops.names_service(d->ctx, entry->service) &&
+	       d->ops.names_service(d->ctx, known->service);
+}
+
 void directory_put(directory_t *d, uint64_t now, const target_entry_t *entry)
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, entry->id);
@@ -211,8 +222,17 @@
 	unsigned listed;
 	list_t node;
 
+	if (e && is_foreign(d, entry, e)) {
+		directory_overwrite(d, now, entry->id, entry->revision);
+		return;
+	}
 	if (!enter_era(d, entry->revision.era))
 		return;
+	/* It may stand in place of a target's entry that was not read. A peer
+	 * tells how long that is possible. */
+	if (!e && store_listing_current(d->listing) == LISTING_STORE &&
+	    !d->ops.names_service(d->ctx, entry->service))
+		directory_set_hiding(d, now, d->expiry_ms);
 	forget_foreign(d, entry->id, entry->revision);
 	if (list_empty(&d->entries))
 		d->since_ms = now;
@@ -237,7 +257,9 @@
 		}
 		old_state = e->state;
 		restarted = e->started_ms != entry->started_ms;
-		moved = strcmp(e->zone, entry->zone) != 0;
+		moved = strcmp(e->zone, entry->zone) != 0 ||
+			strcmp(e->service, entry->service) != 0 ||
+			e->address.ip != entry->address.ip;
 		was_cold = now < e->warmup_end_ms;
 		listed = e->listed;
 		node = e->node;
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -41,10 +41,16 @@
 	relay_member_update(ctx, entry);
 }
 
+static bool names_service(void *ctx, const char *service)
+{
+	return relay_claim_is_named(ctx, service);
+}
+
 relay_balancer_t *relay_balancer_new(const relay_balancer_options_t *options,
 				     const relay_balancer_ops_t *ops, void *ctx)
 {
-	static const directory_ops_t directory_ops = { on_entry };
+	static const directory_ops_t directory_ops = { on_entry,
+						       names_service };
 	relay_balancer_t *b = calloc(1, sizeof(*b));
 
 	if (!b)
--- a/src/relay_balancer_claim.c
+++ b/src/relay_balancer_claim.c
@@ -10,10 +10,15 @@
 /* Interval between questions for the service of an agent. */
 #define ASK_INTERVAL_MS 500
 
-/* False for an entry of a service that the configuration does not name. */
+bool relay_claim_is_named(const relay_balancer_t *b, const char *service)
+{
+	return !b->routes || route_table_names_service(b->routes, service) ||
+	       route_history_names(b->history, b->now, service);
+}
+
 static bool is_named(const relay_balancer_t *b, const target_entry_t *e)
 {
-	return !b->routes || route_table_names_service(b->routes, e->service);
+	return relay_claim_is_named(b, e->service);
 }
 
 static bool is_claim(const relay_member_t *m, const target_entry_t *e)
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -273,8 +273,14 @@
 void relay_member_hello(relay_balancer_t *b, relay_member_t *m);
 
 /* relay_balancer_claim.c: addresses that several entries name */
+/* True for a service, interned, that the configuration names, or named within a
+ * flow's life; for any while no configuration is known. */
+bool relay_claim_is_named(const relay_balancer_t *b, const char *service);
 /* The entry of the target that is at the member's address, as far as known;
- * NULL: none names it. Notes whether several services claim it. */
+ * NULL: none names it. An entry of a service that is not named does not take
+ * the place of a target whose service is. Notes whether several services claim
+ * it.
+ */
 const target_entry_t *relay_claim_best(relay_balancer_t *b, relay_member_t *m);
 /* Asks the agent at a contested address for its service when it is due. */
 void relay_claim_ask(relay_balancer_t *b, relay_member_t *m);
--- a/src/route_history.c
+++ b/src/route_history.c
@@ -206,6 +206,27 @@
 	}
 }
 
+typedef struct name_search {
+	const char *service;
+	bool found;
+} name_search_t;
+
+static void compare_name(void *ctx, const former_service_t *s)
+{
+	name_search_t *search = ctx;
+
+	search->found |= s->service == search->service;
+}
+
+bool route_history_names(const route_history_t *h, uint64_t now,
+			 const char *service)
+{
+	name_search_t search = { service, false };
+
+	route_history_each(h, now, compare_name, &search);
+	return search.found;
+}
+
 size_t route_history_count(const route_history_t *h)
 {
 	GHashTableIter iter;
--- a/src/route_history.h
+++ b/src/route_history.h
@@ -65,6 +65,10 @@
 void route_history_find(const route_history_t *h, uint64_t now,
 			uint32_t address, uint16_t port, GPtrArray *services);
 
+/* True when a route named the service, interned, within a flow's life. */
+bool route_history_names(const route_history_t *h, uint64_t now,
+			 const char *service);
+
 /* Number of former services of all routes; some may be out of life. */
 size_t route_history_count(const route_history_t *h);
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -21,9 +21,16 @@
 	(void)entry;
 }
 
+static bool names_service(void *ctx, const char *service)
+{
+	(void)ctx;
+	(void)service;
+	return true;
+}
+
 static void setup(void)
 {
-	static const directory_ops_t ops = { .changed = changed };
+	static const directory_ops_t ops = { changed, names_service };
 
 	d = directory_new(EXPIRY_MS, &ops, NULL);
 }
--- a/test/test_moved_routes.c
+++ b/test/test_moved_routes.c
@@ -26,12 +26,27 @@
 	}
 }
 
+/* A configuration names all services, of which its route leads to one. */
 static void route_to(relay_rig_t *r, uint64_t version, const char *service)
 {
-	route_share_t share = { .weight = 1 };
-
-	share.service = g_intern_string(service);
-	rr_route_to(r, version, &share, 1);
+	static const char *const names[] = { "feeds", "desk", "hall" };
+	route_share_t share = { g_intern_string(service), 1 };
+	route_t route = { .name = "r",
+			  .address = RIG_SERVICE_ADDRESS,
+			  .port = RIG_SERVICE_PORT,
+			  .idempotent = true,
+			  .objective_ms = 100,
+			  .shares = &share,
+			  .nshares = 1 };
+	route_table_t *t = route_table_new(version, 15000);
+
+	ck_assert_int_eq(route_table_add(t, &route, NULL), 0);
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		route_service_t named = { .name = g_intern_string(names[i]) };
+
+		route_table_set_service(t, &named);
+	}
+	relay_balancer_set_routes(r->balancer, t);
 }
 
 /* All agents report their load, as running ones do at least each second. */
--- a/test/test_other_writers.c
+++ b/test/test_other_writers.c
@@ -206,16 +206,34 @@
 };
 #define NOT_JSON (int)(sizeof(not_json) / sizeof(not_json[0]))
 
+#define UNNAMED(state, started)                                                \
+	"{\"service\":\"stocktaking\",\"address\":\"10.1.0.9:8080\","          \
+	"\"zone\":\"" ZONE "\",\"version\":\"v1\",\"slots\":9,"                \
+	"\"state\":\"" state "\",\"warmup_left_ms\":0,\"seq\":900,"            \
+	"\"born\":" started "}"
+
+/* Whole entries of a service that no configuration names. */
+static const char *const unnamed[] = {
+	UNNAMED("ready", START_MS),	   UNNAMED("ready", "1"),
+	UNNAMED("ready", "1700000001000"), UNNAMED("ready", "4000000000000"),
+	UNNAMED("draining", START_MS),	   UNNAMED("draining", "1700000001000"),
+};
+#define NOT_NAMED (int)(sizeof(unnamed) / sizeof(unnamed[0]))
+#define ODD	  (BROKEN + NOT_JSON + NOT_NAMED)
+
 static void write_not_json(const char *key, int i)
 {
 	read_item(key, not_json[i].text, not_json[i].len, true);
 }
 
-/* A balancer with an open flow at the target. */
+/* A balancer that has seen all versions of the routes, with an open flow at the
+ * target. */
 static void setup(void)
 {
 	r = rr_balancer();
 	revision = 10;
+	route_history_set_seen_ms(relay_balancer_route_history(r->balancer),
+				  r->now, UINT64_MAX);
 	rr_routes(r, 3);
 	write_own("ready");
 	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
@@ -303,14 +321,15 @@
 }
 END_TEST
 
-/* Puts the i-th odd entry, broken or not JSON. Returns false when there is
- * none.
- */
+/* Puts the i-th odd entry: broken, not JSON or of a service that is not named.
+ * Returns false when there is none. */
 static bool write_odd(const char *key, int i)
 {
 	g_autofree char *text = i < BROKEN ? broken_entry(i) : NULL;
 
-	if (i >= BROKEN)
+	if (i >= BROKEN + NOT_JSON)
+		write_text(key, unnamed[i - BROKEN - NOT_JSON]);
+	else if (i >= BROKEN)
 		write_not_json(key, i - BROKEN);
 	else if (text)
 		write_text(key, text);
@@ -352,10 +371,10 @@
  * entry stands in place of its own: it has not written that again. */
 START_TEST(overwritten_target_that_is_silent_is_gone)
 {
-	write_own(_i ? "draining" : "ready");
-	write_text(OWN_KEY, "{}");
+	write_own(_i % 2 ? "draining" : "ready");
+	write_text(OWN_KEY, _i / 2 ? unnamed[0] : "{}");
 	rr_advance(r, EXPIRY_MS / 2);
-	write_text(OWN_KEY, "[]");
+	write_text(OWN_KEY, _i / 2 ? unnamed[4] : "[]");
 	rr_advance(r, EXPIRY_MS / 2 - 200);
 	ck_assert_int_ne(own_state(), ENTRY_GONE);
 	rr_advance(r, 400);
@@ -381,7 +400,7 @@
 
 /* Replaces the balancer by one that has just started and lists another writer's
  * item in place of the target's entry, and another target. */
-static void restart_balancer(void)
+static void restart_balancer(const char *item)
 {
 	directory_t *d;
 
@@ -390,7 +409,7 @@
 	rr_routes(r, 3);
 	d = sink_directory(NULL);
 	directory_resync_begin(d, LISTING_STORE);
-	read_item(OWN_KEY, "[", 1, false);
+	read_item(OWN_KEY, item, strlen(item), false);
 	rr_entry(r, "b", RIG_HOST_B, ++revision, ENTRY_READY);
 	directory_resync_end(d, LISTING_STORE, r->now,
 			     (store_revision_t){ .number = revision });
@@ -412,7 +431,7 @@
  * an odd entry stands in place of that of the flow's target. */
 START_TEST(hidden_target_keeps_its_flows)
 {
-	restart_balancer();
+	restart_balancer("[");
 	send_flow_packet();
 	rr_advance(r, EXPIRY_MS - 500);
 	send_flow_packet();
@@ -430,7 +449,7 @@
  * stands there, or is written again and again: no target is hidden by it. */
 START_TEST(standing_item_hides_nothing)
 {
-	restart_balancer();
+	restart_balancer("[");
 	for (int i = 0; i < 4; i++) {
 		rr_advance(r, EXPIRY_MS / 4);
 		write_text(OWN_KEY, i % 2 ? "[" : "{");
@@ -459,6 +478,37 @@
 }
 END_TEST
 
+/* Guards against a target whose service a later configuration names, and that
+ * is not used then, since its entry was read before. */
+START_TEST(service_named_later_is_used)
+{
+	route_share_t shares[] = { { .service = "stocktaking", .weight = 1 } };
+
+	write_text("servers/s", unnamed[0]);
+	check_target(2, true);
+	write_text(OWN_KEY, NULL);
+	rr_route_to(r, 4, shares, 1);
+	rr_clear(r);
+	rr_from_caller(r, 3, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT, RELAY_OFFER), 1);
+}
+END_TEST
+
+/* Guards against a target that drains, is restarted or takes opens again after
+ * the configuration has dropped its service, and whose entry is passed over:
+ * open flows are still there. */
+START_TEST(service_named_before_is_followed)
+{
+	route_share_t shares[] = { { .service = "maps", .weight = 1 } };
+
+	rr_route_to(r, 4, shares, 1);
+	rr_advance(r, 100000);
+	write_own("draining");
+	ck_assert_int_eq(own_state(), ENTRY_DRAINING);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("other_writers");
@@ -469,16 +519,16 @@
 	tcase_add_loop_test(tc, broken_entry_ends_no_drain, 0, BROKEN);
 	tcase_add_loop_test(tc, bytes_name_no_target, 0, NOT_JSON);
 	tcase_add_test(tc, whole_entry_names_a_target);
-	tcase_add_loop_test(tc, overwritten_target_stays_in_use, 0,
-			    BROKEN + NOT_JSON);
-	tcase_add_loop_test(tc, overwritten_target_drains_on, 0,
-			    BROKEN + NOT_JSON);
+	tcase_add_loop_test(tc, overwritten_target_stays_in_use, 0, ODD);
+	tcase_add_loop_test(tc, overwritten_target_drains_on, 0, ODD);
 	tcase_add_loop_test(tc, overwritten_target_that_is_silent_is_gone, 0,
-			    2);
+			    4);
 	tcase_add_test(tc, overwritten_target_outlives_an_outage);
 	tcase_add_test(tc, hidden_target_keeps_its_flows);
 	tcase_add_test(tc, standing_item_hides_nothing);
 	tcase_add_test(tc, open_waits_for_hidden_target);
+	tcase_add_test(tc, service_named_later_is_used);
+	tcase_add_test(tc, service_named_before_is_followed);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -382,6 +382,13 @@
 	(void)entry;
 }
 
+static bool any_service(void *ctx, const char *service)
+{
+	(void)ctx;
+	(void)service;
+	return true;
+}
+
 static void list_entry_at(directory_t *d, uint64_t now, const char *id,
 			  store_revision_t revision)
 {
@@ -398,7 +405,7 @@
  * than the copy may be doubts it, an older one knows that it is new. */
 START_TEST(unknown_entry_after_restore)
 {
-	static const directory_ops_t ops = { ignore_change };
+	static const directory_ops_t ops = { ignore_change, any_service };
 	static const uint64_t ages_ms[] = { 3000, 60000 };
 	directory_t *d = directory_new(3000, &ops, NULL);
 	uint64_t now = 1000;
@@ -422,7 +429,7 @@
 /* Entries of an earlier era change nothing. */
 START_TEST(earlier_era_changes_nothing)
 {
-	static const directory_ops_t ops = { ignore_change };
+	static const directory_ops_t ops = { ignore_change, any_service };
 	directory_t *d = directory_new(3000, &ops, NULL);
 
 	list_entry_at(d, 1000, "a", (store_revision_t){ 2, 5 });
