Let no entry of an unnamed service hide a target's agent

Cause: the entry moved the member into the group of that service, and look-ups ask the groups of the route's present and former services.

Evidence: logs of the case, two of four agents asked, none of them silent. Ruled out: agents that did not answer.

Here, an entry under another id does not take the place of a target whose service is named, also when that target's entry is gone while its server still holds flows. At an address without a known target it still says where to look.

--- a/src/relay_balancer_claim.c
+++ b/src/relay_balancer_claim.c
@@ -42,6 +42,15 @@
 	return store_revision_compare(e->revision, than->revision) > 0;
 }
 
+/* False for the entry of a service that is not named, at the address of a
+ * target whose service is: only where to look is known from it. */
+static bool may_take_place(const relay_balancer_t *b, const relay_member_t *m,
+			   const target_entry_t *e)
+{
+	return !m->service || !strcmp(e->service, m->service) ||
+	       is_named(b, e) || !relay_claim_is_named(b, m->service);
+}
+
 const target_entry_t *relay_claim_best(relay_balancer_t *b, relay_member_t *m)
 {
 	const target_entry_t *best = NULL;
@@ -55,6 +64,10 @@
 		if (!is_claim(m, e))
 			continue;
 		m->contested |= best && strcmp(best->service, e->service) != 0;
+		if (!may_take_place(b, m, e)) {
+			m->contested = true;
+			continue;
+		}
 		if (!best || outranks(b, m, e, best))
 			best = e;
 	}
--- a/test/test_other_writers.c
+++ b/test/test_other_writers.c
@@ -445,6 +445,19 @@
 }
 END_TEST
 
+/* Guards against the same when the entry is of a service that is not named: the
+ * agent at its address is asked, and its word counts. */
+START_TEST(address_of_unnamed_entry_is_asked)
+{
+	restart_balancer(unnamed[_i]);
+	send_flow_packet();
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT, RELAY_LOOKUP), 1);
+	rr_flow_message(r, AGENT, RELAY_HELD, 1, "feeds");
+	write_own("ready");
+	check_target(2, true);
+}
+END_TEST
+
 /* Guards against callers of lost flows that wait for ever, since an odd entry
  * stands there, or is written again and again: no target is hidden by it. */
 START_TEST(standing_item_hides_nothing)
@@ -478,6 +491,52 @@
 }
 END_TEST
 
+/* Sends a packet of a flow that another balancer has opened at the target, and
+ * checks that its agent is asked. */
+static void check_asked(unsigned flow)
+{
+	rr_load(r, AGENT, 0, 0, 10, 0);
+	rr_clear(r);
+	rr_from_caller(r, flow, RELAY_ACK, 6, RIG_SERVER_ISN + 1, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, AGENT, RELAY_LOOKUP), 1);
+	rr_flow_message(r, AGENT, RELAY_HELD, flow, "feeds");
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+}
+
+/* Guards against look-ups that do not ask a target's agent, since an odd entry
+ * replaces the target's own or stands beside it, also while that is gone. */
+START_TEST(agent_of_odd_entry_is_asked)
+{
+	if (!write_odd(OWN_KEY, _i))
+		return;
+	check_asked(2);
+	write_own("ready");
+	write_odd(ODD_KEY, _i);
+	check_asked(3);
+	write_text(OWN_KEY, NULL);
+	check_asked(4);
+	write_text(ODD_KEY, NULL);
+	check_asked(5);
+	check_target(6, false);
+	write_own("ready");
+	check_target(7, true);
+}
+END_TEST
+
+/* Guards against an entry of a service that is not named, and that takes the
+ * place of a target whose entry is gone while it still holds flows. */
+START_TEST(unnamed_entry_takes_no_place)
+{
+	write_text(ODD_KEY, unnamed[_i]);
+	write_text(OWN_KEY, NULL);
+	check_asked(2);
+	write_text(ODD_KEY, unnamed[(_i + 1) % NOT_NAMED]);
+	check_asked(3);
+	check_target(4, false);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+}
+END_TEST
+
 /* Guards against a target whose service a later configuration names, and that
  * is not used then, since its entry was read before. */
 START_TEST(service_named_later_is_used)
@@ -525,8 +584,12 @@
 			    4);
 	tcase_add_test(tc, overwritten_target_outlives_an_outage);
 	tcase_add_test(tc, hidden_target_keeps_its_flows);
+	tcase_add_loop_test(tc, address_of_unnamed_entry_is_asked, 0,
+			    NOT_NAMED);
 	tcase_add_test(tc, standing_item_hides_nothing);
 	tcase_add_test(tc, open_waits_for_hidden_target);
+	tcase_add_loop_test(tc, agent_of_odd_entry_is_asked, 0, ODD);
+	tcase_add_loop_test(tc, unnamed_entry_takes_no_place, 0, NOT_NAMED);
 	tcase_add_test(tc, service_named_later_is_used);
 	tcase_add_test(tc, service_named_before_is_followed);
 	suite_add_tcase(s, tc);
