Let other writers put odd items into the soak's store

The fault "odd" puts an item over a server's own entry, which the server writes again with its next heartbeat, or beside it: a field missing or of another type, an unnamed service or state, bytes that are not JSON.

--- a/test/soak.py
+++ b/test/soak.py
@@ -34,7 +34,7 @@
 # Ratio of requests to be served from RECOVERY_S after the last fault.
 RECOVERY_S, MIN_SERVED_RATIO = 6.0, 0.95
 FAULTS = ["kill", "term", "term", "hup", "pause", "kill-many", "crash", "crash", "drain", "evacuate",
-          "store", "compact", "restore", "routes", "move", "answers-late", "answers-twice", "answers-half", "answers-garbage",
+          "store", "compact", "restore", "routes", "move", "odd", "odd", "answers-late", "answers-twice", "answers-half", "answers-garbage",
           "proxy-delay", "proxy-reset", "proxy-stall", "proxy-cut-to", "proxy-cut-from"]
 
 
@@ -46,6 +46,21 @@
     return time.monotonic()
 
 
+def odd_value(rng, entry):
+    """What another writer says at the address of a server: it names no target."""
+    field, form = rng.choice(list(entry)), rng.randrange(7)
+    text = json.dumps(entry).encode()
+    if form == 0:
+        return json.dumps({k: v for k, v in entry.items() if k != field}).encode()
+    if form == 1:
+        return json.dumps(dict(entry, **{field: rng.choice((None, True, 1.5, [], {}, "" if field == "service" else -1))})).encode()
+    if form == 2:
+        return json.dumps(dict(entry, service="stocktaking", born=entry["born"] + rng.choice((0, 1000, 10 ** 9)))).encode()
+    if form == 3:
+        return json.dumps(dict(entry, state="paused")).encode()
+    return (text + b'"\xff\0,', text[:rng.randrange(len(text))], text + b"\0")[form - 4]
+
+
 class Store:
     """Simulates the platform's store: paged reads and long-poll watches."""
 
@@ -121,7 +136,8 @@
         revision, value = entry
         if value is None:
             return {"key": key, "revision": revision, "deleted": True}
-        return {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(), "revision": revision}
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return {"key": key, "value": base64.b64encode(data).decode(), "revision": revision}
 
 
 class Proxy:
@@ -248,13 +264,15 @@
         listener, self.listener = self.listener, None
         listener.add_done_callback(lambda t: t.result().close())
 
+    def entry(self):
+        return {"service": self.service, "address": self.agent.address + ":80", "zone": self.agent.zone, "slots": SLOTS,
+                "version": "v1", "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": self.writes,
+                "born": self.born}
+
     def publish(self):
         self.writes += 1
         if self.up and not self.soak.store.fault:
-            self.soak.store.put("servers/" + self.id, {
-                "service": self.service, "address": self.agent.address + ":80", "zone": self.agent.zone, "slots": SLOTS,
-                "version": "v1", "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": self.writes,
-                "born": self.born})
+            self.soak.store.put("servers/" + self.id, self.entry())
             if self.draining and not self.drained:
                 self.drained = now()
 
@@ -618,6 +636,8 @@
                 server.end()
                 await asyncio.sleep(duration)
                 server.start()
+        elif name == "odd" and server.up:
+            await self.write_odd(server, duration)
         elif name == "evacuate":
             await self.evacuate(pick(ZONES), duration)
         elif name == "store":
@@ -680,6 +700,18 @@
         del self.evacuated[zone]
         self.publish_zone(zone)
 
+    async def write_odd(self, server, duration):
+        """Another writer puts an item over a server's entry, which it writes again with its next heartbeat, or beside it."""
+        own = self.random.random() < 0.5
+        key = "servers/" + (server.id if own else "import-%d" % self.random.randrange(3))
+        self.store.put(key, odd_value(self.random, server.entry()))
+        await asyncio.sleep(self.random.uniform(0, HEARTBEAT_S) if own else duration)
+        while self.store.fault:
+            await asyncio.sleep(0.05)
+        if key == "servers/" + server.id:
+            server.publish()
+        self.expire(key)
+
     def expire(self, key):
         if key not in {"servers/" + s.id for s in self.servers if s.up}:
             self.store.put(key, None)
