Let trials of a look-up go on while an agent is away

Cause: an answer continues a look-up only when all agents have answered; with one away, each chain of trials waited 120, later 400 ms for the timer of questions.

Evidence: test_relay_lookup:trials_go_on_beside_a_silent_agent failed before (no trial follows the answer).

Mend: when a chain of trials has ended, the next one follows, one at a time as before; silent agents are asked each 120 ms meanwhile.

--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -137,11 +137,12 @@
 
 typedef struct relay_lookup {
 	uint64_t started_ms;
-	uint64_t last_sent_ms; /* last chain, query or verification */
-	unsigned query_rounds; /* rounds of queries sent */
-	GArray *asked;	       /* of lookup_agent_t */
-	bool lost_zone;	       /* agents of one were not waited for */
-	bool awaits_read;      /* of the store; all agents have answered */
+	uint64_t last_sent_ms;	/* last chain, query or verification */
+	unsigned query_rounds;	/* rounds of queries sent */
+	uint64_t away_asked_ms; /* last question to silent agents in a trial */
+	GArray *asked;		/* of lookup_agent_t */
+	bool lost_zone;		/* agents of one were not waited for */
+	bool awaits_read;	/* of the store; all agents have answered */
 	lookup_scope_t scope;
 	unsigned generation; /* of the balancer when the look-up began */
 	GPtrArray *services; /* interned; those whose agents are in pending */
--- a/src/relay_balancer_lookup.c
+++ b/src/relay_balancer_lookup.c
@@ -40,6 +40,7 @@
 static void log_lookup(relay_balancer_t *b, relay_flow_t *f,
 		       const char *outcome);
 static bool mark_gone_not_held(relay_balancer_t *b, relay_flow_t *f);
+static void query_away(relay_balancer_t *b, relay_flow_t *f);
 
 void relay_lookup_free(relay_lookup_t *l)
 {
@@ -316,6 +317,33 @@
 		  (unsigned long long)(b->now - f->lookup->started_ms));
 }
 
+/* True when an agent of the newest chain has not answered. */
+static bool chain_under_way(const relay_lookup_t *l)
+{
+	for (guint i = 0; i < l->asked->len; i++) {
+		const lookup_agent_t *a =
+			&g_array_index(l->asked, lookup_agent_t, i);
+
+		if (a->answer == ANSWER_NONE && a->chain == l->chain)
+			return true;
+	}
+	return false;
+}
+
+/* Lets the servers of the next chain try the packet once those of the one
+ * before have returned it, although other agents are silent: each has left a
+ * question unanswered, and may be away for seconds. */
+static void continue_trials(relay_balancer_t *b, relay_flow_t *f)
+{
+	relay_lookup_t *l = f->lookup;
+
+	if (!l->query_rounds || l->next < l->pending->len ||
+	    chain_under_way(l) || awaits_listed(b, l))
+		return;
+	if (try_unsure(b, f) && b->now >= l->away_asked_ms + QUERY_RETRY_MS)
+		query_away(b, f);
+}
+
 /*
  * Continues a look-up once all agents asked so far have answered: sends the
  * next chains, lets the servers of unsure agents try the packet, or resets the
@@ -328,10 +356,10 @@
 	relay_lookup_t *l = f->lookup;
 	const char *outcome;
 
-	for (guint i = 0; i < l->asked->len; i++)
-		if (g_array_index(l->asked, lookup_agent_t, i).answer ==
-		    ANSWER_NONE)
-			return;
+	if (silent_agent(l)) {
+		continue_trials(b, f);
+		return;
+	}
 	if ((!awaits_listed(b, l) && send_next(b, f)) || try_unsure(b, f))
 		return;
 	for (guint i = 0; i < l->asked->len; i++) {
@@ -518,10 +546,11 @@
 
 /* Asks the agents that have not answered, apart from those of the newest chain,
  * which has just been sent. */
-static void query_away(relay_balancer_t *b, const relay_flow_t *f)
+static void query_away(relay_balancer_t *b, relay_flow_t *f)
 {
-	const relay_lookup_t *l = f->lookup;
+	relay_lookup_t *l = f->lookup;
 
+	l->away_asked_ms = b->now;
 	for (guint i = 0; i < l->asked->len; i++) {
 		const lookup_agent_t *a =
 			&g_array_index(l->asked, lookup_agent_t, i);
--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -424,6 +424,37 @@
 }
 END_TEST
 
+/* Guards against look-ups of seconds while an agent is away: once the servers
+ * of one chain have returned the packet, those of the next try it. */
+START_TEST(trials_go_on_beside_a_silent_agent)
+{
+	uint32_t unsure[GROUP_SIZE], away;
+	relay_rig_t *r = group_of(GROUP_SIZE, unsure);
+	unsigned chain;
+
+	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
+	away = last_chain(r);
+	rr_advance(r, 150);
+	chain = rr_last_chain(r, 0);
+	rr_chain_unsure(r, AGENT_A, 1, chain, unsure, GROUP_SIZE);
+	rr_chain_unsure(r, AGENT_A, 1, chain - 1, unsure, GROUP_SIZE);
+	rr_advance(r, 100); /* the first chain is lost */
+	for (unsigned i = 0; i < GROUP_SIZE; i++)
+		if (unsure[i] != away)
+			rr_flow_message(r, unsure[i], RELAY_UNSURE, 1, "feeds");
+	rr_advance(r, 150);
+	chain = rr_last_chain(r, 0);
+	rr_clear(r);
+	rr_chain_not_held(r, AGENT_A, 1, chain);
+	ck_assert_uint_eq(trials_sent(r), 1);
+	ck_assert_uint_eq(rr_last_chain(r, 0), chain + 1);
+	/* That one has not ended: no other is begun. */
+	rr_flow_message(r, away, RELAY_UNSURE, 1, "feeds");
+	ck_assert_uint_eq(trials_sent(r), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against copies of a packet at many servers after it has reached its
  * own: only one chain at a time lets servers try it. */
 START_TEST(one_chain_tries_at_a_time)
@@ -479,6 +510,7 @@
 	tcase_add_test(tc, stopping_balancer_ends_its_lookups);
 	tcase_add_test(tc, untried_agents_are_not_asked_again);
 	tcase_add_test(tc, agent_that_is_away_is_asked_between_trials);
+	tcase_add_test(tc, trials_go_on_beside_a_silent_agent);
 	tcase_add_test(tc, one_chain_tries_at_a_time);
 	tcase_add_test(tc, servers_try_together_in_the_end);
 	suite_add_tcase(s, tc);
