Pass a service on only where another writer's was read first

Cause: let each change of an entry's service or address reach the members without a new start. With an entry of another service that is named, over a live target's own, this would move the member until the target's next heartbeat, and use a new address for good; before, neither did anything.

Mend: only a target whose place was taken by an unnamed service is passed on. An item that is older than the known entry still counts as listed.

--- a/src/directory.c
+++ b/src/directory.c
@@ -185,11 +185,12 @@
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, id);
 
-	if (!enter_era(d, revision.era) ||
-	    (e && store_revision_compare(revision, e->revision) < 0))
+	if (!enter_era(d, revision.era))
 		return;
 	if (e) {
 		mark_listed(d, e);
+		if (store_revision_compare(revision, e->revision) < 0)
+			return;
 		e->revision = revision;
 	}
 	if (!e || e->state == ENTRY_GONE) {
@@ -214,6 +215,15 @@
 	       d->ops.names_service(d->ctx, known->service);
 }
 
+/* True when the entry is that of a target in whose place another writer's, of a
+ * service that is not named, was read first. */
+static bool takes_back(const directory_t *d, const target_entry_t *entry,
+		       const target_entry_t *known)
+{
+	return strcmp(entry->service, known->service) != 0 &&
+	       !d->ops.names_service(d->ctx, known->service);
+}
+
 void directory_put(directory_t *d, uint64_t now, const target_entry_t *entry)
 {
 	target_entry_t *e = g_hash_table_lookup(d->by_id, entry->id);
@@ -258,8 +268,7 @@
 		old_state = e->state;
 		restarted = e->started_ms != entry->started_ms;
 		moved = strcmp(e->zone, entry->zone) != 0 ||
-			strcmp(e->service, entry->service) != 0 ||
-			e->address.ip != entry->address.ip;
+			takes_back(d, entry, e);
 		was_cold = now < e->warmup_end_ms;
 		listed = e->listed;
 		node = e->node;
--- a/src/directory.h
+++ b/src/directory.h
@@ -22,10 +22,10 @@
  *
  * An item of another writer under the id of a known target tells nothing of it,
  * whether it can't be read or is of a service that is not named: the target
- * writes its own entry again with its next heartbeat, and keeps its
- * state until then. If it does not within expiry_ms, its entry counts as
- * removed. Such an item under an id that is not known may stand in place of the
- * entry of a live target that was not read before.
+ * writes its own entry again with its next heartbeat, and keeps its state until
+ * then. If it does not within expiry_ms, its entry counts as removed. Such an
+ * item under an id that is not known may stand in place of the entry of a live
+ * target that was not read before.
  *
  * The directory owns the entries. Times are milliseconds of a monotonic clock.
  */
@@ -78,9 +78,9 @@
 typedef struct directory directory_t;
 
 typedef struct directory_ops {
-	/* Called for a new entry, a change of state, service, address or
-	 * availability zone, a restart of the target, and one that becomes
-	 * cold. */
+	/* Called for a new entry, a change of state or of the availability
+	 * zone, a restart of the target, one that becomes cold, and one whose
+	 * service was not named before. */
 	void (*changed)(void *ctx, const target_entry_t *entry);
 	/* True for a service that the configuration names, or is not known yet
 	 * to name. */
