--- a/test/test_relay_lookup.c
+++ b/test/test_relay_lookup.c
@@ -392,25 +392,35 @@
 }
 END_TEST
 
-/* Guards against an agent that is back, and is asked only when the servers of
- * all others have tried the packet: it may be the one that holds the flow. */
-START_TEST(agent_that_is_away_is_asked_between_trials)
+/* A balancer in a look-up whose first chain was lost at an agent that is away;
+ * all other agents are unsure, and the servers of one chain try the packet. */
+static relay_rig_t *trial_beside_away_agent(uint32_t *away)
 {
-	uint32_t unsure[GROUP_SIZE], away, next;
+	uint32_t unsure[GROUP_SIZE];
 	relay_rig_t *r = group_of(GROUP_SIZE, unsure);
 	unsigned chain;
 
 	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
-	away = last_chain(r);
+	*away = last_chain(r);
 	rr_advance(r, 150);
 	chain = rr_last_chain(r, 0);
 	rr_chain_unsure(r, AGENT_A, 1, chain, unsure, GROUP_SIZE);
 	rr_chain_unsure(r, AGENT_A, 1, chain - 1, unsure, GROUP_SIZE);
-	rr_advance(r, 100); /* the first chain is lost */
+	rr_advance(r, 100);
 	for (unsigned i = 0; i < GROUP_SIZE; i++)
-		if (unsure[i] != away)
+		if (unsure[i] != *away)
 			rr_flow_message(r, unsure[i], RELAY_UNSURE, 1, "feeds");
 	rr_advance(r, 150);
+	return r;
+}
+
+/* Guards against an agent that is back, and is asked only when the servers of
+ * all others have tried the packet: it may be the one that holds the flow. */
+START_TEST(agent_that_is_away_is_asked_between_trials)
+{
+	uint32_t away, next;
+	relay_rig_t *r = trial_beside_away_agent(&away);
+
 	next = last_chain(r);
 	rr_clear(r);
 	rr_advance(r, 150);
@@ -428,22 +438,10 @@
  * of one chain have returned the packet, those of the next try it. */
 START_TEST(trials_go_on_beside_a_silent_agent)
 {
-	uint32_t unsure[GROUP_SIZE], away;
-	relay_rig_t *r = group_of(GROUP_SIZE, unsure);
-	unsigned chain;
+	uint32_t away;
+	relay_rig_t *r = trial_beside_away_agent(&away);
+	unsigned chain = rr_last_chain(r, 0);
 
-	rr_from_caller(r, 1, RELAY_ACK, 6, 900, 100);
-	away = last_chain(r);
-	rr_advance(r, 150);
-	chain = rr_last_chain(r, 0);
-	rr_chain_unsure(r, AGENT_A, 1, chain, unsure, GROUP_SIZE);
-	rr_chain_unsure(r, AGENT_A, 1, chain - 1, unsure, GROUP_SIZE);
-	rr_advance(r, 100); /* the first chain is lost */
-	for (unsigned i = 0; i < GROUP_SIZE; i++)
-		if (unsure[i] != away)
-			rr_flow_message(r, unsure[i], RELAY_UNSURE, 1, "feeds");
-	rr_advance(r, 150);
-	chain = rr_last_chain(r, 0);
 	rr_clear(r);
 	rr_chain_not_held(r, AGENT_A, 1, chain);
 	ck_assert_uint_eq(trials_sent(r), 1);
