Give the balancer the time when it is created

Cause: its clock is 0 until the first tick, packet or message. Routes that are read before note 0 as the time from which all versions were seen, which means "for ever"; look-ups then ask the present service's agents only.

Ruled out: silent agents, targets that were not known.

Mend: relay_balancer_options_t has the time. test_moved_routes:routes_are_read_before_the_first_tick failed before.

--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -58,6 +58,7 @@
 	b->options = *options;
 	b->ops = *ops;
 	b->ctx = ctx;
+	b->now = options->now;
 	b->last_chain = options->first_chain;
 	list_init(&b->members);
 	list_init(&b->waiting);
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -57,6 +57,7 @@
 	size_t max_flows;	       /* capacity of the flow index */
 	uint32_t target_expiry_ms;     /* see directory_new() */
 	bool first_start; /* of the whole system: there are no flows yet */
+	uint64_t now;	  /* ms, as passed to the functions below */
 	/* Number from which look-up chains are numbered: another one at each
 	 * start, as answers to an earlier process may still come. */
 	uint32_t first_chain;
--- a/src/relay_balancer_daemon.c
+++ b/src/relay_balancer_daemon.c
@@ -237,6 +237,7 @@
 		.target_expiry_ms =
 			p->settings.heartbeat_ms * EXPIRY_HEARTBEATS,
 		.first_start = p->settings.first_start,
+		.now = relay_process_now(p),
 		.first_chain = g_random_int(),
 		.warmup_overage = p->settings.warmup_overage,
 		.warmup_slack = p->settings.warmup_slack,
--- a/test/test_moved_routes.c
+++ b/test/test_moved_routes.c
@@ -376,6 +376,26 @@
 }
 END_TEST
 
+/* Guards against a reset of an open flow by a balancer that reads the routes
+ * before its first tick: it does not know which services were named before. */
+START_TEST(routes_are_read_before_the_first_tick)
+{
+	static const relay_balancer_ops_t ops = { 0 };
+	relay_balancer_options_t options = { .format = &fleet_packet_format,
+					     .zone = "z",
+					     .max_flows = 10,
+					     .target_expiry_ms = 3000,
+					     .now = 100000 };
+	g_autofree relay_rig_t *r = g_new0(relay_rig_t, 1);
+
+	r->balancer = relay_balancer_new(&options, &ops, NULL);
+	route_to(r, 2, "desk");
+	ck_assert(!route_history_complete(
+		relay_balancer_route_history(r->balancer), options.now));
+	relay_balancer_free(r->balancer);
+}
+END_TEST
+
 /* A balancer that starts after the change gets the former services, and the
  * time for which all are known, from a peer. */
 START_TEST(peer_hands_history_on)
@@ -462,6 +482,7 @@
 	tcase_add_test(tc, idle_flow_stays_at_its_server);
 	tcase_add_loop_test(tc, complete_history_limits_lookup, 0, 2);
 	tcase_add_test(tc, skipped_version_widens_lookup);
+	tcase_add_test(tc, routes_are_read_before_the_first_tick);
 	tcase_add_test(tc, peer_hands_history_on);
 	tcase_add_test(tc, changes_during_lookup);
 	tcase_add_test(tc, first_listing_in_progress);
