--- a/test/soak.py
+++ b/test/soak.py
@@ -686,7 +686,7 @@
             loop.call_later(self.random.uniform(0, HEARTBEAT_S), self.publish_zone, zone)
         for key in {k for k in copy[1] if k.startswith("servers/")} - live:
             loop.call_later(EXPIRY_HEARTBEATS * HEARTBEAT_S, self.expire, key)
-        loop.call_later(self.random.uniform(0, HEARTBEAT_S), self.store.put, "op/config", self.config)
+        loop.call_later(self.random.uniform(0, HEARTBEAT_S), lambda: self.store.put("op/config", self.config))
 
     def publish_zone(self, zone):
         self.store.put("op/evacuate/" + zone, {} if zone in self.evacuated else None)
