--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -39,6 +39,7 @@
         self.targets = [Target(self, a) for a in self.agents]
         self.clients, self.ended, self.violations = [], False, []
         self.asked = {}  # the clients' flows
+        self.settings_extra, self.service_extra = "", {}
         self.counts = {}
 
     def free_port(self):
@@ -81,7 +82,7 @@
                    "slo_latency_ms": 500, "priority": 1, "service": "maps", "attempts": 2} for i, (a, p) in enumerate(addresses)]
         self.store.put("op/config", {
             "version": version, "routes": routes, "limits": {"idle_timeout_ms": 15000},
-            "services": [{"name": "maps", "health_path": "/health", "max_conns": 2000}]})
+            "services": [dict({"name": "maps", "health_path": "/health", "max_conns": 2000}, **self.service_extra)]})
         self.record("store acknowledges version %d, %d routes, %d bytes" % (
             version, len(routes), len(self.store.items["op/config"]["value"])))
 
@@ -173,6 +174,7 @@
             text += 'memory_mb = 128\nservice = "maps"\nserver = "%s:%d"\nserver_out = "%s:%d"\n' % (
                 self.address, r.port + 4, self.address, r.port + 6)
         text += 'peers = [%s]\n' % ", ".join('"%s:%d"' % (b.address, r.port + 3) for b in r.balancers[:3])
+        text += r.settings_extra
         path = os.path.join(r.dir, self.name + ".toml")
         with open(path, "w") as f:
             f.write(text)
@@ -204,6 +206,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def delete(self, key):
+        self.revision += 1
+        self.items.pop(key, None)
+        self.events.append((now(), {"key": key, "revision": self.revision, "deleted": True}))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def serve(self, reader, writer, caller):
         try:
             while line := await reader.readline():
