--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -7,7 +7,7 @@
 sys.path.insert(0, os.path.dirname(here))
 import rig_3
 
-IDLE = [("198.18.%d.%d" % (10 + i // 200, 1 + i % 200), 443) for i in range(1440)]
+IDLE = [("127.198.%d.%d" % (10 + i // 200, 1 + i % 200), 443) for i in range(1440)]
 LINK = 10_000_000 // 8  # bytes a second
 
 
@@ -34,15 +34,16 @@
     for _ in range(5):
         await asyncio.sleep(0.9)
         version += 2
-        rig.configure(version, [rig_3.ROUTE] + IDLE + [("198.18.3.%d" % version, 443)])
+        rig.configure(version, [rig_3.ROUTE] + IDLE + [("127.198.3.%d" % version, 443)])
     for b in rig.balancers if trouble else []:
         b.turned_away, b.disturbed_at = False, rig_3.now()
         rig.record("store serves %s again" % b.name)
     await asyncio.sleep(1)
-    route = ("198.18.4.1", 443)
+    route = ("127.198.4.1", 443)
     rig.configure(version + 3, [rig_3.ROUTE] + IDLE + [route])
     acked_at, clients = rig_3.now(), []
-    rig.targets[0].drain()
+    for target in rig.targets[:2]:
+        target.drain()
     for i, _ in enumerate(rig.balancers):
         clients.append(rig_3.Client(rig, i + 1))
         await clients[-1].start()
@@ -57,7 +58,9 @@
     code = 2
     try:
         asyncio.run(asyncio.wait_for(run(rig, trouble), 110))
-        code = 1 if rig.violations else 0 if rig.counts.get("answered", 0) > 10 else 2
+        ended = [m.name for m in rig.balancers + rig.agents if m.child.poll() is not None]
+        rig.record("ended by themselves: %s" % ended)
+        code = 2 if ended else 1 if rig.violations else 0 if rig.counts.get("answered", 0) > 10 else 2
         print("trouble %s: %s; %d times the rule was broken" % ("on" if trouble else "off", rig.counts, len(rig.violations)))
         rig.record("counts: %s" % rig.counts)
     except Exception:
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -13,7 +13,7 @@
 HEARTBEAT_S, LIFETIME_S = 0.77, 60.0
 COPIES_S = (0.0, 0.2, 0.6)
 CLIENT_WAY_S = 0.003  # one way between clients and the system (SYSTEM.md: 3 ms)
-ROUTE = ("198.18.0.2", 443)
+ROUTE = ("127.198.0.2", 443)
 HISTORY_S = 20
 
 
