Do not break off an answer that is arriving

Cause: watcher_read(), called up to ten times a second while a packet or a look-up waits for the store, replaces a watch that waits; one whose answer was arriving counted as waiting. watcher_resume() aborted it as well. An answer that takes longer than the interval of the calls was never read.

Mend: a watch whose answer has begun to arrive no longer waits.

test_feed:arriving_answer_is_not_interrupted, both cases, failed before; answer_that_stops_arriving_is_requested_again has a case with a resume, so that a dead connection is still replaced within the same time.

--- a/src/watcher.c
+++ b/src/watcher.c
@@ -341,7 +341,8 @@
 
 bool watcher_waits(const watcher_t *w)
 {
-	return http_client_busy(w->http) && w->watching && w->sent_wait_ms;
+	return http_client_busy(w->http) && w->watching && w->sent_wait_ms &&
+	       !http_client_receiving(w->http);
 }
 
 void watcher_read(watcher_t *w)
@@ -356,6 +357,8 @@
 
 void watcher_resume(watcher_t *w)
 {
+	if (http_client_receiving(w->http))
+		return;
 	uv_timer_stop(&w->timer);
 	w->backoff_ms = 0;
 	http_client_abort(w->http,
--- a/src/watcher.h
+++ b/src/watcher.h
@@ -111,7 +111,8 @@
 /* True when the last request was answered. */
 bool watcher_reachable(const watcher_t *w);
 
-/* True while a watch waits at the store for the next change. */
+/* True while a watch waits at the store for the next change. An answer that is
+ * arriving no longer waits. */
 bool watcher_waits(const watcher_t *w);
 
 /*
@@ -126,7 +127,8 @@
 store_revision_t watcher_revision(const watcher_t *w);
 
 /* To be called when the host resumes from suspension: its connections may be
- * dead. Aborts the current request and sends another at once. */
+ * dead. Aborts the current request and sends another at once, unless an answer
+ * has begun to arrive: a dead connection then shows within HTTP_GAP_MS. */
 void watcher_resume(watcher_t *w);
 
 #endif
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -302,8 +302,35 @@
 }
 END_TEST
 
+/* Guards against an answer that is thrown away while it arrives because the
+ * balancer wants to read at once (0), or because its host has resumed (1). */
+START_TEST(arriving_answer_is_not_interrupted)
+{
+	watcher_rig_t *r = wr_open(SILENCE_MS, APPLY_MS);
+	unsigned calls;
+
+	wr_start(r);
+	wr_run(r, SETTLE_MS / 2);
+	calls = fake_store_request_count(r->store);
+	put_slow_changes(r);
+	for (unsigned ms = 0; ms < SLOW_MS + 300; ms += 100) {
+		wr_run(r, 100);
+		if (wr_version(r) == 4)
+			break;
+		ck_assert(!watcher_waits(r->watcher));
+		if (_i)
+			watcher_resume(r->watcher);
+		else
+			watcher_read(r->watcher);
+	}
+	ck_assert_uint_eq(wr_version(r), 4);
+	ck_assert_uint_le(fake_store_request_count(r->store), calls + 1);
+	wr_close(r);
+}
+END_TEST
+
 /* Guards against a connection that dies in the middle of an answer and is
- * waited for: it is replaced within SILENCE_MS. */
+ * waited for: it is replaced within SILENCE_MS, also after a resume (1). */
 START_TEST(answer_that_stops_arriving_is_requested_again)
 {
 	watcher_rig_t *r = wr_open(SILENCE_MS, APPLY_MS);
@@ -314,6 +341,8 @@
 	wr_run(r, SLOW_MS / 4);
 	fake_store_stall_connections(r->store);
 	fake_store_set_pace(r->store, 0);
+	if (_i)
+		watcher_resume(r->watcher);
 	wr_run(r, SILENCE_MS);
 	ck_assert_uint_eq(wr_version(r), 4);
 	wr_close(r);
@@ -376,7 +405,9 @@
 	tcase_add_loop_test(tc, unreadable_items_are_refused, 0, 8);
 	tcase_add_test(tc, changes_that_are_too_large_are_listed);
 	tcase_add_loop_test(tc, answer_on_a_small_link_is_read, 0, 3);
-	tcase_add_test(tc, answer_that_stops_arriving_is_requested_again);
+	tcase_add_loop_test(tc, arriving_answer_is_not_interrupted, 0, 2);
+	tcase_add_loop_test(tc, answer_that_stops_arriving_is_requested_again,
+			    0, 2);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
