List after a large answer was broken off

Cause: after a cut the next watch asks for the same changes and for those written since. 2.4 MB never got through a link of 1.6 MB/s that is cut each 1.1 s. An answer over 4 MiB was read to that bound before it was given up.

Mend: after a broken-off answer of more than a page the balancer lists; pages that were read are not read again. An answer that announces more than it may have is given up at its header. Smaller answers are requested again as before: a listing skips versions, which look-ups pay for (route_history.h).

test_feed:broken_off_changes_are_listed failed before.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -40,8 +40,9 @@
 	uint64_t due_ms; /* end of the time-out in progress, loop's clock */
 	bool keep_alive;
 	bool complete;
-	bool receiving; /* a part of the response has arrived */
-	bool too_large; /* see http_response_t */
+	bool receiving;	    /* a part of the response has arrived */
+	bool too_large;	    /* see http_response_t */
+	uint64_t announced; /* see http_response_t */
 	http_done_fn done;
 	void *ctx;
 };
@@ -96,6 +97,7 @@
 				     .too_large = c->too_large,
 				     .body = c->body->str,
 				     .len = c->body->len,
+				     .announced = c->announced,
 				     .headers = c->headers };
 	GString *body = c->body;
 	GHashTable *headers = c->headers;
@@ -183,8 +185,14 @@
 
 static int on_headers_complete(http_parser *parser)
 {
-	end_header(parser->data);
-	return 0;
+	http_client_t *c = parser->data;
+
+	end_header(c);
+	if (parser->content_length == UINT64_MAX)
+		return 0; /* the length is unknown */
+	c->announced = parser->content_length;
+	c->too_large = c->announced > HTTP_BODY_MAX;
+	return c->too_large ? -1 : 0;
 }
 
 static int on_complete(http_parser *parser)
@@ -366,6 +374,7 @@
 	c->keep_alive = false;
 	c->receiving = false;
 	c->too_large = false;
+	c->announced = 0;
 	g_string_truncate(c->body, 0);
 	if (c->connection && c->connected)
 		send_request(c);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -24,11 +24,12 @@
 typedef struct http_client http_client_t;
 
 typedef struct http_response {
-	int status;	   /* HTTP status; 0: request failed */
-	const char *error; /* cause of the failure; NULL with a status */
-	bool too_large;	   /* the body exceeds HTTP_BODY_MAX */
-	const char *body;  /* valid during the callback only */
-	size_t len;	   /* bytes */
+	int status;	    /* HTTP status; 0: request failed */
+	const char *error;  /* cause of the failure; NULL with a status */
+	bool too_large;	    /* the body exceeds HTTP_BODY_MAX */
+	const char *body;   /* valid during the callback only */
+	size_t len;	    /* bytes */
+	uint64_t announced; /* Content-Length, in bytes; 0: unknown */
 	/* Lower-case names to values, both strings; valid like body. Of a
 	 * repeated header the last one counts. */
 	GHashTable *headers;
--- a/src/watcher.c
+++ b/src/watcher.c
@@ -136,17 +136,27 @@
 	schedule_retry(w);
 }
 
-/* The changes since the last answer do not fit into one: everything is listed,
- * in pages, since the same request would get the same answer. */
-static void changes_too_large(watcher_t *w)
+/*
+ * True when the answer to a watch was not received and the next one would be no
+ * smaller: everything is then listed, since pages are bounded, and those read
+ * are not read again when a later one is broken off.
+ */
+static bool changes_too_large(const watcher_t *w, const http_response_t *answer)
+{
+	return w->watching &&
+	       (answer->too_large ||
+		(!answer->status && (answer->announced > WATCHER_PAGE_BYTES ||
+				     answer->len > WATCHER_PAGE_BYTES)));
+}
+
+static void list_changes(watcher_t *w, const http_response_t *answer)
 {
-	counter_add(w->counters, COUNTER_PLATFORM_FAILURES, 1);
 	event_log(EVENT_STORE,
-		  "\"state\":\"changes too large\",\"max_bytes\":%d,"
-		  "\"revision\":%llu",
+		  "\"state\":\"changes too large\",\"bytes\":%llu,"
+		  "\"received\":%zu,\"max_bytes\":%d,\"revision\":%llu",
+		  (unsigned long long)answer->announced, answer->len,
 		  HTTP_BODY_MAX, (unsigned long long)w->revision.number);
 	w->must_list = true;
-	schedule_retry(w);
 }
 
 /* Begins a listing in place of what was requested last. */
@@ -221,8 +231,11 @@
 	char reason[64];
 	err_t err = { 0 };
 
+	if (changes_too_large(w, answer))
+		list_changes(w, answer);
 	if (answer->too_large && w->watching) {
-		changes_too_large(w);
+		counter_add(w->counters, COUNTER_PLATFORM_FAILURES, 1);
+		schedule_retry(w);
 		return;
 	}
 	if (!answer->status) {
--- a/src/watcher.h
+++ b/src/watcher.h
@@ -38,6 +38,8 @@
 #define WATCHER_BATCH_DIVISOR 5
 /* Time until a page begins to arrive; a slow store takes some hundred ms. */
 #define WATCHER_PAGE_TIMEOUT_MS 1500
+/* Largest page of the store, in bytes. */
+#define WATCHER_PAGE_BYTES (1024 * 1024)
 /* First and longest back-off; a retry waits 0.5 to 1.5 times as long, at
  * random. A process that has completed no listing yet can't serve and always
  * uses the first. */
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -349,6 +349,33 @@
 }
 END_TEST
 
+/* Guards against an answer that is broken off again and again and grows from
+ * one request to the next: the pages of a listing are each read once. */
+START_TEST(broken_off_changes_are_listed)
+{
+	watcher_rig_t *r = wr_open(SILENCE_MS, APPLY_MS);
+	g_autofree char *value = g_strnfill(SLOW_VALUE, 'x');
+	char key[32];
+
+	fake_store_set_page_size(r->store, 1);
+	wr_start(r);
+	wr_run(r, SETTLE_MS / 2);
+	fake_store_set_pace(r->store, 4 * SLOW_PACE);
+	for (int i = 0; i < 4; i++) {
+		snprintf(key, sizeof(key), "aa/%d", i);
+		fake_store_put(r->store, key, value);
+	}
+	fake_store_put(r->store, "op/config", ROUTES_V(4));
+	for (int i = 0; i < 6 && wr_version(r) < 4; i++) {
+		wr_run(r, SLOW_MS / 2);
+		fake_store_cut(r->store);
+	}
+	wr_run(r, SLOW_MS / 2);
+	ck_assert_uint_eq(wr_version(r), 4);
+	wr_close(r);
+}
+END_TEST
+
 /* Items that can't be parsed are counted as refused and change nothing else. */
 START_TEST(unreadable_items_are_refused)
 {
@@ -408,6 +435,7 @@
 	tcase_add_loop_test(tc, arriving_answer_is_not_interrupted, 0, 2);
 	tcase_add_loop_test(tc, answer_that_stops_arriving_is_requested_again,
 			    0, 2);
+	tcase_add_test(tc, broken_off_changes_are_listed);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
