Keep a flow's numbers when its server repeats a packet

Cause: the agent took each SYN-ACK for a first one and set the server's next number back to isn + 1. An acknowledgement more than 76,800 bytes beyond that was "not held", and the look-up ended in a reset. An agent that has restarted concluded the same from a SYN-ACK alone, having missed the beginning. Repeated data counted as the answer to the next request.

Mend: the number goes back for another connection only, which has another initial number. An agent that may have missed the beginning is unsure, and lets its server decide. Only new bytes answer a request.

test_relay_repeats: 8 cases of three tests failed before; the fourth guards the opposite and passes with both. relay_sim gave all answers of a flow one sequence number, as no server does; it counts on now, its bounds are as they were.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -398,13 +398,10 @@
 static void note_server_packet(relay_agent_t *a, server_flow_t *f,
 			       const relay_packet_t *p)
 {
-	uint32_t end = p->seq + p->payload_len;
-	bool answered = p->payload_len || answer_precedes(f, p);
+	bool overtaken = answer_precedes(f, p);
+	bool more = server_flow_note_sent(a, f, p);
 
 	if ((p->flags & (RELAY_SYN | RELAY_ACK)) == (RELAY_SYN | RELAY_ACK)) {
-		f->server_isn = p->seq;
-		f->server_next = p->seq + 1;
-		f->server_isn_known = true;
 		if (f->phase == SERVER_FLOW_OPENING) {
 			counter_add(&a->counters, COUNTER_OPENS_ACCEPTED, 1);
 			server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
@@ -427,9 +424,7 @@
 		server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
 		relay_agent_send_held(a, f->balancer, f);
 	}
-	if (!f->server_isn_known || seq_diff(end, f->server_next) > 0)
-		f->server_next = end;
-	if (answered)
+	if ((p->payload_len && more) || overtaken)
 		relay_load_request_ended(a, f, true);
 	/* A reset of a flow that either end has closed is not a failure. */
 	if ((p->flags & RELAY_RST) && !f->caller_fin && !f->server_fin)
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -44,6 +44,7 @@
 	uint32_t server_isn;	/* sequence number of the SYN-ACK */
 	bool server_isn_known;	/* the SYN-ACK was seen */
 	bool refused;		/* in SERVER_FLOW_QUEUED: it is refused */
+	bool seen_whole;	/* all that the server sent has been seen */
 	bool confirmed;		/* the server sent a packet after the SYN-ACK */
 	uint32_t server_next;	/* next sequence number of the server */
 	uint32_t caller_next;	/* next sequence number of the caller */
@@ -241,6 +242,11 @@
 flow_holding_t relay_agent_holding(const relay_agent_t *a,
 				   const server_flow_t *f,
 				   const relay_packet_t *p);
+/* Notes a packet of the server: the number of its next byte, which does not go
+ * back when the server repeats a packet. Returns true if the packet has bytes
+ * that were not seen before. */
+bool server_flow_note_sent(const relay_agent_t *a, server_flow_t *f,
+			   const relay_packet_t *p);
 /* Sends a message that the server has the flow, with its initial sequence
  * number. */
 void relay_agent_send_holder(relay_agent_t *a, uint32_t to, relay_kind_t kind,
--- a/src/relay_agent_lookup.c
+++ b/src/relay_agent_lookup.c
@@ -24,14 +24,39 @@
 	return p->ack - f->caller_ack + ACK_SLACK <= 2 * ACK_SLACK;
 }
 
+bool server_flow_note_sent(const relay_agent_t *a, server_flow_t *f,
+			   const relay_packet_t *p)
+{
+	bool accepts =
+		(p->flags & (RELAY_SYN | RELAY_ACK)) == (RELAY_SYN | RELAY_ACK);
+	bool other = accepts && f->server_isn_known && f->server_isn != p->seq;
+	bool numbered = (f->server_isn_known || f->confirmed) && !other;
+	uint32_t next = p->seq + p->payload_len + accepts;
+	bool more = !numbered || seq_diff(next, f->server_next) > 0;
+
+	if (accepts) {
+		f->server_isn = p->seq;
+		f->server_isn_known = true;
+		/* Without the beginning, an earlier process of the agent may
+		 * have passed on what the server sent then. */
+		f->seen_whole |= a->options.knows_all_flows ||
+				 (f->syn_len && f->sent_ms > a->options.now);
+	}
+	if (more)
+		f->server_next = next;
+	return more;
+}
+
 flow_holding_t relay_agent_holding(const relay_agent_t *a,
 				   const server_flow_t *f,
 				   const relay_packet_t *p)
 {
-	if (f && f->server_isn_known && (p->flags & RELAY_ACK))
-		return p->ack - f->server_isn <= server_sent(f) + ACK_SLACK
-			       ? FLOW_HELD
-			       : FLOW_NOT_HELD;
+	if (f && f->server_isn_known && (p->flags & RELAY_ACK)) {
+		if (p->ack - f->server_isn <= server_sent(f) + ACK_SLACK)
+			return FLOW_HELD;
+		return f->seen_whole || a->flows_lost ? FLOW_NOT_HELD
+						      : FLOW_UNSURE;
+	}
 	if (f && (f->server_isn_known || f->confirmed))
 		return FLOW_HELD;
 	if (f && f->phase == SERVER_FLOW_VERIFYING)
--- a/test/relay_sim_callers.c
+++ b/test/relay_sim_callers.c
@@ -109,7 +109,8 @@
 	sim_flow_t *f = &sim->flows[flow];
 	event_t *e;
 
-	caller_send(sim, flow, 2, 6 + f->acked, f->isn + 1, 100);
+	caller_send(sim, flow, 2, 6 + f->acked, rsim_server_next(f),
+		    REQUEST_BYTES);
 	e = rsim_schedule(sim, 200000, retransmit_data, NULL, 0);
 	e->a = flow;
 	e->b = f->sent;
@@ -226,12 +227,13 @@
 	sim_flow_t *f = &sim->flows[flow];
 	unsigned request = f->request;
 
-	f->acked += 100;
+	f->acked += REQUEST_BYTES;
 	f->request = 0;
 	finish_request(sim, request, true);
 	if (!rsim_request(sim, request)->user) {
 		f->closed = true;
-		caller_send(sim, flow, 8 | 2, 6 + f->acked, f->isn + 1, 0);
+		caller_send(sim, flow, 8 | 2, 6 + f->acked, rsim_server_next(f),
+			    0);
 	}
 }
 
--- a/test/relay_sim_int.h
+++ b/test/relay_sim_int.h
@@ -65,6 +65,15 @@
 	int placed_at;	     /* target chosen by the oracle; -1: none */
 } sim_flow_t;
 
+#define REQUEST_BYTES 100
+#define ANSWER_BYTES  500
+
+/* Sequence number of the next answer on a flow. */
+static inline uint32_t rsim_server_next(const sim_flow_t *f)
+{
+	return f->isn + 1 + f->acked / REQUEST_BYTES * ANSWER_BYTES;
+}
+
 typedef struct server {
 	bool up;
 	bool draining;
--- a/test/relay_sim_servers.c
+++ b/test/relay_sim_servers.c
@@ -29,11 +29,12 @@
 	if (f->high_priority) {
 		/* It closes one-shot flows; the FIN overtakes the answer. */
 		len = rsim_build_packet(sim, buf, flow, false, 8 | 2,
-					f->isn + 501, 106 + f->acked, 0);
+					rsim_server_next(f) + ANSWER_BYTES,
+					106 + f->acked, 0);
 		server_send(sim, e->a, buf, len);
 	}
-	len = rsim_build_packet(sim, buf, flow, false, 2, f->isn + 1,
-				106 + f->acked, 500);
+	len = rsim_build_packet(sim, buf, flow, false, 2, rsim_server_next(f),
+				106 + f->acked, ANSWER_BYTES);
 	server_send(sim, e->a, buf, len);
 	if (!g_queue_is_empty(s->waiting))
 		serve(sim, e->a,
@@ -73,8 +74,9 @@
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	sim_flow_t *f = &sim->flows[flow];
-	size_t len = rsim_build_packet(sim, buf, flow, false, 2, f->isn + 1,
-				       106 + f->acked, 500);
+	size_t len =
+		rsim_build_packet(sim, buf, flow, false, 2, rsim_server_next(f),
+				  106 + f->acked, ANSWER_BYTES);
 
 	f->in_service = false;
 	f->error = true;
--- /dev/null
+++ b/test/test_relay_repeats.c
@@ -0,0 +1,151 @@
+/*
+ * test_relay_repeats - packets that come again take no flow back
+ *
+ * A repeated or late packet shows a state of the flow that is over: neither the
+ * agent nor the balancer may act as if the flow were there again.
+ */
+
+#include "relay_rig.h"
+#include "runner.h"
+
+#define BALANCER    0x0a010005u
+#define WOKEN	    0x0a010006u /* a balancer that did not run for a while */
+#define OTHER_AGENT 0x0a02000au
+#define ISN	    5000u /* initial sequence number of the server */
+#define PART	    1200u
+/* Bytes of a download, more than a caller may acknowledge unseen. */
+#define LENGTH	  (200u * PART)
+#define UNIX_AT_0 1700000000000ull
+/* Time that a late copy has waited in the socket of a balancer. */
+#define WAITED_MS 700
+
+/* Lets the server send a download that the caller acknowledges. */
+static void download(relay_rig_t *r)
+{
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	for (uint32_t at = 0; at < LENGTH; at += PART) {
+		rr_from_server(r, 1, RELAY_ACK, ISN + 1 + at, 106, PART);
+		rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106,
+				 ISN + 1 + at + PART, 0, 0);
+	}
+}
+
+/* Offers a copy of the open that waited in the socket of a balancer. */
+static void offer_late_copy(relay_rig_t *r, const uint32_t *further, size_t n)
+{
+	r->wait_ms = WAITED_MS;
+	rr_offer(r, WOKEN, 1, 5, further, n);
+	r->wait_ms = 0;
+}
+
+/* Passes the next acknowledgement of the download, and checks that the agent
+ * lets the server have it and denies the flow to nobody. */
+static void check_served(relay_rig_t *r)
+{
+	rr_clear(r);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 106, ISN + 1 + LENGTH, 0,
+			 0);
+	rr_lookup(r, BALANCER, 1, ISN + 1 + LENGTH, NULL, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_NOT_HELD),
+			  0);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 2);
+}
+
+/* Guards against a running download that an agent disowns, since its server has
+ * repeated its SYN-ACK: by itself (0), or for a copy of the open that another
+ * balancer offers (1) or passes on (2). */
+START_TEST(repeated_syn_ack_keeps_a_running_flow)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	download(r);
+	if (_i == 1)
+		offer_late_copy(r, NULL, 0);
+	if (_i == 2)
+		rr_from_balancer(r, WOKEN, 1, RELAY_SYN, 5, 0, 0, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	check_served(r);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against the same at an agent that has restarted: it knows the flow by
+ * its server's packets (0), by a packet that the server tries (1), or by the
+ * copy of the open alone (2). */
+START_TEST(repeated_syn_ack_keeps_an_adopted_flow)
+{
+	relay_rig_t *r = rr_agent(false);
+
+	rr_advance(r, 100);
+	if (_i == 0)
+		rr_from_server(r, 1, RELAY_ACK, ISN + 1 + LENGTH - PART, 106,
+			       PART);
+	if (_i == 1)
+		rr_lookup(r, BALANCER, 1, ISN + 1 + LENGTH, NULL, 0);
+	offer_late_copy(r, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	check_served(r);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against the opposite: an agent that has seen the whole flow knows that
+ * an acknowledgement far beyond it is of another server's flow. */
+START_TEST(other_servers_numbers_are_not_held)
+{
+	relay_rig_t *r = rr_agent(_i == 0);
+
+	rr_advance(r, 1000);
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 900000, 100, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  1);
+	/* A server that has started again uses other numbers. */
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN + 900000, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, BALANCER, RELAY_GIVEN_BACK),
+			  2);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a repeated packet of an answer that is taken for the answer to
+ * the next request: the server would seem free, and far too fast. */
+START_TEST(repeated_data_answers_no_request)
+{
+	relay_rig_t *r = rr_agent(_i == 0);
+
+	if (_i == 0)
+		rr_open_flow(r, 1);
+	rr_request(r, 1);
+	rr_from_server(r, 1, RELAY_ACK, RIG_FLOW_ISN + 1, 106, 500);
+	rr_from_balancer(r, RIG_FLOW_BALANCER, 1, RELAY_ACK, 106,
+			 RIG_FLOW_ISN + 501, 100, 0);
+	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 1);
+	rr_from_server(r, 1, RELAY_ACK, RIG_FLOW_ISN + 1, 106, 500);
+	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 1);
+	rr_from_server(r, 1, RELAY_ACK, RIG_FLOW_ISN + 501, 206, 500);
+	ck_assert_uint_eq(relay_agent_in_flight(r->agent), 0);
+	rr_free(r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay_repeats");
+	TCase *agent = tcase_create("agent");
+
+	tcase_add_loop_test(agent, repeated_syn_ack_keeps_a_running_flow, 0, 3);
+	tcase_add_loop_test(agent, repeated_syn_ack_keeps_an_adopted_flow, 0,
+			    3);
+	tcase_add_loop_test(agent, other_servers_numbers_are_not_held, 0, 2);
+	tcase_add_loop_test(agent, repeated_data_answers_no_request, 0, 2);
+	suite_add_tcase(s, agent);
+	return run_suite(s);
+}
