Let a late copy of an open take no flow back

Found by going through packets that come again.

Cause: a late copy was taken for a new open by an agent whose flow had ended (its server was blamed for the silence, the next agent got the open), by an agent that knows the flow since a restart, and by a balancer that knows it by a look-up: it forgot the holder, or ended the look-up.

Mend: a process that has not seen the open tells a copy by its age: it was sent before the packet by which the flow became known. An open on a port that is used again comes after it. The copy goes to the holder, ends no look-up, and opens no ended flow.

test_relay_repeats: late_copy_opens_no_ended_flow, late_copy_goes_to_the_holder and late_copy_ends_no_lookup failed before; open_after_a_known_flow_is_new guards the opposite.

--- a/src/flow_index.c
+++ b/src/flow_index.c
@@ -55,6 +55,7 @@
 	if (flow_index_count(idx) >= idx->limit)
 		flow_index_remove(idx,
 				  list_entry(idx->lru.next, flow_node_t, lru));
+	node->added_ms = now;
 	node->last_used_ms = now;
 	list_append(&idx->lru, &node->lru);
 	g_hash_table_insert(idx->nodes, &node->key, node);
--- a/src/flow_index.h
+++ b/src/flow_index.h
@@ -17,7 +17,8 @@
 
 typedef struct flow_node {
 	flow_key_t key;
-	list_t lru; /* position in the list of last use */
+	list_t lru;	   /* position in the list of last use */
+	uint64_t added_ms; /* see flow_index_add() */
 	uint64_t last_used_ms;
 } flow_node_t;
 
--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -250,6 +250,13 @@
 	a->ops.send_message(a->ctx, balancer, &msg);
 }
 
+/* Ends a flow that both ends have closed. */
+static void end_if_closed(relay_agent_t *a, server_flow_t *f)
+{
+	if (f->caller_fin && f->server_fin)
+		server_flow_set_phase(a, f, SERVER_FLOW_ENDED);
+}
+
 /* Half-closed flows are kept: the server still answers a caller that goes on
  * sending. */
 static void note_flow_end(relay_agent_t *a, server_flow_t *f,
@@ -259,8 +266,9 @@
 		return;
 	relay_load_request_ended(a, f, false);
 	set_active(a, f, false);
-	if ((p->flags & RELAY_RST) || (f->caller_fin && f->server_fin))
+	if (p->flags & RELAY_RST)
 		server_flow_set_phase(a, f, SERVER_FLOW_ENDED);
+	end_if_closed(a, f);
 }
 
 /* Notes requests, acknowledgements and the FIN of the caller. */
@@ -321,7 +329,8 @@
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
 	if (relay_packet_opens(&p)) {
 		/* Opens arrive as offers; this is a late copy of one. */
-		if (f && f->phase != SERVER_FLOW_QUEUED)
+		if (f && f->phase != SERVER_FLOW_QUEUED &&
+		    f->phase != SERVER_FLOW_ENDED)
 			server_flow_caller_packet(a, f, from, &p);
 		return;
 	}
@@ -411,6 +420,7 @@
 		    f->phase == SERVER_FLOW_RETURNED) {
 			relay_load_request_kept(a, f);
 			server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
+			end_if_closed(a, f);
 		}
 		return;
 	}
@@ -423,6 +433,7 @@
 		server_pace_warm(&a->pace);
 		server_flow_set_phase(a, f, SERVER_FLOW_OPEN);
 		relay_agent_send_held(a, f->balancer, f);
+		end_if_closed(a, f);
 	}
 	if ((p->payload_len && more) || overtaken)
 		relay_load_request_ended(a, f, true);
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -122,6 +122,53 @@
 	relay_agent_send(a, balancer, RELAY_REFUSED, key);
 }
 
+/* True for a copy of the flow's open. An agent that has restarted may know the
+ * flow by other packets only: the caller sent the open before these. */
+static bool is_copy(const server_flow_t *f, const relay_packet_t *p,
+		    uint64_t sent_ms)
+{
+	return f->syn_len ? f->caller_isn == p->seq
+			  : sent_ms < f->node.added_ms;
+}
+
+/* Handles the offer of a copy of the open. Returns false when the open is to be
+ * handled like the first copy. */
+static bool copy_offered(relay_agent_t *a, server_flow_t *f,
+			 const relay_msg_t *msg, relay_packet_t *p)
+{
+	if (f->refused) {
+		/* The offer was sent before the refusal arrived. */
+		send_refused(a, msg->balancer, &p->key);
+		return true;
+	}
+	switch (f->phase) {
+	case SERVER_FLOW_OPEN:
+		f->balancer = msg->balancer;
+		server_flow_deliver(a, f, p);
+		relay_agent_send_holder(a, msg->balancer, RELAY_TAKEN, f);
+		return true;
+	case SERVER_FLOW_OPENING:
+		/* Delivered already: it can't be refused any more. */
+		f->balancer = msg->balancer;
+		server_flow_deliver(a, f, p);
+		return true;
+	case SERVER_FLOW_QUEUED:
+		f->balancer = msg->balancer;
+		relay_agent_send(a, msg->balancer, RELAY_QUEUED, &p->key);
+		return true;
+	case SERVER_FLOW_VERIFYING:
+		/* The server answers if it holds the flow. */
+		server_flow_deliver(a, f, p);
+		return true;
+	case SERVER_FLOW_ENDED:
+		/* No server need open the flow again. */
+		relay_agent_send_holder(a, msg->balancer, RELAY_TAKEN, f);
+		return true;
+	default:
+		return false;
+	}
+}
+
 void relay_agent_offer(relay_agent_t *a, uint32_t from, uint32_t wait_ms,
 		       const relay_msg_t *msg)
 {
@@ -150,28 +197,8 @@
 		return;
 	}
 	f = (server_flow_t *)flow_index_find(a->flows, &p.key);
-	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPEN) {
-		f->balancer = msg->balancer;
-		server_flow_deliver(a, f, &p);
-		relay_agent_send_holder(a, msg->balancer, RELAY_TAKEN, f);
-		return;
-	}
-	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_OPENING) {
-		/* Delivered already: it can't be refused any more. */
-		f->balancer = msg->balancer;
-		server_flow_deliver(a, f, &p);
+	if (f && is_copy(f, &p, sent_ms) && copy_offered(a, f, msg, &p))
 		return;
-	}
-	if (f && f->caller_isn == p.seq && f->refused) {
-		/* The offer was sent before the refusal arrived. */
-		send_refused(a, msg->balancer, &p.key);
-		return;
-	}
-	if (f && f->caller_isn == p.seq && f->phase == SERVER_FLOW_QUEUED) {
-		f->balancer = msg->balancer;
-		relay_agent_send(a, msg->balancer, RELAY_QUEUED, &p.key);
-		return;
-	}
 	admission = admit(a, msg);
 	if (a->evacuated)
 		relay_agent_evacuated_open(a, from, msg->balancer);
--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -490,13 +490,23 @@
 		      (uint32_t)(f->give_up_ms - b->now));
 }
 
+/* True for a copy of the flow's open. A balancer may know the flow by later
+ * packets only, which came to it before this copy did: the caller sent the open
+ * before them. */
+static bool is_copy(const relay_balancer_t *b, const relay_flow_t *f,
+		    const relay_packet_t *p)
+{
+	return f->syn_len ? f->seq == p->seq
+			  : b->now - p->open_age_ms < f->node.added_ms;
+}
+
 void relay_open_packet(relay_balancer_t *b, const route_t *route,
 		       relay_packet_t *p)
 {
 	relay_flow_t *f = relay_flow_find(b, &p->key);
 	double priority;
 
-	if (f && f->syn_len && f->seq == p->seq) {
+	if (f && is_copy(b, f, p)) {
 		/* Retransmitted SYN: the holder answers it again, or the open
 		 * is offered to another agent. */
 		counter_add(&b->counters, COUNTER_OPENS_RETRIED, 1);
--- a/test/test_relay_repeats.c
+++ b/test/test_relay_repeats.c
@@ -11,6 +11,8 @@
 #define BALANCER    0x0a010005u
 #define WOKEN	    0x0a010006u /* a balancer that did not run for a while */
 #define OTHER_AGENT 0x0a02000au
+#define AGENT_A	    0x0a020001u
+#define AGENT_B	    0x0a020002u
 #define ISN	    5000u /* initial sequence number of the server */
 #define PART	    1200u
 /* Bytes of a download, more than a caller may acknowledge unseen. */
@@ -115,6 +117,32 @@
 }
 END_TEST
 
+/* Guards against a late copy that opens an ended flow again, at the server or,
+ * since that does not answer, at the next one: the server gets nothing, and no
+ * other agent is offered the open. */
+START_TEST(late_copy_opens_no_ended_flow)
+{
+	relay_rig_t *r = rr_agent(true);
+	uint32_t other = OTHER_AGENT;
+
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_from_server(r, 1, RELAY_ACK | RELAY_FIN, ISN + 1, 106, 500);
+	rr_from_balancer(r, BALANCER, 1, RELAY_ACK | RELAY_FIN, 106, ISN + 502,
+			 0, 0);
+	rr_clear(r);
+	offer_late_copy(r, &other, 1);
+	rr_from_balancer(r, WOKEN, 1, RELAY_SYN, 5, 0, 0, 0);
+	rr_advance(r, 500);
+	ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, OTHER_AGENT, RELAY_OFFER),
+			  0);
+	ck_assert_uint_eq(rr_count(r, RIG_MESSAGE, WOKEN, RELAY_TAKEN), 1);
+	rr_free(r);
+}
+END_TEST
+
 /* Guards against a repeated packet of an answer that is taken for the answer to
  * the next request: the server would seem free, and far too fast. */
 START_TEST(repeated_data_answers_no_request)
@@ -136,16 +164,97 @@
 }
 END_TEST
 
+static relay_rig_t *two_agents(void)
+{
+	relay_rig_t *r = rr_balancer();
+
+	r->unix_at_0 = UNIX_AT_0;
+	rr_routes(r, 1);
+	rr_entry_started(r, "a", AGENT_A, 2, ENTRY_READY, UNIX_AT_0);
+	rr_entry_started(r, "b", AGENT_B, 3, ENTRY_READY, UNIX_AT_0);
+	rr_advance(r, 1000);
+	rr_clear(r);
+	return r;
+}
+
+static size_t offers(const relay_rig_t *r)
+{
+	return rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER);
+}
+
+/* Guards against a holder that a balancer forgets because of a late copy of the
+ * open: it knows the flow by a look-up, and the copy waited in its socket (0)
+ * or is a later one (1). The copy goes to the holder, whose server answers it.
+ */
+START_TEST(late_copy_goes_to_the_holder)
+{
+	relay_rig_t *r = two_agents();
+
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + LENGTH, 100);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	rr_advance(r, 100);
+	rr_clear(r);
+	r->wait_ms = _i ? 0 : WAITED_MS;
+	rr_from_caller(r, 1, RELAY_SYN, 5, _i ? 1 : 0, 0);
+	ck_assert_uint_eq(offers(r), 0);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
+	r->wait_ms = 0;
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + LENGTH, 100);
+	ck_assert_uint_eq(rr_count(r, RIG_AGENT, AGENT_A, 0), 2);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a look-up that a late copy of the open ends, with the packets
+ * that wait for it. */
+START_TEST(late_copy_ends_no_lookup)
+{
+	relay_rig_t *r = two_agents();
+
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + LENGTH, 100);
+	rr_from_caller(r, 1, RELAY_ACK, 206, RIG_SERVER_ISN + LENGTH, 100);
+	rr_advance(r, 20);
+	r->wait_ms = WAITED_MS;
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	ck_assert_uint_eq(offers(r), 0);
+	rr_clear(r);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	ck_assert_uint_ge(rr_count(r, RIG_AGENT, AGENT_A, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against the opposite: an open on a port that is used again is a new
+ * one. */
+START_TEST(open_after_a_known_flow_is_new)
+{
+	relay_rig_t *r = two_agents();
+
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + LENGTH, 100);
+	rr_flow_message(r, AGENT_A, RELAY_HELD, 1, "feeds");
+	rr_advance(r, 1000);
+	rr_from_caller(r, 1, RELAY_SYN, 77, _i, 0);
+	ck_assert_uint_eq(offers(r), 1);
+	rr_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay_repeats");
 	TCase *agent = tcase_create("agent");
+	TCase *balancer = tcase_create("balancer");
 
 	tcase_add_loop_test(agent, repeated_syn_ack_keeps_a_running_flow, 0, 3);
 	tcase_add_loop_test(agent, repeated_syn_ack_keeps_an_adopted_flow, 0,
 			    3);
 	tcase_add_loop_test(agent, other_servers_numbers_are_not_held, 0, 2);
+	tcase_add_test(agent, late_copy_opens_no_ended_flow);
 	tcase_add_loop_test(agent, repeated_data_answers_no_request, 0, 2);
 	suite_add_tcase(s, agent);
+	tcase_add_loop_test(balancer, late_copy_goes_to_the_holder, 0, 2);
+	tcase_add_test(balancer, late_copy_ends_no_lookup);
+	tcase_add_loop_test(balancer, open_after_a_known_flow_is_new, 0, 3);
+	suite_add_tcase(s, balancer);
 	return run_suite(s);
 }
