Reset flows with the caller's highest acknowledgement

A reset that is more than 76,800 bytes behind the caller's last acknowledgement is not taken for one.

Cause: the number was that of the packet that came last, which may be late or repeated.

Mend: agents and balancers keep the highest one for resets; questions carry that of the last packet as before. A packet that the server is to try does not count as the caller's use of it.

test_relay_repeats: the two ..._reset_has_the_highest_acknowledgement failed before.

--- a/src/relay_agent.c
+++ b/src/relay_agent.c
@@ -278,8 +278,9 @@
 	uint32_t end = p->seq + p->payload_len;
 
 	if (p->flags & RELAY_ACK)
-		f->caller_ack = p->ack;
-	f->caller_acked |= (p->flags & RELAY_ACK) && f->server_isn_known;
+		f->caller_ack = relay_highest_ack(f->caller_ack, p->ack);
+	f->caller_acked |= (p->flags & RELAY_ACK) && f->server_isn_known &&
+			   f->phase != SERVER_FLOW_VERIFYING;
 	if (p->payload_len &&
 	    (!f->caller_next_known || seq_diff(end, f->caller_next) > 0)) {
 		f->caller_next = end;
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -48,7 +48,7 @@
 	bool confirmed;		/* the server sent a packet after the SYN-ACK */
 	uint32_t server_next;	/* next sequence number of the server */
 	uint32_t caller_next;	/* next sequence number of the caller */
-	uint32_t caller_ack;	/* last acknowledgement of the caller */
+	uint32_t caller_ack;	/* highest acknowledgement of the caller */
 	bool caller_acked;	/* it acknowledged the server's numbers */
 	bool caller_fin;	/* the caller sent a FIN */
 	bool server_fin;	/* the server sent a FIN */
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -222,7 +222,8 @@
 {
 	uint8_t buf[RELAY_PACKET_MAX];
 	char text[FLOW_TEXT_SIZE], agent[ENDPOINT_TEXT_SIZE];
-	size_t len = b->options.format->build_reset(&f->node.key, f->ack, buf);
+	size_t len =
+		b->options.format->build_reset(&f->node.key, f->acked, buf);
 
 	event_log(EVENT_RESET,
 		  "\"flow\":\"%s\",\"seq\":%u,\"agent\":\"%s\",\"why\":\"%s\","
@@ -241,6 +242,12 @@
 		f->confirmed = true;
 }
 
+static void note_ack(relay_flow_t *f, uint32_t ack)
+{
+	f->ack = ack;
+	f->acked = relay_highest_ack(f->acked, ack);
+}
+
 void relay_flow_send(relay_balancer_t *b, const relay_flow_t *f,
 		     relay_packet_t *p, uint8_t mark)
 {
@@ -272,7 +279,7 @@
 	if (!f)
 		return;
 	if (p->flags & RELAY_ACK)
-		f->ack = p->ack;
+		note_ack(f, p->ack);
 	if (f->agent == 0 || f->phase == PHASE_LOOKUP) {
 		relay_lookup_packet(b, f, p, 0);
 		return;
@@ -359,7 +366,7 @@
 	event_log(EVENT_GIVEN_BACK, "\"flow\":\"%s\",\"agent\":\"%s\"",
 		  flow_key_format(&p.key, text), ipv4_format(from, agent));
 	if (p.flags & RELAY_ACK)
-		f->ack = p.ack;
+		note_ack(f, p.ack);
 	if (f->agent == from && f->phase != PHASE_LOOKUP)
 		f->agent = 0;
 	if (f->agent && f->phase != PHASE_LOOKUP) {
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -170,6 +170,7 @@
 	bool confirmed;	     /* the caller uses the holder, and no other */
 	uint32_t seq;	     /* sequence number of the SYN */
 	uint32_t ack;	     /* the caller's last acknowledgement */
+	uint32_t acked;	     /* the highest one, for a reset */
 	uint32_t data_seq;   /* of the caller's last packet with data */
 	bool sent_data;	     /* data_seq is set */
 	/* First detour of a request that may still be answered, and the
--- a/src/relay_packet.h
+++ b/src/relay_packet.h
@@ -70,6 +70,18 @@
 /* Age at which a caller gives up an open. */
 #define RELAY_OPEN_LIFE_MS 1400
 
+/* Most bytes that a packet which comes late or again acknowledges less than the
+ * caller's last one; beyond that it is of another connection. */
+#define RELAY_REPEATED_ACK_BYTES (16 * 1024 * 1024)
+
+/* Returns the highest acknowledgement of a caller once another has come. */
+static inline uint32_t relay_highest_ack(uint32_t highest, uint32_t ack)
+{
+	uint32_t behind = highest - ack;
+
+	return behind <= RELAY_REPEATED_ACK_BYTES ? highest : ack;
+}
+
 /* Returns true for an open, the first packet of a flow. */
 static inline int relay_packet_opens(const relay_packet_t *p)
 {
--- a/test/test_relay_repeats.c
+++ b/test/test_relay_repeats.c
@@ -164,6 +164,34 @@
 }
 END_TEST
 
+/* Sequence number of the last packet to a caller. */
+static uint32_t reset_seq(const relay_rig_t *r)
+{
+	int at = rr_last(r, RIG_CALLER, 0, 0);
+	const uint8_t *seq = r->sent[at].buf + 2;
+
+	ck_assert_int_ge(at, 0);
+	return (uint32_t)seq[0] << 24 | (uint32_t)seq[1] << 16 |
+	       (uint32_t)seq[2] << 8 | seq[3];
+}
+
+/* Guards against a reset that its caller ignores, since a packet that came late
+ * acknowledged much less than the caller has received: the agent's. */
+START_TEST(agents_reset_has_the_highest_acknowledgement)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	rr_offer(r, BALANCER, 1, 5, NULL, 0);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	download(r);
+	rr_from_balancer(r, WOKEN, 1, RELAY_ACK, 6, ISN + 1, 100, 0);
+	rr_clear(r);
+	rr_returned(r, 1, RELAY_ACK, 106, ISN + 1 + LENGTH, 0);
+	ck_assert_uint_eq(reset_seq(r), ISN + 1 + LENGTH);
+	rr_free(r);
+}
+END_TEST
+
 static relay_rig_t *two_agents(void)
 {
 	relay_rig_t *r = rr_balancer();
@@ -177,6 +205,35 @@
 	return r;
 }
 
+static void open_at_a(relay_rig_t *r)
+{
+	rr_from_caller(r, 1, RELAY_SYN, 5, 0, 0);
+	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	rr_from_caller(r, 1, RELAY_ACK, 6, RIG_SERVER_ISN + 1, 100);
+}
+
+/* Another server takes the place of the one that holds the flow. */
+static void replace_a(relay_rig_t *r)
+{
+	rr_advance(r, 1000);
+	rr_clear(r);
+	rr_entry_started(r, "n", AGENT_A, 9, ENTRY_READY, UNIX_AT_0 + r->now);
+}
+
+/* The same as agents_reset_has_the_highest_acknowledgement: the balancer's. */
+START_TEST(balancers_reset_has_the_highest_acknowledgement)
+{
+	relay_rig_t *r = two_agents();
+
+	open_at_a(r);
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + LENGTH, 0);
+	rr_from_caller(r, 1, RELAY_ACK, 6, RIG_SERVER_ISN + 1, 100);
+	replace_a(r);
+	ck_assert_uint_eq(reset_seq(r), RIG_SERVER_ISN + LENGTH);
+	rr_free(r);
+}
+END_TEST
+
 static size_t offers(const relay_rig_t *r)
 {
 	return rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER);
@@ -251,7 +308,10 @@
 	tcase_add_loop_test(agent, other_servers_numbers_are_not_held, 0, 2);
 	tcase_add_test(agent, late_copy_opens_no_ended_flow);
 	tcase_add_loop_test(agent, repeated_data_answers_no_request, 0, 2);
+	tcase_add_test(agent, agents_reset_has_the_highest_acknowledgement);
 	suite_add_tcase(s, agent);
+	tcase_add_test(balancer,
+		       balancers_reset_has_the_highest_acknowledgement);
 	tcase_add_loop_test(balancer, late_copy_goes_to_the_holder, 0, 2);
 	tcase_add_test(balancer, late_copy_ends_no_lookup);
 	tcase_add_loop_test(balancer, open_after_a_known_flow_is_new, 0, 3);
