Keep the first acknowledgement when an agent says "taken" again

Callers of a lost server were told only after a look-up; callers that had closed could get a reset.

Cause: an agent says "taken" for each copy of the open, and the balancer began anew each time: a running download was no longer acknowledged, a closing flow became a known one.

Mend: the second one of the same agent and initial number changes neither.

test_relay_repeats: the two second_taken_... cases failed before.

--- a/src/relay_balancer_open.c
+++ b/src/relay_balancer_open.c
@@ -558,8 +558,9 @@
 	flow_key_t key = relay_msg_key(msg);
 	relay_flow_t *f = relay_flow_get(b, &key);
 	char text[FLOW_TEXT_SIZE], agent[ENDPOINT_TEXT_SIZE];
+	bool confirmed;
 
-	if (!f)
+	if (!f || (f->phase == PHASE_CLOSING && f->agent == from))
 		return;
 	if (f->phase == PHASE_KNOWN && f->agent && f->agent != from &&
 	    relay_mechanism_on(RELAY_HOLDER_PRECEDENCE))
@@ -572,8 +573,12 @@
 		  flow_key_format(&key, text), f->seq, ipv4_format(from, agent),
 		  (unsigned long long)(b->now - f->first_offer_ms));
 	counter_add(&b->counters, COUNTER_OPENS_ACCEPTED, 1);
+	/* The agent repeats this for each copy of the open. */
+	confirmed = f->confirmed && f->agent == from &&
+		    f->server_isn == msg->server_isn;
 	f->server_isn = msg->server_isn;
 	relay_flow_set_holder(b, f, from, msg->service);
+	f->confirmed = confirmed;
 	if (f->ack)
 		relay_flow_note_ack(f, f->ack);
 }
--- a/test/test_relay_repeats.c
+++ b/test/test_relay_repeats.c
@@ -234,6 +234,39 @@
 }
 END_TEST
 
+/* Guards against a first acknowledgement that is forgotten when the agent says
+ * again that its server took the open, for a late copy: a caller of a lost
+ * server would not be told. */
+START_TEST(second_taken_keeps_the_first_acknowledgement)
+{
+	relay_rig_t *r = two_agents();
+
+	open_at_a(r);
+	rr_from_caller(r, 1, RELAY_ACK, 106, RIG_SERVER_ISN + LENGTH, 0);
+	rr_from_caller(r, 1, RELAY_SYN, 5, 1, 0);
+	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	replace_a(r);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 1);
+	rr_free(r);
+}
+END_TEST
+
+/* Guards against a flow that its caller has closed and a second "taken" opens
+ * again: the caller would be reset. */
+START_TEST(second_taken_opens_no_closed_flow)
+{
+	relay_rig_t *r = two_agents();
+
+	open_at_a(r);
+	rr_from_caller(r, 1, RELAY_ACK | RELAY_FIN, 106, RIG_SERVER_ISN + 501,
+		       0);
+	rr_flow_message(r, AGENT_A, RELAY_TAKEN, 1, "feeds");
+	replace_a(r);
+	ck_assert_uint_eq(rr_count(r, RIG_CALLER, 0, 0), 0);
+	rr_free(r);
+}
+END_TEST
+
 static size_t offers(const relay_rig_t *r)
 {
 	return rr_count(r, RIG_MESSAGE, 0, RELAY_OFFER);
@@ -312,6 +345,8 @@
 	suite_add_tcase(s, agent);
 	tcase_add_test(balancer,
 		       balancers_reset_has_the_highest_acknowledgement);
+	tcase_add_test(balancer, second_taken_keeps_the_first_acknowledgement);
+	tcase_add_test(balancer, second_taken_opens_no_closed_flow);
 	tcase_add_loop_test(balancer, late_copy_goes_to_the_holder, 0, 2);
 	tcase_add_test(balancer, late_copy_ends_no_lookup);
 	tcase_add_loop_test(balancer, open_after_a_known_flow_is_new, 0, 3);
