Keep a TCP flow's numbers when its server's SYN-ACK comes again

Packets of a flow that has gone on for more than 16 MB no longer matched it and were looked up at other members.

Mend: a SYN-ACK with the flow's initial number, or with a lower one while that is unknown, leaves the next number alone.

test_agent_flow:repeated_syn_ack_keeps_a_running_flow, case 0, failed before; case 1 (an adopted flow) guards the same and passed, its window is 16 MB.

--- a/src/agent_server_packet.c
+++ b/src/agent_server_packet.c
@@ -8,6 +8,15 @@
 static bool is_probe_answer(flow_t *f, const packet_t *p);
 static bool expire_lost_caller(agent_t *a, uint64_t now, flow_t *f);
 
+/* True for a SYN-ACK of the flow's connection, which may have gone on since. Of
+ * an adopted flow the initial sequence number is not known. */
+static bool is_repeated_syn_ack(const flow_t *f, const packet_t *p)
+{
+	return f->state != FLOW_OPENING &&
+	       (f->server_isn == p->seq ||
+		(!f->server_isn && f->server_next - p->seq - 1 < SEQ_WINDOW));
+}
+
 static void track_server_packet(agent_t *a, uint64_t now, flow_t *f,
 				const packet_t *p)
 {
@@ -18,8 +27,9 @@
 	if (p->key.proto != PROTO_TCP)
 		return;
 	if ((p->flags & (TCP_SYN | TCP_ACK)) == (TCP_SYN | TCP_ACK)) {
+		if (!is_repeated_syn_ack(f, p))
+			f->server_next = p->seq + 1;
 		f->server_isn = p->seq;
-		f->server_next = p->seq + 1;
 		if (f->state == FLOW_OPENING)
 			flow_set_state(a, f, now, FLOW_HALF_OPEN);
 		return;
--- a/test/test_agent_flow.c
+++ b/test/test_agent_flow.c
@@ -75,6 +75,30 @@
 }
 END_TEST
 
+/* Guards against a running flow that its agent disowns, since the backend
+ * server's SYN-ACK has come again: at the agent that saw the flow open (0), or
+ * that knows it by a later packet only (1). */
+START_TEST(repeated_syn_ack_keeps_a_running_flow)
+{
+	const uint32_t sent = _i ? 1000000 : 40000000;
+
+	rig = rig_new(3, 0);
+	if (_i == 0)
+		rig_open(rig, 0, PORT, ISN);
+	rig->agents[0].server = RIG_ACKS;
+	rig_server_packet(rig, 0, PORT, TCP_ACK, 5001 + sent, ISN + 1, "data");
+	lookup(0, TCP_ACK, ISN + 1, 5005 + sent, NULL);
+	rig_server_packet(rig, 0, PORT, TCP_SYN | TCP_ACK, 5000, ISN + 1, NULL);
+	lookup(0, TCP_ACK, ISN + 1, 5005 + sent, "next");
+	ck_assert_uint_eq(rig->agents[0].payloads, 1);
+	ck_assert_uint_eq(rig->resets, 0);
+	/* A reset goes to the number that the caller expects. */
+	agent_server_unreachable(rig->agents[0].agent, rig->now);
+	ck_assert_uint_eq(rig->last_reply.seq, 5005 + sent);
+	rig_free(rig);
+}
+END_TEST
+
 /* The caller reuses a port while its old flow is held by another member. */
 START_TEST(reused_port_finds_the_new_flow)
 {
@@ -389,6 +413,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, syn_opened_at_two_members_keeps_one_flow);
 	tcase_add_test(tc, reused_port_finds_the_new_flow);
+	tcase_add_loop_test(tc, repeated_syn_ack_keeps_a_running_flow, 0, 2);
 	tcase_add_test(tc, lost_server_resets_the_caller_in_each_state);
 	tcase_add_test(tc, reset_is_repeated_a_few_times);
 	tcase_add_test(tc, idle_flows_of_a_lost_server_are_reset);
