Bound a server that has just started before its entry is read

Cause: the agent learnt that its server is cold from balancers, which read the entry up to a second after the start. It had itself seen that nothing listened, and then that the server answers again.

Mend: hellos and offers say at all times what a server of the service bears after a start, and for how long; the agent bounds a started server at once. Fields 44 and 45 of Message are new; builds without them do as before.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -711,7 +711,7 @@
   (ProtobufCMessageInit) ct__relay__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[32] =
+static const ProtobufCFieldDescriptor ct__relay__message__field_descriptors[34] =
 {
   {
     "kind",
@@ -1097,6 +1097,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_cold_ms",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, start_cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_opens",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Message, start_opens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__message__field_indices_by_name[] = {
   9,   /* field[9] = ack */
@@ -1128,6 +1152,8 @@
   10,   /* field[10] = slots */
   6,   /* field[6] = sport */
   5,   /* field[5] = src */
+  32,   /* field[32] = start_cold_ms */
+  33,   /* field[33] = start_opens */
   15,   /* field[15] = typical_us */
   30,   /* field[30] = unsure */
   20,   /* field[20] = warmup_opens */
@@ -1136,7 +1162,7 @@
 {
   { 1, 0 },
   { 35, 23 },
-  { 0, 32 }
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor ct__relay__message__descriptor =
 {
@@ -1146,7 +1172,7 @@
   "Ct__Relay__Message",
   "ct.relay",
   sizeof(Ct__Relay__Message),
-  32,
+  34,
   ct__relay__message__field_descriptors,
   ct__relay__message__field_indices_by_name,
   2,  ct__relay__message__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -239,6 +239,14 @@
    * in a look-up: servers do not try the packet; agents say what they know
    */
   protobuf_c_boolean known_only;
+  /*
+   * in hellos and offers: time for which the backend server is cold after a start; 0: not told
+   */
+  uint32_t start_cold_ms;
+  /*
+   * opens a second that it may get then
+   */
+  uint32_t start_opens;
   /*
    * of an unsure agent: its server got a packet of the flow, has sent others since, and has not returned it
    */
@@ -246,7 +254,7 @@
 };
 #define CT__RELAY__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/src/relay_agent_health.c
+++ b/src/relay_agent_health.c
@@ -218,6 +218,9 @@
 
 void relay_server_heard(relay_agent_t *a)
 {
+	/* Nothing listened since the last packet. */
+	if (a->last_heard_ms && a->refused_ms > a->last_heard_ms)
+		relay_agent_server_started(a);
 	a->last_heard_ms = a->now;
 	a->no_server = false;
 	a->unanswered_since_ms = 0;
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -100,7 +100,9 @@
 	bool evacuated; /* the availability zone takes no opens */
 	store_revision_t evacuation_revision; /* of its last change */
 	uint64_t evacuation_heard_ms;	      /* last word on it */
-	warmup_limit_t warmup; /* opens while the server is cold */
+	warmup_limit_t warmup;	/* opens while the server is cold */
+	uint32_t start_cold_ms; /* warm-up after a start; 0: not told */
+	uint32_t start_opens;	/* opens in any second of it */
 	uint32_t max_flows; /* most flows that the server holds; 0: unknown */
 	bool no_server;	    /* none listened at the start, or was heard since */
 	GArray *balancers;  /* of known_balancer_t, which get load reports */
@@ -292,6 +294,9 @@
 /* relay_agent_limits.c: limits of the service that bound the opens */
 /* Notes the limits that a hello or an offer tells. */
 void relay_agent_note_limits(relay_agent_t *a, const relay_msg_t *msg);
+/* Notes that the server is another process than before. Balancers read in its
+ * entry that it is cold only up to a second later. */
+void relay_agent_server_started(relay_agent_t *a);
 /* True when the server holds as many flows as it may. */
 bool relay_agent_flows_full(const relay_agent_t *a);
 /* True when the server is cold and may get no open at the moment. */
--- a/src/relay_agent_limits.c
+++ b/src/relay_agent_limits.c
@@ -4,20 +4,35 @@
  * platform's default of the time after which idle flows are discarded. */
 #define HELD_IDLE_MS 15000
 
-void relay_agent_note_limits(relay_agent_t *a, const relay_msg_t *msg)
+static void set_cold(relay_agent_t *a, uint32_t opens, uint32_t left_ms,
+		     const char *why)
 {
 	bool warm = !warmup_limit_is_cold(&a->warmup, a->now);
 
-	if (msg->max_flows)
-		a->max_flows = msg->max_flows;
-	if (!msg->warmup_opens)
-		return;
-	warmup_limit_set(&a->warmup, a->now, msg->warmup_opens, msg->cold_ms);
+	warmup_limit_set(&a->warmup, a->now, opens, left_ms);
 	if (warm && warmup_limit_is_cold(&a->warmup, a->now))
 		event_log(EVENT_SERVER,
 			  "\"state\":\"cold\",\"opens_per_s\":%u,"
-			  "\"left_ms\":%u",
-			  msg->warmup_opens, msg->cold_ms);
+			  "\"left_ms\":%u,\"why\":\"%s\"",
+			  opens, left_ms, why);
+}
+
+void relay_agent_note_limits(relay_agent_t *a, const relay_msg_t *msg)
+{
+	if (msg->max_flows)
+		a->max_flows = msg->max_flows;
+	if (msg->start_cold_ms) {
+		a->start_cold_ms = msg->start_cold_ms;
+		a->start_opens = msg->start_opens;
+	}
+	if (msg->warmup_opens)
+		set_cold(a, msg->warmup_opens, msg->cold_ms, "entry");
+}
+
+void relay_agent_server_started(relay_agent_t *a)
+{
+	if (a->start_cold_ms)
+		set_cold(a, a->start_opens, a->start_cold_ms, "started");
 }
 
 /* Number of flows that the server holds. */
--- a/src/relay_balancer_limits.c
+++ b/src/relay_balancer_limits.c
@@ -29,16 +29,19 @@
 {
 	const route_service_t *limits = limits_of(b, m);
 	uint32_t left_ms = relay_limits_warmup_left(b, m);
+	uint32_t opens;
 
 	if (!limits || limits->warmup_per_s <= 0 ||
-	    b->options.warmup_overage <= 0 || !left_ms)
+	    b->options.warmup_overage <= 0)
 		return;
-	msg->cold_ms = left_ms;
-	msg->warmup_opens =
-		(uint32_t)(limits->warmup_per_s * b->options.warmup_overage +
+	opens = (uint32_t)(limits->warmup_per_s * b->options.warmup_overage +
 			   b->options.warmup_slack);
-	if (!msg->warmup_opens)
-		msg->warmup_opens = 1;
+	msg->start_cold_ms = limits->warmup_ms;
+	msg->start_opens = MAX(1, opens);
+	if (!left_ms)
+		return;
+	msg->cold_ms = left_ms;
+	msg->warmup_opens = MAX(1, opens);
 }
 
 void relay_limits_tell_flows(const relay_balancer_t *b, const relay_member_t *m,
--- a/test/test_warmup_limit.c
+++ b/test/test_warmup_limit.c
@@ -309,6 +309,51 @@
 	directory_put(relay_balancer_directory(r->balancer), r->now, &e);
 }
 
+/* Offers an open that says what a server bears after a start. */
+static void offer_start(relay_rig_t *r, unsigned flow)
+{
+	uint8_t buf[RELAY_PACKET_MAX];
+	relay_msg_t msg;
+
+	relay_msg_init(&msg, RELAY_OFFER);
+	msg.service = (char *)"feeds";
+	msg.balancer = BALANCER;
+	msg.packet.data = buf;
+	msg.packet.len = rr_packet(buf, flow, RELAY_SYN, 5, 0, 0);
+	msg.slots = 64;
+	msg.start_opens = BOUND;
+	msg.start_cold_ms = 2000;
+	relay_agent_handle_message(r->agent, r->now, BALANCER, &msg);
+}
+
+/* Guards against a server that has just started again and gets all that it bore
+ * before, until balancers have read in its entry that it is cold (0). One that
+ * was only silent is warm (1). */
+START_TEST(started_server_is_bounded_before_its_entry)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	offer_start(r, 1);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_advance(r, 100);
+	if (_i == 0)
+		relay_agent_server_refused(r->agent, r->now);
+	rr_advance(r, 1500);
+	offer_start(r, 2);
+	rr_from_server(r, 2, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_clear(r);
+	for (unsigned flow = 10; flow < 50; flow++) {
+		offer_start(r, flow);
+		rr_from_server(r, flow, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	}
+	if (_i == 0)
+		ck_assert_uint_eq(rr_count(r, RIG_SERVER, 0, 0), BOUND - 1);
+	else
+		ck_assert_uint_gt(rr_count(r, RIG_SERVER, 0, 0), BOUND);
+	rr_free(r);
+}
+END_TEST
+
 /* The last message of a kind to an agent; released with relay_msg_free(). */
 static relay_msg_t *last_message(relay_rig_t *r, uint32_t agent,
 				 relay_kind_t kind)
@@ -345,6 +390,10 @@
 	rr_advance(r, 2100);
 	rr_from_caller(r, 2, RELAY_SYN, 5, 0, 0);
 	ck_assert_uint_eq(opens_told(r, RELAY_OFFER), 0);
+	msg = last_message(r, AGENT_A, RELAY_OFFER);
+	ck_assert_uint_eq(msg->start_opens, BOUND);
+	ck_assert_uint_gt(msg->start_cold_ms, 0);
+	relay_msg_free(msg);
 	rr_free(r);
 }
 END_TEST
@@ -553,6 +602,8 @@
 	tcase_add_test(agent, agent_bounds_all_balancers_together);
 	tcase_add_test(agent, agent_bounds_its_queue);
 	tcase_add_test(agent, agent_counts_opens_once);
+	tcase_add_loop_test(agent, started_server_is_bounded_before_its_entry,
+			    0, 2);
 	tcase_add_test(agent, restarted_agent_waits);
 	tcase_add_test(agent, agent_reports_full_window);
 	tcase_add_test(agent, agent_bounds_flows);
