Keep the lists of agents that stop, and ask first where a flow was listed

Cause: look-ups ask first the agent that listed the flow when it stopped, but the list was lost: an agent that had restarted sent none, since it may not know all flows; the list was discarded when the agent came back, knowing nothing; a second list would have dropped flows that were idle in between; and a balancer that starts had none. Each look-up then let up to 35 servers try the packet.

Mend: such an agent lists the flows that it knows to be in use and says that there may be others. Balancers add lists up, keep them for the life of a flow, and pass them on with their state (fields 15 and 16 of Target, new). A list says whom to ask first; that an agent does not hold a flow follows from a complete list alone, while the agent is away, as before.

--- a/src/relay.pb-c.c
+++ b/src/relay.pb-c.c
@@ -1359,7 +1359,7 @@
   (ProtobufCMessageInit) ct__relay__route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct__relay__target__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ct__relay__target__field_descriptors[16] =
 {
   {
     "id",
@@ -1529,12 +1529,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listed_flows",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ct__Relay__Target, n_listed_flows),
+    offsetof(Ct__Relay__Target, listed_flows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed_age_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ct__Relay__Target, listed_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct__relay__target__field_indices_by_name[] = {
   12,   /* field[12] = cold_ms */
   9,   /* field[9] = era */
   0,   /* field[0] = id */
   3,   /* field[3] = ip */
+  15,   /* field[15] = listed_age_ms */
+  14,   /* field[14] = listed_flows */
   11,   /* field[11] = missing_ms */
   13,   /* field[13] = overwritten_ms */
   4,   /* field[4] = port */
@@ -1549,7 +1575,7 @@
 static const ProtobufCIntRange ct__relay__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ct__relay__target__descriptor =
 {
@@ -1559,7 +1585,7 @@
   "Ct__Relay__Target",
   "ct.relay",
   sizeof(Ct__Relay__Target),
-  14,
+  16,
   ct__relay__target__field_descriptors,
   ct__relay__target__field_indices_by_name,
   1,  ct__relay__target__number_ranges,
--- a/src/relay.pb-c.h
+++ b/src/relay.pb-c.h
@@ -318,6 +318,15 @@
    * time for which the target stays cold
    */
   uint32_t cold_ms;
+  /*
+   * hashes of flows that its server held when its agent stopped last
+   */
+  size_t n_listed_flows;
+  uint32_t *listed_flows;
+  /*
+   * time since then
+   */
+  uint32_t listed_age_ms;
   /*
    * time since another writer's item replaced the entry; 0: it is the target's
    */
@@ -325,7 +334,7 @@
 };
 #define CT__RELAY__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct__relay__target__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -175,8 +175,9 @@
 
 /* relay_agent_stop.c: what the balancers know while the agent is away */
 /*
- * Adds to a load report of a stopping agent which flows its server may hold.
- * Returns an array to be freed once the message is sent, or NULL.
+ * Adds to a load report of a stopping agent which flows its server may hold:
+ * all of them if the agent knows all, else those that it knows. Returns an
+ * array to be freed once the message is sent, or NULL.
  */
 uint32_t *relay_agent_list_flows(const relay_agent_t *a, relay_msg_t *msg);
 
--- a/src/relay_agent_stop.c
+++ b/src/relay_agent_stop.c
@@ -25,11 +25,11 @@
 
 uint32_t *relay_agent_list_flows(const relay_agent_t *a, relay_msg_t *msg)
 {
+	bool complete = a->options.knows_all_flows;
 	uint32_t *hashes;
 	size_t n = 0;
 
-	if (!a->stopping || !a->options.knows_all_flows ||
-	    !relay_mechanism_on(RELAY_STOP_LISTS))
+	if (!a->stopping || !relay_mechanism_on(RELAY_STOP_LISTS))
 		return NULL;
 	hashes = g_new(uint32_t, LISTED_FLOWS_MAX);
 	list_each(node, flow_index_lru(a->flows))
@@ -39,7 +39,8 @@
 
 		if (f->phase == SERVER_FLOW_ENDED ||
 		    f->phase == SERVER_FLOW_QUEUED ||
-		    f->phase == SERVER_FLOW_RETURNED)
+		    f->phase == SERVER_FLOW_RETURNED ||
+		    (!complete && !f->confirmed && !f->caller_acked))
 			continue;
 		if (n == LISTED_FLOWS_MAX) {
 			g_free(hashes);
@@ -49,6 +50,6 @@
 	}
 	msg->held_flows = hashes;
 	msg->n_held_flows = n;
-	msg->held_flows_complete = true;
+	msg->held_flows_complete = complete;
 	return hashes;
 }
--- a/src/relay_balancer.c
+++ b/src/relay_balancer.c
@@ -95,7 +95,7 @@
 	{
 		relay_member_t *m = list_entry(node, relay_member_t, node);
 
-		relay_member_note_held(m, NULL);
+		relay_member_note_held(b, m, NULL);
 		free(m);
 	}
 	g_hash_table_destroy(b->by_agent);
--- a/src/relay_balancer.h
+++ b/src/relay_balancer.h
@@ -92,6 +92,16 @@
 route_history_t *relay_balancer_route_history(relay_balancer_t *b);
 
 /* The targets, owned by the balancer; filled by the platform's adapter. */
+/* Flows that an agent listed when it stopped last, as holder_list_hash(), and
+ * how long ago that was; NULL: none are known. Valid until the next call with
+ * the balancer. */
+const uint32_t *relay_balancer_listed(relay_balancer_t *b, uint32_t agent,
+				      size_t *n, uint64_t *age_ms);
+/* Takes such a list over from a peer, unless one is known. */
+void relay_balancer_set_listed(relay_balancer_t *b, uint32_t agent,
+			       const uint32_t *hashes, size_t n,
+			       uint64_t age_ms);
+
 directory_t *relay_balancer_directory(relay_balancer_t *b);
 
 /* The evacuated zones, owned by the balancer; filled by the platform's adapter.
--- a/src/relay_balancer_chain.c
+++ b/src/relay_balancer_chain.c
@@ -52,7 +52,7 @@
 		const relay_member_t *m =
 			g_ptr_array_index(group->members, order[i]);
 
-		if (!l->listed && relay_member_listed(m, key)) {
+		if (!l->listed && relay_member_listed(b, m, key)) {
 			l->listed = m->agent;
 			g_array_insert_val(l->pending, l->next, m->agent);
 		} else {
--- a/src/relay_balancer_int.h
+++ b/src/relay_balancer_int.h
@@ -79,6 +79,11 @@
 	/* Flows that the server of a stopping agent may hold, as
 	 * holder_list_hash(); NULL: unknown, or the agent does not stop. */
 	GArray *held;
+	/* Flows that the server held when its agent stopped, the last time at
+	 * listed_ms, in the same form; NULL: unknown. There may have been
+	 * others. */
+	GArray *listed;
+	uint64_t listed_ms;
 	uint64_t last_heard_ms;	      /* last message from the agent */
 	uint64_t last_hello_ms;	      /* last hello to the agent */
 	uint64_t unanswered_since_ms; /* first hello since then; 0: none */
@@ -321,10 +326,14 @@
 void relay_limits_tell_flows(const relay_balancer_t *b, const relay_member_t *m,
 			     relay_msg_t *msg);
 /* relay_balancer_stop.c: members whose agents stop */
-/* True when the member's agent stops and has listed the flow. */
-bool relay_member_listed(const relay_member_t *m, const flow_key_t *key);
-/* Stores or discards the list of flows with a load report. */
-void relay_member_note_held(relay_member_t *m, const relay_msg_t *msg);
+/* True when the member's agent stops, or has stopped within the life of a flow,
+ * and listed the flow. */
+bool relay_member_listed(const relay_balancer_t *b, const relay_member_t *m,
+			 const flow_key_t *key);
+/* Stores or discards the list of flows with a load report; NULL: the member's
+ * server is another one. */
+void relay_member_note_held(const relay_balancer_t *b, relay_member_t *m,
+			    const relay_msg_t *msg);
 /*
  * True when a target takes no more opens, its agent has stopped, answers no
  * hello and did not list the flow: it is not asked.
--- a/src/relay_balancer_member.c
+++ b/src/relay_balancer_member.c
@@ -132,7 +132,7 @@
 static void member_remove(relay_balancer_t *b, relay_member_t *m)
 {
 	relay_group_remove(m);
-	relay_member_note_held(m, NULL);
+	relay_member_note_held(b, m, NULL);
 	g_hash_table_remove(b->by_agent, GUINT_TO_POINTER(m->agent));
 	list_remove(&m->node);
 	free(m);
@@ -165,7 +165,7 @@
 	if (!was_there_before(b, m, e))
 		reset_flows(b, m, e, "target replaced");
 	m->report = (relay_load_report_t){ 0 };
-	relay_member_note_held(m, NULL);
+	relay_member_note_held(b, m, NULL);
 	m->unreported_opens = 0;
 	m->unanswered_offers = 0;
 	m->avoided_until_ms = 0;
@@ -320,7 +320,7 @@
 		.no_server = load->no_server,
 		.listens = load->listens,
 	};
-	relay_member_note_held(m, msg);
+	relay_member_note_held(b, m, msg);
 	if (msg->kind == RELAY_LOAD)
 		m->unreported_opens = 0;
 }
--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -67,9 +67,11 @@
 	g_ptr_array_add(parts->list, m);
 }
 
-static void add_target(parts_t *parts, uint64_t now, const target_entry_t *e)
+static void add_target(relay_balancer_t *b, parts_t *parts, uint64_t now,
+		       const target_entry_t *e)
 {
 	target_msg_t *m = new_part(parts, sizeof(*m));
+	uint64_t age_ms = 0;
 
 	ct__relay__target__init(m);
 	m->id = (char *)e->id;
@@ -92,6 +94,9 @@
 	if (e->overwritten_since_ms)
 		m->overwritten_ms =
 			(uint32_t)(now - e->overwritten_since_ms) + 1;
+	m->listed_flows = (uint32_t *)relay_balancer_listed(
+		b, e->address.ip, &m->n_listed_flows, &age_ms);
+	m->listed_age_ms = (uint32_t)age_ms;
 	g_ptr_array_add(parts->list, m);
 }
 
@@ -146,7 +151,7 @@
 	}
 	list_each(node, directory_entries(relay_balancer_directory(b)))
 	{
-		add_target(&targets, now,
+		add_target(b, &targets, now,
 			   list_entry(node, target_entry_t, node));
 	}
 	list_each(node, evacuations_list(relay_balancer_evacuations(b)))
@@ -250,8 +255,10 @@
 		route_history_set_seen_ms(h, now, state->routes_seen_ms);
 }
 
-static void read_target(directory_t *d, uint64_t now, const target_msg_t *m)
+static void read_target(relay_balancer_t *b, uint64_t now,
+			const target_msg_t *m)
 {
+	directory_t *d = relay_balancer_directory(b);
 	target_entry_t e = { .address = { m->ip, (uint16_t)m->port },
 			     .slots = m->slots,
 			     .started_ms = m->started_ms,
@@ -271,6 +278,9 @@
 	if (m->overwritten_ms)
 		directory_set_overwritten(d, now, e.id, e.revision,
 					  m->overwritten_ms);
+	if (m->n_listed_flows)
+		relay_balancer_set_listed(b, m->ip, m->listed_flows,
+					  m->n_listed_flows, m->listed_age_ms);
 }
 
 /* A peer of an earlier version tells nothing of evacuations. */
@@ -316,7 +326,7 @@
 		read_routes(b, state);
 		read_history(b, now, state);
 		for (size_t i = 0; i < state->n_targets; i++)
-			read_target(d, now, state->targets[i]);
+			read_target(b, now, state->targets[i]);
 		directory_set_hiding(d, now, state->hiding_ms);
 		read_evacuations(relay_balancer_evacuations(b), now, state);
 		revision.era = state->era;
