Count copies of opens for a server that has started since

Cause: an open that is delivered while no server runs counts at that time. A server that starts takes its copy, which counted no more; the first time left the window while the copy's second was not over.

Evidence: the record has 7 opens taken within .02 s of the start, and 10 at 1.05 to 1.08 s, when the window had room for them by the earlier times.

Mend: a copy for a server that was not there at the delivery counts, and waits for room. Nothing changes where no bound holds.

--- a/src/relay_agent_limits.c
+++ b/src/relay_agent_limits.c
@@ -31,6 +31,7 @@
 
 void relay_agent_server_started(relay_agent_t *a)
 {
+	a->server_started_ms = a->now;
 	if (a->start_cold_ms)
 		set_cold(a, a->start_opens, a->start_cold_ms, "started");
 }
--- a/src/relay_agent_open.c
+++ b/src/relay_agent_open.c
@@ -131,6 +131,14 @@
 			  : sent_ms < f->node.added_ms;
 }
 
+/* True when no server ran when the open was delivered: one that has started
+ * since takes a copy of it, which counts. */
+static bool may_have_missed(const relay_agent_t *a, const server_flow_t *f)
+{
+	return a->refused_ms > a->last_heard_ms ||
+	       f->opened_ms < a->server_started_ms;
+}
+
 /* Handles the offer of a copy of the open. Returns false when the open is to be
  * handled like the first copy. */
 static bool copy_offered(relay_agent_t *a, server_flow_t *f,
@@ -150,6 +158,11 @@
 	case SERVER_FLOW_OPENING:
 		/* Delivered already: it can't be refused any more. */
 		f->balancer = msg->balancer;
+		if (may_have_missed(a, f)) {
+			if (relay_agent_warmup_full(a))
+				return true;
+			warmup_limit_add(&a->warmup, a->now);
+		}
 		server_flow_deliver(a, f, p);
 		return true;
 	case SERVER_FLOW_QUEUED:
--- a/test/test_warmup_limit.c
+++ b/test/test_warmup_limit.c
@@ -354,6 +354,32 @@
 }
 END_TEST
 
+/* Guards against opens that count at a time at which no server ran: one that
+ * starts takes their copies, too, and gets more than it bears. */
+START_TEST(copies_for_a_started_server_count)
+{
+	relay_rig_t *r = rr_agent(true);
+
+	offer_start(r, 1);
+	rr_from_server(r, 1, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_advance(r, 100);
+	for (unsigned flow = 10; flow < 10 + BOUND; flow++)
+		offer_start(r, flow);
+	relay_agent_server_refused(r->agent, r->now);
+	rr_advance(r, 900);
+	offer_start(r, 2);
+	rr_from_server(r, 2, RELAY_SYN | RELAY_ACK, ISN, 6, 0);
+	rr_clear(r);
+	for (unsigned flow = 10; flow < 10 + BOUND; flow++)
+		offer_start(r, flow);
+	rr_advance(r, 200);
+	for (unsigned flow = 50; flow < 90; flow++)
+		offer_start(r, flow);
+	ck_assert_uint_le(rr_count(r, RIG_SERVER, 0, 0), BOUND - 1);
+	rr_free(r);
+}
+END_TEST
+
 /* The last message of a kind to an agent; released with relay_msg_free(). */
 static relay_msg_t *last_message(relay_rig_t *r, uint32_t agent,
 				 relay_kind_t kind)
@@ -602,6 +628,7 @@
 	tcase_add_test(agent, agent_bounds_all_balancers_together);
 	tcase_add_test(agent, agent_bounds_its_queue);
 	tcase_add_test(agent, agent_counts_opens_once);
+	tcase_add_test(agent, copies_for_a_started_server_count);
 	tcase_add_loop_test(agent, started_server_is_bounded_before_its_entry,
 			    0, 2);
 	tcase_add_test(agent, restarted_agent_waits);
