--- a/src/relay_agent_int.h
+++ b/src/relay_agent_int.h
@@ -100,9 +100,9 @@
 	bool evacuated; /* the availability zone takes no opens */
 	store_revision_t evacuation_revision; /* of its last change */
 	uint64_t evacuation_heard_ms;	      /* last word on it */
+	uint64_t server_started_ms; /* seen to answer after none listened */
 	warmup_limit_t warmup;	    /* opens while the server is cold */
 	uint32_t start_cold_ms;	    /* warm-up after a start; 0: not told */
-	uint64_t server_started_ms; /* seen to answer after none listened */
 	uint32_t start_opens;	    /* opens in any second of it */
 	uint32_t max_flows; /* most flows that the server holds; 0: unknown */
 	bool no_server;	    /* none listened at the start, or was heard since */
