Bound the lists of flows in the state of a peer

The lists of 11,000 targets could add 22 MB to a state, of which a peer reads at most 4 MB; none would be read then. At most 32,768 flows, 128 KB, are passed on: at the size of today's sites all of them.

--- a/src/relay_state.c
+++ b/src/relay_state.c
@@ -12,11 +12,16 @@
 typedef Ct__Relay__FormerService former_msg_t;
 typedef Ct__Relay__Service service_msg_t;
 
+/* Most flows in the lists of all targets: a state has to be small enough for
+ * the link of any host. */
+#define LISTED_FLOWS_MAX 32768
+
 /* Parts of a protobuf message. */
 typedef struct parts {
 	GPtrArray *list;  /* elements of a repeated field */
 	GPtrArray *owned; /* all allocations, freed with the array */
 	uint64_t now;
+	size_t nlisted; /* flows in the lists of targets */
 } parts_t;
 
 static void *new_part(parts_t *parts, size_t size)
@@ -71,7 +76,9 @@
 		       const target_entry_t *e)
 {
 	target_msg_t *m = new_part(parts, sizeof(*m));
-	uint64_t age_ms = 0;
+	const uint32_t *listed;
+	uint64_t age_ms;
+	size_t n;
 
 	ct__relay__target__init(m);
 	m->id = (char *)e->id;
@@ -94,9 +101,13 @@
 	if (e->overwritten_since_ms)
 		m->overwritten_ms =
 			(uint32_t)(now - e->overwritten_since_ms) + 1;
-	m->listed_flows = (uint32_t *)relay_balancer_listed(
-		b, e->address.ip, &m->n_listed_flows, &age_ms);
-	m->listed_age_ms = (uint32_t)age_ms;
+	listed = relay_balancer_listed(b, e->address.ip, &n, &age_ms);
+	if (listed && parts->nlisted + n <= LISTED_FLOWS_MAX) {
+		m->listed_flows = (uint32_t *)listed;
+		m->n_listed_flows = n;
+		m->listed_age_ms = (uint32_t)age_ms;
+		parts->nlisted += n;
+	}
 	g_ptr_array_add(parts->list, m);
 }
 
@@ -132,11 +143,11 @@
 		      store_revision_t revision, GString *out)
 {
 	GPtrArray *owned = g_ptr_array_new_with_free_func(g_free);
-	parts_t routes = { g_ptr_array_new(), owned, now };
-	parts_t targets = { g_ptr_array_new(), owned, now };
-	parts_t evacuations = { g_ptr_array_new(), owned, now };
-	parts_t former = { g_ptr_array_new(), owned, now };
-	parts_t services = { g_ptr_array_new(), owned, now };
+	parts_t routes = { g_ptr_array_new(), owned, now, 0 };
+	parts_t targets = { g_ptr_array_new(), owned, now, 0 };
+	parts_t evacuations = { g_ptr_array_new(), owned, now, 0 };
+	parts_t former = { g_ptr_array_new(), owned, now, 0 };
+	parts_t services = { g_ptr_array_new(), owned, now, 0 };
 	const route_history_t *history = relay_balancer_route_history(b);
 	const route_table_t *table = relay_balancer_route_table(b);
 	state_msg_t state = CT__RELAY__STATE__INIT;
--- a/test/test_relay_state.c
+++ b/test/test_relay_state.c
@@ -5,6 +5,7 @@
 #include "relay_rig.h"
 #include "relay_state.h"
 #include "runner.h"
+#include <stdio.h>
 
 #define AGENT_A 0x0a010009u
 #define AGENT_B 0x0a02000au
@@ -51,6 +52,34 @@
 }
 END_TEST
 
+/* Guards against a state that no peer reads, since the lists of very many
+ * agents that have stopped make it too large: those beyond a bound are left
+ * out. */
+START_TEST(lists_of_flows_are_bounded)
+{
+	relay_rig_t *source = rr_balancer();
+	uint32_t hashes[256] = { 0 };
+	GString *without, *with;
+	char id[16];
+
+	rr_routes(source, 7);
+	for (unsigned i = 0; i < 300; i++) {
+		snprintf(id, sizeof(id), "t%u", i);
+		rr_entry(source, id, AGENT_A + i, 20 + i, ENTRY_READY);
+	}
+	without = pack_state(source, 900);
+	for (unsigned i = 0; i < 300; i++)
+		relay_balancer_set_listed(source->balancer, AGENT_A + i, hashes,
+					  G_N_ELEMENTS(hashes), 1);
+	with = pack_state(source, 900);
+	ck_assert_uint_gt(with->len, without->len + 100000);
+	ck_assert_uint_lt(with->len, without->len + 150000);
+	g_string_free(without, TRUE);
+	g_string_free(with, TRUE);
+	rr_free(source);
+}
+END_TEST
+
 /* The state of a peer that is behind replaces no newer routes or entries. */
 START_TEST(older_state_changes_nothing)
 {
@@ -366,6 +395,7 @@
 	TCase *tc = tcase_create("peers");
 
 	tcase_add_test(tc, state_of_peer_is_applied);
+	tcase_add_test(tc, lists_of_flows_are_bounded);
 	tcase_add_test(tc, older_state_changes_nothing);
 	tcase_add_test(tc, peers_in_different_eras);
 	tcase_add_test(tc, state_keeps_long_names_and_unread_routes);
